Thin whole path: callers, nodes, instances, settings as separate processes

A caller's request enters any node, crosses by pynng to the node beside a chosen upstream instance, runs there, makes a nested call through its own node, and the whole answer returns. Settings come from the platform stand-in, applied with thorntrayctl.

SIGTERM stopped a node with exit 0.

--- /dev/null
+++ b/Makefile
@@ -0,0 +1,34 @@
+# Everything runs in .venv, which is made on first use with nothing but Python 3.11 and make.
+PYTHON ?= python3
+VENV := .venv
+BIN := $(VENV)/bin
+READY := $(VENV)/.ready
+
+.PHONY: test demo bench capacity lint features clean
+
+test: $(READY)
+	$(BIN)/python -m pytest
+	$(BIN)/behave --no-capture --format progress
+
+demo: $(READY)
+	$(BIN)/python -m demo.run
+
+bench: $(READY)
+	$(BIN)/python -m bench.overload
+
+capacity: $(READY)
+	$(BIN)/python -m bench.capacity
+
+lint: $(READY)
+	$(BIN)/black --check --quiet .
+	$(BIN)/ruff check .
+
+$(READY): requirements.txt $(wildcard packages/*/pyproject.toml)
+	$(PYTHON) -m venv $(VENV)
+	$(BIN)/python -m pip install --quiet --requirement requirements.txt
+	$(BIN)/python -m pip install --quiet --no-deps --editable packages/thorntray \
+		--editable packages/thorntray-node --editable packages/thorntrayctl
+	touch $(READY)
+
+clean:
+	rm -rf $(VENV)
--- /dev/null
+++ b/demo/__init__.py
@@ -0,0 +1,1 @@
+"""A demonstration with the two deployments of the brief."""
--- /dev/null
+++ b/packages/thorntray-node/src/thorntray_node/http.py
@@ -0,0 +1,241 @@
+"""The HTTP face of a node: callers, the upstream instance, and operators.
+
+Callers' requests take a plain ASGI path without a framework's request object, because they are
+the hot path; everything else is `starlette`.
+"""
+
+import asyncio
+import contextlib
+from collections.abc import Awaitable, Callable
+from typing import Any
+
+import msgspec
+import uvicorn
+from starlette.applications import Starlette
+from starlette.requests import Request
+from starlette.responses import JSONResponse, Response
+from starlette.routing import Mount, Route
+from thorntray.internal.request.http_answer import HttpAnswer, http_answer
+from thorntray.internal.request.ingress import MAX_BODY_BYTES, IncomingRequest
+from thorntray.internal.request.outcome import NotRun, Reason
+
+from thorntray_node.dump import state_dump
+from thorntray_node.node import Node
+
+MAX_ACTIVE_REQUESTS = 2000  # callers' requests here at once
+MAX_BODY_BYTES_HELD = 64 * 1024 * 1024  # of all bodies being read
+MAX_CONNECTIONS = 4000
+CROWDED_RETRY_AFTER = 0.5  # seconds
+MAX_HINT_BYTES = 4096
+
+Receive = Callable[[], Awaitable[dict[str, Any]]]
+Send = Callable[[dict[str, Any]], Awaitable[None]]
+Scope = dict[str, Any]
+
+
+class CallEndpoint:
+    """Takes callers' requests: `/call/SERVICE/PATH` with any method."""
+
+    def __init__(self, node: Node) -> None:
+        self._node = node
+        self._active = 0
+        self._body_bytes = 0
+
+    async def __call__(self, scope: Scope, receive: Receive, send: Send) -> None:
+        """Answer one request (ASGI)."""
+        self._active += 1
+        held = 0
+        try:
+            headers = {k.decode("latin-1"): v.decode("latin-1") for k, v in scope["headers"]}
+            refusal = self._refusal(headers)
+            if refusal is not None:
+                await self._send(send, self._refuse(refusal, headers))
+                return
+            body = await _read_body(receive)
+            if body is None:
+                await self._send(send, self._refuse(NotRun(Reason.BODY_TOO_LARGE), headers))
+                return
+            held = len(body)
+            self._body_bytes += held
+            await self._handle(_incoming(scope, headers, body), receive, send)
+        finally:
+            self._active -= 1
+            self._body_bytes -= held
+
+    async def _handle(self, req: IncomingRequest, receive: Receive, send: Send) -> None:
+        handler = asyncio.ensure_future(self._node.ingress.handle(req))
+        hang_up = asyncio.ensure_future(_disconnected(receive))
+        try:
+            await asyncio.wait({handler, hang_up}, return_when=asyncio.FIRST_COMPLETED)
+            if not handler.done():
+                handler.cancel()  # nobody waits for the answer any more
+                await asyncio.wait({handler})
+            if handler.cancelled():
+                return
+            answer = handler.result()
+        finally:
+            hang_up.cancel()
+            handler.cancel()
+        self._node.metrics.count(f"ingress.{dict(answer.headers)['thorntray-outcome']}")
+        await self._send(send, answer)
+
+    def _refusal(self, headers: dict[str, str]) -> NotRun | None:
+        length = headers.get("content-length", "0")
+        if not length.isdigit() or int(length[:12]) > MAX_BODY_BYTES:
+            return NotRun(Reason.BODY_TOO_LARGE, 0.0, f"send at most {MAX_BODY_BYTES} bytes")
+        crowded = self._active > MAX_ACTIVE_REQUESTS or self._body_bytes > MAX_BODY_BYTES_HELD
+        if crowded:
+            return NotRun(Reason.SHED, CROWDED_RETRY_AFTER, "too many requests at this node")
+        return None
+
+    def _refuse(self, refusal: NotRun, headers: dict[str, str]) -> HttpAnswer:
+        granted = "thorntray-grant" not in headers
+        request_id = headers.get("thorntray-request-id", "")[:64]
+        return http_answer(refusal, request_id, self._node.rng, granted)
+
+    async def _send(self, send: Send, answer: HttpAnswer) -> None:
+        headers = [(k.encode("latin-1"), v.encode("latin-1")) for k, v in answer.headers]
+        headers.append((b"content-length", str(len(answer.body)).encode()))
+        if self._node.draining:
+            headers.append((b"connection", b"close"))
+        start = {"type": "http.response.start", "status": answer.status, "headers": headers}
+        await send(start)
+        await send({"type": "http.response.body", "body": answer.body})
+
+
+async def _read_body(receive: Receive) -> bytes | None:
+    """Return the body, or None when it is too large."""
+    chunks: list[bytes] = []
+    size = 0
+    while True:
+        message = await receive()
+        if message["type"] == "http.disconnect":
+            raise asyncio.CancelledError
+        chunk = message.get("body", b"")
+        size += len(chunk)
+        if size > MAX_BODY_BYTES:
+            return None
+        chunks.append(chunk)
+        if not message.get("more_body", False):
+            return b"".join(chunks)
+
+
+async def _disconnected(receive: Receive) -> None:
+    while (await receive())["type"] != "http.disconnect":
+        pass
+
+
+def _incoming(scope: Scope, headers: dict[str, str], body: bytes) -> IncomingRequest:
+    inside = scope["path"].removeprefix("/call/")
+    service, _, path = inside.partition("/")
+    query = scope["query_string"].decode("latin-1")
+    full_path = f"/{path}?{query}" if query else f"/{path}"
+    return IncomingRequest(service, scope["method"], full_path, headers, body)
+
+
+class OperatorEndpoints:
+    """What the upstream instance and the operators call."""
+
+    def __init__(self, node: Node) -> None:
+        self._node = node
+
+    def routes(self) -> list[Route]:
+        """Return the routes below `/thorntray`."""
+        return [
+            Route("/thorntray/dump", self.dump),
+            Route("/thorntray/status", self.status),
+            Route("/thorntray/drain", self.drain, methods=["POST"]),
+            Route("/thorntray/instance/{word}", self.instance, methods=["POST"]),
+        ]
+
+    async def dump(self, _: Request) -> Response:
+        """Return the state dump."""
+        return Response(msgspec.json.encode(state_dump(self._node)), media_type="application/json")
+
+    async def status(self, _: Request) -> Response:
+        """Return a short summary; status 503 while the node is not ready."""
+        node = self._node
+        refusal = node.instance.refusal()
+        ready = refusal is None and node.service_settings is not None
+        summary = {
+            "name": node.cfg.name,
+            "service": node.cfg.service,
+            "domain": node.cfg.domain,
+            "ready": ready,
+            "draining": node.draining,
+            "instance": node.instance.state.value,
+            "members": len(node.membership.alive()),
+            "settings": node.holder.heads(),
+            "refused_documents": node.holder.refused,
+            "roles": node.roles.state,
+        }
+        return JSONResponse(summary, status_code=200 if ready else 503)
+
+    async def drain(self, _: Request) -> Response:
+        """Begin a graceful stop of the instance's traffic; the process goes on."""
+        asyncio.get_running_loop().create_task(self._node.drain())
+        return JSONResponse({"draining": True}, status_code=202)
+
+    async def instance(self, req: Request) -> Response:
+        """Take an announcement: register, renew, drain or leave."""
+        instance = self._node.instance
+        match req.path_params["word"]:
+            case "register":
+                if instance.register():
+                    self._node.traffic.admission.limiter.restart_cold()
+                return JSONResponse({"renew_within_ms": 3000})
+            case "renew":
+                return await self._renew(req)
+            case "drain":
+                instance.drain()
+            case "leave":
+                instance.leave()
+            case word:
+                text = f"unknown announcement {word!r}; use register, renew, drain or leave"
+                return JSONResponse({"error": text}, status_code=404)
+        return JSONResponse({"in_flight": self._node.inbound.active})
+
+    async def _renew(self, req: Request) -> Response:
+        body = (await req.body())[:MAX_HINT_BYTES]
+        hints: dict[str, object] = {}
+        with contextlib.suppress(msgspec.MsgspecError):
+            hints = msgspec.json.decode(body or b"{}", type=dict)
+        if self._node.instance.renew(hints):
+            return JSONResponse({"in_flight": self._node.inbound.active})
+        return JSONResponse({"error": "not registered; register first"}, status_code=409)
+
+
+class _Server(uvicorn.Server):
+    """A server that leaves signals to the node."""
+
+    @contextlib.contextmanager
+    def capture_signals(self):  # type: ignore[no-untyped-def]
+        """Install no signal handlers."""
+        yield
+
+
+def make_app(node: Node) -> Starlette:
+    """Return the ASGI application of a node."""
+    operators = OperatorEndpoints(node)
+    return Starlette(routes=[*operators.routes(), Mount("/call", app=CallEndpoint(node))])
+
+
+def make_server(node: Node) -> uvicorn.Server:
+    """Return the HTTP server of a node."""
+    config = uvicorn.Config(
+        make_app(node),
+        host=node.cfg.address,
+        port=node.cfg.http_port,
+        http="httptools",
+        loop="none",
+        ws="none",
+        lifespan="off",
+        access_log=False,
+        log_config=None,
+        server_header=False,
+        date_header=False,
+        limit_concurrency=MAX_CONNECTIONS,
+        timeout_keep_alive=75,
+        timeout_graceful_shutdown=int(node.cfg.drain_limit),
+    )
+    return _Server(config)
--- /dev/null
+++ b/packages/thorntray-node/src/thorntray_node/main.py
@@ -0,0 +1,86 @@
+"""Command line of the node: `thorntray-node --config node.ini`.
+
+Exit codes: 0 after a graceful stop or a good `--check`, 2 for faulty settings, 3 when a port
+cannot be bound.
+"""
+
+import asyncio
+import signal
+import sys
+from pathlib import Path
+
+import msgspec
+import uvloop
+from absl import app, flags, logging
+from thorntray import InvalidSettings
+from thorntray.internal.process.events import Event, log_event, set_up_events
+
+from thorntray_node.config import NodeConfig
+from thorntray_node.dump import state_dump
+from thorntray_node.http import make_server
+from thorntray_node.node import Node
+
+EXIT_BAD_SETTINGS = 2
+EXIT_CANNOT_BIND = 3
+
+_CONFIG = flags.DEFINE_string("config", None, "Settings file of this node (INI).", required=True)
+_CHECK = flags.DEFINE_bool("check", False, "Check the settings file and exit.")
+
+
+def run() -> None:
+    """Entry point of the `thorntray-node` command."""
+    app.run(_main)
+
+
+def _main(argv: list[str]) -> int:
+    if len(argv) > 1:
+        raise app.UsageError(f"unexpected argument {argv[1]!r}; give --config FILE only")
+    try:
+        cfg = NodeConfig.from_file(Path(_CONFIG.value))
+    except InvalidSettings as exc:
+        print(exc, file=sys.stderr)
+        return EXIT_BAD_SETTINGS
+    if _CHECK.value:
+        print(f"{_CONFIG.value}: good")
+        return 0
+    _set_up_log(cfg)
+    with asyncio.Runner(loop_factory=uvloop.new_event_loop) as runner:
+        return runner.run(_serve(cfg))
+
+
+def _set_up_log(cfg: NodeConfig) -> None:
+    logging.set_verbosity(logging.INFO)
+    logging.set_stderrthreshold("info")
+    if cfg.log_json:
+        logging.get_absl_handler().setFormatter(None)
+    set_up_events(cfg.log_json, cfg.name)
+
+
+async def _serve(cfg: NodeConfig) -> int:
+    node = Node.from_config(cfg)
+    try:
+        await node.start()
+    except Exception as exc:
+        print(f"cannot open the ports of {cfg.name}: {exc}; free them", file=sys.stderr)
+        return EXIT_CANNOT_BIND
+    server = make_server(node)
+    stop = asyncio.Event()
+    loop = asyncio.get_running_loop()
+    loop.add_signal_handler(signal.SIGTERM, stop.set)
+    loop.add_signal_handler(signal.SIGINT, stop.set)
+    loop.add_signal_handler(signal.SIGUSR1, _write_dump, node)
+    serving = asyncio.create_task(server.serve())
+    await asyncio.wait({serving, asyncio.create_task(stop.wait())}, return_when="FIRST_COMPLETED")
+    if serving.done():
+        return EXIT_CANNOT_BIND
+    await node.drain()
+    server.should_exit = True
+    await serving
+    await node.stop()
+    return 0
+
+
+def _write_dump(node: Node) -> None:
+    log_event(Event.DUMP_WRITTEN)
+    sys.stderr.write(msgspec.json.encode(state_dump(node)).decode() + "\n")
+    sys.stderr.flush()
--- /dev/null
+++ b/packages/thorntray/src/thorntray/internal/__init__.py
@@ -0,0 +1,1 @@
+"""Everything that is not part of the public face of the library."""
--- /dev/null
+++ b/packages/thorntray/src/thorntray/internal/connection/reply.py
@@ -0,0 +1,76 @@
+"""Translates between outcomes and the `Reply` message."""
+
+from typing import assert_never
+
+from thorntray.errors import BadMessage
+from thorntray.internal.connection.message import Reply, digest_of
+from thorntray.internal.request.outcome import (
+    Answer,
+    Attempt,
+    Done,
+    Failed,
+    NotRun,
+    Reason,
+    Unknown,
+)
+
+_NO_STATUS = 0
+
+
+def reply_from(attempt_id: bytes, attempt: Attempt) -> Reply:
+    """Return the message for an attempt's outcome."""
+    kind, cause, detail, retry_after = "", "", "", 0.0
+    answer: Answer | None = None
+    match attempt.outcome:
+        case Done(answer):
+            kind = "done"
+        case NotRun(reason, retry_after, detail):
+            kind, cause = "not-run", reason.value
+        case Failed(cause, answer):
+            kind = "failed"
+        case Unknown(cause, retry_after):
+            kind = "unknown"
+        case _:
+            assert_never(attempt.outcome)
+    body = answer.body if answer else b""
+    return Reply(
+        attempt_id=attempt_id,
+        kind=kind,
+        cause=cause,
+        retry_after=retry_after,
+        detail=detail,
+        status=answer.status if answer else _NO_STATUS,
+        headers=answer.headers if answer else (),
+        body=body,
+        digest=digest_of(body),
+        unspent=attempt.unspent,
+        level=attempt.level,
+        load=attempt.load,
+        service_time=attempt.service_time,
+    )
+
+
+def attempt_from(reply: Reply) -> Attempt:
+    """Return the attempt that a reply tells of; raises `BadMessage` for an unknown kind."""
+    answer = None
+    if reply.status != _NO_STATUS:
+        answer = Answer(reply.status, reply.headers, reply.body)
+    match reply.kind, answer:
+        case "done", Answer():
+            outcome = Done(answer)
+        case "not-run", None:
+            outcome = NotRun(_reason(reply.cause), reply.retry_after, reply.detail)
+        case "failed", _:
+            outcome = Failed(reply.cause, answer)
+        case "unknown", None:
+            outcome = Unknown(reply.cause, reply.retry_after)
+        case _:
+            raise BadMessage(f"reply of kind {reply.kind!r} makes no sense; upgrade the older node")
+    return Attempt(outcome, reply.unspent, reply.level, reply.load, reply.service_time)
+
+
+def _reason(text: str) -> Reason:
+    try:
+        return Reason(text)
+    except ValueError as exc:
+        raise BadMessage(f"unknown reason {text!r}; upgrade the older node") from exc
--- /dev/null
+++ b/packages/thorntray/src/thorntray/internal/process/__init__.py
@@ -0,0 +1,1 @@
+"""What lives as long as the process."""
--- /dev/null
+++ b/packages/thorntray/src/thorntray/internal/process/limiter.py
@@ -0,0 +1,135 @@
+"""Adaptive concurrency limit of one upstream instance.
+
+The limit starts from the slots in the settings and never passes them. Two signals lower it:
+
+* refusals and connection failures of the instance: multiplicative decrease, at most once per
+  window;
+* own latency (time in nested calls taken out) well above its baseline: a trial cut.
+
+The trial is the point. Latency alone cannot tell an instance that is overloaded by its own
+concurrency from one whose work has become slower: for the second, a gradient or Vegas-like
+limit shrinks to a fraction although all slots are useful, and goodput falls with it. So a cut
+made for latency is kept only if throughput did not fall with it; otherwise the limit returns
+and the slower latency becomes the new baseline. Each quiet window raises the limit again.
+"""
+
+from dataclasses import dataclass
+from enum import Enum, auto
+
+from thorntray.internal.process.clock import Clock
+
+WINDOW = 0.5  # seconds between decisions
+MIN_SAMPLES = 8  # in a window, below which latency decides nothing
+REFUSAL_FACTOR = 0.7
+TRIAL_FACTOR = 0.8
+LATENCY_TOLERANCE = 1.5  # times the baseline
+THROUGHPUT_TOLERANCE = 0.93  # share that a useful cut must keep
+RECOVERY_STEP = 0.12  # of the slots, for each quiet window
+COLD_START_SHARE = 0.3  # of the slots, for a cold instance
+BASELINE_DRIFT = 0.1  # weight of a quiet window in the baseline
+
+
+class _Phase(Enum):
+    STEADY = auto()
+    TRIAL = auto()
+
+
+@dataclass(slots=True)
+class _Window:
+    started: float
+    completed: int = 0
+    own_time: float = 0.0
+    refused: int = 0
+    peak: int = 0
+
+
+class Limiter:
+    """The limit on requests in flight at one upstream instance."""
+
+    def __init__(self, slots: int, clock: Clock, cold: bool = False) -> None:
+        self._clock = clock
+        self._slots = slots
+        self._limit = max(1.0, slots * COLD_START_SHARE) if cold else float(slots)
+        self._baseline: float | None = None
+        self._phase = _Phase.STEADY
+        self._before_trial = (0.0, 0.0)  # limit, throughput
+        self._window = _Window(clock.monotonic())
+
+    @property
+    def limit(self) -> int:
+        """Return how many requests may be in flight."""
+        return max(1, int(self._limit))
+
+    @property
+    def baseline(self) -> float:
+        """Return the usual own latency in seconds, 0 when unknown."""
+        return self._baseline or 0.0
+
+    def set_slots(self, slots: int) -> None:
+        """Take the slots of new settings; a raised number is reached step by step."""
+        self._slots = slots
+        self._limit = min(self._limit, float(slots))
+
+    def restart_cold(self) -> None:
+        """Begin slow start for an instance that has just started."""
+        self._limit = max(1.0, self._slots * COLD_START_SHARE)
+        self._baseline = None
+        self._phase = _Phase.STEADY
+        self._window = _Window(self._clock.monotonic())
+
+    def started(self, in_flight: int) -> None:
+        """Note that a request was dispatched."""
+        self._window.peak = max(self._window.peak, in_flight)
+
+    def completed(self, own_time: float) -> None:
+        """Note a completed request and its own latency in seconds."""
+        self._window.completed += 1
+        self._window.own_time += own_time
+        self._close_window()
+
+    def refused(self) -> None:
+        """Note that the instance refused a request or did not take a connection."""
+        self._window.refused += 1
+        self._close_window()
+
+    def _close_window(self) -> None:
+        window = self._window
+        length = self._clock.monotonic() - window.started
+        if length < WINDOW:
+            return
+        self._window = _Window(self._clock.monotonic())
+        if window.refused:
+            self._phase = _Phase.STEADY
+            self._limit = max(1.0, self._limit * REFUSAL_FACTOR)
+            return
+        if window.completed < MIN_SAMPLES:
+            self._raise()
+            return
+        self._judge_latency(window, window.own_time / window.completed, length)
+
+    def _judge_latency(self, window: _Window, latency: float, length: float) -> None:
+        throughput = window.completed / length
+        if self._baseline is None:
+            self._baseline = latency
+        if self._phase is _Phase.TRIAL:
+            self._end_trial(latency, throughput)
+            return
+        saturated = window.peak >= self.limit
+        if saturated and latency > self._baseline * LATENCY_TOLERANCE:
+            self._before_trial = (self._limit, throughput)
+            self._limit = max(1.0, self._limit * TRIAL_FACTOR)
+            self._phase = _Phase.TRIAL
+            return
+        self._baseline += BASELINE_DRIFT * (latency - self._baseline)
+        self._raise()
+
+    def _end_trial(self, latency: float, throughput: float) -> None:
+        self._phase = _Phase.STEADY
+        limit_before, throughput_before = self._before_trial
+        if throughput >= throughput_before * THROUGHPUT_TOLERANCE:
+            return
+        self._limit = limit_before
+        self._baseline = latency
+
+    def _raise(self) -> None:
+        self._limit = min(float(self._slots), self._limit + self._slots * RECOVERY_STEP)
--- /dev/null
+++ b/packages/thorntray/src/thorntray/internal/request/__init__.py
@@ -0,0 +1,1 @@
+"""What lives as long as one request."""
--- /dev/null
+++ b/packages/thorntray/src/thorntray/internal/version/__init__.py
@@ -0,0 +1,1 @@
+"""What lives as long as one version of the settings."""
--- /dev/null
+++ b/packages/thorntray/src/thorntray/internal/version/settings.py
@@ -0,0 +1,155 @@
+"""Settings in force: one immutable object made from the documents of all teams."""
+
+from collections.abc import Mapping
+from dataclasses import dataclass
+from types import MappingProxyType
+from typing import NamedTuple
+
+from thorntray.internal.version.schema import fields_of
+
+SERVICE_DEFAULT_CLASS_PRIORITY = 0
+
+
+class ClassSettings(NamedTuple):
+    """How much a class of requests matters to its team. `deadline` is in seconds."""
+
+    name: str
+    priority: int
+    retry_allowance: int
+    deadline: float
+
+
+class RouteSettings(NamedTuple):
+    """One kind of request that a service takes."""
+
+    service: str
+    name: str
+    method: str
+    path: str
+    class_: ClassSettings
+    idempotent: bool
+    needs: tuple[str, ...]
+
+
+class ServiceSettings(NamedTuple):
+    """How calls into a service are admitted. `queue_wait` is in seconds."""
+
+    name: str
+    team: str
+    slots: int
+    connections: int
+    queue: int
+    queue_wait: float
+    retry_ratio: float
+    dependency_share: float
+    shed_header: str
+    routes: tuple[RouteSettings, ...]
+
+    def route_for(self, method: str, path: str) -> RouteSettings | None:
+        """Return the route with the longest matching path prefix."""
+        hits = [r for r in self.routes if r.method == method and path.startswith(r.path)]
+        return max(hits, key=lambda r: len(r.path), default=None)
+
+    def route_named(self, name: str) -> RouteSettings | None:
+        """Return a route by its name."""
+        return next((route for route in self.routes if route.name == name), None)
+
+
+class _Reader:
+    def __init__(self, paths: Mapping[str, str]) -> None:
+        self._paths = paths
+
+    def names(self, kind: str) -> list[str]:
+        depth = 3 if kind == "routes" else 2
+        heads = {p.rpartition("/")[0] for p in self._paths if p.startswith(kind + "/")}
+        return sorted(h.partition("/")[2] for h in heads if h.count("/") == depth - 1)
+
+    def get(self, section: str, key: str) -> str:
+        found = self._paths.get(f"{section}/{key}")
+        if found is not None:
+            return found
+        default = next(field.default for field in fields_of(section) if field.key == key)
+        return default or ""
+
+
+def _read_class(reader: _Reader, name: str) -> ClassSettings:
+    section = f"classes/{name}"
+    return ClassSettings(
+        name,
+        int(reader.get(section, "priority")),
+        int(reader.get(section, "retry_allowance")),
+        int(reader.get(section, "deadline_ms")) / 1000,
+    )
+
+
+def _read_route(
+    reader: _Reader, service: str, name: str, classes: dict[str, ClassSettings]
+) -> RouteSettings:
+    section = f"routes/{service}/{name}"
+    needs = reader.get(section, "needs").split(",")
+    return RouteSettings(
+        service=service,
+        name=name,
+        method=reader.get(section, "method"),
+        path=reader.get(section, "path"),
+        class_=classes[reader.get(section, "class")],
+        idempotent=reader.get(section, "idempotent") == "yes",
+        needs=tuple(need.strip() for need in needs if need.strip()),
+    )
+
+
+def _read_service(
+    reader: _Reader, team: str, name: str, routes: tuple[RouteSettings, ...]
+) -> ServiceSettings:
+    section = f"services/{name}"
+    return ServiceSettings(
+        name=name,
+        team=team,
+        slots=int(reader.get(section, "slots")),
+        connections=int(reader.get(section, "connections")),
+        queue=int(reader.get(section, "queue")),
+        queue_wait=int(reader.get(section, "queue_wait_ms")) / 1000,
+        retry_ratio=float(reader.get(section, "retry_ratio")),
+        dependency_share=float(reader.get(section, "dependency_share")),
+        shed_header=reader.get(section, "shed_header"),
+        routes=routes,
+    )
+
+
+def _read_team(team: str, paths: Mapping[str, str]) -> list[ServiceSettings]:
+    reader = _Reader(paths)
+    classes = {name: _read_class(reader, name) for name in reader.names("classes")}
+    routes: dict[str, list[RouteSettings]] = {}
+    for full_name in reader.names("routes"):
+        service, _, name = full_name.partition("/")
+        routes.setdefault(service, []).append(_read_route(reader, service, name, classes))
+    return [
+        _read_service(reader, team, name, tuple(routes.get(name, ())))
+        for name in reader.names("services")
+    ]
+
+
+@dataclass(frozen=True)
+class Settings:
+    """The settings of all teams. `revisions` gives each team's revision."""
+
+    services: Mapping[str, ServiceSettings]
+    revisions: Mapping[str, int]
+
+    @classmethod
+    def empty(cls) -> "Settings":
+        """Return settings before any document is known."""
+        return cls(MappingProxyType({}), MappingProxyType({}))
+
+    @classmethod
+    def from_documents(cls, documents: Mapping[str, tuple[int, Mapping[str, str]]]) -> "Settings":
+        """Build from `{team: (revision, paths)}`; the paths have been checked.
+
+        A service that two teams declare belongs to the first by name, so that all nodes agree.
+        """
+        services: dict[str, ServiceSettings] = {}
+        for team in sorted(documents):
+            for service in _read_team(team, documents[team][1]):
+                services.setdefault(service.name, service)
+        revisions = {team: revision for team, (revision, _) in documents.items()}
+        return cls(MappingProxyType(services), MappingProxyType(revisions))
--- /dev/null
+++ b/packages/thorntrayctl/src/thorntrayctl/__init__.py
@@ -0,0 +1,1 @@
+"""The operators' command line of thorntray. Run it with `thorntrayctl`."""
--- /dev/null
+++ b/packages/thorntrayctl/src/thorntrayctl/settings_commands.py
@@ -0,0 +1,219 @@
+"""Commands about settings: keygen, check, plan, apply, get, set, history."""
+
+import argparse
+import getpass
+import json
+import time
+from collections.abc import AsyncIterator, Mapping
+from contextlib import asynccontextmanager
+from datetime import UTC, datetime
+from pathlib import Path
+from random import SystemRandom
+
+from nacl.signing import SigningKey
+from thorntray import Fault, InvalidSettings
+from thorntray.internal.process.clock import SystemClock
+from thorntray.internal.process.platform import PlatformClient
+from thorntray.internal.version.document import difference
+from thorntray.internal.version.ini import read_settings
+from thorntray.internal.version.writer import SettingsWriter, Stored
+
+EXIT_NO = 1
+
+
+def add_commands(commands: argparse._SubParsersAction) -> None:
+    """Add the commands to the parser."""
+    keygen = commands.add_parser("keygen", help="Make a team's key; prints the public key.")
+    keygen.add_argument("file", type=Path, help="Where the secret key is written.")
+    keygen.set_defaults(run=_keygen)
+
+    check = commands.add_parser("check", help="Check settings files; changes nothing.")
+    check.add_argument("path", type=Path, help="An INI file or a folder of them.")
+    _add_json(check)
+    check.set_defaults(run=_check)
+
+    for name, run, text in (
+        ("plan", _plan, "Show what apply would change."),
+        ("apply", _apply, "Make the stored settings those of the files."),
+    ):
+        command = commands.add_parser(name, help=text)
+        _add_store(command)
+        command.add_argument("path", type=Path, help="An INI file or a folder of them.")
+        command.set_defaults(run=run)
+        if name == "apply":
+            _add_author(command)
+            command.add_argument("--base", type=int, help="Refuse unless this revision is stored.")
+
+    get = commands.add_parser("get", help="Print a path, or all below it.")
+    _add_store(get)
+    get.add_argument("path", nargs="?", default="", help="For example services/tariff/slots.")
+    get.set_defaults(run=_get)
+
+    put = commands.add_parser("set", help="Set one path.")
+    _add_store(put)
+    put.add_argument("path", help="For example services/tariff/slots.")
+    put.add_argument("value", help="The new value.")
+    _add_author(put)
+    put.set_defaults(run=_set)
+
+    history = commands.add_parser("history", help="Print the latest changes.")
+    _add_store(history)
+    history.add_argument("--write-id", help="Tell whether this write was accepted.")
+    history.set_defaults(run=_history)
+
+
+def _add_json(parser: argparse.ArgumentParser) -> None:
+    parser.add_argument("--json", action="store_true", help="Print JSON.")
+
+
+def _add_store(parser: argparse.ArgumentParser) -> None:
+    parser.add_argument("team", help="The team whose subtree is meant.")
+    parser.add_argument("--platform", required=True, help="URLs of the platform's service, by ,")
+    parser.add_argument("--key", required=True, type=Path, help="The team's secret key file.")
+    _add_json(parser)
+
+
+def _add_author(parser: argparse.ArgumentParser) -> None:
+    parser.add_argument("--author", default=getpass.getuser(), help="Who makes the change.")
+    parser.add_argument("--reason", required=True, help="Why, for the history.")
+
+
+@asynccontextmanager
+async def _writer(args: argparse.Namespace) -> AsyncIterator[SettingsWriter]:
+    clock, rng = SystemClock(), SystemRandom()
+    platform = PlatformClient(args.platform.split(","), clock, rng)
+    try:
+        yield SettingsWriter(platform, args.team, _read_key(args.key), clock, rng)
+    finally:
+        await platform.close()
+
+
+def _read_key(file: Path) -> SigningKey:
+    try:
+        return SigningKey(bytes.fromhex(file.read_text("ascii").strip()))
+    except (OSError, ValueError) as exc:
+        remedy = f"give a key file made by `thorntrayctl keygen` ({exc})"
+        raise InvalidSettings("--key", [Fault("", "key", str(file), remedy)]) from exc
+
+
+def _read_files(path: Path) -> dict[str, str]:
+    files = sorted(path.glob("*.ini")) if path.is_dir() else [path]
+    missing = [file for file in files if not file.is_file()]
+    if not files or missing:
+        fault = Fault("", "path", str(path), "give an INI file or a folder that holds some")
+        raise InvalidSettings(str(path), [fault])
+    return read_settings(files)
+
+
+def _show_difference(
+    delta: Mapping[str, str | None], old: Mapping[str, str], as_json: bool
+) -> None:
+    if as_json:
+        print(json.dumps({"changes": dict(delta)}, indent=2, sort_keys=True))
+        return
+    for path, value in sorted(delta.items()):
+        if value is None:
+            print(f"- {path} = {old[path]}")
+        elif path in old:
+            print(f"~ {path} = {old[path]} -> {value}")
+        else:
+            print(f"+ {path} = {value}")
+    print(f"{len(delta)} change(s)")
+
+
+async def _keygen(args: argparse.Namespace) -> int:
+    key = SigningKey.generate()
+    with args.file.open("x", encoding="ascii") as file:
+        file.write(key.encode().hex() + "\n")
+    args.file.chmod(0o600)
+    print(key.verify_key.encode().hex())
+    return 0
+
+
+async def _check(args: argparse.Namespace) -> int:
+    paths = _read_files(args.path)
+    print(json.dumps({"paths": len(paths)}) if args.json else f"{len(paths)} path(s), all good")
+    return 0
+
+
+async def _plan(args: argparse.Namespace) -> int:
+    wanted = _read_files(args.path)
+    async with _writer(args) as writer:
+        stored = await writer.read()
+    old = stored.document.paths
+    if not args.json:
+        print(f"base revision {stored.document.revision}")
+    _show_difference(difference(old, wanted), old, args.json)
+    return 0
+
+
+async def _apply(args: argparse.Namespace) -> int:
+    wanted = _read_files(args.path)
+    async with _writer(args) as writer:
+        stored = await writer.read()
+        if args.base is not None and args.base != stored.document.revision:
+            remedy = f"the store is at {stored.document.revision}; plan again, then apply"
+            raise InvalidSettings("--base", [Fault("", "base", str(args.base), remedy)])
+        return await _write(args, writer, wanted, stored)
+
+
+async def _write(
+    args: argparse.Namespace, writer: SettingsWriter, wanted: Mapping[str, str], stored: Stored
+) -> int:
+    old = stored.document.paths
+    if dict(wanted) == old:
+        text = f"nothing to change, revision {stored.document.revision}"
+        print(json.dumps({"revision": stored.document.revision}) if args.json else text)
+        return 0
+    accepted = await writer.write(wanted, args.author, args.reason, stored)
+    change = accepted.change
+    if args.json:
+        print(json.dumps({"revision": change.revision, "write_id": change.write_id}))
+        return 0
+    _show_difference(accepted.delta, old, as_json=False)
+    print(f"accepted as revision {change.revision}, write {change.write_id}")
+    return 0
+
+
+async def _get(args: argparse.Namespace) -> int:
+    async with _writer(args) as writer:
+        stored = await writer.read()
+    found = {
+        path: value
+        for path, value in sorted(stored.document.paths.items())
+        if not args.path or path == args.path or path.startswith(args.path.rstrip("/") + "/")
+    }
+    if args.json:
+        print(json.dumps({"revision": stored.document.revision, "paths": found}, indent=2))
+    else:
+        for path, value in found.items():
+            print(f"{path} = {value}")
+    return 0 if found else EXIT_NO
+
+
+async def _set(args: argparse.Namespace) -> int:
+    async with _writer(args) as writer:
+        stored = await writer.read()
+        wanted = {**stored.document.paths, args.path: args.value}
+        return await _write(args, writer, wanted, stored)
+
+
+async def _history(args: argparse.Namespace) -> int:
+    async with _writer(args) as writer:
+        stored = await writer.read()
+    changes = stored.document.recent
+    if args.write_id:
+        changes = tuple(c for c in changes if c.write_id == args.write_id)
+    if args.json:
+        rows = [{name: getattr(c, name) for name in c.__struct_fields__} for c in changes]
+        print(json.dumps(rows, indent=2))
+    else:
+        for change in changes:
+            when = datetime.fromtimestamp(change.time, UTC).isoformat(timespec="seconds")
+            print(f"{change.revision} {when} {change.author} {change.write_id}: {change.reason}")
+            for path in change.paths:
+                print(f"    {path}")
+    if args.write_id:
+        print("accepted" if changes else f"not accepted as of {time.strftime('%H:%M:%S')}")
+        return 0 if changes else EXIT_NO
+    return 0
--- /dev/null
+++ b/standins/fleet.py
@@ -0,0 +1,213 @@
+"""Starts a small fleet of real processes on this machine: platform, nodes, instances.
+
+Every process is started here and ended by its id. Ports are free ones of the loopback address.
+"""
+
+import json
+import os
+import signal
+import socket
+import subprocess
+import sys
+import tempfile
+import time
+import urllib.error
+import urllib.request
+from collections.abc import Iterable
+from dataclasses import dataclass, field
+from pathlib import Path
+from typing import Any, Self
+
+ROOT = Path(__file__).resolve().parent.parent
+START_LIMIT = 60.0  # seconds
+HOST = "127.0.0.1"
+
+
+def free_port() -> int:
+    """Return a TCP and UDP port that is free now."""
+    with socket.socket() as probe:
+        probe.bind((HOST, 0))
+        return probe.getsockname()[1]
+
+
+def wait_for(what: str, test: Any, limit: float = START_LIMIT) -> None:
+    """Wait until `test()` is true; raises `TimeoutError` naming `what`."""
+    give_up_at = time.monotonic() + limit
+    while not test():
+        if time.monotonic() > give_up_at:
+            raise TimeoutError(f"waited {limit:.0f} s for {what}")
+        time.sleep(0.05)
+
+
+def http(method: str, url: str, body: Any = None, headers: dict | None = None) -> tuple[int, Any]:
+    """Return status and decoded JSON (or text) of a request."""
+    data = json.dumps(body).encode() if body is not None else None
+    req = urllib.request.Request(url, data, headers or {}, method=method)
+    try:
+        with urllib.request.urlopen(req, timeout=10) as resp:
+            status, raw = resp.status, resp.read()
+    except urllib.error.HTTPError as exc:
+        status, raw = exc.code, exc.read()
+    try:
+        return status, json.loads(raw)
+    except ValueError:
+        return status, raw.decode("utf-8", "replace")
+
+
+@dataclass
+class Site:
+    """One upstream instance with its node."""
+
+    name: str
+    service: str
+    domain: str
+    slots: int
+    service_time: float  # seconds
+    http_port: int = field(default_factory=free_port)
+    peer_port: int = field(default_factory=free_port)
+    gossip_port: int = field(default_factory=free_port)
+    upstream_port: int = field(default_factory=free_port)
+    node: subprocess.Popen | None = None
+    upstream: subprocess.Popen | None = None
+
+    @property
+    def url(self) -> str:
+        """Return the node's base URL."""
+        return f"http://{HOST}:{self.http_port}"
+
+    @property
+    def upstream_url(self) -> str:
+        """Return the instance's base URL."""
+        return f"http://{HOST}:{self.upstream_port}"
+
+
+class Fleet:
+    """All processes of one run; use as a context manager."""
+
+    def __init__(self, teams: Iterable[str]) -> None:
+        self.folder = Path(tempfile.mkdtemp(prefix="thorntray-"))
+        self.platform_port = free_port()
+        self.sites: list[Site] = []
+        self.teams = list(teams)
+        self.public_keys: dict[str, str] = {}
+        self._processes: list[subprocess.Popen] = []
+        for team in self.teams:
+            self.public_keys[team] = self.ctl("keygen", str(self.key_file(team))).strip()
+
+    def __enter__(self) -> Self:
+        return self
+
+    def __exit__(self, *_: object) -> None:
+        for process in self._processes:
+            if process.poll() is None:
+                process.send_signal(signal.SIGCONT)
+                process.kill()
+        for process in self._processes:
+            process.wait()
+
+    @property
+    def platform_url(self) -> str:
+        """Return the stand-in's base URL."""
+        return f"http://{HOST}:{self.platform_port}"
+
+    def key_file(self, team: str) -> Path:
+        """Return where a team's secret key lies."""
+        return self.folder / f"{team}.key"
+
+    def ctl(self, *args: str, check: bool = True) -> str:
+        """Run `thorntrayctl` and return what it printed."""
+        command = [sys.executable, "-c", "from thorntrayctl.main import run; run()", *args]
+        done = subprocess.run(command, capture_output=True, text=True, timeout=90)
+        if check and done.returncode:
+            raise RuntimeError(f"thorntrayctl {args[0]}: exit {done.returncode}: {done.stderr}")
+        return done.stdout
+
+    def apply(self, team: str, path: Path, reason: str = "from files") -> str:
+        """Apply a team's settings files."""
+        return self.ctl("apply", *self.store_args(team), str(path), "--reason", reason)
+
+    def store_args(self, team: str) -> list[str]:
+        """Return the arguments that name the store and a team's key."""
+        return [team, "--platform", self.platform_url, "--key", str(self.key_file(team))]
+
+    def start_platform(self) -> subprocess.Popen:
+        """Start the platform stand-in and wait for it."""
+        process = self._start("platform", "-m", "standins.platform", "--port", self.platform_port)
+        wait_for("the platform", lambda: _answers(f"{self.platform_url}/counts"))
+        return process
+
+    def fault(self, **faults: object) -> None:
+        """Switch faults of the platform stand-in."""
+        http("POST", f"{self.platform_url}/fault", faults)
+
+    def add(self, site: Site, announce: bool = True) -> Site:
+        """Start a node and its instance."""
+        self.sites.append(site)
+        self.start_node(site)
+        self.start_upstream(site, announce)
+        return site
+
+    def start_node(self, site: Site) -> None:
+        """Start, or start again, the node of a site."""
+        file = self.folder / f"{site.name}.ini"
+        file.write_text(self._node_ini(site), "utf-8")
+        code = "from thorntray_node.main import run; run()"
+        site.node = self._start(site.name, "-c", code, f"--config={file}")
+
+    def start_upstream(self, site: Site, announce: bool = True) -> None:
+        """Start, or start again, the instance of a site."""
+        args = ["-m", "standins.upstream", "--port", site.upstream_port, "--node", site.url]
+        args += ["--service", site.service, "--slots", site.slots, "--time", site.service_time]
+        site.upstream = self._start(f"{site.name}-up", *args, *([] if announce else ["--silent"]))
+
+    def wait_ready(self, sites: Iterable[Site] | None = None, members: int | None = None) -> None:
+        """Wait until nodes are ready and see each other."""
+        sites = list(self.sites if sites is None else sites)
+        expected = len(sites) if members is None else members
+        for site in sites:
+            wait_for(f"{site.name} ready", lambda s=site: self._is_ready(s, expected))
+
+    def record(self, sites: Iterable[Site] | None = None) -> dict[str, int]:
+        """Return how often each request ran, over the services of the sites."""
+        total: dict[str, int] = {}
+        for site in self.sites if sites is None else sites:
+            _, answer = http("GET", f"{site.upstream_url}/record")
+            for name, count in answer["ran"].items():
+                key = f"{site.service}:{name}"
+                total[key] = total.get(key, 0) + count
+        return total
+
+    def _is_ready(self, site: Site, members: int) -> bool:
+        if not _answers(f"{site.url}/thorntray/status"):
+            return False
+        status, summary = http("GET", f"{site.url}/thorntray/status")
+        return status == 200 and summary["members"] >= members
+
+    def _node_ini(self, site: Site) -> str:
+        teams = "\n".join(
+            f"[team {team}]\npublic_keys = {key}" for team, key in self.public_keys.items()
+        )
+        return (
+            f"[node]\nname = {site.name}\naddress = {HOST}\nhttp_port = {site.http_port}\n"
+            f"peer_port = {site.peer_port}\ngossip_port = {site.gossip_port}\n"
+            f"domain = {site.domain}\nregion = local\nservice = {site.service}\n"
+            f"upstream = {site.upstream_url}\n[platform]\nendpoints = {self.platform_url}\n"
+            f"{teams}\n"
+        )
+
+    def _start(self, name: str, *args: object) -> subprocess.Popen:
+        log = (self.folder / f"{name}.log").open("ab")
+        env = {**os.environ, "PYTHONPATH": str(ROOT), "PYTHONUNBUFFERED": "1"}
+        process = subprocess.Popen(
+            [sys.executable, *map(str, args)], stdout=log, stderr=log, env=env, cwd=self.folder
+        )
+        self._processes.append(process)
+        return process
+
+
+def _answers(url: str) -> bool:
+    try:
+        http("GET", url)
+    except OSError:
+        return False
+    return True
