--- a/tests/builders.py
+++ b/tests/builders.py
@@ -7,7 +7,6 @@
 from typing import Any
 
 import async_solipsism
-
 from thorntray.errors import PeerLost, PeerUnreachable
 from thorntray.internal.connection.message import Call, Message, decode, encode
 from thorntray.internal.connection.reply import reply_from
--- a/tests/test_at_most_once.py
+++ b/tests/test_at_most_once.py
@@ -5,11 +5,11 @@
 
 from hypothesis import given, settings
 from hypothesis import strategies as st
-
-from tests.builders import MemoryNetwork, header, make_settings, run_virtual
 from thorntray.internal.connection.message import Revoke
 from thorntray.internal.request.outcome import NotRun, Reason
 
+from tests.builders import MemoryNetwork, header, make_settings, run_virtual
+
 SERVICES = {"pay": {"slots": 2, "queue": 2}}
 
 
@@ -50,9 +50,7 @@
 nodes = st.sampled_from(["a", "b", "c"])
 copies = st.lists(st.tuples(st.integers(0, 2), nodes, pauses), min_size=1, max_size=12)
 failures = st.lists(
-    st.tuples(
-        st.sampled_from(["kill", "restart", "drain", "shed", "cut", "heal"]), nodes, pauses
-    ),
+    st.tuples(st.sampled_from(["kill", "restart", "drain", "shed", "cut", "heal"]), nodes, pauses),
     max_size=4,
 )
 
@@ -147,9 +145,10 @@
 
 
 def test_a_revocation_that_overtakes_its_attempt_keeps_it_from_running():
-    from tests.builders import ManualClock
     from thorntray.internal.request.attempts import AttemptTable
 
+    from tests.builders import ManualClock
+
     clock = ManualClock()
     table = AttemptTable(clock)
     assert table.revoke(b"x", clock.now + 1)
--- /dev/null
+++ b/tests/test_messages.py
@@ -0,0 +1,94 @@
+"""Garbled and foreign messages are refused with a typed error and never do harm."""
+
+import pytest
+from hypothesis import example, given
+from hypothesis import strategies as st
+from thorntray.errors import BadMessage
+from thorntray.internal.connection.message import Reply, decode, digest_of, encode
+from thorntray.internal.connection.reply import attempt_from, reply_from
+from thorntray.internal.process.gossip import Ping, decode_datagram, encode_datagram
+from thorntray.internal.request.http_answer import http_answer
+from thorntray.internal.request.outcome import (
+    Answer,
+    Attempt,
+    Done,
+    Failed,
+    NotRun,
+    Reason,
+    Unknown,
+)
+
+from tests.builders import make_member
+
+answers = st.builds(
+    Answer,
+    st.integers(100, 599),
+    st.just((("content-type", "x"),)),
+    st.binary(max_size=200),
+)
+outcomes = st.one_of(
+    st.builds(Done, answers),
+    st.builds(NotRun, st.sampled_from(Reason), st.floats(0, 5), st.text(max_size=20)),
+    st.builds(Failed, st.text(max_size=20), st.none() | answers),
+    st.builds(Unknown, st.text(max_size=20), st.floats(0, 5)),
+)
+
+
+@given(outcomes)
+def test_every_outcome_survives_the_wire(outcome):
+    reply = decode(encode(reply_from(b"id", Attempt(outcome, 1, 2.0, 0.5, 0.1))))
+    assert attempt_from(reply) == Attempt(outcome, 1, 2.0, 0.5, 0.1)
+
+
+@given(st.binary(max_size=300))
+@example(b"")
+@example(b"\x01")
+@example(b"\x01" + b"\x91" * 5000)
+def test_garbage_is_refused_with_a_typed_error(data):
+    for decoder in (decode, decode_datagram):
+        try:
+            decoder(data)
+        except BadMessage:
+            pass
+
+
+@given(st.data())
+def test_a_damaged_body_never_passes_as_whole(data):
+    body = data.draw(st.binary(min_size=20, max_size=100))
+    whole = encode(reply_from(b"id", Attempt(Done(Answer(200, (), body)))))
+    place = whole.index(body) + data.draw(st.integers(0, len(body) - 1))
+    damaged = whole[:place] + bytes([whole[place] ^ 0xFF]) + whole[place + 1 :]
+    with pytest.raises(BadMessage, match="digest"):
+        decode(damaged)
+
+
+def test_another_version_is_refused_with_the_remedy():
+    with pytest.raises(BadMessage, match="upgrade"):
+        decode(b"\x07" + encode(reply_from(b"id", Attempt(Unknown("x"))))[1:])
+
+
+@given(st.integers(0, 2**31), st.integers(0, 200))
+def test_a_truncated_datagram_is_refused(sequence, cut):
+    whole = encode_datagram(Ping(sequence, make_member("a"), {"team": 1}))
+    if cut < len(whole):
+        with pytest.raises(BadMessage):
+            decode_datagram(whole[:cut])
+
+
+def test_a_reply_of_an_impossible_kind_is_refused():
+    reply = Reply(b"", "maybe", "", 0, "", 0, (), b"", digest_of(b""), 0, 0, 0, 0)
+    with pytest.raises(BadMessage):
+        attempt_from(reply)
+
+
+@given(outcomes, st.booleans())
+def test_every_outcome_has_an_http_form_with_digest_and_a_time_to_come_back(outcome, granted):
+    from random import Random
+
+    answer = http_answer(outcome, "id", Random(1), granted)
+    headers = dict(answer.headers)
+    words = {"done", "not-run", "failed", "unknown"}
+    assert headers["thorntray-outcome"] in words and "content-digest" in headers
+    final = {400, 403, 404, 409, 413}
+    if isinstance(outcome, NotRun | Unknown) and answer.status not in final:
+        assert int(headers["thorntray-retry-after-ms"]) >= 1
--- /dev/null
+++ b/tests/test_overload_decisions.py
@@ -0,0 +1,311 @@
+"""Admission, limits, routing and ejection under overload, with a clock moved by hand."""
+
+import asyncio
+from random import Random
+
+from hypothesis import given, settings
+from hypothesis import strategies as st
+from thorntray.errors import RequestRefused
+from thorntray.internal.process.admission import Admission, AdmissionLevel
+from thorntray.internal.process.ejection import Ejection
+from thorntray.internal.process.levels import LevelTable
+from thorntray.internal.process.limiter import Limiter
+from thorntray.internal.process.routing import Router
+from thorntray.internal.request.deadline import Deadline
+from thorntray.internal.request.order import rank_of, shed_key
+from thorntray.internal.request.outcome import NotRun, Reason
+
+from tests.builders import (
+    LoopClock,
+    ManualClock,
+    MemoryNetwork,
+    header,
+    make_member,
+    make_settings,
+    run_virtual,
+)
+
+arrivals = st.lists(
+    st.tuples(st.floats(0, 9.99), st.floats(0, 0.05), st.floats(0.001, 0.1), st.floats(0.01, 0.3)),
+    min_size=1,
+    max_size=60,
+)
+
+
+@settings(max_examples=200)
+@given(arrivals, st.integers(1, 5), st.integers(0, 6))
+def test_nobody_is_shed_while_a_lower_key_waits_and_all_stays_bounded(arrivals, slots, queue):
+    async def scenario():
+        clock = LoopClock()
+        admission = Admission(Limiter(slots, clock), queue, 0.05, clock)
+        peak = [0, 0]
+
+        async def one(key, pause, work, budget):
+            await asyncio.sleep(pause)
+            waiting = [w.shed_key for w in admission._waiters]
+            try:
+                await admission.enter(key, Deadline.after(budget, clock))
+            except RequestRefused as exc:
+                if exc.reason == Reason.SHED and len(waiting) == queue:
+                    lower = [w.shed_key for w in admission._waiters if w.shed_key < key]
+                    assert not lower, (key, lower)
+                return
+            peak[0] = max(peak[0], admission.in_flight)
+            peak[1] = max(peak[1], admission.queued)
+            await asyncio.sleep(work)
+            admission.leave()
+
+        await asyncio.gather(*(one(*arrival) for arrival in arrivals))
+        return peak, admission.in_flight, admission.queued
+
+    peak, in_flight, queued = run_virtual(scenario())
+    assert peak[0] <= slots and peak[1] <= queue
+    assert (in_flight, queued) == (0, 0)
+
+
+def test_a_free_slot_goes_to_the_highest_key_and_a_full_queue_evicts_the_lowest_at_once():
+    async def scenario():
+        clock = LoopClock()
+        admission = Admission(Limiter(1, clock), 2, 10.0, clock)
+        order = []
+
+        async def one(name, key):
+            try:
+                await admission.enter(key, Deadline.after(10, clock))
+            except RequestRefused as exc:
+                order.append((name, exc.reason, round(clock.monotonic(), 3)))
+                return
+            order.append((name, "in", round(clock.monotonic(), 3)))
+            await asyncio.sleep(1)
+            admission.leave()
+
+        tasks = []
+        for name, key in (("first", 3.5), ("low", 3.1), ("mid", 4.0), ("high", 8.0)):
+            tasks.append(asyncio.ensure_future(one(name, key)))
+            await asyncio.sleep(0.1)
+        await asyncio.gather(*tasks)
+        return order
+
+    assert run_virtual(scenario()) == [
+        ("first", "in", 0.0),
+        ("low", "shed", 0.3),
+        ("high", "in", 1.0),
+        ("mid", "in", 2.0),
+    ]
+
+
+def test_a_request_that_cannot_finish_in_time_leaves_the_queue_before_it_costs_anything():
+    async def scenario():
+        clock = LoopClock()
+        limiter = Limiter(1, clock)
+        limiter._baseline = 0.5
+        admission = Admission(limiter, 5, 10.0, clock)
+        await admission.enter(5.0, Deadline.after(10, clock))
+        began = clock.monotonic()
+        try:
+            await admission.enter(5.0, Deadline.after(0.8, clock))
+        except RequestRefused as exc:
+            return exc.reason, round(clock.monotonic() - began, 3), exc.retry_after
+
+    reason, waited, retry_after = run_virtual(scenario())
+    assert (reason, waited) == ("deadline-too-near", 0.3)
+    assert 0 < retry_after <= 5
+
+
+def test_the_level_rises_with_refusals_and_falls_by_itself():
+    clock = ManualClock()
+    level = AdmissionLevel(clock)
+    for _ in range(200):
+        level.refused(3.6)
+    assert 3.5 < level.read(slots_free=False) <= 3.6
+    clock.now += 5
+    assert level.read(slots_free=True) == 0.0
+
+
+def test_the_rank_is_the_same_at_every_service_and_spread_evenly():
+    ranks = [rank_of(i.to_bytes(8, "big")) for i in range(2000)]
+    assert all(0 <= rank < 1 for rank in ranks)
+    assert 0.45 < sum(ranks) / len(ranks) < 0.55
+    assert round(shed_key(8, b"x") - shed_key(3, b"x"), 9) == 5
+
+
+def _drive(limiter, clock, seconds, latency, refuse=0.0):
+    """Keep an instance saturated; `latency` gives own seconds at a number in flight."""
+    rng = Random(1)
+    end = clock.now + seconds
+    while clock.now < end:
+        in_flight = limiter.limit
+        own = latency(in_flight)
+        clock.now += own / in_flight
+        limiter.started(in_flight)
+        if rng.random() < refuse:
+            limiter.refused()
+        else:
+            limiter.completed(own)
+
+
+def test_the_limit_comes_back_within_ten_seconds_of_the_end_of_refusals():
+    clock = ManualClock()
+    limiter = Limiter(50, clock)
+    _drive(limiter, clock, 5, lambda n: 0.02)
+    before = limiter.limit
+    _drive(limiter, clock, 10, lambda n: 0.02, refuse=0.3)
+    assert limiter.limit < before / 2
+    _drive(limiter, clock, 10, lambda n: 0.02)
+    assert limiter.limit >= 0.9 * before
+
+
+def test_the_limit_comes_back_when_almost_nothing_arrives():
+    clock = ManualClock()
+    limiter = Limiter(50, clock)
+    _drive(limiter, clock, 10, lambda n: 0.02, refuse=0.5)
+    for _ in range(20):
+        clock.now += 0.5
+        limiter.completed(0.02)
+    assert limiter.limit >= 45
+
+
+def test_an_instance_whose_work_became_slower_keeps_its_slots():
+    clock = ManualClock()
+    limiter = Limiter(50, clock)
+    _drive(limiter, clock, 5, lambda n: 0.02)
+    _drive(limiter, clock, 30, lambda n: 0.08)
+    assert limiter.limit >= 45
+
+
+def test_an_instance_with_fewer_real_slots_than_declared_gets_fewer_requests():
+    clock = ManualClock()
+    limiter = Limiter(50, clock)
+    _drive(limiter, clock, 5, lambda n: 0.02)
+    _drive(limiter, clock, 30, lambda n: 0.02 * max(1, n / 10))
+    assert limiter.limit < 45
+
+
+def test_a_cold_instance_starts_low_and_reaches_all_slots_by_itself():
+    clock = ManualClock()
+    limiter = Limiter(50, clock, cold=True)
+    assert limiter.limit == 15
+    _drive(limiter, clock, 10, lambda n: 0.02)
+    assert limiter.limit == 50
+
+
+@given(st.lists(st.tuples(st.integers(0, 5), st.booleans()), max_size=300))
+def test_ejection_never_takes_more_than_its_share_out_of_rotation(results):
+    clock = ManualClock()
+    ejection = Ejection(clock)
+    names = [f"n{i}" for i in range(6)]
+    for who, failed in results:
+        ejection.note(names[who], failed)
+        clock.now += 0.01
+        assert len(ejection.keep(names)) >= 4
+
+
+def test_when_all_instances_fail_most_stay_in_rotation():
+    clock = ManualClock()
+    ejection = Ejection(clock)
+    names = [f"n{i}" for i in range(6)]
+    for name in names * 10:
+        ejection.note(name, failed=True)
+    assert len(ejection.keep(names)) == 4
+
+
+def test_a_failing_instance_is_ejected_and_comes_back():
+    clock = ManualClock()
+    ejection = Ejection(clock)
+    names = ["a", "b", "c"]
+    for _ in range(10):
+        ejection.note("a", failed=True)
+    assert ejection.keep(names) == {"b", "c"}
+    clock.now += 2
+    assert ejection.keep(names) == {"a", "b", "c"}
+
+
+def _router(domain="east"):
+    clock = ManualClock()
+    levels = LevelTable(clock, Random(1))
+    return Router(domain, levels, Ejection(clock), Random(1)), levels, clock
+
+
+def test_the_own_failure_domain_comes_first_and_spills_over_when_busy():
+    router, levels, _ = _router()
+    home, away = make_member("h"), make_member("w", domain="west")
+    assert router.pick([home, away], "r", 5.0) == home
+    levels.report("h", "r", 0.0, 1.2)
+    levels.report("w", "r", 0.0, 0.3)
+    assert router.pick([home, away], "r", 5.0) == away
+
+
+def test_an_instance_that_admits_the_class_is_chosen_over_one_that_does_not():
+    router, levels, clock = _router()
+    home, away = make_member("h"), make_member("w", domain="west")
+    levels.report("h", "r", 8.9, 1.0)
+    assert router.pick([home, away], "r", 8.5) == away
+    assert not router.closed([home, away], "r", 8.5)
+    levels.report("w", "r", 8.9, 1.0)
+    assert router.closed([home, away], "r", 8.5)
+    clock.now += 2
+    assert not router.closed([home, away], "r", 8.5), "a stale level must not lock a class out"
+
+
+def test_members_that_are_suspect_dead_or_not_ready_get_no_work():
+    router, _, _ = _router()
+    members = [
+        make_member("ok"),
+        make_member("new", ready=False),
+        make_member("slow", health=1),
+        make_member("dead", health=2),
+    ]
+    assert [m.name for m in router.candidates(members, set())] == ["ok"]
+
+
+def test_a_payout_refused_by_one_instance_is_served_by_another():
+    async def scenario():
+        network = MemoryNetwork(Random(7), make_settings({"s": {}}))
+        full, free = network.add("a", "s"), network.add("b", "s", "west")
+        entry = network.add("c", "other")
+        full.upstream.refuse = lambda: NotRun(Reason.UPSTREAM_SHED)
+        grant = header(await entry.call("s", "POST"), "thorntray-grant")
+        answer = await entry.call("s", "POST", thorntray_grant=grant, x_request="r")
+        return header(answer, "thorntray-outcome"), free.upstream.ran["r"], len(full.grants)
+
+    outcome, ran, granted_by_full = run_virtual(scenario())
+    assert (outcome, ran, granted_by_full) == ("done", 1, 1)
+
+
+def test_a_root_is_refused_at_the_ingress_when_all_instances_are_closed_for_its_class():
+    async def scenario():
+        network = MemoryNetwork(Random(8), make_settings({"s": {}}))
+        network.add("a", "s")
+        entry = network.add("c", "other")
+        entry.levels.report("a", "s/look", 7.0, 1.0)
+        answers = [await entry.call("s", x_request=f"r{i}") for i in range(30)]
+        refused = [a for a in answers if header(a, "thorntray-outcome") == "not-run"]
+        return len(refused), {header(a, "retry-after") for a in refused}
+
+    refused, retry_after = run_virtual(scenario())
+    assert refused >= 25 and retry_after == {"1"}
+
+
+def test_one_dependency_cannot_pin_all_slots():
+    async def scenario():
+        services = {"s": {"slots": 10, "dependency_share": "0.5"}, "deep": {}}
+        network = MemoryNetwork(Random(9), make_settings(services))
+        parent, deep = network.add("a", "s", slots=10), network.add("b", "deep")
+        deep.upstream.service_time = 1.0
+
+        async def work(call, token):
+            answer = await parent.call("deep", thorntray_context=token)
+            return (
+                NotRun(Reason.SHED)
+                if answer.status != 200
+                else await parent.upstream._plain(call, token)
+            )
+
+        parent.upstream.work = work
+        tasks = [asyncio.ensure_future(parent.call("s")) for _ in range(10)]
+        await asyncio.sleep(0.1)
+        waiting = deep.admission.in_flight
+        await asyncio.gather(*tasks)
+        return waiting
+
+    assert run_virtual(scenario()) == 5
--- /dev/null
+++ b/tests/test_retry_bound.py
@@ -0,0 +1,210 @@
+"""Retries of a whole call tree stay within the root's allowance, whatever is lost."""
+
+import asyncio
+from random import Random
+
+from hypothesis import given, settings
+from hypothesis import strategies as st
+from thorntray.errors import PeerLost
+from thorntray.internal.connection.message import Call, decode
+from thorntray.internal.request.deadline import Deadline
+from thorntray.internal.request.escrow import Escrow
+from thorntray.internal.request.ingress import IncomingRequest
+from thorntray.internal.request.outcome import (
+    Answer,
+    Done,
+    Failed,
+    NotRun,
+    Reason,
+    Unknown,
+)
+from thorntray.internal.request.retry import (
+    MAX_BANKED_RETRIES,
+    RetryContext,
+    RetryRatio,
+    may_repeat,
+    take_retry,
+)
+
+from tests.builders import (
+    ManualClock,
+    MemoryNetwork,
+    header,
+    make_settings,
+    run_virtual,
+)
+
+ALLOWANCE = 5
+
+
+def _calls_below(network, service, children):
+    """Make a service's instances call `children` at once, through their own node."""
+    for node in network.nodes.values():
+        if node.member.service != service:
+            continue
+
+        async def work(call, token, node=node):
+            headers = {"thorntray-context": token, "x-request": "r"}
+            answers = await asyncio.gather(
+                *(
+                    node.ingress.handle(IncomingRequest(child, "GET", "/", headers, b""))
+                    for child in children
+                )
+            )
+            whole = all(header(answer, "thorntray-outcome") == "done" for answer in answers)
+            return Done(Answer(200, (), b"")) if whole else Failed("child", Answer(502, (), b""))
+
+        node.upstream.work = work
+
+
+async def _tree(seed, depth, fan_out, loss, refusing, repeats):
+    services = {f"s{i}": {} for i in range(depth)}
+    network = MemoryNetwork(Random(seed), make_settings(services, ALLOWANCE))
+    for i in range(depth):
+        for copy in "ab":
+            network.add(f"s{i}{copy}", f"s{i}")
+    for i in range(depth - 1):
+        _calls_below(network, f"s{i}", [f"s{i + 1}"] * fan_out)
+    rng = Random(seed)
+    network.lose_request = network.lose_reply = loss
+    for node in network.nodes.values():
+        node.upstream.refuse = lambda: (
+            NotRun(Reason.UPSTREAM_SHED) if rng.random() < refusing else None
+        )
+    entry = network.nodes["s0a"]
+    for _ in range(repeats):
+        headers = {"x_request": "r", "idempotency_key": "k", "thorntray_deadline_ms": "2000"}
+        await entry.call("s0", **headers)
+    await asyncio.sleep(10)
+    return sum(node.outbound.retries_sent for node in network.nodes.values())
+
+
+@settings(max_examples=60)
+@given(
+    st.integers(0, 2**32),
+    st.integers(1, 8),
+    st.integers(1, 2),
+    st.sampled_from([0.0, 0.1, 0.5]),
+    st.sampled_from([0.0, 0.3, 0.9]),
+    st.integers(1, 3),
+)
+def test_retries_in_the_tree_never_pass_the_allowance(
+    seed, depth, fan_out, loss, refusing, repeats
+):
+    fan_out = 1 if depth > 5 else fan_out
+    retries = run_virtual(_tree(seed, depth, fan_out, loss, refusing, repeats))
+    assert retries <= ALLOWANCE * repeats
+
+
+def test_what_a_lost_answer_took_along_is_never_spent_again():
+    async def scenario():
+        network = MemoryNetwork(Random(1), make_settings({"s": {}}, ALLOWANCE))
+        for name in "abcdef":
+            network.add(name, "s")
+        entry = network.add("z", "other")
+        spent_below = []
+
+        async def exchange(sender, target, data):
+            message = decode(data)
+            if isinstance(message, Call):
+                spent_below.append(message.allowance)  # the child spends all that it was lent
+            raise PeerLost("the answer is lost")
+
+        network.exchange = exchange
+        await entry.call("s", thorntray_deadline_ms="60000")
+        return sum(spent_below) + entry.outbound.retries_sent
+
+    assert run_virtual(scenario()) == ALLOWANCE
+
+
+def test_a_call_without_context_or_with_a_finished_parent_gets_no_retries():
+    async def scenario():
+        network = MemoryNetwork(Random(1), make_settings({"s": {}}))
+        node = network.add("a", "s")
+        return await node.call("s", thorntray_context="00ff")
+
+    answer = run_virtual(scenario())
+    assert header(answer, "thorntray-reason") == "caller-gone"
+
+
+def test_an_idempotent_parent_that_calls_a_non_idempotent_route_is_told_the_setting():
+    async def scenario():
+        network = MemoryNetwork(Random(1), make_settings({"s": {}}))
+        node = network.add("a", "s")
+        found = []
+
+        async def work(call, token):
+            headers = {"thorntray-context": token}
+            found.append(await node.ingress.handle(IncomingRequest("s", "POST", "/", headers, b"")))
+            return Done(Answer(200, (), b""))
+
+        node.upstream.work = work
+        await node.call("s")
+        return found[0]
+
+    answer = run_virtual(scenario())
+    assert answer.status == 409
+    assert "routes/s/look/idempotent = no" in header(answer, "thorntray-detail")
+
+
+@given(st.floats(0, 0.5), st.integers(0, 500))
+def test_retries_against_one_service_stay_within_the_ratio(ratio, first_attempts):
+    bucket, retries = RetryRatio(ratio), 0
+    for _ in range(first_attempts):
+        bucket.first_attempt()
+        retries += bucket.spend() + bucket.spend()
+    assert retries <= ratio * first_attempts + MAX_BANKED_RETRIES
+
+
+def test_only_idempotent_or_proved_not_run_requests_are_repeated():
+    assert may_repeat(NotRun(Reason.SHED), idempotent=False)
+    assert may_repeat(Unknown("lost"), idempotent=True)
+    assert not may_repeat(Unknown("lost"), idempotent=False)
+    assert not may_repeat(Failed("500"), idempotent=True)
+    assert not may_repeat(Done(Answer(200, (), b"")), idempotent=True)
+    assert not may_repeat(NotRun(Reason.GRANT_REJECTED), idempotent=True)
+
+
+def test_a_retry_that_the_deadline_does_not_cover_is_not_made():
+    clock = ManualClock()
+    ctx = RetryContext(True, Deadline.after(0.1, clock), expected_time=0.2)
+    escrow = Escrow(3)
+    assert not take_retry(NotRun(Reason.SHED), ctx, escrow, RetryRatio(0.5), clock)
+    assert escrow.balance == 3
+
+
+def test_an_unknown_attempt_stays_unknown_although_a_later_one_was_refused():
+    async def scenario():
+        network = MemoryNetwork(Random(2), make_settings({"s": {}}))
+        first, second = network.add("a", "s"), network.add("b", "s")
+        entry = network.add("c", "other")
+
+        async def hang(call, token):
+            await asyncio.sleep(100)
+
+        for node in (first, second):
+            node.upstream.work = hang
+        answer = asyncio.ensure_future(entry.call("s", thorntray_deadline_ms="1000"))
+        await asyncio.sleep(0.3)
+        for node in (first, second):
+            node.instance.drain()
+        return await answer
+
+    assert header(run_virtual(scenario()), "thorntray-outcome") == "unknown"
+
+
+def test_a_caller_that_leaves_cancels_the_tree_below():
+    async def scenario():
+        network = MemoryNetwork(Random(3), make_settings({"s0": {}, "s1": {}}))
+        parent, child = network.add("a", "s0"), network.add("b", "s1")
+        entry = network.add("c", "other")
+        _calls_below(network, "s0", ["s1"])
+        child.upstream.service_time = 100
+        task = asyncio.ensure_future(entry.call("s0", thorntray_deadline_ms="60000"))
+        await asyncio.sleep(0.1)
+        running = (parent.admission.in_flight, child.admission.in_flight)
+        task.cancel()
+        await asyncio.sleep(0.5)
+        return running, (parent.admission.in_flight, child.admission.in_flight)
+
+    assert run_virtual(scenario()) == ((1, 1), (0, 0))
