--- a/packages/thorntray-node/src/thorntray_node/main.py
+++ b/packages/thorntray-node/src/thorntray_node/main.py
@@ -11,6 +11,7 @@
 from pathlib import Path
 
 import msgspec
+import uvicorn
 import uvloop
 from absl import app, flags, logging
 from thorntray import InvalidSettings
@@ -23,6 +24,7 @@
 
 EXIT_BAD_SETTINGS = 2
 EXIT_CANNOT_BIND = 3
+CLOSING_LINGER = 0.5  # seconds
 
 _CONFIG = flags.DEFINE_string("config", None, "Settings file of this node (INI).", required=True)
 _CHECK = flags.DEFINE_bool("check", False, "Check the settings file and exit.")
@@ -76,12 +78,24 @@
     if serving.done():
         return EXIT_CANNOT_BIND
     await node.drain()
+    await _close_to_callers(server)
     server.should_exit = True
     await serving
     await node.stop()
     return 0
 
 
+async def _close_to_callers(server: uvicorn.Server) -> None:
+    """Take no new connections, but serve the open ones a little longer.
+
+    Closing both at once would reset a connection whose request is on its way. Every answer now
+    says `Connection: close`, so the callers end the connections themselves.
+    """
+    for listener in server.servers:
+        listener.close()
+    await asyncio.sleep(CLOSING_LINGER)
+
+
 def _quiet_collector() -> None:
     """Keep the garbage collector from walking through all imported code again and again.
 
