Demo callers repeat nothing in secret

The caller's aiohttp session had sent the GET again by itself after the entry node was killed; the repeat was refused and hid the first.

--- a/demo/run.py
+++ b/demo/run.py
@@ -74,6 +74,8 @@
         """Send for the whole time."""
         until = time.monotonic() + LOAD_SECONDS
         async with aiohttp.ClientSession(connector=aiohttp.TCPConnector(limit=0)) as session:
+            # A hidden repeat that is refused would hide that the first one had been sent.
+            session._retry_connection = False
             await asyncio.gather(
                 *(
                     self._caller(session, kind, i, until)
