--- /dev/null
+++ b/bench/variant_node.py
@@ -0,0 +1,121 @@
+"""A node with one mechanism switched off, or a baseline, for `bench.overload`.
+
+Run: `python -m bench.variant_node VARIANT --config=node.ini`. Each variant replaces one function
+of the node before it starts, so that the product needs no switches of its own.
+"""
+
+import random
+import sys
+from collections.abc import Callable
+
+from thorntray.internal.process import admission, levels
+from thorntray.internal.process.dependencies import DependencyWaits
+from thorntray.internal.process.limiter import Limiter
+from thorntray.internal.process.service_times import ServiceTimes
+from thorntray.internal.request import order, outbound
+from thorntray.internal.request.escrow import Escrow
+from thorntray.internal.request.outcome import Done, NotRun, Outcome, Reason
+from thorntray_node.main import run
+
+NAIVE_TRIES = 4  # one attempt and three retries
+NO_LIMIT = 1_000_000
+
+
+def _no_levels() -> None:
+    admission.AdmissionLevel.refused = lambda self, key: None
+
+
+def _per_hop_retries() -> None:
+    async def send(
+        self: outbound.Outbound,
+        req: outbound.Outgoing,
+        escrow: Escrow,
+        tried: set[str] | None = None,
+    ) -> Outcome:
+        outcome: Outcome = NotRun(Reason.NO_INSTANCE, 0.1)
+        for _ in range(NAIVE_TRIES):
+            members = self._parts.directory.members_of(req.route.service)
+            member = self._parts.router.pick(
+                [m for m in members if m.routable], req.route.name, 9.9
+            )
+            if member is None or req.deadline.passed(self._parts.clock):
+                return outcome
+            if not isinstance(outcome, NotRun) or outcome.reason is not Reason.NO_INSTANCE:
+                self.retries_sent += 1
+            outcome = (await self._try_member(member, req, Escrow(0))).outcome
+            if isinstance(outcome, Done):
+                return outcome
+        return outcome
+
+    outbound.Outbound.send = send
+
+
+def _pass_through() -> None:
+    _no_levels()
+    _per_hop_retries()
+    Limiter.limit = property(lambda self: NO_LIMIT)
+    DependencyWaits.full = lambda self, service, share, limit: False
+
+
+def _fixed_fifo() -> None:
+    _no_levels()
+    DependencyWaits.full = lambda self, service, share, limit: False
+    Limiter.limit = property(lambda self: self._slots)
+    order.rank_of = lambda root_id: 0.0
+    for module in sys.modules.values():
+        if getattr(module, "shed_key", None) is order.shed_key:
+            module.shed_key = lambda priority, root_id: 0.0
+
+
+def _no_rank() -> None:
+    order.rank_of = lambda root_id: random.random()
+
+
+def _no_classes() -> None:
+    for module in list(sys.modules.values()):
+        if getattr(module, "shed_key", None) is order.shed_key:
+            module.shed_key = lambda priority, root_id: order.rank_of(root_id)
+
+
+def _no_needs() -> None:
+    outbound.Outbound.level_of = lambda self, service: 0.0
+
+
+def _no_dependency_share() -> None:
+    DependencyWaits.full = lambda self, service, share, limit: False
+
+
+def _no_limiter() -> None:
+    Limiter.limit = property(lambda self: self._slots)
+
+
+def _no_hopeless() -> None:
+    ServiceTimes.expected = lambda self, route: 0.0
+
+
+def _no_retries() -> None:
+    outbound.take_retry = lambda *args: False
+
+
+def _no_probe() -> None:
+    levels.LevelTable.probe = lambda self: False
+
+
+VARIANTS: dict[str, Callable[[], None]] = {
+    "thorntray": lambda: None,
+    "pass-through": _pass_through,
+    "fixed-fifo": _fixed_fifo,
+    "no-levels": _no_levels,
+    "no-needs": _no_needs,
+    "no-rank": _no_rank,
+    "no-classes": _no_classes,
+    "no-dep-share": _no_dependency_share,
+    "no-limiter": _no_limiter,
+    "no-hopeless": _no_hopeless,
+    "no-retries": _no_retries,
+    "no-probe": _no_probe,
+}
+
+if __name__ == "__main__":
+    VARIANTS[sys.argv.pop(1)]()
+    run()
--- a/packages/thorntray-node/src/thorntray_node/node.py
+++ b/packages/thorntray-node/src/thorntray_node/node.py
@@ -34,6 +34,7 @@
 from thorntray.internal.process.platform import PlatformClient
 from thorntray.internal.process.roles import Roles
 from thorntray.internal.process.routing import Router
+from thorntray.internal.process.service_times import ServiceTimes
 from thorntray.internal.process.settings_sync import SettingsSync
 from thorntray.internal.process.tasks import BackgroundTasks
 from thorntray.internal.process.udp import UdpTransport
@@ -67,6 +68,7 @@
     attempts: AttemptTable
     executions: ExecutionTable
     dependencies: DependencyWaits
+    service_times: ServiceTimes
     levels: LevelTable
     ejection: Ejection
 
@@ -101,6 +103,7 @@
             AttemptTable(self.clock),
             ExecutionTable(self.rng),
             DependencyWaits(),
+            ServiceTimes(self.clock),
             LevelTable(self.clock, self.rng),
             Ejection(self.clock),
         )
@@ -178,6 +181,7 @@
                 attempts=traffic.attempts,
                 executions=traffic.executions,
                 dependencies=traffic.dependencies,
+                service_times=traffic.service_times,
                 settings=lambda: self.holder.settings,
                 route_level=self.route_level,
                 elsewhere=self.outbound.elsewhere,
--- a/packages/thorntray/src/thorntray/internal/process/admission.py
+++ b/packages/thorntray/src/thorntray/internal/process/admission.py
@@ -93,12 +93,14 @@
         drain_time = service_time * (1 + len(self._waiters) / self.limiter.limit)
         return min(MAX_RETRY_AFTER, max(MIN_RETRY_AFTER, drain_time))
 
-    async def enter(self, shed_key: float, deadline: Deadline) -> None:
+    async def enter(self, shed_key: float, deadline: Deadline, expected_time: float) -> None:
         """Take a slot, waiting in the queue if need be; pair with `leave`.
 
+        `expected_time` is the seconds that the request will take once it has a slot.
+
         Raises `RequestRefused` at the moment when the request is given up.
         """
-        spare = deadline.remaining(self._clock) - self.limiter.baseline
+        spare = deadline.remaining(self._clock) - expected_time
         if spare <= 0:
             raise self._refusal(Reason.HOPELESS)
         self._level.read(self.in_flight < self.limiter.limit)
--- a/packages/thorntray/src/thorntray/internal/request/inbound.py
+++ b/packages/thorntray/src/thorntray/internal/request/inbound.py
@@ -25,6 +25,7 @@
 from thorntray.internal.process.admission import Admission
 from thorntray.internal.process.clock import Clock
 from thorntray.internal.process.dependencies import DependencyWaits
+from thorntray.internal.process.service_times import ServiceTimes
 from thorntray.internal.request.attempts import AttemptTable
 from thorntray.internal.request.deadline import Deadline
 from thorntray.internal.request.escrow import Escrow
@@ -77,6 +78,7 @@
     attempts: AttemptTable
     executions: ExecutionTable
     dependencies: DependencyWaits
+    service_times: ServiceTimes
     settings: Callable[[], Settings]
     route_level: Callable[[RouteSettings], float]
     elsewhere: Elsewhere
@@ -260,7 +262,9 @@
         if refusal is not None:
             return self._not_run(refusal)
         try:
-            await parts.admission.enter(shed_key(call.priority, call.root_id), deadline)
+            key = shed_key(call.priority, call.root_id)
+            expected = parts.service_times.expected(call.route)
+            await parts.admission.enter(key, deadline, expected)
         except RequestRefused as exc:
             return NotRun(Reason(exc.reason), exc.retry_after)
         try:
@@ -320,15 +324,16 @@
         parts = self._parts
         started = parts.clock.monotonic()
         outcome = await parts.upstream.send(call, execution.token, left, service.shed_header)
-        own_time = parts.clock.monotonic() - started - execution.nested_time
+        elapsed = parts.clock.monotonic() - started
         if isinstance(outcome, NotRun):
             parts.admission.limiter.refused()
             if execution.nested_calls:
                 return Failed("the instance shed the request after it had made nested calls")
             return outcome
-        if isinstance(outcome, Unknown):
-            return outcome
-        parts.admission.limiter.completed(max(0.0, own_time))
+        parts.service_times.note(call.route, elapsed)
+        if not isinstance(outcome, Unknown):
+            own_time = elapsed - execution.nested_time
+            parts.admission.limiter.completed(max(0.0, own_time))
         return outcome
 
     def _not_run(self, reason: Reason, detail: str = "") -> NotRun:
@@ -346,4 +351,5 @@
                 unspent = escrow.balance
             case Unknown():
                 unspent = 0  # what runs on unseen may still spend it
-        return Attempt(outcome, unspent, level, admission.load, admission.limiter.baseline)
+        expected = self._parts.service_times.expected(route.name) if route else 0.0
+        return Attempt(outcome, unspent, level, admission.load, expected)
--- a/packages/thorntray/src/thorntray/internal/request/outbound.py
+++ b/packages/thorntray/src/thorntray/internal/request/outbound.py
@@ -215,7 +215,7 @@
     ) -> Attempt:
         parts = self._parts
         lent = escrow.lend()
-        call = self._call(member, req, lent, grant, self._budget(req, escrow))
+        call = self._call(member, req, lent, grant)
         self.attempts_sent += 1
         parts.router.begin(member.name)
         try:
@@ -226,12 +226,8 @@
         escrow.restore(lent, attempt.unspent)
         return attempt
 
-    def _budget(self, req: Outgoing, escrow: Escrow) -> float:
-        """Return the seconds for one attempt; half, while a retry could use the other half."""
-        left = req.deadline.remaining(self._parts.clock)
-        return left / 2 if req.route.idempotent and escrow.balance else left
-
-    def _call(self, member: Member, req: Outgoing, lent: int, grant: str, budget: float) -> Call:
+    def _call(self, member: Member, req: Outgoing, lent: int, grant: str) -> Call:
+        budget = req.deadline.remaining(self._parts.clock)
         return Call(
             session=member.session,
             attempt_id=self._parts.rng.randbytes(ATTEMPT_ID_BYTES),
--- a/standins/fleet.py
+++ b/standins/fleet.py
@@ -90,6 +90,7 @@
         self.platform_port = free_port()
         self.sites: list[Site] = []
         self.teams = list(teams)
+        self.node_command = ("-c", "from thorntray_node.main import run; run()")
         self.public_keys: dict[str, str] = {}
         self._processes: list[subprocess.Popen] = []
         for team in self.teams:
@@ -152,8 +153,7 @@
         """Start, or start again, the node of a site."""
         file = self.folder / f"{site.name}.ini"
         file.write_text(self._node_ini(site), "utf-8")
-        code = "from thorntray_node.main import run; run()"
-        site.node = self._start(site.name, "-c", code, f"--config={file}")
+        site.node = self._start(site.name, *self.node_command, f"--config={file}")
 
     def start_upstream(self, site: Site, announce: bool = True) -> None:
         """Start, or start again, the instance of a site."""
--- a/standins/upstream.py
+++ b/standins/upstream.py
@@ -2,7 +2,7 @@
 
 Run: `python -m standins.upstream --port 9001 --node http://127.0.0.1:8001 --service tariff`.
 A request may say what it wants by query: `?time=0.01` (seconds of own work), `&nest=stockbook/
-stock` (nested calls, several times, each `SERVICE/PATH`), `&size=N` (bytes of answer),
+stock` (nested calls at once, several times, each `SERVICE/PATH`), `&size=N` (bytes of answer),
 `&mode=half` (half of an answer, then a cut), `&mode=garbage`, `&mode=drop` (run, then close).
 Each run is recorded by the request's `x-request` header; `GET /record` returns the record.
 """
@@ -96,11 +96,10 @@
     async def _work(self, req: web.Request, body: bytes) -> tuple[int, list[Any]]:
         own_time = float(req.query.get("time", self._service_time)) * self.slowdown
         await asyncio.sleep(own_time)
-        nested = []
-        for call in req.query.getall("nest", []):
-            nested.append(await self._nested(req, call, body))
+        calls = req.query.getall("nest", [])
+        nested = await asyncio.gather(*(self._nested(req, call, body) for call in calls))
         failed = [row for row in nested if row["status"] >= 400]
-        return (502 if failed else 200), nested
+        return (502 if failed else 200), list(nested)
 
     async def _nested(self, req: web.Request, call: str, body: bytes) -> dict[str, Any]:
         method, _, target = call.rpartition(":")
--- a/tests/builders.py
+++ b/tests/builders.py
@@ -18,6 +18,7 @@
 from thorntray.internal.process.limiter import Limiter
 from thorntray.internal.process.member import Member
 from thorntray.internal.process.routing import Router
+from thorntray.internal.process.service_times import ServiceTimes
 from thorntray.internal.request.attempts import AttemptTable
 from thorntray.internal.request.execution import ExecutionTable
 from thorntray.internal.request.grant import GrantBook
@@ -254,6 +255,7 @@
                 attempts=self.attempts,
                 executions=self.executions,
                 dependencies=dependencies,
+                service_times=ServiceTimes(clock),
                 settings=lambda: network.settings,
                 route_level=lambda route: self.admission.level(),
                 elsewhere=self.outbound.elsewhere,
--- a/tests/test_overload_decisions.py
+++ b/tests/test_overload_decisions.py
@@ -6,11 +6,13 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 from thorntray.errors import RequestRefused
+from thorntray.internal.connection.message import decode
 from thorntray.internal.process.admission import Admission, AdmissionLevel
 from thorntray.internal.process.ejection import Ejection
 from thorntray.internal.process.levels import LevelTable
 from thorntray.internal.process.limiter import Limiter
 from thorntray.internal.process.routing import Router
+from thorntray.internal.process.service_times import ServiceTimes
 from thorntray.internal.request.deadline import Deadline
 from thorntray.internal.request.order import rank_of, shed_key
 from thorntray.internal.request.outcome import NotRun, Reason
@@ -44,7 +46,7 @@
             await asyncio.sleep(pause)
             waiting = [w.shed_key for w in admission._waiters]
             try:
-                await admission.enter(key, Deadline.after(budget, clock))
+                await admission.enter(key, Deadline.after(budget, clock), 0.0)
             except RequestRefused as exc:
                 if exc.reason == Reason.SHED and len(waiting) == queue:
                     lower = [w.shed_key for w in admission._waiters if w.shed_key < key]
@@ -71,7 +73,7 @@
 
         async def one(name, key):
             try:
-                await admission.enter(key, Deadline.after(10, clock))
+                await admission.enter(key, Deadline.after(10, clock), 0.0)
             except RequestRefused as exc:
                 order.append((name, exc.reason, round(clock.monotonic(), 3)))
                 return
@@ -97,13 +99,11 @@
 def test_a_request_that_cannot_finish_in_time_leaves_the_queue_before_it_costs_anything():
     async def scenario():
         clock = LoopClock()
-        limiter = Limiter(1, clock)
-        limiter._baseline = 0.5
-        admission = Admission(limiter, 5, 10.0, clock)
-        await admission.enter(5.0, Deadline.after(10, clock))
+        admission = Admission(Limiter(1, clock), 5, 10.0, clock)
+        await admission.enter(5.0, Deadline.after(10, clock), 0.5)
         began = clock.monotonic()
         try:
-            await admission.enter(5.0, Deadline.after(0.8, clock))
+            await admission.enter(5.0, Deadline.after(0.8, clock), 0.5)
         except RequestRefused as exc:
             return exc.reason, round(clock.monotonic() - began, 3), exc.retry_after
 
@@ -112,6 +112,36 @@
     assert 0 < retry_after <= 5
 
 
+def test_a_route_refused_as_hopeless_is_tried_again_although_no_sample_came():
+    clock = ManualClock()
+    times = ServiceTimes(clock)
+    times.note("look", 0.4)
+    assert times.expected("look") == 0.4
+    clock.now += 1.5
+    assert times.expected("look") == 0.0
+
+
+def test_a_deep_chain_leaves_its_whole_deadline_to_every_hop():
+    """Halving the budget for a retry at each hop left a third hop an eighth of it."""
+
+    async def scenario():
+        network = MemoryNetwork(Random(1), make_settings({"s": {}}))
+        network.add("a", "s")
+        entry = network.add("c", "other")
+        budgets = []
+        exchange = network.exchange
+
+        async def spy(sender, target, data):
+            budgets.append(decode(data).budget)
+            return await exchange(sender, target, data)
+
+        network.exchange = spy
+        await entry.call("s", thorntray_deadline_ms="1000")
+        return budgets
+
+    assert run_virtual(scenario())[0] > 0.99
+
+
 def test_the_level_rises_with_refusals_and_falls_by_itself():
     clock = ManualClock()
     level = AdmissionLevel(clock)
