--- a/packages/thorntray/src/thorntray/internal/process/admission.py
+++ b/packages/thorntray/src/thorntray/internal/process/admission.py
@@ -108,7 +108,10 @@
             self._take_slot()
             return
         waiter = self._enqueue(shed_key)
-        await self._wait(waiter, min(spare, self.max_wait), spare <= self.max_wait)
+        # A fixed wait would be too short for a service that has become slower: a burst of the
+        # highest class would be turned away although the next slot comes in time.
+        longest = max(self.max_wait, expected_time)
+        await self._wait(waiter, min(spare, longest), spare <= longest)
 
     def leave(self) -> None:
         """Give the slot back and hand it to the highest waiting key."""
--- a/packages/thorntray/src/thorntray/internal/process/limiter.py
+++ b/packages/thorntray/src/thorntray/internal/process/limiter.py
@@ -19,11 +19,14 @@
 from thorntray.internal.process.clock import Clock
 
 WINDOW = 0.5  # seconds between decisions
-MIN_SAMPLES = 8  # in a window, below which latency decides nothing
+MIN_SAMPLES = 8  # in a window, below which it is taken for quiet
+TRIAL_SAMPLES = 40  # in a window that decides on a cut; fewer compare chance with chance
+MAX_TRIAL_WINDOW = 4.0  # seconds after which a trial with fewer samples is given up
+SETTLE_LATENCIES = 1.5  # after a cut, before its effect is counted
 REFUSAL_FACTOR = 0.7
 TRIAL_FACTOR = 0.8
 LATENCY_TOLERANCE = 1.5  # times the baseline
-THROUGHPUT_TOLERANCE = 0.93  # share that a useful cut must keep
+THROUGHPUT_TOLERANCE = 0.9  # share that a useful cut must keep
 RECOVERY_STEP = 0.12  # of the slots, for each quiet window
 COLD_START_SHARE = 0.3  # of the slots, for a cold instance
 BASELINE_DRIFT = 0.1  # weight of a quiet window in the baseline
@@ -83,6 +86,8 @@
 
     def completed(self, own_time: float) -> None:
         """Note a completed request and its own latency in seconds."""
+        if self._clock.monotonic() < self._window.started:
+            return  # an effect of the time before the cut
         self._window.completed += 1
         self._window.own_time += own_time
         self._close_window()
@@ -97,31 +102,46 @@
         length = self._clock.monotonic() - window.started
         if length < WINDOW:
             return
-        self._window = _Window(self._clock.monotonic())
         if window.refused:
+            self._window = _Window(self._clock.monotonic())
             self._phase = _Phase.STEADY
             self._limit = max(1.0, self._limit * REFUSAL_FACTOR)
             return
-        if window.completed < MIN_SAMPLES:
-            self._raise()
+        latency = window.own_time / window.completed if window.completed else 0.0
+        if self._is_suspicious(window, latency):
+            if window.completed < TRIAL_SAMPLES and length < MAX_TRIAL_WINDOW:
+                return  # wait for enough samples
+            self._window = _Window(self._clock.monotonic())
+            self._judge(window, latency, window.completed / length)
             return
-        self._judge_latency(window, window.own_time / window.completed, length)
+        self._window = _Window(self._clock.monotonic())
+        if window.completed >= MIN_SAMPLES:
+            self._drift(latency)
+        self._raise()
 
-    def _judge_latency(self, window: _Window, latency: float, length: float) -> None:
-        throughput = window.completed / length
-        if self._baseline is None:
-            self._baseline = latency
+    def _is_suspicious(self, window: _Window, latency: float) -> bool:
+        """Return whether a trial runs, or latency at full use calls for one."""
+        if self._phase is _Phase.TRIAL:
+            return True
+        if self._baseline is None or window.peak < self.limit:
+            return False
+        return latency > self._baseline * LATENCY_TOLERANCE
+
+    def _judge(self, window: _Window, latency: float, throughput: float) -> None:
         if self._phase is _Phase.TRIAL:
             self._end_trial(latency, throughput)
-            return
-        saturated = window.peak >= self.limit
-        if saturated and latency > self._baseline * LATENCY_TOLERANCE:
+        elif window.completed >= TRIAL_SAMPLES:
             self._before_trial = (self._limit, throughput)
             self._limit = max(1.0, self._limit * TRIAL_FACTOR)
             self._phase = _Phase.TRIAL
-            return
+            self._window.started += SETTLE_LATENCIES * latency
+        else:
+            self._drift(latency)
+
+    def _drift(self, latency: float) -> None:
+        if self._baseline is None:
+            self._baseline = latency
         self._baseline += BASELINE_DRIFT * (latency - self._baseline)
-        self._raise()
 
     def _end_trial(self, latency: float, throughput: float) -> None:
         self._phase = _Phase.STEADY
--- a/packages/thorntray/src/thorntray/internal/request/outbound.py
+++ b/packages/thorntray/src/thorntray/internal/request/outbound.py
@@ -124,9 +124,8 @@
             attempt = await self._try_member(member, req, escrow)
             if isinstance(attempt.outcome, Unknown):
                 maybe_ran = attempt.outcome
-            ctx = RetryContext(
-                req.route.idempotent, req.deadline, self._service_times.get(_key(req.route), 0.0)
-            )
+            expected_time = self._service_times.get(_key(req.route), 0.0)
+            ctx = RetryContext(req.route.idempotent, req.priority, req.deadline, expected_time)
             if not take_retry(attempt.outcome, ctx, escrow, ratio, parts.clock):
                 not_run = isinstance(attempt.outcome, NotRun)
                 return maybe_ran if maybe_ran and not_run else attempt.outcome
@@ -136,7 +135,7 @@
     async def elsewhere(self, call: Call, escrow: Escrow, deadline: Deadline) -> Outcome:
         """Try a refused call at another instance; the caller has the right to run it once."""
         ratio = self.ratio(call.service)
-        if escrow.balance == 0 or not ratio.spend():
+        if escrow.balance == 0 or not ratio.spend(call.priority):
             return NotRun(Reason.SHED, CLOSED_RETRY_AFTER)
         route = self._parts.settings().services[call.service].route_named(call.route)
         assert route is not None
--- a/packages/thorntray/src/thorntray/internal/request/retry.py
+++ b/packages/thorntray/src/thorntray/internal/request/retry.py
@@ -15,6 +15,7 @@
 from thorntray.internal.process.clock import Clock
 from thorntray.internal.request.deadline import Deadline
 from thorntray.internal.request.escrow import Escrow
+from thorntray.internal.request.order import HIGHEST_PRIORITY
 from thorntray.internal.request.outcome import Done, Failed, NotRun, Outcome, Reason, Unknown
 
 MAX_BANKED_RETRIES = 10.0  # retries one service may spend in a burst after quiet times
@@ -55,9 +56,14 @@
         """Count a client's own repeat as a retry; it may use up the tokens of ours."""
         self._tokens = max(0.0, self._tokens - 1.0)
 
-    def spend(self) -> bool:
-        """Take the token of one retry; False when there is none."""
-        if self._tokens < 1.0:
+    def spend(self, priority: int) -> bool:
+        """Take the token of one retry; False when there is none for this priority.
+
+        Half of the bank is kept for the higher priorities, the more the lower the request's
+        own is: retries of many lookups must not use up those of a few payouts.
+        """
+        reserve = MAX_BANKED_RETRIES / 2 * (1 - priority / HIGHEST_PRIORITY)
+        if self._tokens < 1.0 + reserve:
             return False
         self._tokens -= 1.0
         return True
@@ -68,6 +74,7 @@
     """What the decision needs to know of a request besides the outcome."""
 
     idempotent: bool
+    priority: int
     deadline: Deadline
     expected_time: float  # seconds that one attempt is expected to take
 
@@ -92,6 +99,6 @@
         return False
     if ctx.deadline.remaining(clock) <= ctx.expected_time:
         return False
-    if escrow.balance == 0 or not ratio.spend():
+    if escrow.balance == 0 or not ratio.spend(ctx.priority):
         return False
     return escrow.spend()
--- a/tests/test_overload_decisions.py
+++ b/tests/test_overload_decisions.py
@@ -142,6 +142,18 @@
     assert run_virtual(scenario())[0] > 0.99
 
 
+def test_the_queue_of_a_service_that_became_slower_waits_for_the_next_slot():
+    async def scenario():
+        clock = LoopClock()
+        admission = Admission(Limiter(1, clock), 5, 0.1, clock)
+        await admission.enter(5.0, Deadline.after(10, clock), 0.4)
+        asyncio.get_running_loop().call_later(0.3, admission.leave)
+        await admission.enter(8.0, Deadline.after(10, clock), 0.4)
+        return admission.in_flight
+
+    assert run_virtual(scenario()) == 1
+
+
 def test_the_level_rises_with_refusals_and_falls_by_itself():
     clock = ManualClock()
     level = AdmissionLevel(clock)
