Admission levels in small steps, invested work first, latency cuts only after five seconds

One refused payout (key 8.x) pulled the level from 3.9 to 5.8 and closed all lookups. Change: a cut is tried only after 5 s of high latency at full use, by 15 %, and the limit does not rise meanwhile; a refusal raises the level by at most 0.03; the level falls by 0.05/s while slots are full and 1/s while some are free (0.3 and 3 before); calls below a root have one step of preference within their class.

--- a/bench/variant_node.py
+++ b/bench/variant_node.py
@@ -64,17 +64,21 @@
     order.rank_of = lambda root_id: 0.0
     for module in sys.modules.values():
         if getattr(module, "shed_key", None) is order.shed_key:
-            module.shed_key = lambda priority, root_id: 0.0
+            module.shed_key = lambda priority, root_id, depth: 0.0
 
 
 def _no_rank() -> None:
     order.rank_of = lambda root_id: random.random()
 
 
+def _no_invested_step() -> None:
+    order.INVESTED_STEP = 0.0
+
+
 def _no_classes() -> None:
     for module in list(sys.modules.values()):
         if getattr(module, "shed_key", None) is order.shed_key:
-            module.shed_key = lambda priority, root_id: order.rank_of(root_id)
+            module.shed_key = lambda priority, root_id, depth: order.rank_of(root_id)
 
 
 def _no_needs() -> None:
@@ -108,6 +112,7 @@
     "no-levels": _no_levels,
     "no-needs": _no_needs,
     "no-rank": _no_rank,
+    "no-step": _no_invested_step,
     "no-classes": _no_classes,
     "no-dep-share": _no_dependency_share,
     "no-limiter": _no_limiter,
--- a/packages/thorntray/src/thorntray/internal/process/admission.py
+++ b/packages/thorntray/src/thorntray/internal/process/admission.py
@@ -22,9 +22,10 @@
 from thorntray.internal.request.deadline import Deadline
 from thorntray.internal.request.outcome import Reason
 
-LEVEL_GAIN = 0.1  # share of the distance to a refused key that the level rises
-LEVEL_FALL = 0.3  # shed keys per second while slots are full
-LEVEL_FALL_IDLE = 3.0  # shed keys per second while slots are free
+LEVEL_GAIN = 0.15  # share of the distance to a refused key that the level rises
+MAX_LEVEL_RISE = 0.03  # shed keys; one refused payout must not close a whole class
+LEVEL_FALL = 0.05  # shed keys per second while slots are full
+LEVEL_FALL_IDLE = 1.0  # shed keys per second while slots are free
 MIN_RETRY_AFTER = 0.05  # seconds
 MAX_RETRY_AFTER = 5.0  # seconds
 
@@ -57,7 +58,7 @@
     def refused(self, shed_key: float) -> None:
         """Pull the level up towards a refused key."""
         if shed_key > self._level:
-            self._level += LEVEL_GAIN * (shed_key - self._level)
+            self._level += min(MAX_LEVEL_RISE, LEVEL_GAIN * (shed_key - self._level))
 
 
 class Admission:
--- a/packages/thorntray/src/thorntray/internal/process/limiter.py
+++ b/packages/thorntray/src/thorntray/internal/process/limiter.py
@@ -21,12 +21,13 @@
 WINDOW = 0.5  # seconds between decisions
 MIN_SAMPLES = 8  # in a window, below which it is taken for quiet
 TRIAL_SAMPLES = 40  # in a window that decides on a cut; fewer compare chance with chance
+SUSPICION_TIME = 5.0  # seconds of high latency at full use before a cut is tried
 MAX_TRIAL_WINDOW = 4.0  # seconds after which a trial with fewer samples is given up
 SETTLE_LATENCIES = 1.5  # after a cut, before its effect is counted
 REFUSAL_FACTOR = 0.7
-TRIAL_FACTOR = 0.8
+TRIAL_FACTOR = 0.85
 LATENCY_TOLERANCE = 1.5  # times the baseline
-THROUGHPUT_TOLERANCE = 0.9  # share that a useful cut must keep
+THROUGHPUT_TOLERANCE = 0.92  # share that a useful cut must keep
 RECOVERY_STEP = 0.12  # of the slots, for each quiet window
 COLD_START_SHARE = 0.3  # of the slots, for a cold instance
 BASELINE_DRIFT = 0.1  # weight of a quiet window in the baseline
@@ -56,6 +57,7 @@
         self._baseline: float | None = None
         self._phase = _Phase.STEADY
         self._before_trial = (0.0, 0.0)  # limit, throughput
+        self._suspicious_since: float | None = None
         self._window = _Window(clock.monotonic())
 
     @property
@@ -108,24 +110,32 @@
             self._limit = max(1.0, self._limit * REFUSAL_FACTOR)
             return
         latency = window.own_time / window.completed if window.completed else 0.0
-        if self._is_suspicious(window, latency):
+        if self._phase is _Phase.TRIAL or self._is_suspicious(window, latency):
             if window.completed < TRIAL_SAMPLES and length < MAX_TRIAL_WINDOW:
                 return  # wait for enough samples
             self._window = _Window(self._clock.monotonic())
             self._judge(window, latency, window.completed / length)
             return
         self._window = _Window(self._clock.monotonic())
+        if self._suspicious_since is not None:
+            return  # neither learn a doubtful latency nor raise the limit
         if window.completed >= MIN_SAMPLES:
             self._drift(latency)
         self._raise()
 
     def _is_suspicious(self, window: _Window, latency: float) -> bool:
-        """Return whether a trial runs, or latency at full use calls for one."""
-        if self._phase is _Phase.TRIAL:
-            return True
-        if self._baseline is None or window.peak < self.limit:
+        """Return whether latency at full use has been high for long enough to try a cut.
+
+        A cut costs goodput while it is tried, so a short surge must not cause one.
+        """
+        full = window.peak >= self.limit
+        if self._baseline is None or not full or latency <= self._baseline * LATENCY_TOLERANCE:
+            self._suspicious_since = None
             return False
-        return latency > self._baseline * LATENCY_TOLERANCE
+        now = self._clock.monotonic()
+        if self._suspicious_since is None:
+            self._suspicious_since = now
+        return now - self._suspicious_since >= SUSPICION_TIME
 
     def _judge(self, window: _Window, latency: float, throughput: float) -> None:
         if self._phase is _Phase.TRIAL:
@@ -147,7 +157,8 @@
         self._phase = _Phase.STEADY
         limit_before, throughput_before = self._before_trial
         if throughput >= throughput_before * THROUGHPUT_TOLERANCE:
-            return
+            return  # the cut cost nothing: keep it, and try the next one if latency stays high
+        self._suspicious_since = None
         self._limit = limit_before
         self._baseline = latency
 
--- a/packages/thorntray/src/thorntray/internal/request/inbound.py
+++ b/packages/thorntray/src/thorntray/internal/request/inbound.py
@@ -262,7 +262,7 @@
         if refusal is not None:
             return self._not_run(refusal)
         try:
-            key = shed_key(call.priority, call.root_id)
+            key = shed_key(call.priority, call.root_id, call.depth)
             expected = parts.service_times.expected(call.route)
             await parts.admission.enter(key, deadline, expected)
         except RequestRefused as exc:
--- a/packages/thorntray/src/thorntray/internal/request/ingress.py
+++ b/packages/thorntray/src/thorntray/internal/request/ingress.py
@@ -140,7 +140,7 @@
         self, req: IncomingRequest, route: RouteSettings, extra: list[tuple[str, str]]
     ) -> Outcome:
         idempotency_key = req.headers.get(IDEMPOTENCY_KEY_HEADER, "")
-        key = shed_key(route.class_.priority, self._root_id(req))
+        key = shed_key(route.class_.priority, self._root_id(req), 0)
         reply = await self._parts.outbound.ask_grant(route, key, idempotency_key)
         if not reply.grant:
             return NotRun(Reason(reply.reason), reply.retry_after)
--- a/packages/thorntray/src/thorntray/internal/request/outbound.py
+++ b/packages/thorntray/src/thorntray/internal/request/outbound.py
@@ -115,7 +115,7 @@
         if tried is None:
             ratio.first_attempt()
         tried = set() if tried is None else tried
-        key = shed_key(req.priority, req.root_id)
+        key = shed_key(req.priority, req.root_id, req.depth)
         maybe_ran: Unknown | None = None
         while True:
             member = self._choose(req, key, tried)
@@ -152,7 +152,8 @@
             deadline,
         )
         tried = {self._parts.own_name}
-        if isinstance(self._choose(req, shed_key(call.priority, call.root_id), tried), NotRun):
+        key = shed_key(call.priority, call.root_id, call.depth)
+        if isinstance(self._choose(req, key, tried), NotRun):
             return NotRun(Reason.SHED, CLOSED_RETRY_AFTER)
         escrow.spend()
         self.retries_sent += 1
--- a/tests/test_overload_decisions.py
+++ b/tests/test_overload_decisions.py
@@ -168,7 +168,13 @@
     ranks = [rank_of(i.to_bytes(8, "big")) for i in range(2000)]
     assert all(0 <= rank < 1 for rank in ranks)
     assert 0.45 < sum(ranks) / len(ranks) < 0.55
-    assert round(shed_key(8, b"x") - shed_key(3, b"x"), 9) == 5
+    assert round(shed_key(8, b"x", 0) - shed_key(3, b"x", 0), 9) == 5
+
+
+def test_a_call_below_a_root_is_shed_after_new_roots_of_its_class_and_before_a_higher_class():
+    roots = [i.to_bytes(8, "big") for i in range(500)]
+    for root in roots:
+        assert 3 <= shed_key(3, root, 0) < shed_key(3, root, 1) == shed_key(3, root, 7) < 4
 
 
 def _drive(limiter, clock, seconds, latency, refuse=0.0):
