--- /dev/null
+++ b/bench/capacity.py
@@ -0,0 +1,250 @@
+"""Slopes for docs/CAPACITY.md: control cost of a node over the size of the fleet.
+
+Run: `python -m bench.capacity [--sizes 50,100,200,400,1600]`. Many nodes' control parts run in one
+process and in virtual time, with the real codec, over an in-memory network; CPU is the process's
+own time divided by nodes and virtual seconds, so it leaves out the kernel's part of UDP. Memory
+is measured with `tracemalloc`; a real node's memory and CPU at rest come from `--real`.
+"""
+
+import argparse
+import asyncio
+import csv
+import gc
+import time
+import tracemalloc
+from random import Random
+from typing import Any
+
+from thorntray.internal.process.member import Health
+from thorntray.internal.process.member_view import MemberView
+from thorntray.internal.process.roles import settings_key
+from thorntray.internal.request.grant import GrantBook
+from thorntray.internal.version.document import Change, Document, encode_document
+from thorntray.internal.version.holder import SettingsHolder
+
+from bench.overload import RESULTS
+from standins.fleet import ROOT, Fleet, Site, http
+from tests.builders import ManualClock, make_member, run_virtual
+from tests.fleet_builders import TEAM, MemoryFleet, MemoryPlatform, make_document
+
+DOMAINS = 12
+SERVICES = 140
+REST_SECONDS = 10.0
+SPREAD_LIMIT = 12.0  # seconds, the target
+POLL = 0.05  # seconds
+TARGET_MEMBERS = 1600
+
+
+def _known_fleet(size: int, platform: MemoryPlatform | None) -> MemoryFleet:
+    """Return a fleet whose members know each other already."""
+    fleet = MemoryFleet(Random(size), platform)
+    for i in range(size):
+        fleet.add(f"n{i:04}", f"d{i % DOMAINS}", f"s{i % SERVICES}")
+    members = [node.membership.own for node in fleet.nodes.values()]
+    for node in fleet.nodes.values():
+        for member in members:
+            node.membership.view.apply(member)
+        node.membership.view._pending.clear()
+        node.offer(make_document(1))
+        node.membership._heads_told = 1_000
+    return fleet
+
+
+async def _until(test: Any, limit: float) -> float:
+    """Return the virtual seconds until `test()` is true, -1 past the limit."""
+    loop = asyncio.get_running_loop()
+    began = loop.time()
+    while not test():
+        if loop.time() - began > limit:
+            return -1.0
+        await asyncio.sleep(POLL)
+    return loop.time() - began
+
+
+async def _cost(fleet: MemoryFleet, seconds: float) -> tuple[float, float]:
+    """Return bytes a second (both directions) and share of a core, for each node."""
+    nodes = list(fleet.nodes.values())
+    before = sum(n.membership.bytes_sent + n.membership.bytes_received for n in nodes)
+    cpu = time.process_time()
+    await asyncio.sleep(seconds)
+    after = sum(n.membership.bytes_sent + n.membership.bytes_received for n in nodes)
+    spent = time.process_time() - cpu
+    return (after - before) / len(nodes) / seconds, spent / len(nodes) / seconds
+
+
+async def _measure(size: int) -> dict[str, float]:
+    fleet = _known_fleet(size, None)
+    nodes = list(fleet.nodes.values())
+    for node in nodes:
+        node.start()
+    await asyncio.sleep(2)
+    rest_bytes, rest_cpu = await _cost(fleet, REST_SECONDS)
+    fleet.nodes["n0001"].offer(make_document(2))
+    spread = await _until(lambda: all(n.holder.revision(TEAM) == 2 for n in nodes), SPREAD_LIMIT)
+    await asyncio.sleep(2)
+    dead = fleet.nodes["n0002"]
+    await dead.kill()
+    living = [n for n in nodes if n is not dead]
+    gone = await _until(lambda: not any("n0002" in n.sees() for n in living), SPREAD_LIMIT)
+    change_bytes, change_cpu = await _cost(fleet, 3.0)
+    return {
+        "nodes": size,
+        "rest_bytes_per_s": rest_bytes,
+        "rest_cpu_share": rest_cpu,
+        "setting_spread_s": spread,
+        "dead_out_of_routing_s": gone,
+        "after_death_bytes_per_s": change_bytes,
+        "after_death_cpu_share": change_cpu,
+    }
+
+
+async def _platform_calls(size: int) -> dict[str, float]:
+    """Return platform calls a second at rest, at a mass restart, and after an outage."""
+    platform = MemoryPlatform()
+    platform.write(settings_key(TEAM), encode_document(make_document(1)))
+    fleet = _known_fleet(size, platform)
+    for node in fleet.nodes.values():
+        node.start()
+    found: dict[str, float] = {}
+    await asyncio.sleep(15)
+    found["calls_start_peak"] = max(platform.calls.values())
+    platform.calls.clear()
+    await asyncio.sleep(30)
+    found["calls_rest_per_s"] = sum(platform.calls.values()) / 30
+    platform.down = True
+    await asyncio.sleep(30)
+    platform.down = False
+    platform.calls.clear()
+    await asyncio.sleep(10)
+    found["calls_return_peak"] = max(platform.calls.values(), default=0)
+    found["watchers"] = sum(n.roles.state["watcher"] for n in fleet.nodes.values())
+    found["seeds"] = sum(n.roles.state["seed"] for n in fleet.nodes.values())
+    return found
+
+
+async def _mass_restart(size: int) -> dict[str, float]:
+    """Return platform calls and the time to a whole view when all nodes start at once."""
+    platform = MemoryPlatform()
+    platform.write(settings_key(TEAM), encode_document(make_document(1)))
+    fleet = MemoryFleet(Random(size), platform)
+    for i in range(size):
+        fleet.add(f"n{i:04}", f"d{i % DOMAINS}", f"s{i % SERVICES}").start()
+    nodes = list(fleet.nodes.values())
+    whole = await _until(lambda: all(len(n.sees(Health.ALIVE)) == size for n in nodes), 60)
+    settled = await _until(lambda: all(n.holder.revision(TEAM) == 1 for n in nodes), 60)
+    await asyncio.sleep(5)
+    return {
+        "nodes": size,
+        "whole_view_s": whole,
+        "settings_s": max(whole, settled),
+        "calls_peak": max(platform.calls.values()),
+    }
+
+
+def _memory() -> dict[str, float]:
+    """Return bytes for each member, grant and settings path."""
+
+    def size_of(make: Any) -> float:
+        gc.collect()
+        tracemalloc.start()
+        kept = make()
+        gc.collect()
+        size, _ = tracemalloc.get_traced_memory()
+        tracemalloc.stop()
+        assert kept is not None
+        return size
+
+    def view() -> MemberView:
+        view = MemberView(make_member("me"))
+        for i in range(TARGET_MEMBERS):
+            name = f"service-{i % SERVICES}-instance-{i}"
+            view.apply(make_member(name, f"s{i % SERVICES}", f"d{i % DOMAINS}"))
+        view._pending.clear()
+        return view
+
+    def grants() -> GrantBook:
+        book = GrantBook("n", b"s" * 8, ManualClock(), Random(1))
+        for i in range(2000):
+            book.issue("settle", "payouts", f"key-{i}")
+        return book
+
+    def holder() -> SettingsHolder:
+        from tests.fleet_builders import KEYS
+
+        holder = SettingsHolder(KEYS, lambda: None)
+        holder.offer_stored(TEAM, encode_document(_large_document()))
+        return holder
+
+    return {
+        "bytes_per_member": size_of(view) / TARGET_MEMBERS,
+        "bytes_per_grant": size_of(grants) / 2000,
+        "settings_140_services_bytes": size_of(holder),
+        "document_140_services_bytes": len(encode_document(_large_document())),
+    }
+
+
+def _large_document() -> Document:
+    from tests.builders import settings_paths
+    from tests.fleet_builders import KEY
+
+    services = {f"s{i}": {"slots": 50, "queue": 25, "connections": 400} for i in range(SERVICES)}
+    change = Change(1, "w", "a", 0.0, "r", ("x",))
+    return Document.empty(TEAM).changed(settings_paths(services), change, KEY)
+
+
+def _real() -> None:
+    """Print memory and CPU of real nodes at rest."""
+    with Fleet(["himal"]) as fleet:
+        fleet.start_platform()
+        fleet.apply("himal", ROOT / "demo/settings/himal")
+        for i in range(12):
+            fleet.add(Site(f"tariff-{i}", "tariff", f"d{i % 3}", 50, 0.005))
+        fleet.wait_ready()
+        time.sleep(8)
+        before = [_dump(site) for site in fleet.sites]
+        time.sleep(20)
+        after = [_dump(site) for site in fleet.sites]
+    for key, read in (
+        ("cpu share", lambda d: d["node"]["cpu_seconds"]),
+        ("control bytes/s", lambda d: d["control"]["bytes_sent"] + d["control"]["bytes_received"]),
+    ):
+        rates = sorted((read(b) - read(a)) / 20 for a, b in zip(before, after, strict=True))
+        print(f"real nodes at rest: {key}: median {rates[6]:.4g}, most {rates[-1]:.4g}")
+    rss = sorted(d["node"]["max_rss_kb"] / 1024 for d in after)
+    print(f"real nodes at rest: resident MB: median {rss[6]:.1f}, most {rss[-1]:.1f}")
+
+
+def _dump(site: Site) -> dict[str, Any]:
+    return http("GET", f"{site.url}/thorntray/dump")[1]
+
+
+def main() -> None:
+    """Print the figures and write them to `bench/results`."""
+    parser = argparse.ArgumentParser()
+    parser.add_argument("--sizes", default="50,100,200,400,1600")
+    parser.add_argument("--restart-sizes", default="50,100,200")
+    parser.add_argument("--real", action="store_true", help="only measure real nodes at rest")
+    args = parser.parse_args()
+    if args.real:
+        _real()
+        return
+    for key, value in _memory().items():
+        print(f"{key}: {value:.0f}", flush=True)
+    rows = []
+    for size in map(int, args.sizes.split(",")):
+        row = run_virtual(_measure(size))
+        row |= run_virtual(_platform_calls(size)) if size <= 400 else {}
+        rows.append(row)
+        print("  ".join(f"{key} {value:.4g}" for key, value in row.items()), flush=True)
+    for size in map(int, args.restart_sizes.split(",")):
+        row = run_virtual(_mass_restart(size))
+        print("mass restart: " + "  ".join(f"{k} {v:.4g}" for k, v in row.items()), flush=True)
+    RESULTS.mkdir(exist_ok=True)
+    with (RESULTS / "capacity.csv").open("w", newline="") as file:
+        writer = csv.DictWriter(file, rows[0])
+        writer.writeheader()
+        writer.writerows(rows)
+
+
+if __name__ == "__main__":
+    main()
--- a/packages/thorntray-node/src/thorntray_node/node.py
+++ b/packages/thorntray-node/src/thorntray_node/node.py
@@ -183,7 +183,7 @@
                 dependencies=traffic.dependencies,
                 service_times=traffic.service_times,
                 settings=lambda: self.holder.settings,
-                route_level=self.route_level,
+                needs_level=self.needs_level,
                 elsewhere=self.outbound.elsewhere,
                 clock=self.clock,
             )
@@ -202,10 +202,9 @@
             )
         )
 
-    def route_level(self, route: RouteSettings) -> float:
-        """Return the admission level of a route here, that of the services it needs included."""
-        needs = (self.outbound.level_of(need) for need in route.needs)
-        return max([self.traffic.admission.level(), *needs])
+    def needs_level(self, route: RouteSettings) -> float:
+        """Return the highest admission level of the services that a route needs."""
+        return max((self.outbound.level_of(need) for need in route.needs), default=0.0)
 
     # Messages of other nodes.
 
--- a/packages/thorntray/src/thorntray/internal/request/inbound.py
+++ b/packages/thorntray/src/thorntray/internal/request/inbound.py
@@ -80,7 +80,7 @@
     dependencies: DependencyWaits
     service_times: ServiceTimes
     settings: Callable[[], Settings]
-    route_level: Callable[[RouteSettings], float]
+    needs_level: Callable[[RouteSettings], float]
     elsewhere: Elsewhere
     clock: Clock
 
@@ -128,7 +128,7 @@
         route = service.route_named(req.route) if service else None
         if req.session != parts.session or route is None or req.service != parts.service:
             return self._no_grant(Reason.WRONG_INCARNATION, 0.0)
-        level = parts.route_level(route)
+        level = self._route_level(route)
         refusal = parts.acceptance.refusal()
         if refusal is not None:
             return self._no_grant(refusal, level)
@@ -258,11 +258,11 @@
         if not parts.attempts.arrive(call.attempt_id, deadline.at):
             return self._already_seen(call)
         service = parts.settings().services[call.service]
-        refusal = self._refusal_for(service, route)
+        key = shed_key(call.priority, call.root_id, call.depth)
+        refusal = self._refusal_for(service, route, key)
         if refusal is not None:
             return self._not_run(refusal)
         try:
-            key = shed_key(call.priority, call.root_id, call.depth)
             expected = parts.service_times.expected(call.route)
             await parts.admission.enter(key, deadline, expected)
         except RequestRefused as exc:
@@ -277,7 +277,9 @@
             return self._not_run(Reason.REVOKED)
         return Unknown("the attempt has arrived twice; its first copy runs or ran")
 
-    def _refusal_for(self, service: ServiceSettings, route: RouteSettings) -> Reason | None:
+    def _refusal_for(
+        self, service: ServiceSettings, route: RouteSettings, key: float
+    ) -> Reason | None:
         refusal = self._parts.acceptance.refusal()
         if refusal is not None:
             return refusal
@@ -285,6 +287,9 @@
         for need in route.needs:
             if self._parts.dependencies.full(need, service.dependency_share, limit):
                 return Reason.DEPENDENCY_SHARE
+        if route.needs and key < self._parts.needs_level(route):
+            # Running the parent would be wasted: its child is refused for this class.
+            return Reason.DEPENDENCY_CLOSED
         return None
 
     async def _dispatch(
@@ -336,6 +341,9 @@
             parts.admission.limiter.completed(max(0.0, own_time))
         return outcome
 
+    def _route_level(self, route: RouteSettings) -> float:
+        return max(self._parts.admission.level(), self._parts.needs_level(route))
+
     def _not_run(self, reason: Reason, detail: str = "") -> NotRun:
         return NotRun(reason, self._parts.admission.retry_after(), detail)
 
@@ -345,7 +353,7 @@
 
     def _attempt(self, outcome: Outcome, escrow: Escrow, route: RouteSettings | None) -> Attempt:
         admission = self._parts.admission
-        level = self._parts.route_level(route) if route else 0.0
+        level = self._route_level(route) if route else 0.0
         match outcome:
             case Done() | NotRun() | Failed():
                 unspent = escrow.balance
--- a/tests/test_overload_decisions.py
+++ b/tests/test_overload_decisions.py
@@ -334,6 +334,23 @@
     assert refused >= 25 and retry_after == {"1"}
 
 
+def test_a_parent_does_not_run_when_the_service_it_needs_is_closed_for_its_class():
+    async def scenario():
+        services = {"s": {"needs": "deep"}, "deep": {}}
+        network = MemoryNetwork(Random(9), make_settings(services))
+        parent = network.add("a", "s")
+        network.add("b", "deep")
+        entry = network.add("c", "other")
+        parent.levels.report("b", "deep/look", 7.0, 1.0)
+        answer = await entry.call("s", x_request="r")
+        learned = entry.levels.level("a", "s/look")
+        grant = header(await entry.call("s", "POST"), "thorntray-grant")
+        paid = await entry.call("s", "POST", thorntray_grant=grant)
+        return header(answer, "thorntray-reason"), parent.upstream.ran["r"], learned, paid.status
+
+    assert run_virtual(scenario()) == ("dependency-closed", 0, 7.0, 200)
+
+
 def test_one_dependency_cannot_pin_all_slots():
     async def scenario():
         services = {"s": {"slots": 10, "dependency_share": "0.5"}, "deep": {}}
--- a/tests/test_processes.py
+++ b/tests/test_processes.py
@@ -4,7 +4,10 @@
 import base64
 import hashlib
 import json
+import re
+import shlex
 import signal
+import subprocess
 import threading
 import time
 import urllib.error
@@ -348,6 +351,31 @@
     return http("GET", f"{site.upstream_url}/record")[1]["ran"].get(request, 0)
 
 
+def _curl_lines():
+    """Return the curl commands of README and API, as lists of words."""
+    text = ""
+    for page in ("README.md", "docs/API.md"):
+        text += (ROOT / page).read_text("utf-8").replace("\\\n", " ")
+    lines = re.findall(r"^    (curl .*?)(?:  +#.*)?$", text, re.MULTILINE)
+    return [shlex.split(line) for line in lines]
+
+
+def test_the_curl_lines_of_the_pages_work(fleet):
+    site = next(s for s in fleet.sites if s.service == "haul" or s.service == "tariff")
+    address = f"127.0.0.1:{site.http_port}"
+    answers, grant = [], ""
+    for words in _curl_lines():
+        filled = [w.replace("127.0.0.1:8001", address) for w in words]
+        filled = [w.replace("GRANT-OF-THE-428", grant) for w in filled]
+        done = subprocess.run([*filled, "-s", "-i"], capture_output=True, text=True, timeout=20)
+        head = done.stdout.split("\r\n\r\n")[0]
+        answers.append(int(head.split()[1]))
+        found = re.search(r"^thorntray-grant: (\S+)", head, re.MULTILINE | re.IGNORECASE)
+        grant = found.group(1) if found else grant
+    http("POST", f"{site.url}/thorntray/instance/register")
+    assert answers == [200, 428, 200, 200, 200, 200, 200]
+
+
 @pytest.mark.parametrize("fault", ["none", "cut", "swallow", "refused"])
 def test_a_link_between_nodes_never_sends_a_request_twice(fault):
     """Real connections through a relay; both ends in this process."""
