Limit rounded up; a node that cannot bind exits with 3; test ports outside the ephemeral range

Cause: of 8 slots a cut by 15 % became 6 by rounding down, a quarter. The node binds the port itself now; the stand-ins take ports below the ephemeral range.

--- a/packages/thorntray-node/src/thorntray_node/main.py
+++ b/packages/thorntray-node/src/thorntray_node/main.py
@@ -7,10 +7,12 @@
 import asyncio
 import gc
 import signal
+import socket
 import sys
 from pathlib import Path
 
 import msgspec
+import pynng
 import uvicorn
 import uvloop
 from absl import app, flags, logging
@@ -24,6 +26,7 @@
 
 EXIT_BAD_SETTINGS = 2
 EXIT_CANNOT_BIND = 3
+HTTP_BACKLOG = 1024  # connections that wait to be accepted
 CLOSING_LINGER = 0.5  # seconds
 
 _CONFIG = flags.DEFINE_string("config", None, "Settings file of this node (INI).", required=True)
@@ -62,8 +65,10 @@
 async def _serve(cfg: NodeConfig) -> int:
     node = Node.from_config(cfg)
     try:
+        # Bound here, since uvicorn ends the process by itself when it cannot bind.
+        listener = socket.create_server((cfg.address, cfg.http_port), backlog=HTTP_BACKLOG)
         await node.start()
-    except Exception as exc:
+    except (OSError, pynng.NNGException) as exc:
         print(f"cannot open the ports of {cfg.name}: {exc}; free them", file=sys.stderr)
         return EXIT_CANNOT_BIND
     server = make_server(node)
@@ -73,7 +78,7 @@
     loop.add_signal_handler(signal.SIGTERM, stop.set)
     loop.add_signal_handler(signal.SIGINT, stop.set)
     loop.add_signal_handler(signal.SIGUSR1, _write_dump, node)
-    serving = asyncio.create_task(server.serve())
+    serving = asyncio.create_task(server.serve(sockets=[listener]))
     await asyncio.wait({serving, asyncio.create_task(stop.wait())}, return_when="FIRST_COMPLETED")
     if serving.done():
         return EXIT_CANNOT_BIND
--- a/packages/thorntray/src/thorntray/internal/process/limiter.py
+++ b/packages/thorntray/src/thorntray/internal/process/limiter.py
@@ -13,6 +13,7 @@
 and the slower latency becomes the new baseline. Each quiet window raises the limit again.
 """
 
+import math
 from dataclasses import dataclass
 from enum import Enum, auto
 
@@ -63,7 +64,8 @@
     @property
     def limit(self) -> int:
         """Return how many requests may be in flight."""
-        return max(1, int(self._limit))
+        # Rounded up: of few slots, a cut that is rounded down takes twice its share.
+        return max(1, math.ceil(self._limit))
 
     @property
     def baseline(self) -> float:
--- a/standins/fleet.py
+++ b/standins/fleet.py
@@ -3,6 +3,7 @@
 Every process is started here and ended by its id. Ports are free ones of the loopback address.
 """
 
+import itertools
 import json
 import os
 import signal
@@ -23,11 +24,26 @@
 HOST = "127.0.0.1"
 
 
+_ports = itertools.cycle(range(12000, 32000))
+for _ in range(os.getpid() * 37 % 20000):
+    next(_ports)
+
+
 def free_port() -> int:
-    """Return a TCP and UDP port that is free now."""
-    with socket.socket() as probe:
-        probe.bind((HOST, 0))
-        return probe.getsockname()[1]
+    """Return a TCP and UDP port that is free now and is not given out again soon.
+
+    It lies below the range from which the system takes ports for outgoing connections: one of
+    those could take it before the process that it is meant for.
+    """
+    for port in _ports:
+        try:
+            with socket.socket() as tcp, socket.socket(type=socket.SOCK_DGRAM) as udp:
+                tcp.bind((HOST, port))
+                udp.bind((HOST, port))
+                return port
+        except OSError:
+            continue
+    raise AssertionError("the ports go round for ever")
 
 
 def wait_for(what: str, test: Any, limit: float = START_LIMIT) -> None:
--- a/tests/test_config.py
+++ b/tests/test_config.py
@@ -1,5 +1,6 @@
 """A node's settings file: every value checked, all faults together, each with its remedy."""
 
+import socket
 import subprocess
 import sys
 
@@ -85,6 +86,18 @@
         pass
 
 
+def test_a_node_whose_port_is_taken_names_it_and_exits_with_three(tmp_path):
+    file = tmp_path / "node.ini"
+    with socket.create_server(("127.0.0.1", 0)) as taken:
+        port = str(taken.getsockname()[1])
+        file.write_text(text(changed("node", "http_port", port)), "utf-8")
+        node = [sys.executable, "-c", "from thorntray_node.main import run; run()"]
+        done = subprocess.run(
+            [*node, f"--config={file}"], capture_output=True, text=True, timeout=30
+        )
+    assert done.returncode == 3 and "cannot open the ports of tariff-1" in done.stderr
+
+
 def test_the_binaries_report_faults_and_exit_with_two(tmp_path):
     file = tmp_path / "node.ini"
     file.write_text(text(changed("node", "address", "nowhere")), "utf-8")
