One wiring of the request-carrying parts for node and tests; overload events are written

The node and the tests' builders put the same parts together twice; process/traffic.py does it once. Words of outcomes, and an Outgoing made from a call, stood in three places each. The events 500 and 501 had no producer; housekeeping now writes them. A service's connections are checked against its slots with defaults counted in.

--- a/packages/thorntray-node/src/thorntray_node/dump.py
+++ b/packages/thorntray-node/src/thorntray_node/dump.py
@@ -41,7 +41,7 @@
         attempts={
             "remembered": len(node.traffic.attempts),
             "executing": len(node.traffic.executions),
-            "active": node.inbound.active,
+            "active": node.traffic.inbound.active,
         },
         counters=dict(node.metrics.totals),
         control=_control(node),
--- a/packages/thorntray-node/src/thorntray_node/http.py
+++ b/packages/thorntray-node/src/thorntray_node/http.py
@@ -64,7 +64,7 @@
             self._body_bytes -= held
 
     async def _handle(self, req: IncomingRequest, receive: Receive, send: Send) -> None:
-        handler = asyncio.ensure_future(self._node.ingress.handle(req))
+        handler = asyncio.ensure_future(self._node.traffic.ingress.handle(req))
         hang_up = asyncio.ensure_future(_disconnected(receive))
         try:
             await asyncio.wait({handler, hang_up}, return_when=asyncio.FIRST_COMPLETED)
@@ -194,7 +194,7 @@
             case word:
                 text = f"unknown announcement {word!r}; use register, renew, drain or leave"
                 return JSONResponse({"error": text}, status_code=404)
-        return JSONResponse({"in_flight": self._node.inbound.active})
+        return JSONResponse({"in_flight": self._node.traffic.inbound.active})
 
     async def _renew(self, req: Request) -> Response:
         body = (await req.body())[:MAX_HINT_BYTES]
@@ -202,7 +202,7 @@
         with contextlib.suppress(msgspec.MsgspecError):
             hints = msgspec.json.decode(body or b"{}", type=dict)
         if self._node.instance.renew(hints):
-            return JSONResponse({"in_flight": self._node.inbound.active})
+            return JSONResponse({"in_flight": self._node.traffic.inbound.active})
         return JSONResponse({"error": "not registered; register first"}, status_code=409)
 
 
--- a/packages/thorntray-node/src/thorntray_node/node.py
+++ b/packages/thorntray-node/src/thorntray_node/node.py
@@ -2,77 +2,36 @@
 
 import asyncio
 import time
-from dataclasses import dataclass
 from random import Random, SystemRandom
 from typing import Self
 
 import statsd
 from thorntray.internal.connection.documents import DocumentClient, DocumentServer
-from thorntray.internal.connection.message import (
-    Call,
-    GrantReply,
-    GrantRequest,
-    Message,
-    Refusal,
-    Revoke,
-)
 from thorntray.internal.connection.peer import PeerLinks, PeerListener
-from thorntray.internal.connection.reply import reply_from
 from thorntray.internal.connection.upstream import UpstreamConnections
-from thorntray.internal.process.admission import Admission
 from thorntray.internal.process.clock import Clock, SystemClock
-from thorntray.internal.process.dependencies import DependencyWaits
-from thorntray.internal.process.ejection import Ejection
 from thorntray.internal.process.events import Event, log_event
 from thorntray.internal.process.gossip import Address
 from thorntray.internal.process.instance import Instance
-from thorntray.internal.process.levels import LevelTable
-from thorntray.internal.process.limiter import Limiter
 from thorntray.internal.process.member import SESSION_BYTES, Member
 from thorntray.internal.process.membership import Membership
 from thorntray.internal.process.metrics import FLUSH_PERIOD, Metrics
 from thorntray.internal.process.platform import PlatformClient
 from thorntray.internal.process.roles import Roles
-from thorntray.internal.process.routing import Router
-from thorntray.internal.process.service_times import ServiceTimes
 from thorntray.internal.process.settings_sync import SettingsSync
 from thorntray.internal.process.tasks import BackgroundTasks
+from thorntray.internal.process.traffic import Surroundings, Traffic
 from thorntray.internal.process.udp import UdpTransport
-from thorntray.internal.request.attempts import AttemptTable
-from thorntray.internal.request.execution import ExecutionTable
-from thorntray.internal.request.grant import GrantBook
-from thorntray.internal.request.inbound import Inbound, InboundParts
-from thorntray.internal.request.ingress import Ingress, IngressParts
-from thorntray.internal.request.outbound import Outbound, OutboundParts
-from thorntray.internal.request.outcome import Attempt, Done, Failed, NotRun, Unknown
 from thorntray.internal.version.holder import SettingsHolder
-from thorntray.internal.version.settings import RouteSettings, ServiceSettings
+from thorntray.internal.version.settings import ServiceSettings
 
 from thorntray_node.config import NodeConfig
 
-DEFAULT_SLOTS = 50  # until the service's settings are known
-DEFAULT_QUEUE = 25
-DEFAULT_QUEUE_WAIT = 0.1  # seconds
-DEFAULT_CONNECTIONS = 400
 HOUSEKEEPING_PERIOD = 1.0  # seconds
 LEAVING_LINGER = 3.0  # seconds in which the others learn that this node leaves
 DRAIN_POLL = 0.02  # seconds
 
 
-@dataclass(slots=True)
-class _Traffic:
-    """The parts that carry requests."""
-
-    admission: Admission
-    grants: GrantBook
-    attempts: AttemptTable
-    executions: ExecutionTable
-    dependencies: DependencyWaits
-    service_times: ServiceTimes
-    levels: LevelTable
-    ejection: Ejection
-
-
 class Node:
     """A running node."""
 
@@ -84,9 +43,10 @@
         self.metrics = Metrics()
         self.started_at = clock.time()
         self.draining = False
+        self._was_shedding = False
+        self._last_limit = 0
         self.holder = SettingsHolder(cfg.team_keys, self._settings_changed)
         self.instance = Instance(clock, self._instance_changed)
-        self.traffic = self._make_traffic()
         self.links = PeerLinks(clock)
         self._tasks = BackgroundTasks()
 
@@ -95,23 +55,10 @@
         """Return a node on the machine's clock and random numbers."""
         return cls(cfg, SystemClock(), SystemRandom())
 
-    def _make_traffic(self) -> _Traffic:
-        limiter = Limiter(DEFAULT_SLOTS, self.clock)
-        return _Traffic(
-            Admission(limiter, DEFAULT_QUEUE, DEFAULT_QUEUE_WAIT, self.clock),
-            GrantBook(self.cfg.name, self.session, self.clock, self.rng),
-            AttemptTable(self.clock),
-            ExecutionTable(self.rng),
-            DependencyWaits(),
-            ServiceTimes(self.clock),
-            LevelTable(self.clock, self.rng),
-            Ejection(self.clock),
-        )
-
     async def start(self) -> None:
         """Open all sockets and begin."""
         cfg = self.cfg
-        self.upstream = UpstreamConnections(cfg.upstream, DEFAULT_CONNECTIONS)
+        self.upstream = UpstreamConnections(cfg.upstream)
         self._udp = await UdpTransport.open(Address(cfg.address, cfg.gossip_port))
         self.sync = SettingsSync(self.holder, DocumentClient())
         self.membership = Membership(
@@ -124,8 +71,8 @@
             self._member_gone,
         )
         self._udp.receive = self.membership.on_datagram
-        self._connect_halves()
-        self.listener = PeerListener(cfg.address, cfg.peer_port, self._handle)
+        self.traffic = Traffic(self._surroundings(), self.metrics)
+        self.listener = PeerListener(cfg.address, cfg.peer_port, self.traffic.handle)
         await self.listener.start()
         self.documents = DocumentServer(cfg.address, cfg.document_port, self.holder)
         self.documents.start()
@@ -152,88 +99,21 @@
             cfg.region,
         )
 
-    def _connect_halves(self) -> None:
-        traffic = self.traffic
-        router = Router(self.cfg.domain, traffic.levels, traffic.ejection, self.rng)
-        self.outbound = Outbound(
-            OutboundParts(
-                own_name=self.cfg.name,
-                run_here=self._run_here,
-                grant_here=self._grant_here,
-                peers=self.links,
-                directory=self.membership,
-                router=router,
-                levels=traffic.levels,
-                ejection=traffic.ejection,
-                settings=lambda: self.holder.settings,
-                clock=self.clock,
-                rng=self.rng,
-            )
-        )
-        self.inbound = Inbound(
-            InboundParts(
-                service=self.cfg.service,
-                session=self.session,
-                upstream=self.upstream,
-                acceptance=self.instance,
-                admission=traffic.admission,
-                grants=traffic.grants,
-                attempts=traffic.attempts,
-                executions=traffic.executions,
-                dependencies=traffic.dependencies,
-                service_times=traffic.service_times,
-                settings=lambda: self.holder.settings,
-                needs_level=self.needs_level,
-                elsewhere=self.outbound.elsewhere,
-                clock=self.clock,
-            )
-        )
-        self.ingress = Ingress(
-            IngressParts(
-                service=self.cfg.service,
-                outbound=self.outbound,
-                directory=self.membership,
-                executions=traffic.executions,
-                dependencies=traffic.dependencies,
-                slot_limit=lambda: traffic.admission.limiter.limit,
-                settings=lambda: self.holder.settings,
-                clock=self.clock,
-                rng=self.rng,
-            )
+    def _surroundings(self) -> Surroundings:
+        return Surroundings(
+            name=self.cfg.name,
+            session=self.session,
+            service=self.cfg.service,
+            domain=self.cfg.domain,
+            upstream=self.upstream,
+            acceptance=self.instance,
+            peers=self.links,
+            directory=self.membership,
+            settings=lambda: self.holder.settings,
+            clock=self.clock,
+            rng=self.rng,
         )
 
-    def needs_level(self, route: RouteSettings) -> float:
-        """Return the highest admission level of the services that a route needs."""
-        return max((self.outbound.level_of(need) for need in route.needs), default=0.0)
-
-    # Messages of other nodes.
-
-    async def _handle(self, message: Message) -> Message:
-        match message:
-            case Call():
-                return reply_from(message.attempt_id, await self._run_here(message))
-            case GrantRequest():
-                return self._grant_here(message)
-            case Revoke():
-                return self.inbound.revoke(message)
-        return Refusal(f"a {type(message).__name__} is no request")
-
-    async def _run_here(self, call: Call) -> Attempt:
-        attempt = await self.inbound.run(call)
-        match attempt.outcome:
-            case Done():
-                self.metrics.count("inbound.done")
-            case NotRun():
-                self.metrics.count("inbound.not-run")
-            case Failed():
-                self.metrics.count("inbound.failed")
-            case Unknown():
-                self.metrics.count("inbound.unknown")
-        return attempt
-
-    def _grant_here(self, ask: GrantRequest) -> GrantReply:
-        return self.inbound.grant(ask)
-
     # Changes.
 
     @property
@@ -244,11 +124,7 @@
     def _settings_changed(self) -> None:
         service = self.service_settings
         if service is not None:
-            admission = self.traffic.admission
-            admission.queue_bound = service.queue
-            admission.max_wait = service.queue_wait
-            admission.limiter.set_slots(service.slots)
-            admission.admit_waiting()
+            self.traffic.apply(service)
         self.membership.tell_heads()
         self._instance_changed()
 
@@ -258,8 +134,7 @@
 
     def _member_gone(self, name: str) -> None:
         self.links.forget(name)
-        self.traffic.levels.forget(name)
-        self.traffic.ejection.forget(name)
+        self.traffic.forget(name)
 
     async def _housekeeping(self) -> None:
         target = self.cfg.statsd
@@ -273,11 +148,21 @@
             self.instance.check_lapse()
             self.links.close_idle()
             self.traffic.admission.admit_waiting()
+            self._note_overload()
             if client is not None and self.clock.monotonic() >= next_flush:
                 next_flush += FLUSH_PERIOD
                 self._collect_totals()
                 self.metrics.flush(client, self.gauges)
 
+    def _note_overload(self) -> None:
+        admission = self.traffic.admission
+        sheds, limit = admission.level() > 0, admission.limiter.limit
+        if sheds and not self._was_shedding:
+            log_event(Event.LEVEL_RAISED, level=round(admission.level(), 2))
+        if limit < self._last_limit:
+            log_event(Event.LIMIT_LOWERED, limit=limit, before=self._last_limit)
+        self._was_shedding, self._last_limit = sheds, limit
+
     def _collect_totals(self) -> None:
         membership = self.membership
         control = membership.bytes_sent + membership.bytes_received
@@ -285,8 +170,8 @@
         bad = membership.bad_datagrams + self.listener.bad_messages
         self.metrics.set_total("messages.bad", bad)
         self.metrics.set_total("platform.calls", self.platform.calls)
-        self.metrics.set_total("attempts", self.outbound.attempts_sent)
-        self.metrics.set_total("retries", self.outbound.retries_sent)
+        self.metrics.set_total("attempts", self.traffic.outbound.attempts_sent)
+        self.metrics.set_total("retries", self.traffic.outbound.retries_sent)
 
     def gauges(self) -> dict[str, float]:
         """Return the gauges of this moment."""
@@ -309,16 +194,16 @@
             return
         self.draining = True
         began = time.monotonic()
-        log_event(Event.DRAIN_BEGUN, active=self.inbound.active)
+        log_event(Event.DRAIN_BEGUN, active=self.traffic.inbound.active)
         self.instance.drain_node()
         try:
             async with asyncio.timeout(self.cfg.drain_limit):
                 await asyncio.sleep(LEAVING_LINGER)
-                await self.inbound.drained()
-                while self.inbound.active or self.ingress.active or self.traffic.executions:
+                await self.traffic.inbound.drained()
+                while not self.traffic.idle:
                     await asyncio.sleep(DRAIN_POLL)
         except TimeoutError:
-            log_event(Event.DRAIN_CUT, active=self.inbound.active)
+            log_event(Event.DRAIN_CUT, active=self.traffic.inbound.active)
         log_event(Event.DRAIN_ENDED, seconds=round(time.monotonic() - began, 3))
 
     async def stop(self) -> None:
--- a/packages/thorntray/src/thorntray/internal/connection/reply.py
+++ b/packages/thorntray/src/thorntray/internal/connection/reply.py
@@ -12,6 +12,7 @@
     NotRun,
     Reason,
     Unknown,
+    outcome_word,
 )
 
 _NO_STATUS = 0
@@ -19,23 +20,23 @@
 
 def reply_from(attempt_id: bytes, attempt: Attempt) -> Reply:
     """Return the message for an attempt's outcome."""
-    kind, cause, detail, retry_after = "", "", "", 0.0
+    cause, detail, retry_after = "", "", 0.0
     answer: Answer | None = None
     match attempt.outcome:
         case Done(answer):
-            kind = "done"
+            pass
         case NotRun(reason, retry_after, detail):
-            kind, cause = "not-run", reason.value
+            cause = reason.value
         case Failed(cause, answer):
-            kind = "failed"
+            pass
         case Unknown(cause, retry_after):
-            kind = "unknown"
+            pass
         case _:
             assert_never(attempt.outcome)
     body = answer.body if answer else b""
     return Reply(
         attempt_id=attempt_id,
-        kind=kind,
+        kind=outcome_word(attempt.outcome),
         cause=cause,
         retry_after=retry_after,
         detail=detail,
--- a/packages/thorntray/src/thorntray/internal/connection/upstream.py
+++ b/packages/thorntray/src/thorntray/internal/connection/upstream.py
@@ -22,6 +22,8 @@
 )
 
 CONNECT_TIMEOUT = 1.0  # seconds
+KEEP_ALIVE = 60.0  # seconds
+MAX_CONNECTIONS = 2000
 MAX_ANSWER_BYTES = 4 * 1024 * 1024
 FIRST_FAILURE_STATUS = 500
 SHED_RETRY_AFTER = 0.2  # seconds
@@ -34,9 +36,11 @@
 class UpstreamConnections:
     """The connection pool to one upstream instance."""
 
-    def __init__(self, base_url: str, connections: int, repeat_hidden: bool = False) -> None:
+    def __init__(self, base_url: str, repeat_hidden: bool = False) -> None:
         self._base_url = base_url
-        connector = aiohttp.TCPConnector(limit=connections, keepalive_timeout=60)
+        # Requests in flight are bounded by the slots, and the settings' check keeps the slots
+        # within the instance's connections; this bound only guards against a fault of ours.
+        connector = aiohttp.TCPConnector(limit=MAX_CONNECTIONS, keepalive_timeout=KEEP_ALIVE)
         self._session = aiohttp.ClientSession(
             connector=connector,
             auto_decompress=False,
--- a/packages/thorntray/src/thorntray/internal/request/http_answer.py
+++ b/packages/thorntray/src/thorntray/internal/request/http_answer.py
@@ -6,7 +6,15 @@
 from random import Random
 from typing import NamedTuple, assert_never
 
-from thorntray.internal.request.outcome import Done, Failed, NotRun, Outcome, Reason, Unknown
+from thorntray.internal.request.outcome import (
+    Done,
+    Failed,
+    NotRun,
+    Outcome,
+    Reason,
+    Unknown,
+    outcome_word,
+)
 
 OUTCOME_HEADER = "thorntray-outcome"
 REASON_HEADER = "thorntray-reason"
@@ -33,6 +41,7 @@
     Reason.IDEMPOTENT_PARENT: 409,
 }
 _SHED_STATUS = 503
+UNPROVED_WORD = "unknown"
 _FAILED_STATUS = 502
 _UNKNOWN_STATUS = 504
 _NEVER_BY_WAITING = frozenset({400, 403, 404, 409, 413})
@@ -63,23 +72,26 @@
     match outcome:
         case Done(answer):
             status, body = answer.status, answer.body
-            headers = [(OUTCOME_HEADER, "done"), *answer.headers]
+            headers = list(answer.headers)
         case NotRun(reason, retry_after, detail):
             status, body = _STATUS_BY_REASON.get(reason, _SHED_STATUS), b""
-            word = "not-run" if granted else "unknown"
-            headers = [(OUTCOME_HEADER, word), (REASON_HEADER, reason.value)]
+            headers = [(REASON_HEADER, reason.value)]
             headers += _detail(detail) + _come_back(status, retry_after, rng)
         case Failed(cause, answer):
             status = answer.status if answer else _FAILED_STATUS
             body = answer.body if answer else b""
-            headers = [(OUTCOME_HEADER, "failed"), *(answer.headers if answer else ())]
+            headers = [*(answer.headers if answer else ())]
             headers += _detail(cause)
         case Unknown(cause, retry_after):
             status, body = _UNKNOWN_STATUS, b""
-            headers = [(OUTCOME_HEADER, "unknown"), *_detail(cause)]
+            headers = _detail(cause)
             headers += _come_back(status, retry_after, rng)
         case _:
             assert_never(outcome)
+    # Another copy may run under the grant, whatever this node refuses on its own account.
+    proved = granted or not isinstance(outcome, NotRun)
+    word = outcome_word(outcome) if proved else UNPROVED_WORD
+    headers.insert(0, (OUTCOME_HEADER, word))
     headers += [(REQUEST_ID_HEADER, request_id), (DIGEST_HEADER, content_digest(body))]
     return HttpAnswer(status, headers, body)
 
--- a/packages/thorntray/src/thorntray/internal/request/ingress.py
+++ b/packages/thorntray/src/thorntray/internal/request/ingress.py
@@ -182,14 +182,7 @@
         share = service.dependency_share if service else 1.0
         if waits.full(route.service, share, self._parts.slot_limit()):
             raise Refused(Reason.DEPENDENCY_SHARE, "too many requests wait on this service", 0.2)
-        outgoing = Outgoing(
-            route=route,
-            method=req.method,
-            path=req.path,
-            headers=self._headers(req),
-            body=req.body,
-            digest=digest_of(req.body),
-            root_id=parent.root_id,
+        outgoing = self._outgoing(req, route, parent.root_id)._replace(
             priority=parent.priority,
             depth=parent.depth + 1,
             deadline=self._nested_deadline(req, parent),
--- a/packages/thorntray/src/thorntray/internal/request/outbound.py
+++ b/packages/thorntray/src/thorntray/internal/request/outbound.py
@@ -8,7 +8,7 @@
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass
 from random import Random
-from typing import NamedTuple, Protocol
+from typing import NamedTuple, Protocol, Self
 
 from thorntray.errors import BadMessage, PeerLost, PeerUnreachable
 from thorntray.internal.connection.message import (
@@ -80,6 +80,22 @@
     depth: int
     deadline: Deadline
 
+    @classmethod
+    def from_call(cls, call: Call, route: RouteSettings, deadline: Deadline) -> Self:
+        """Return the request of a call, to be sent on."""
+        return cls(
+            route,
+            call.method,
+            call.path,
+            call.headers,
+            call.body,
+            call.digest,
+            call.root_id,
+            call.priority,
+            call.depth,
+            deadline,
+        )
+
 
 @dataclass(slots=True)
 class OutboundParts:
@@ -139,18 +155,7 @@
             return NotRun(Reason.SHED, CLOSED_RETRY_AFTER)
         route = self._parts.settings().services[call.service].route_named(call.route)
         assert route is not None
-        req = Outgoing(
-            route,
-            call.method,
-            call.path,
-            call.headers,
-            call.body,
-            call.digest,
-            call.root_id,
-            call.priority,
-            call.depth,
-            deadline,
-        )
+        req = Outgoing.from_call(call, route, deadline)
         tried = {self._parts.own_name}
         key = shed_key(call.priority, call.root_id, call.depth)
         if isinstance(self._choose(req, key, tried), NotRun):
--- a/packages/thorntray/src/thorntray/internal/request/outcome.py
+++ b/packages/thorntray/src/thorntray/internal/request/outcome.py
@@ -16,6 +16,7 @@
 
 from dataclasses import dataclass, field
 from enum import StrEnum
+from typing import assert_never
 
 
 class Reason(StrEnum):
@@ -89,6 +90,20 @@
 Outcome = Done | NotRun | Failed | Unknown
 
 
+def outcome_word(outcome: Outcome) -> str:
+    """Return the word for an outcome on the wire, in HTTP headers and in metrics."""
+    match outcome:
+        case Done():
+            return "done"
+        case NotRun():
+            return "not-run"
+        case Failed():
+            return "failed"
+        case Unknown():
+            return "unknown"
+    assert_never(outcome)
+
+
 @dataclass(slots=True)
 class Attempt:
     """One outcome together with what the answering node said beside it.
--- a/packages/thorntray/src/thorntray/internal/version/schema.py
+++ b/packages/thorntray/src/thorntray/internal/version/schema.py
@@ -124,8 +124,11 @@
     """Each request in flight needs a connection of its own."""
     faults = []
     for section in sorted(sections):
-        slots = paths.get(f"{section}/slots", "")
-        connections = paths.get(f"{section}/connections", "")
+        if not section.startswith("services/"):
+            continue
+        defaults = {field.key: field.default or "" for field in fields_of(section)}
+        slots = paths.get(f"{section}/slots", defaults.get("slots", ""))
+        connections = paths.get(f"{section}/connections", defaults.get("connections", ""))
         if not (slots.isdigit() and connections.isdigit()) or int(connections) >= int(slots):
             continue
         faults.append(
--- a/tests/builders.py
+++ b/tests/builders.py
@@ -9,23 +9,12 @@
 import async_solipsism
 from thorntray.errors import PeerLost, PeerUnreachable
 from thorntray.internal.connection.message import Call, Message, decode, encode
-from thorntray.internal.connection.reply import reply_from
-from thorntray.internal.process.admission import Admission
-from thorntray.internal.process.dependencies import DependencyWaits
-from thorntray.internal.process.ejection import Ejection
 from thorntray.internal.process.instance import Instance
-from thorntray.internal.process.levels import LevelTable
-from thorntray.internal.process.limiter import Limiter
 from thorntray.internal.process.member import Member
-from thorntray.internal.process.routing import Router
-from thorntray.internal.process.service_times import ServiceTimes
-from thorntray.internal.request.attempts import AttemptTable
-from thorntray.internal.request.execution import ExecutionTable
-from thorntray.internal.request.grant import GrantBook
+from thorntray.internal.process.metrics import Metrics
+from thorntray.internal.process.traffic import Surroundings, Traffic
 from thorntray.internal.request.http_answer import HttpAnswer
-from thorntray.internal.request.inbound import Inbound, InboundParts
-from thorntray.internal.request.ingress import IncomingRequest, Ingress, IngressParts
-from thorntray.internal.request.outbound import Outbound, OutboundParts
+from thorntray.internal.request.ingress import IncomingRequest
 from thorntray.internal.request.outcome import Answer, Done, Outcome, Unknown
 from thorntray.internal.version.settings import Settings
 
@@ -222,61 +211,28 @@
         self.upstream = FakeUpstream()
         self.instance = Instance(clock, lambda: None)
         self.instance.register()
-        self.admission = Admission(Limiter(slots, clock), 10, 0.1, clock)
-        self.grants = GrantBook(name, self.member.session, clock, rng)
-        self.levels = LevelTable(clock, rng)
-        self.ejection = Ejection(clock)
-        self.executions = ExecutionTable(rng)
-        self.attempts = AttemptTable(clock)
-        dependencies = DependencyWaits()
-        self.outbound = Outbound(
-            OutboundParts(
-                own_name=name,
-                run_here=lambda call: self.inbound.run(call),
-                grant_here=lambda ask: self.inbound.grant(ask),
-                peers=MemoryPeers(network, self),
-                directory=self,
-                router=Router(domain, self.levels, self.ejection, rng),
-                levels=self.levels,
-                ejection=self.ejection,
-                settings=lambda: network.settings,
-                clock=clock,
-                rng=rng,
-            )
-        )
-        self.inbound = Inbound(
-            InboundParts(
-                service=service,
-                session=self.member.session,
-                upstream=self.upstream,
-                acceptance=self.instance,
-                admission=self.admission,
-                grants=self.grants,
-                attempts=self.attempts,
-                executions=self.executions,
-                dependencies=dependencies,
-                service_times=ServiceTimes(clock),
-                settings=lambda: network.settings,
-                needs_level=lambda route: max(
-                    (self.outbound.level_of(need) for need in route.needs), default=0.0
-                ),
-                elsewhere=self.outbound.elsewhere,
-                clock=clock,
-            )
-        )
-        self.ingress = Ingress(
-            IngressParts(
-                service=service,
-                outbound=self.outbound,
-                directory=self,
-                executions=self.executions,
-                dependencies=dependencies,
-                slot_limit=lambda: self.admission.limiter.limit,
-                settings=lambda: network.settings,
-                clock=clock,
-                rng=rng,
-            )
+        around = Surroundings(
+            name=name,
+            session=self.member.session,
+            service=service,
+            domain=domain,
+            upstream=self.upstream,
+            acceptance=self.instance,
+            peers=MemoryPeers(network, self),
+            directory=self,
+            settings=lambda: network.settings,
+            clock=clock,
+            rng=rng,
         )
+        self.traffic = Traffic(around, Metrics(), slots)
+        self.admission = self.traffic.admission
+        self.admission.queue_bound = 10
+        self.grants = self.traffic.grants
+        self.levels = self.traffic.levels
+        self.inbound = self.traffic.inbound
+        self.outbound = self.traffic.outbound
+        self.ingress = self.traffic.ingress
+        self.handle = self.traffic.handle
 
     def members_of(self, service: str) -> list[Member]:
         nodes = self.network.nodes.values()
@@ -286,16 +242,6 @@
         node = self.network.nodes.get(name)
         return node.member if node else None
 
-    async def handle(self, message: Message) -> Message:
-        if isinstance(message, Call):
-            return reply_from(message.attempt_id, await self.inbound.run(message))
-        match type(message).__name__:
-            case "GrantRequest":
-                return self.inbound.grant(message)
-            case "Revoke":
-                return self.inbound.revoke(message)
-        raise AssertionError(message)
-
     async def call(self, service: str, method: str = "GET", **headers: str) -> HttpAnswer:
         """Send a caller's request into this node."""
         named = {name.replace("_", "-"): value for name, value in headers.items()}
--- a/tests/test_processes.py
+++ b/tests/test_processes.py
@@ -442,7 +442,7 @@
         runs.clear()
         server = await asyncio.start_server(serve, "127.0.0.1", 0)
         port = server.sockets[0].getsockname()[1]
-        client = UpstreamConnections(f"http://127.0.0.1:{port}", 5, repeat_hidden)
+        client = UpstreamConnections(f"http://127.0.0.1:{port}", repeat_hidden)
         call = Call(b"", b"", b"", "s", "r", "PUT", "/", (), b"", digest_of(b""), 0, 0, 1, 0, 0)
         outcomes = [await client.send(call, "t", 2.0, "") for _ in range(2)]
         await client.close()
