--- a/bench/capacity.py
+++ b/bench/capacity.py
@@ -15,6 +15,10 @@
 from random import Random
 from typing import Any
 
+from bench.overload import RESULTS
+from standins.fleet import ROOT, Fleet, Site, http
+from tests.builders import ManualClock, make_member, run_virtual
+from tests.fleet_builders import TEAM, MemoryFleet, MemoryPlatform, make_document
 from thorntray.internal.process.member import Health
 from thorntray.internal.process.member_view import MemberView
 from thorntray.internal.process.roles import settings_key
@@ -22,11 +26,6 @@
 from thorntray.internal.version.document import Change, Document, encode_document
 from thorntray.internal.version.holder import SettingsHolder
 
-from bench.overload import RESULTS
-from standins.fleet import ROOT, Fleet, Site, http
-from tests.builders import ManualClock, make_member, run_virtual
-from tests.fleet_builders import TEAM, MemoryFleet, MemoryPlatform, make_document
-
 DOMAINS = 12
 SERVICES = 140
 REST_SECONDS = 10.0
--- a/bench/overload.py
+++ b/bench/overload.py
@@ -78,13 +78,13 @@
         self._phases = phases
         self.run = Run()
 
-    async def send_all(self, turn: "asyncio.Future[None]") -> None:
-        """Send all phases; `turn` is unused but keeps the caller informed of the start."""
+    async def send_all(self, begun: "asyncio.Future[None]") -> None:
+        """Send all phases; `begun` is resolved when the first one begins."""
         connector = aiohttp.TCPConnector(limit=0)
         async with aiohttp.ClientSession(connector=connector) as session:
             session._retry_connection = False
             self.run.started = time.monotonic()
-            turn.set_result(None)
+            begun.set_result(None)
             tasks = [
                 asyncio.create_task(self._arrivals(session, "lookup", LOOKUPS)),
                 asyncio.create_task(self._arrivals(session, "payout", PAYOUTS)),
--- a/packages/thorntray-node/src/thorntray_node/config.py
+++ b/packages/thorntray-node/src/thorntray_node/config.py
@@ -12,6 +12,7 @@
 from urllib.parse import urlsplit
 
 from nacl.signing import VerifyKey
+
 from thorntray import Fault, InvalidSettings
 from thorntray.internal.process.gossip import Address
 from thorntray.internal.version.ini import parse_ini
--- a/packages/thorntray-node/src/thorntray_node/dump.py
+++ b/packages/thorntray-node/src/thorntray_node/dump.py
@@ -5,7 +5,6 @@
 from typing import Any, TypedDict
 
 from thorntray.internal.process.member import Health
-
 from thorntray_node.node import Node
 
 DUMP_VERSION = 1
--- a/packages/thorntray-node/src/thorntray_node/http.py
+++ b/packages/thorntray-node/src/thorntray_node/http.py
@@ -15,10 +15,10 @@
 from starlette.requests import Request
 from starlette.responses import JSONResponse, Response
 from starlette.routing import Route
+
 from thorntray.internal.request.http_answer import HttpAnswer, http_answer
 from thorntray.internal.request.ingress import MAX_BODY_BYTES, IncomingRequest
 from thorntray.internal.request.outcome import NotRun, Reason
-
 from thorntray_node.dump import state_dump
 from thorntray_node.node import Node
 
--- a/packages/thorntray-node/src/thorntray_node/node.py
+++ b/packages/thorntray-node/src/thorntray_node/node.py
@@ -6,6 +6,7 @@
 from typing import Self
 
 import statsd
+
 from thorntray.internal.connection.documents import DocumentClient, DocumentServer
 from thorntray.internal.connection.peer import PeerLinks, PeerListener
 from thorntray.internal.connection.upstream import UpstreamConnections
@@ -24,7 +25,6 @@
 from thorntray.internal.process.udp import UdpTransport
 from thorntray.internal.version.holder import SettingsHolder
 from thorntray.internal.version.settings import ServiceSettings
-
 from thorntray_node.config import NodeConfig
 
 HOUSEKEEPING_PERIOD = 1.0  # seconds
--- a/packages/thorntray/src/thorntray/internal/process/roles.py
+++ b/packages/thorntray/src/thorntray/internal/process/roles.py
@@ -30,6 +30,7 @@
 ROLE_CHECK_PERIOD = 2.0  # seconds
 SETTLE_TIME = 4.0  # seconds after start before a role is taken, when other nodes are known
 WATCH_LIFETIME = 20.0  # seconds after which everything is read again
+FIRST_LOOK_WITHIN = 1.0  # seconds; a whole fleet that starts at once must not look at once
 RETRY_PAUSE = 2.0  # seconds, jittered
 SEEDS_PREFIX = "/thorntray/seeds/"
 SETTINGS_PREFIX = "/thorntray/settings/"
@@ -92,7 +93,7 @@
     async def _find_peers(self) -> None:
         self._membership.join(self._configured_seeds)
         while True:
-            await asyncio.sleep(self._rng.random() * 0.5)
+            await asyncio.sleep(self._rng.random() * FIRST_LOOK_WITHIN)
             await self._join_by_platform()
             if len(self._membership.alive()) > 1:
                 return
--- a/packages/thorntray/src/thorntray/internal/request/inbound.py
+++ b/packages/thorntray/src/thorntray/internal/request/inbound.py
@@ -126,8 +126,10 @@
         parts = self._parts
         service = parts.settings().services.get(req.service)
         route = service.route_named(req.route) if service else None
-        if req.session != parts.session or route is None or req.service != parts.service:
+        if req.session != parts.session:
             return self._no_grant(Reason.WRONG_INCARNATION, 0.0)
+        if route is None or req.service != parts.service:
+            return self._no_grant(Reason.UNKNOWN_ROUTE, 0.0)
         level = self._route_level(route)
         refusal = parts.acceptance.refusal()
         if refusal is not None:
--- a/packages/thorntray/src/thorntray/internal/version/holder.py
+++ b/packages/thorntray/src/thorntray/internal/version/holder.py
@@ -47,7 +47,8 @@
         self._keys = keys
         self._on_change = on_change
         self._documents: dict[str, Document] = {}
-        self._older: dict[str, OrderedDict[int, Mapping[str, str]]] = {}
+        # For each team, what changed from each older revision to the next one held.
+        self._steps: dict[str, OrderedDict[int, Mapping[str, str | None]]] = {}
         self.refused: dict[str, str] = {}
         self.settings = Settings.empty()
 
@@ -86,14 +87,25 @@
         document = self._documents.get(ask.team)
         if document is None or document.revision <= ask.have:
             return DocumentReply(ask.team, 0, 0, b"")
-        base = self._older.get(ask.team, {}).get(ask.have)
-        if base is None:
+        merged = self._changes_since(ask.team, ask.have)
+        if merged is None:
             return DocumentReply(ask.team, document.revision, 0, encode_document(document))
         changes = tuple(change for change in document.recent if change.revision > ask.have)
-        delta = _Difference(changes, difference(base, document.paths), document.signature)
+        delta = _Difference(changes, merged, document.signature)
         payload = msgspec.msgpack.encode(delta)
         return DocumentReply(ask.team, document.revision, ask.have, payload)
 
+    def _changes_since(self, team: str, revision: int) -> dict[str, str | None] | None:
+        """Return what changed since a revision, None when it is no longer remembered."""
+        steps = self._steps.get(team, {})
+        if revision not in steps:
+            return None
+        merged: dict[str, str | None] = {}
+        for before, step in steps.items():
+            if before >= revision:
+                merged.update(step)
+        return merged
+
     def _merge(self, reply: DocumentReply) -> Result[Document, BadDocument]:
         held = self._documents.get(reply.team)
         if held is None or held.revision != reply.base:
@@ -129,10 +141,10 @@
         if held is None and document.revision == 0:
             return False
         if held is not None:
-            older = self._older.setdefault(team, OrderedDict())
-            older[held.revision] = held.paths
-            while len(older) > MAX_DIFFERENCES:
-                older.popitem(last=False)
+            steps = self._steps.setdefault(team, OrderedDict())
+            steps[held.revision] = difference(held.paths, document.paths)
+            while len(steps) > MAX_DIFFERENCES:
+                steps.popitem(last=False)
         self._documents[team] = document
         self.refused.pop(team, None)
         self.settings = Settings.from_documents(
--- a/packages/thorntrayctl/src/thorntrayctl/main.py
+++ b/packages/thorntrayctl/src/thorntrayctl/main.py
@@ -12,6 +12,7 @@
 
 from absl import app
 from absl.flags import argparse_flags
+
 from thorntray import (
     BadDocument,
     InvalidSettings,
@@ -19,7 +20,6 @@
     WriteConflict,
     WriteUndetermined,
 )
-
 from thorntrayctl import node_commands, settings_commands
 
 EXIT_BAD_INPUT = 2
--- a/packages/thorntrayctl/src/thorntrayctl/node_commands.py
+++ b/packages/thorntrayctl/src/thorntrayctl/node_commands.py
@@ -7,6 +7,7 @@
 from typing import Any
 
 import aiohttp
+
 from thorntray import PlatformUnavailable
 
 NODE_TIMEOUT = 5.0  # seconds
--- a/packages/thorntrayctl/src/thorntrayctl/settings_commands.py
+++ b/packages/thorntrayctl/src/thorntrayctl/settings_commands.py
@@ -11,6 +11,7 @@
 from random import SystemRandom
 
 from nacl.signing import SigningKey
+
 from thorntray import Fault, InvalidSettings
 from thorntray.internal.process.clock import SystemClock
 from thorntray.internal.process.platform import PlatformClient
--- a/tests/builders.py
+++ b/tests/builders.py
@@ -7,6 +7,7 @@
 from typing import Any
 
 import async_solipsism
+
 from thorntray.errors import PeerLost, PeerUnreachable
 from thorntray.internal.connection.message import Call, Message, decode, encode
 from thorntray.internal.process.instance import Instance
--- a/tests/fleet_builders.py
+++ b/tests/fleet_builders.py
@@ -6,6 +6,8 @@
 from typing import Any
 
 from nacl.signing import SigningKey
+
+from tests.builders import LoopClock, settings_paths
 from thorntray.errors import PeerLost, PlatformUnavailable, WriteUndetermined
 from thorntray.internal.connection.message import Message, decode, encode
 from thorntray.internal.process.gossip import Address
@@ -17,8 +19,6 @@
 from thorntray.internal.version.document import Change, Document, encode_document
 from thorntray.internal.version.holder import SettingsHolder
 
-from tests.builders import LoopClock, settings_paths
-
 TEAM = "himal"
 KEY = SigningKey(bytes(32))
 KEYS = {TEAM: (KEY.verify_key,)}
--- a/tests/test_at_most_once.py
+++ b/tests/test_at_most_once.py
@@ -5,10 +5,10 @@
 
 from hypothesis import given, settings
 from hypothesis import strategies as st
-from thorntray.internal.connection.message import Revoke
-from thorntray.internal.request.outcome import NotRun, Reason
 
 from tests.builders import MemoryNetwork, header, make_settings, run_virtual
+from thorntray.internal.connection.message import Revoke
+from thorntray.internal.request.outcome import NotRun, Reason
 
 SERVICES = {"pay": {"slots": 2, "queue": 2}}
 
@@ -145,9 +145,8 @@
 
 
 def test_a_revocation_that_overtakes_its_attempt_keeps_it_from_running():
-    from thorntray.internal.request.attempts import AttemptTable
-
     from tests.builders import ManualClock
+    from thorntray.internal.request.attempts import AttemptTable
 
     clock = ManualClock()
     table = AttemptTable(clock)
--- a/tests/test_config.py
+++ b/tests/test_config.py
@@ -7,10 +7,10 @@
 import pytest
 from hypothesis import given
 from hypothesis import strategies as st
-from thorntray.errors import InvalidSettings
-from thorntray_node.config import NodeConfig
 
 from standins.fleet import ROOT
+from thorntray.errors import InvalidSettings
+from thorntray_node.config import NodeConfig
 
 KEY = "ab" * 32
 GOOD = {
--- a/tests/test_escrow.py
+++ b/tests/test_escrow.py
@@ -2,6 +2,7 @@
 
 from hypothesis import given
 from hypothesis import strategies as st
+
 from thorntray.internal.request.escrow import Escrow
 
 
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -5,10 +5,6 @@
 
 from hypothesis import given, settings
 from hypothesis import strategies as st
-from thorntray.internal.process.member import Health
-from thorntray.internal.process.member_view import MemberView
-from thorntray.internal.process.roles import settings_key
-from thorntray.internal.version.document import encode_document
 
 from tests.builders import make_member, run_virtual
 from tests.fleet_builders import (
@@ -18,6 +14,10 @@
     MemoryPlatform,
     make_document,
 )
+from thorntray.internal.process.member import Health
+from thorntray.internal.process.member_view import MemberView
+from thorntray.internal.process.roles import settings_key
+from thorntray.internal.version.document import encode_document
 
 SPREAD_LIMIT = 3.0  # seconds; today's target for settings
 DEAD_LIMIT = 5.0  # seconds until a dead member is out of routing
--- a/tests/test_messages.py
+++ b/tests/test_messages.py
@@ -3,6 +3,8 @@
 import pytest
 from hypothesis import example, given
 from hypothesis import strategies as st
+
+from tests.builders import make_member
 from thorntray.errors import BadMessage
 from thorntray.internal.connection.message import Reply, decode, digest_of, encode
 from thorntray.internal.connection.reply import attempt_from, reply_from
@@ -18,8 +20,6 @@
     Unknown,
 )
 
-from tests.builders import make_member
-
 answers = st.builds(
     Answer,
     st.integers(100, 599),
--- a/tests/test_overload_decisions.py
+++ b/tests/test_overload_decisions.py
@@ -5,6 +5,16 @@
 
 from hypothesis import given, settings
 from hypothesis import strategies as st
+
+from tests.builders import (
+    LoopClock,
+    ManualClock,
+    MemoryNetwork,
+    header,
+    make_member,
+    make_settings,
+    run_virtual,
+)
 from thorntray.errors import RequestRefused
 from thorntray.internal.connection.message import decode
 from thorntray.internal.process.admission import Admission, AdmissionLevel
@@ -17,16 +27,6 @@
 from thorntray.internal.request.order import rank_of, shed_key
 from thorntray.internal.request.outcome import NotRun, Reason
 
-from tests.builders import (
-    LoopClock,
-    ManualClock,
-    MemoryNetwork,
-    header,
-    make_member,
-    make_settings,
-    run_virtual,
-)
-
 arrivals = st.lists(
     st.tuples(st.floats(0, 9.99), st.floats(0, 0.05), st.floats(0.001, 0.1), st.floats(0.01, 0.3)),
     min_size=1,
--- a/tests/test_processes.py
+++ b/tests/test_processes.py
@@ -17,6 +17,10 @@
 import aiohttp
 import pynng
 import pytest
+
+from standins.fleet import ROOT, Fleet, Site, free_port, http, wait_for
+from standins.relay import Relay
+from tests.builders import make_member
 from thorntray.errors import PeerLost, PeerUnreachable
 from thorntray.internal.connection.documents import NEVER_RESEND
 from thorntray.internal.connection.message import Call, Revoke, Revoked, digest_of
@@ -25,10 +29,6 @@
 from thorntray.internal.process.clock import SystemClock
 from thorntray.internal.request.outcome import Done, Unknown
 
-from standins.fleet import ROOT, Fleet, Site, free_port, http, wait_for
-from standins.relay import Relay
-from tests.builders import make_member
-
 pytestmark = pytest.mark.process
 
 
--- a/tests/test_retry_bound.py
+++ b/tests/test_retry_bound.py
@@ -5,6 +5,14 @@
 
 from hypothesis import given, settings
 from hypothesis import strategies as st
+
+from tests.builders import (
+    ManualClock,
+    MemoryNetwork,
+    header,
+    make_settings,
+    run_virtual,
+)
 from thorntray.errors import PeerLost
 from thorntray.internal.connection.message import Call, decode
 from thorntray.internal.request.deadline import Deadline
@@ -26,14 +34,6 @@
     take_retry,
 )
 
-from tests.builders import (
-    ManualClock,
-    MemoryNetwork,
-    header,
-    make_settings,
-    run_virtual,
-)
-
 ALLOWANCE = 5
 
 
--- a/tests/test_settings.py
+++ b/tests/test_settings.py
@@ -9,6 +9,9 @@
 from hypothesis import strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
 from nacl.signing import SigningKey
+
+from tests.builders import LoopClock, make_settings, run_virtual
+from tests.fleet_builders import KEY, KEYS, TEAM, MemoryPlatform, make_document, make_paths
 from thorntray.errors import InvalidSettings, PlatformUnavailable, WriteConflict, WriteUndetermined
 from thorntray.internal.connection.message import DocumentReply, FetchDocument
 from thorntray.internal.version.document import (
@@ -23,9 +26,6 @@
 from thorntray.internal.version.schema import check_paths
 from thorntray.internal.version.writer import SettingsWriter
 
-from tests.builders import LoopClock, make_settings, run_virtual
-from tests.fleet_builders import KEY, KEYS, TEAM, MemoryPlatform, make_document, make_paths
-
 ROOT = Path(__file__).resolve().parent.parent
 paths = st.dictionaries(st.sampled_from("abcdef"), st.sampled_from("123"), max_size=6)
 
