Mass restarts look for seeds in two steps; repairs are paced; sampling moved into the view

Cause: 200 nodes that started at once, with no seed listed, made 620 platform calls in one second, since all took themselves for the first and claimed every role; at 1,600 that passes the rates. Change: a second look at a random moment before a node takes itself for the first, and roles only once the view has stopped growing.

--- a/bench/capacity.py
+++ b/bench/capacity.py
@@ -140,6 +140,30 @@
     }
 
 
+async def _merge(size: int) -> dict[str, float]:
+    """Return how two halves find each other after a cut, and the most bytes a second."""
+    fleet = _known_fleet(size, None)
+    nodes = list(fleet.nodes.values())
+    for node in nodes:
+        node.start()
+    await asyncio.sleep(2)
+    fleet.sides = {f"n{i:04}": i % 2 for i in range(size)}
+    apart = await _until(lambda: all(len(n.sees()) == size / 2 for n in nodes), 120)
+    fleet.sides = {}
+    most = 0.0
+    loop = asyncio.get_running_loop()
+    healed = loop.time()
+    while not all(len(n.sees()) == size for n in nodes) and loop.time() - healed < 120:
+        per_second, _ = await _cost(fleet, 1.0)
+        most = max(most, per_second)
+    return {
+        "nodes": size,
+        "apart_s": apart,
+        "merged_s": loop.time() - healed,
+        "most_bytes_per_s": most,
+    }
+
+
 def _memory() -> dict[str, float]:
     """Return bytes for each member, grant and settings path."""
 
@@ -222,6 +246,7 @@
     parser = argparse.ArgumentParser()
     parser.add_argument("--sizes", default="50,100,200,400,1600")
     parser.add_argument("--restart-sizes", default="50,100,200")
+    parser.add_argument("--cut-sizes", default="50,100,200")
     parser.add_argument("--real", action="store_true", help="only measure real nodes at rest")
     args = parser.parse_args()
     if args.real:
@@ -238,6 +263,9 @@
     for size in map(int, args.restart_sizes.split(",")):
         row = run_virtual(_mass_restart(size))
         print("mass restart: " + "  ".join(f"{k} {v:.4g}" for k, v in row.items()), flush=True)
+    for size in map(int, args.cut_sizes.split(",")):
+        row = run_virtual(_merge(size))
+        print("cut and merge: " + "  ".join(f"{k} {v:.4g}" for k, v in row.items()), flush=True)
     RESULTS.mkdir(exist_ok=True)
     with (RESULTS / "capacity.csv").open("w", newline="") as file:
         writer = csv.DictWriter(file, rows[0])
--- a/bench/variant_node.py
+++ b/bench/variant_node.py
@@ -57,14 +57,18 @@
     DependencyWaits.full = lambda self, service, share, limit: False
 
 
+def _replace_shed_key(shed_key: Callable[[int, bytes, int], float]) -> None:
+    original = order.shed_key
+    for module in list(sys.modules.values()):
+        if getattr(module, "shed_key", None) is original:
+            module.shed_key = shed_key
+
+
 def _fixed_fifo() -> None:
     _no_levels()
     DependencyWaits.full = lambda self, service, share, limit: False
     Limiter.limit = property(lambda self: self._slots)
-    order.rank_of = lambda root_id: 0.0
-    for module in sys.modules.values():
-        if getattr(module, "shed_key", None) is order.shed_key:
-            module.shed_key = lambda priority, root_id, depth: 0.0
+    _replace_shed_key(lambda priority, root_id, depth: 0.0)
 
 
 def _no_rank() -> None:
@@ -76,9 +80,7 @@
 
 
 def _no_classes() -> None:
-    for module in list(sys.modules.values()):
-        if getattr(module, "shed_key", None) is order.shed_key:
-            module.shed_key = lambda priority, root_id, depth: order.rank_of(root_id)
+    _replace_shed_key(lambda priority, root_id, depth: order.rank_of(root_id))
 
 
 def _no_needs() -> None:
--- a/packages/thorntray/src/thorntray/internal/process/member_view.py
+++ b/packages/thorntray/src/thorntray/internal/process/member_view.py
@@ -1,10 +1,11 @@
 """What one node believes of all members, and what it still has to tell the others."""
 
 from collections.abc import Iterable
+from random import Random
 from sys import intern
 
 from thorntray.internal.process.gossip import encoded_size
-from thorntray.internal.process.hashing import hash64
+from thorntray.internal.process.hashing import HASH_RANGE, hash64
 from thorntray.internal.process.member import Health, Member
 
 BUCKETS = 16  # of the anti-entropy digest
@@ -70,6 +71,18 @@
         """Return whether updates wait to be sent."""
         return bool(self._pending)
 
+    def ring_successor(self) -> Member | None:
+        """Return the next member on the ring of name hashes that is not gone."""
+        own = hash64(self.own.name)
+        others = [m for m in self._members.values() if m.name != self.own.name and is_probed(m)]
+        return min(others, key=lambda m: (hash64(m.name) - own) % HASH_RANGE, default=None)
+
+    def sample(self, rng: Random, count: int, without: str = "") -> list[Member]:
+        """Return random other members that are not gone."""
+        skip = (self.own.name, without)
+        others = [m for m in self._members.values() if is_probed(m) and m.name not in skip]
+        return rng.sample(others, min(count, len(others)))
+
     def buckets(self) -> tuple[int, ...]:
         """Return one hash for each bucket of members, independent of their order."""
         sums = [0] * BUCKETS
@@ -93,6 +106,11 @@
             peers[member.name] = member
 
 
+def is_probed(member: Member) -> bool:
+    """Return whether a member takes part in probing and gossip."""
+    return member.health in (Health.ALIVE, Health.SUSPECT)
+
+
 def bucket_of(name: str) -> int:
     """Return the anti-entropy bucket of a member."""
     return hash64(name) % BUCKETS
--- a/packages/thorntray/src/thorntray/internal/process/membership.py
+++ b/packages/thorntray/src/thorntray/internal/process/membership.py
@@ -39,7 +39,6 @@
     encode_datagram,
     encoded_size,
 )
-from thorntray.internal.process.hashing import HASH_RANGE, hash64
 from thorntray.internal.process.member import Health, Member
 from thorntray.internal.process.member_view import SPREAD_FACTOR, MemberView
 from thorntray.internal.process.tasks import BackgroundTasks
@@ -55,9 +54,11 @@
 SPREAD_BURST_BYTES = 5000.0
 SYNC_PERIOD = 5.0  # seconds between digest exchanges
 REVIVE_PERIOD = 5.0  # seconds between pings to a dead member
+MAX_REPAIR_ENTRIES = 200  # members in one repair
 DEAD_KEPT = 2 * 3600.0  # seconds for which a dead member is remembered
 LEAVE_DATAGRAMS = 12
-ENTRIES_PAUSE = 0.02  # seconds between the datagrams of a long answer
+JOIN_PAUSE = 0.02  # seconds between datagrams to a newcomer, which waits for them
+REPAIR_PAUSE = 0.4  # seconds between datagrams of a repair, which must not eat the bandwidth
 _PIGGYBACK_BYTES = 500
 _HEADER_BYTES = 250
 
@@ -96,6 +97,7 @@
         self._gone_at: dict[str, float] = {}
         self._spread_tokens = SPREAD_BURST_BYTES
         self._heads_told = 0
+        self._repairing = False
         self._tasks = BackgroundTasks()
         self.bytes_sent = 0
         self.bytes_received = 0
@@ -120,7 +122,7 @@
     def leave(self) -> None:
         """Tell the others that this node stops."""
         self._say(self.own._replace(ready=False, version=self.own.version + 1, health=Health.LEFT))
-        for member in self._sample(LEAVE_DATAGRAMS):
+        for member in self.view.sample(self._rng, LEAVE_DATAGRAMS):
             self._send(Spread(self.own, self._heads(), (self.own,)), member)
 
     # Who is there.
@@ -166,8 +168,8 @@
     async def _probe_loop(self) -> None:
         await asyncio.sleep(self._rng.random() * PROBE_PERIOD)
         while True:
-            successor = self._ring_successor()
-            others = [m for m in self._sample(1) if m != successor]
+            successor = self.view.ring_successor()
+            others = [m for m in self.view.sample(self._rng, 1) if m != successor]
             for member in [successor, *others] if successor else others:
                 self._tasks.spawn(self._probe(member))
             self._bury_suspects()
@@ -179,7 +181,7 @@
             self._ping(member, sequence)
             if await self._in_time(acked, PROBE_TIMEOUT):
                 return
-            for helper in self._sample(INDIRECT_PROBES, without=member.name):
+            for helper in self.view.sample(self._rng, INDIRECT_PROBES, without=member.name):
                 self._send(PingRequest(sequence, self.own, member.name), helper)
             if not await self._in_time(acked, INDIRECT_TIMEOUT):
                 self._suspect(member)
@@ -200,7 +202,7 @@
     def _spread(self) -> None:
         if not self._has_news:
             return
-        for member in self._sample(SPREAD_FANOUT):
+        for member in self.view.sample(self._rng, SPREAD_FANOUT):
             if self._spread_tokens <= 0 or not self._has_news:
                 return
             updates = self.view.take_updates(_PIGGYBACK_BYTES)
@@ -215,7 +217,7 @@
     async def _sync_loop(self) -> None:
         while True:
             await asyncio.sleep(SYNC_PERIOD * (0.5 + self._rng.random()))
-            for member in self._sample(1):
+            for member in self.view.sample(self._rng, 1):
                 self._send(Digest(self.own, self._heads(), self.view.buckets()), member)
 
     async def _revive_loop(self) -> None:
@@ -252,7 +254,7 @@
             case Spread(sender, heads, updates):
                 self._take_all(sender, heads, updates)
             case Join(sender):
-                self._tasks.spawn(self._send_entries(sender, list(self.view.all())))
+                self._tasks.spawn(self._send_entries(sender, list(self.view.all()), JOIN_PAUSE))
             case Digest(sender, heads, buckets):
                 self._on_heads(sender, heads)
                 self._answer_digest(sender, buckets)
@@ -326,14 +328,15 @@
         finally:
             del self._acks[own_sequence]
 
-    async def _send_entries(self, receiver: Member, entries: list[Member]) -> None:
+    async def _send_entries(self, receiver: Member, entries: list[Member], pause: float) -> None:
+        self._rng.shuffle(entries)  # several answers together cover all sooner
         while entries:
             room = MAX_DATAGRAM_BYTES - _HEADER_BYTES
             batch: list[Member] = []
             while entries and (room := room - encoded_size(entries[-1])) >= 0:
                 batch.append(entries.pop())
             self._send(Spread(self.own, self._heads(), tuple(batch)), receiver)
-            await asyncio.sleep(ENTRIES_PAUSE)
+            await asyncio.sleep(pause)
 
     def _answer_digest(self, sender: Member, buckets: tuple[int, ...]) -> None:
         own = self.view.buckets()
@@ -342,9 +345,17 @@
         differing = {
             i for i, (mine, theirs) in enumerate(zip(own, buckets, strict=True)) if mine != theirs
         }
-        if not differing:
-            return
-        self._tasks.spawn(self._send_entries(sender, self.view.in_buckets(differing)))
+        if differing and not self._repairing:
+            self._tasks.spawn(self._repair(sender, differing))
+
+    async def _repair(self, receiver: Member, buckets: set[int]) -> None:
+        self._repairing = True  # one at a time
+        try:
+            entries = self.view.in_buckets(buckets)
+            chosen = self._rng.sample(entries, min(MAX_REPAIR_ENTRIES, len(entries)))
+            await self._send_entries(receiver, chosen, REPAIR_PAUSE)
+        finally:
+            self._repairing = False
 
     # Parts.
 
@@ -370,16 +381,6 @@
             del self._gone_at[name]
             self.view.forget(name)
 
-    def _ring_successor(self) -> Member | None:
-        own = hash64(self.own.name)
-        others = [m for m in self.view.all() if m.name != self.own.name and _is_probed(m)]
-        return min(others, key=lambda m: (hash64(m.name) - own) % HASH_RANGE, default=None)
-
-    def _sample(self, count: int, without: str = "") -> list[Member]:
-        skip = (self.own.name, without)
-        others = [m for m in self.view.all() if _is_probed(m) and m.name not in skip]
-        return self._rng.sample(others, min(count, len(others)))
-
     def _expect_ack(self) -> tuple[int, "asyncio.Future[None]"]:
         self._sequence += 1
         acked = asyncio.get_running_loop().create_future()
@@ -400,7 +401,3 @@
         self.bytes_sent += len(data)
         self._transport.send(data, address)
         return len(data)
-
-
-def _is_probed(member: Member) -> bool:
-    return member.health in (Health.ALIVE, Health.SUSPECT)
--- a/packages/thorntray/src/thorntray/internal/process/roles.py
+++ b/packages/thorntray/src/thorntray/internal/process/roles.py
@@ -28,9 +28,11 @@
 SEED_TTL = 30  # seconds
 SEED_RENEW_PERIOD = 10.0  # seconds
 ROLE_CHECK_PERIOD = 2.0  # seconds
-SETTLE_TIME = 4.0  # seconds after start before a role is taken, when other nodes are known
+SETTLE_TIME = 3.0  # seconds in which a view that is still filling grows
 WATCH_LIFETIME = 20.0  # seconds after which everything is read again
-FIRST_LOOK_WITHIN = 1.0  # seconds; a whole fleet that starts at once must not look at once
+FIRST_LOOK_WITHIN = 2.0  # seconds; a whole fleet that starts at once must not look at once
+SECOND_LOOK_WITHIN = 4.0  # seconds
+JOIN_ANSWER_WAIT = 0.2  # seconds
 RETRY_PAUSE = 2.0  # seconds, jittered
 SEEDS_PREFIX = "/thorntray/seeds/"
 SETTINGS_PREFIX = "/thorntray/settings/"
@@ -68,6 +70,7 @@
         self._rng = rng
         self._lease = 0
         self._platform_up = True
+        self._looked = asyncio.Event()
         self._tasks = BackgroundTasks()
         self._watch: asyncio.Task[None] | None = None
 
@@ -91,13 +94,25 @@
                 logging.info("the seed entry was not given up; its lease lapses by itself")
 
     async def _find_peers(self) -> None:
+        """Look for seeds until others are found.
+
+        A whole fleet may start at once with no seed listed. The second look, at a random moment,
+        keeps all but a few from taking themselves for the first: by then the first is listed.
+        """
         self._membership.join(self._configured_seeds)
-        while True:
-            await asyncio.sleep(self._rng.random() * FIRST_LOOK_WITHIN)
-            await self._join_by_platform()
-            if len(self._membership.alive()) > 1:
-                return
+        await asyncio.sleep(self._rng.random() * FIRST_LOOK_WITHIN)
+        await self._look()
+        if len(self._membership.alive()) == 1:
+            await asyncio.sleep(self._rng.random() * SECOND_LOOK_WITHIN)
+            await self._look()
+        self._looked.set()
+        while len(self._membership.alive()) == 1:
             await asyncio.sleep(RETRY_PAUSE * (0.5 + self._rng.random()))
+            await self._look()
+
+    async def _look(self) -> None:
+        await self._join_by_platform()
+        await asyncio.sleep(JOIN_ANSWER_WAIT)
 
     async def _join_by_platform(self) -> None:
         try:
@@ -111,9 +126,12 @@
         self._membership.join(self._rng.sample(seeds, min(MAX_JOIN_SEEDS, len(seeds))))
 
     async def _settle(self) -> None:
-        await asyncio.sleep(0.5 + self._rng.random())
-        if len(self._membership.alive()) > 1:
-            await asyncio.sleep(SETTLE_TIME * self._rng.random())
+        """Wait until the view has stopped growing: who is chosen depends on all members."""
+        await self._looked.wait()
+        known = 1
+        while len(self._membership.alive()) > known:
+            known = len(self._membership.alive())
+            await asyncio.sleep(SETTLE_TIME * (0.5 + self._rng.random()))
 
     async def _seed_loop(self) -> None:
         await self._settle()
