--- a/packages/thorntray/src/thorntray/internal/process/service_times.py
+++ b/packages/thorntray/src/thorntray/internal/process/service_times.py
@@ -13,12 +13,14 @@
 
 SAMPLE_WEIGHT = 0.2
 FRESH_FOR = 1.0  # seconds
+MIN_SAMPLES = 3  # one request that ran out of time must not condemn the next ones
 
 
 @dataclass(slots=True)
 class _Estimate:
     seconds: float
     at: float
+    samples: int = 1
 
 
 class ServiceTimes:
@@ -37,10 +39,13 @@
             return
         estimate.seconds += SAMPLE_WEIGHT * (seconds - estimate.seconds)
         estimate.at = now
+        estimate.samples += 1
 
     def expected(self, route: str) -> float:
         """Return the seconds that a request is expected to take, 0 when unknown."""
         estimate = self._estimates.get(route)
-        if estimate is None or self._clock.monotonic() - estimate.at > FRESH_FOR:
+        if estimate is None or estimate.samples < MIN_SAMPLES:
+            return 0.0
+        if self._clock.monotonic() - estimate.at > FRESH_FOR:
             return 0.0
         return estimate.seconds
--- a/tests/test_overload_decisions.py
+++ b/tests/test_overload_decisions.py
@@ -115,12 +115,19 @@
 def test_a_route_refused_as_hopeless_is_tried_again_although_no_sample_came():
     clock = ManualClock()
     times = ServiceTimes(clock)
-    times.note("look", 0.4)
-    assert times.expected("look") == 0.4
+    for _ in range(3):
+        times.note("look", 0.4)
+    assert round(times.expected("look"), 9) == 0.4
     clock.now += 1.5
     assert times.expected("look") == 0.0
 
 
+def test_one_request_that_ran_out_of_time_does_not_condemn_the_next():
+    times = ServiceTimes(ManualClock())
+    times.note("look", 1.2)
+    assert times.expected("look") == 0.0
+
+
 def test_a_deep_chain_leaves_its_whole_deadline_to_every_hop():
     """Halving the budget for a retry at each hop left a third hop an eighth of it."""
 
