--- a/tests/test_at_most_once.py
+++ b/tests/test_at_most_once.py
@@ -8,6 +8,7 @@
 
 from tests.builders import MemoryNetwork, header, make_settings, run_virtual
 from thorntray.internal.connection.message import Revoke
+from thorntray.internal.request.grant import GRANT_LIFETIME, MAX_GRANTS, RECORD_LIFETIME
 from thorntray.internal.request.outcome import NotRun, Reason
 
 SERVICES = {"pay": {"slots": 2, "queue": 2}}
@@ -167,3 +168,36 @@
         return new.inbound.revoke(Revoke(old.member.session, b"attempt", 1.0))
 
     assert not run_virtual(scenario()).not_run
+
+
+def _pay(node, grant):
+    return node.call("pay", "POST", x_request="r", thorntray_grant=grant)
+
+
+def test_an_expired_grant_runs_nothing_and_a_forgotten_one_is_unknown():
+    async def scenario():
+        network = MemoryNetwork(Random(7), make_settings(SERVICES))
+        node = network.add("a", "pay")
+        grants = [await _grant(network, "a", "r") for _ in range(2)]
+        await asyncio.sleep(GRANT_LIFETIME + 1)
+        expired = await _pay(node, grants[0])
+        await asyncio.sleep(RECORD_LIFETIME)
+        forgotten = await _pay(node, grants[1])
+        found = [header(answer, "thorntray-outcome") for answer in (expired, forgotten)]
+        return found, network.ran("r")
+
+    assert run_virtual(scenario()) == (["not-run", "unknown"], 0)
+
+
+def test_a_node_that_remembers_as_many_grants_as_it_may_gives_no_more():
+    async def scenario():
+        network = MemoryNetwork(Random(8), make_settings(SERVICES))
+        node = network.add("a", "pay")
+        first = await _grant(network, "a", "r")
+        for _ in range(MAX_GRANTS - 1):
+            node.grants.issue("pay", "pay")
+        refused = await node.call("pay", "POST", x_request="r")
+        done = await _pay(node, first)
+        return header(refused, "thorntray-reason"), header(done, "thorntray-outcome")
+
+    assert run_virtual(scenario()) == ("grants-full", "done")
