--- a/tests/test_processes.py
+++ b/tests/test_processes.py
@@ -7,6 +7,7 @@
 import re
 import shlex
 import signal
+import socket
 import subprocess
 import threading
 import time
@@ -487,3 +488,29 @@
         return len(seen)
 
     assert asyncio.run(scenario()) == runs
+
+
+def test_logs_as_json_lines_metrics_by_statsd_and_the_dump_on_a_signal(fleet):
+    site = Site("haul-logs", "haul", "kalimati", 50, 0.005)
+    with socket.socket(type=socket.SOCK_DGRAM) as statsd_server:
+        statsd_server.bind(("127.0.0.1", 0))
+        statsd_server.settimeout(20)
+        port = statsd_server.getsockname()[1]
+        file = fleet.folder / "haul-logs.ini"
+        extra = f"[metrics]\nstatsd = 127.0.0.1:{port}\n[log]\nform = json\n"
+        file.write_text(fleet._node_ini(site) + extra, "utf-8")
+        node = fleet._start("haul-logs", *fleet.node_command, f"--config={file}")
+        log = fleet.folder / "haul-logs.log"
+        try:
+            metrics = statsd_server.recv(65536).decode()
+            node.send_signal(signal.SIGUSR1)
+            wait_for("the dump", lambda: '"tasks"' in log.read_text("utf-8"))
+        finally:
+            node.terminate()
+        assert node.wait(30) == 0
+    assert "thorntray.haul.haul-logs.members:" in metrics
+    lines = [json.loads(line) for line in log.read_text("utf-8").splitlines() if line[:1] == "{"]
+    events = [line for line in lines if "event" in line]
+    dumps = [line for line in lines if "tasks" in line]
+    assert {"STARTED", "DUMP_WRITTEN", "DRAIN_ENDED"} <= {line["name"] for line in events}
+    assert dumps[0]["version"] == 1 and dumps[0]["node"]["name"] == "haul-logs"
