--- a/packages/thorntray/src/thorntray/internal/connection/upstream.py
+++ b/packages/thorntray/src/thorntray/internal/connection/upstream.py
@@ -48,7 +48,7 @@
             cookie_jar=aiohttp.DummyCookieJar(),
         )
         # aiohttp has no public switch for its repetition; a test holds it to this.
-        self._session._retry_connection = repeat_hidden  # noqa: SLF001
+        self._session._retry_connection = repeat_hidden
 
     async def send(self, call: Call, token: str, timeout: float, shed_header: str) -> Outcome:
         """Send a request; `timeout` in seconds. Raises only `CancelledError`."""
--- a/packages/thorntray/src/thorntray/internal/process/platform.py
+++ b/packages/thorntray/src/thorntray/internal/process/platform.py
@@ -204,7 +204,7 @@
         if self._session is None:
             self._session = aiohttp.ClientSession()
             # A hidden repeat of a transaction would hide that the first one took effect.
-            self._session._retry_connection = False  # noqa: SLF001
+            self._session._retry_connection = False
         return self._session
 
 
