--- /dev/null
+++ b/packages/thorntray-node/src/thorntray_node/mesh_node.py
@@ -0,0 +1,328 @@
+"""A node on the lean path: all its parts, put together, started and stopped."""
+
+import asyncio
+from collections.abc import Callable
+from random import Random
+from typing import NamedTuple, Protocol
+
+from thorntray.internal.connection.frame import CallFrame, CancelFrame, FetchPolicy, Frame
+from thorntray.internal.connection.http_server import Exchange, HttpServer
+from thorntray.internal.connection.instance_pool import InstancePool
+from thorntray.internal.connection.link import LinkConnection, LinkListener, Links
+from thorntray.internal.process.call_parents import RunningCalls
+from thorntray.internal.process.clock import Clock
+from thorntray.internal.process.ejection import Ejection
+from thorntray.internal.process.events import Event, log_event
+from thorntray.internal.process.gossip import Address
+from thorntray.internal.process.member import SESSION_BYTES, Member
+from thorntray.internal.process.membership import Membership
+from thorntray.internal.process.placement import Placement
+from thorntray.internal.process.policy_watch import PolicyDecoder, PolicyStore, PolicyWatch
+from thorntray.internal.process.registration import Registration
+from thorntray.internal.process.request_log import RequestLog
+from thorntray.internal.process.retry_budget import RetryBudget
+from thorntray.internal.process.root_admission import RootAdmission
+from thorntray.internal.process.seeds import PlatformState, SeedPace, Seeds, SeedStore
+from thorntray.internal.process.slot_price import SlotPrice
+from thorntray.internal.process.slot_queue import SlotQueue
+from thorntray.internal.process.tasks import BackgroundTasks
+from thorntray.internal.process.udp import UdpTransport
+from thorntray.internal.request.origin import Origin, OriginParts, OriginRequest, result_frame
+from thorntray.internal.request.owner import Held, Owner, OwnerParts
+from thorntray.internal.request.result import Cause, Result
+from thorntray.internal.version.policy import Policy, PolicyHolder
+from thorntray_node.mesh_config import MeshConfig
+
+TICK = 0.1  # seconds between looks at the load
+HOUSEKEEPING_PERIOD = 0.5  # seconds
+UNREADY_LINGER = 2.2  # seconds after the first "not ready" in which callers still come
+STOP_RESERVE = 0.4  # seconds of the stop limit that are left for closing
+OK, UNAVAILABLE = 200, 503
+
+
+class Store(SeedStore, PolicyStore, Protocol):
+    """The platform's key-value service."""
+
+    async def close(self) -> None:
+        """Close all connections."""
+        ...
+
+
+class StorePlaces(NamedTuple):
+    """Where things lie in the platform's service."""
+
+    seeds_prefix: str
+    policy_key: str
+
+
+class MeshNode:
+    """A running node."""
+
+    def __init__(
+        self,
+        cfg: MeshConfig,
+        store: Store,
+        places: StorePlaces,
+        decode_policy: PolicyDecoder,
+        clock: Clock,
+        rng: Random,
+    ) -> None:
+        self.cfg = cfg
+        self.clock = clock
+        self.rng = rng
+        self.stopping = False
+        self._store = store
+        self._places = places
+        self._decode_policy = decode_policy
+        self._session = rng.randbytes(SESSION_BYTES)
+        self._tasks = BackgroundTasks()
+        self._held: dict[tuple[LinkConnection, int], Held] = {}
+        self._make_owner_side()
+        self._make_origin_side()
+
+    def _make_owner_side(self) -> None:
+        cfg, clock = self.cfg, self.clock
+        address = f"{cfg.instance.host}:{cfg.instance.port}"
+        self.registration = Registration(cfg.service, address, clock, self._instance_changed)
+        self.queue = SlotQueue()
+        self.running = RunningCalls()
+        names = cfg.header_names
+        self.pool = InstancePool(*cfg.instance, names.request_id.lower(), clock)
+        self.log = RequestLog(clock)
+        self.owner = Owner(
+            OwnerParts(
+                service=cfg.service,
+                names=names,
+                pool=self.pool,
+                registration=self.registration,
+                queue=self.queue,
+                price=SlotPrice(clock.monotonic()),
+                running=self.running,
+                clock=clock,
+                on_end=self._owner_ended,
+            )
+        )
+
+    def _make_origin_side(self) -> None:
+        cfg, clock = self.cfg, self.clock
+        self.holder = PolicyHolder(self._policy_changed)
+        self.links = Links(cfg.name, self._session, cfg.domain, clock)
+        self.links.on_other_frame = self._peer_frame
+        self.ejection = Ejection(clock)
+        self.placement = Placement(cfg.domain, self.ejection, self.rng)
+        self.admission = RootAdmission()
+        self.budget = RetryBudget(cfg.budget, clock.monotonic())
+
+    def _origin_parts(self) -> OriginParts:
+        cfg = self.cfg
+        return OriginParts(
+            own_name=cfg.name,
+            own_service=cfg.service,
+            names=cfg.header_names,
+            policy=lambda: self.holder.policy,
+            directory=self.membership,
+            owner=self.owner,
+            links=self.links,
+            running=self.running,
+            admission=self.admission,
+            placement=self.placement,
+            ejection=self.ejection,
+            budget=self.budget,
+            clock=self.clock,
+            rng=self.rng,
+            on_end=self._origin_ended,
+        )
+
+    async def start(self, announcements: Callable[[Exchange], None]) -> None:
+        """Open all sockets and begin; raises `OSError` when a port is taken."""
+        cfg = self.cfg
+        udp = await UdpTransport.open(Address(cfg.host, cfg.gossip_port))
+        state = PlatformState()
+        self.policy_watch = PolicyWatch(
+            self._store,
+            self._places.policy_key,
+            self._decode_policy,
+            self.holder,
+            self.links,
+            state,
+            self.rng,
+        )
+        self.membership = Membership(
+            self._own_member(),
+            udp,
+            self.clock,
+            self.rng,
+            self.policy_watch.heads,
+            self.policy_watch.on_heads,
+            self._member_gone,
+        )
+        udp.receive = self.membership.on_datagram
+        self.seeds = Seeds(
+            self.membership,
+            self._store,
+            state,
+            self._places.seeds_prefix,
+            [Address(*seed) for seed in cfg.seeds],
+            SEED_PACE,
+            self.rng,
+        )
+        origin = Origin(self._origin_parts())
+        self.callers = HttpServer(origin.handle, self.clock)
+        self.readiness = HttpServer(self._answer_readiness, self.clock)
+        self.announcements = HttpServer(announcements, self.clock)
+        await self.callers.start(*cfg.callers)
+        await self.readiness.start(*cfg.readiness)
+        await self.announcements.start(*cfg.announcements)
+        self.listener = LinkListener(cfg.host, cfg.link_port, self, self.clock)
+        await self.listener.start()
+        self.membership.start()
+        self.seeds.start()
+        for work in (self.policy_watch.run, self.links.watch, self._tick, self._housekeeping):
+            self._tasks.spawn(work())
+        for server in (self.callers, self.readiness, self.announcements):
+            self._tasks.spawn(server.sweep())
+        log_event(Event.STARTED, service=cfg.service, domain=cfg.domain)
+
+    def _own_member(self) -> Member:
+        cfg = self.cfg
+        return Member(
+            name=cfg.name,
+            session=self._session,
+            version=int(self.clock.time() * 1000),
+            address=cfg.host,
+            http_port=cfg.callers.port,
+            peer_port=cfg.link_port,
+            document_port=0,
+            gossip_port=cfg.gossip_port,
+            service=cfg.service,
+            domain=cfg.domain,
+            region=cfg.region,
+        )
+
+    # Frames of peers.
+
+    def on_frame(self, link: LinkConnection, frame: Frame) -> None:
+        """Take a frame that a peer sent on a link that it dialled."""
+        match frame:
+            case CallFrame(number):
+                self._run(link, number, frame)
+            case CancelFrame(number):
+                held = self._held.get((link, number))
+                if held is not None:
+                    held.cancel()
+            case FetchPolicy():
+                policy = self.policy_watch.answer(frame)
+                if policy is not None:
+                    link.send(policy)
+
+    def on_lost(self, link: LinkConnection) -> None:
+        """Withdraw what a lost peer has asked for: nobody waits for it."""
+        for key in [key for key in self._held if key[0] is link]:
+            held = self._held.get(key)
+            if held is not None:
+                held.cancel()
+
+    def _run(self, link: LinkConnection, number: int, call: CallFrame) -> None:
+        key = (link, number)
+        done = False
+
+        def on_result(result: Result) -> None:
+            nonlocal done
+            done = True
+            self._held.pop(key, None)
+            link.send(result_frame(number, result))
+
+        held = self.owner.submit(call, on_result)
+        if not done:
+            self._held[key] = held
+
+    def _peer_frame(self, member: Member, frame: Frame) -> None:
+        self.policy_watch.on_peer_frame(member, frame)
+
+    # Changes.
+
+    def _policy_changed(self, policy: Policy) -> None:
+        self.callers.limits = policy.limits
+        self.membership.tell_heads()
+
+    def _instance_changed(self) -> None:
+        registration = self.registration
+        current = registration.current
+        if current is not None and current.slots > 0:
+            self.queue.set_slots(current.slots, registration.cold)
+        if not registration.open:
+            self.owner.refuse_waiting(Cause.DRAINING)
+        self.membership.announce(ready=registration.open and current is not None)
+
+    def _member_gone(self, name: str) -> None:
+        self.links.forget(name)
+        self.placement.forget(name)
+        self.ejection.forget(name)
+
+    def _owner_ended(self, call: CallFrame, result: Result, seconds: float) -> None:
+        self.log.owner_ended(call, result, seconds)
+
+    def _origin_ended(self, req: OriginRequest, result: Result) -> None:
+        self.log.origin_ended(req, result)
+
+    # Time.
+
+    async def _tick(self) -> None:
+        while True:
+            await asyncio.sleep(TICK)
+            self.owner.tick(self.clock.monotonic())
+
+    async def _housekeeping(self) -> None:
+        while True:
+            await asyncio.sleep(HOUSEKEEPING_PERIOD)
+            self.registration.check_silence()
+            self.pool.close_idle()
+            current = self.registration.current
+            if current is not None:
+                self.queue.set_slots(current.slots, self.registration.cold)
+            self.budget.set_nodes(len(self.membership.alive()))
+            policy = self.holder.policy
+            if policy is not None:
+                self.budget.refill(list(policy.services), self.clock.monotonic())
+
+    # Readiness and stop.
+
+    @property
+    def ready(self) -> bool:
+        """Return whether callers may come."""
+        return not self.stopping and self.holder.policy is not None
+
+    def _answer_readiness(self, exchange: Exchange) -> None:
+        exchange.answer(OK if self.ready else UNAVAILABLE, b"", b"")
+
+    async def stop(self) -> None:
+        """Stop gracefully: turn new work away, finish what runs, close."""
+        self.stopping = True
+        log_event(Event.DRAIN_BEGUN, active=self.callers.active, held=len(self.owner.held))
+        started = self.clock.monotonic()
+        self.registration.drain_node()
+        self.callers.closing = True
+        limit = started + self.cfg.stop_limit - STOP_RESERVE
+        while self.clock.monotonic() < limit:
+            lingered = self.clock.monotonic() - started > UNREADY_LINGER
+            if lingered and not self.callers.active and not self.owner.held:
+                break
+            await asyncio.sleep(0.05)
+        seconds = round(self.clock.monotonic() - started, 3)
+        log_event(Event.DRAIN_ENDED, seconds=seconds, active=self.callers.active)
+        self.membership.leave()
+        self.callers.close()
+        self.listener.close()
+        await asyncio.sleep(0.05)
+        await self.seeds.stop()
+        await self._store.close()
+
+
+SEED_PACE = SeedPace(
+    ttl=10,
+    renew_period=3.0,
+    settle=0.5,
+    first_look_within=0.2,
+    second_look_within=1.0,
+    retry_pause=0.5,
+)
--- /dev/null
+++ b/packages/thorntray/src/thorntray/internal/process/placement.py
@@ -0,0 +1,111 @@
+"""Placement: which instance of a service gets a request, by expected time.
+
+Load pattern: instances of one service differ in speed by more than two, and any of them may turn
+slow or stall while its reports still look well. Choosing by requests in flight sends the slow one
+as much as the fast one. So the choice goes by the time that a request is expected to take there:
+the service time measured for that instance, and the wait for a slot when what is known to be
+there exceeds its limit.
+
+Bytes between failure domains are dear and add delay, so another domain must be clearly faster.
+A member whose node or instance did not take requests lately rests for a while.
+"""
+
+from random import Random
+
+from thorntray.internal.process.ejection import Ejection
+from thorntray.internal.process.member import Member
+from thorntray.internal.request.result import LoadReport
+
+AWAY_PENALTY = 0.06  # seconds added for another failure domain
+UNKNOWN_SERVICE_TIME = 0.05  # seconds, before the first result
+TIME_WEIGHT = 0.15  # of the newest service time of a member
+REST_AFTER_REFUSAL = 0.25  # seconds without new requests after a refusal that was not about load
+REPORT_LIFETIME = 1.0  # seconds in which a report of load counts
+
+
+class _Load:
+    __slots__ = ("service_time", "report", "reported_at", "sent_since", "rests_until", "out")
+
+    def __init__(self) -> None:
+        self.service_time: dict[str, float] = {}  # seconds, by route
+        self.report = LoadReport(0.0, 0.0, 0, 0)
+        self.reported_at = float("-inf")
+        self.sent_since = 0
+        self.rests_until = float("-inf")
+        self.out = 0  # requests of this node that are there now
+
+
+class Placement:
+    """What is known of each member's load, and the choice among members."""
+
+    def __init__(self, domain: str, ejection: Ejection, rng: Random) -> None:
+        self._domain = domain
+        self._ejection = ejection
+        self._rng = rng
+        self._loads: dict[str, _Load] = {}
+
+    def sent(self, member: str) -> None:
+        """Note that a request is on its way."""
+        load = self._load(member)
+        load.out += 1
+        load.sent_since += 1
+
+    def ended(self, member: str, route: str, report: LoadReport, now: float) -> None:
+        """Note that a request is over, with what its node has told."""
+        load = self._load(member)
+        load.out = max(0, load.out - 1)
+        if report.limit:
+            load.report = report
+            load.reported_at = now
+            load.sent_since = 0
+        if report.service_time > 0:
+            known = load.service_time.get(route, report.service_time)
+            load.service_time[route] = known + TIME_WEIGHT * (report.service_time - known)
+
+    def rest(self, member: str, now: float, seconds: float = REST_AFTER_REFUSAL) -> None:
+        """Leave a member out for a while."""
+        self._load(member).rests_until = now + seconds
+
+    def forget(self, member: str) -> None:
+        """Drop what is known of a member that left."""
+        self._loads.pop(member, None)
+
+    def pick(self, members: list[Member], route: str, tried: set[str], now: float) -> Member | None:
+        """Return the member with the least expected time, None if no one may be tried."""
+        routable = [m for m in members if m.routable and m.name not in tried]
+        kept = self._ejection.keep([m.name for m in routable])
+        pool = [m for m in routable if m.name in kept] or routable
+        awake = [m for m in pool if self._load(m.name).rests_until <= now]
+        pool = awake or pool
+        if not pool:
+            return None
+        usual = self._usual_time(pool, route)
+        return min(pool, key=lambda m: self._expected(m, route, usual, now))
+
+    def expected_time(self, member: Member, route: str, now: float) -> float:
+        """Return the seconds that a request is expected to take at a member."""
+        return self._expected(member, route, UNKNOWN_SERVICE_TIME, now)
+
+    def _usual_time(self, pool: list[Member], route: str) -> float:
+        times = [t for m in pool if (t := self._load(m.name).service_time.get(route))]
+        return min(times) if times else UNKNOWN_SERVICE_TIME
+
+    def _expected(self, member: Member, route: str, usual: float, now: float) -> float:
+        load = self._load(member.name)
+        seconds = load.service_time.get(route, usual)
+        report = load.report
+        fresh = now - load.reported_at < REPORT_LIFETIME
+        present = report.in_flight + load.sent_since if fresh else load.out
+        limit = report.limit or 16
+        wait = seconds * max(0.0, present + 1 - limit) / limit
+        if fresh:
+            wait = max(wait, report.queue_wait)
+        away = 0.0 if member.domain == self._domain else AWAY_PENALTY
+        jitter = self._rng.random() * 0.002
+        return seconds + wait + away + jitter
+
+    def _load(self, member: str) -> _Load:
+        load = self._loads.get(member)
+        if load is None:
+            load = self._loads[member] = _Load()
+        return load
--- a/packages/thorntray/src/thorntray/internal/process/platform.py
+++ b/packages/thorntray/src/thorntray/internal/process/platform.py
@@ -1,7 +1,6 @@
 """Client of the platform's key-value service, in etcd v3's published JSON form.
 
-Every call has a deadline and is counted against a budget, so that a fleet whose service has
-just come back does not run it over. Reads are repeated with jittered pauses. Writes are never
+Reads are repeated with jittered pauses. Writes are never
 repeated here: whether that is safe only the writer knows (see `version.writer`).
 
 A request that got no answer raises `PlatformUnavailable` when it cannot have been received,
@@ -11,62 +10,25 @@
 import asyncio
 import base64
 from collections.abc import AsyncIterator
-from dataclasses import dataclass
 from random import Random
-from typing import NamedTuple
 
 import aiohttp
 import msgspec
 
 from thorntray.errors import PlatformUnavailable, WriteUndetermined
 from thorntray.internal.process.clock import Clock
+from thorntray.internal.process.store_calls import (
+    CALL_TIMEOUT,
+    Entry,
+    StoreCalls,
+    WatchBatch,
+)
 
-CALL_TIMEOUT = 2.0  # seconds
 READ_TRIES = 3
 READ_PAUSE = 0.5  # seconds, doubled for each try, jittered
-CALLS_PER_SECOND = 1.0  # of one node, on average
-CALL_BURST = 6.0
 MAX_WATCH_LINE = 4 * 1024 * 1024  # bytes
 
 
-class Entry(NamedTuple):
-    """A key with its value. `mod_revision` is the store's revision of the last write."""
-
-    key: str
-    value: bytes
-    mod_revision: int
-
-
-class WatchBatch(NamedTuple):
-    """Changes seen by a watch. `compacted` tells that some may have been missed."""
-
-    entries: tuple[Entry, ...]
-    revision: int
-    compacted: bool = False
-
-
-@dataclass(slots=True)
-class CallBudget:
-    """Token bucket for calls to the platform's service."""
-
-    clock: Clock
-    rate: float = CALLS_PER_SECOND
-    burst: float = CALL_BURST
-    tokens: float = CALL_BURST
-    at: float = 0.0
-
-    async def take(self) -> None:
-        """Wait until a call may be made."""
-        while True:
-            now = self.clock.monotonic()
-            self.tokens = min(self.burst, self.tokens + (now - self.at) * self.rate)
-            self.at = now
-            if self.tokens >= 1:
-                self.tokens -= 1
-                return
-            await asyncio.sleep((1 - self.tokens) / self.rate)
-
-
 def prefix_end(prefix: str) -> str:
     """Return the `range_end` that covers all keys with a prefix."""
     return prefix[:-1] + chr(ord(prefix[-1]) + 1)
@@ -89,16 +51,17 @@
     """Typed calls to the platform's service. `endpoints` are base URLs."""
 
     def __init__(self, endpoints: list[str], clock: Clock, rng: Random) -> None:
-        self._endpoints = endpoints
         self._rng = rng
-        self._budget = CallBudget(clock, at=clock.monotonic())
-        self._session: aiohttp.ClientSession | None = None
-        self.calls = 0
+        self._http = StoreCalls(endpoints, clock, rng)
+
+    @property
+    def calls(self) -> int:
+        """Return how many calls were made."""
+        return self._http.calls
 
     async def close(self) -> None:
         """Close all connections."""
-        if self._session is not None:
-            await self._session.close()
+        await self._http.close()
 
     async def read(self, key: str, *, prefix: bool = False) -> tuple[list[Entry], int]:
         """Return the entries of a key or prefix and the store's revision."""
@@ -167,12 +130,11 @@
             "range_end": _b64(prefix_end(prefix)),
             "start_revision": str(start_revision),
         }
-        await self._budget.take()
-        self.calls += 1
-        url = self._endpoint() + "/v3/watch"
+        await self._http.open_watch()
+        url = self._http.endpoint() + "/v3/watch"
         timeout = aiohttp.ClientTimeout(total=None, sock_connect=CALL_TIMEOUT)
         try:
-            async with self._http().post(
+            async with self._http.http().post(
                 url, json={"create_request": create}, timeout=timeout, read_bufsize=MAX_WATCH_LINE
             ) as resp:
                 async for line in resp.content:
@@ -182,30 +144,10 @@
         raise PlatformUnavailable("the service closed the watch; it is opened again")
 
     async def _call(self, path: str, request: dict[str, object]) -> dict:
-        await self._budget.take()
-        self.calls += 1
-        url = self._endpoint() + path
-        timeout = aiohttp.ClientTimeout(total=CALL_TIMEOUT)
-        try:
-            async with self._http().post(url, json=request, timeout=timeout) as resp:
-                body = await resp.read()
-                if resp.status != 200:
-                    raise WriteUndetermined(f"{path}: status {resp.status}; read again to find out")
-                return msgspec.json.decode(body, type=dict)
-        except aiohttp.ClientConnectorError as exc:
-            raise PlatformUnavailable(f"no connection to {url}; is the service up?") from exc
-        except (aiohttp.ClientError, OSError, TimeoutError, msgspec.MsgspecError) as exc:
-            raise WriteUndetermined(f"{path}: no answer ({exc!r}); read again to find out") from exc
-
-    def _endpoint(self) -> str:
-        return self._rng.choice(self._endpoints)
-
-    def _http(self) -> aiohttp.ClientSession:
-        if self._session is None:
-            self._session = aiohttp.ClientSession()
-            # A hidden repeat of a transaction would hide that the first one took effect.
-            self._session._retry_connection = False
-        return self._session
+        reply = await self._http.call("POST", path, request)
+        if reply.status != 200:
+            raise WriteUndetermined(f"{path}: status {reply.status}; read again to find out")
+        return reply.body
 
 
 def _watch_batch(line: bytes) -> WatchBatch:
--- /dev/null
+++ b/packages/thorntray/src/thorntray/internal/process/store_calls.py
@@ -0,0 +1,141 @@
+"""What all clients of a platform's key-value service share: types, call budget, HTTP calls.
+
+Every call has a deadline and is counted against a budget, so that a fleet whose service has
+just come back does not run it over. A connection may go silent without a reset; keep-alive
+probes of the kernel show it, without a call to the service.
+"""
+
+import asyncio
+import socket
+from dataclasses import dataclass
+from random import Random
+from typing import NamedTuple
+
+import aiohttp
+import msgspec
+
+from thorntray.errors import PlatformUnavailable, WriteUndetermined
+from thorntray.internal.process.clock import Clock
+
+CALL_TIMEOUT = 2.0  # seconds
+CALLS_PER_SECOND = 1.0  # of one node, on average
+CALL_BURST = 6.0
+KEEPALIVE_IDLE = 1  # seconds of silence before the first probe
+KEEPALIVE_INTERVAL = 1  # seconds between probes
+KEEPALIVE_PROBES = 2  # unanswered ones that end the connection
+
+
+class Entry(NamedTuple):
+    """A key with its value. `mod_revision` is the store's revision of the last write."""
+
+    key: str
+    value: bytes
+    mod_revision: int
+
+
+class WatchBatch(NamedTuple):
+    """Changes seen by a watch. `compacted` tells that some may have been missed."""
+
+    entries: tuple[Entry, ...]
+    revision: int
+    compacted: bool = False
+
+
+class StoreReply(NamedTuple):
+    """Status and decoded body of a call."""
+
+    status: int
+    body: dict
+
+
+@dataclass(slots=True)
+class CallBudget:
+    """Token bucket for calls to the platform's service."""
+
+    clock: Clock
+    rate: float = CALLS_PER_SECOND
+    burst: float = CALL_BURST
+    tokens: float = CALL_BURST
+    at: float = 0.0
+
+    async def take(self) -> None:
+        """Wait until a call may be made."""
+        while True:
+            now = self.clock.monotonic()
+            self.tokens = min(self.burst, self.tokens + (now - self.at) * self.rate)
+            self.at = now
+            if self.tokens >= 1:
+                self.tokens -= 1
+                return
+            await asyncio.sleep((1 - self.tokens) / self.rate)
+
+
+class StoreCalls:
+    """HTTP calls with JSON bodies. `endpoints` are base URLs."""
+
+    def __init__(self, endpoints: list[str], clock: Clock, rng: Random) -> None:
+        self._endpoints = endpoints
+        self._rng = rng
+        self._budget = CallBudget(clock, at=clock.monotonic())
+        self._session: aiohttp.ClientSession | None = None
+        self.calls = 0
+
+    async def close(self) -> None:
+        """Close all connections."""
+        if self._session is not None:
+            await self._session.close()
+
+    async def call(
+        self,
+        method: str,
+        path: str,
+        request: dict[str, object] | None = None,
+        timeout: float = CALL_TIMEOUT,
+    ) -> StoreReply:
+        """Make one call and return what came back, whatever its status.
+
+        Raises `PlatformUnavailable` when the call cannot have been received, and
+        `WriteUndetermined` when it may have taken effect.
+        """
+        await self._budget.take()
+        self.calls += 1
+        url = self.endpoint() + path
+        limit = aiohttp.ClientTimeout(total=timeout, sock_connect=min(timeout, CALL_TIMEOUT))
+        try:
+            async with self.http().request(method, url, json=request, timeout=limit) as resp:
+                body = await resp.read()
+                decoded = msgspec.json.decode(body, type=dict) if resp.status == 200 else {}
+                return StoreReply(resp.status, decoded)
+        except (aiohttp.ClientConnectorError, aiohttp.ServerTimeoutError) as exc:
+            raise PlatformUnavailable(f"no connection to {url}; is the service up?") from exc
+        except (aiohttp.ClientError, OSError, TimeoutError, msgspec.MsgspecError) as exc:
+            raise WriteUndetermined(f"{path}: no answer ({exc!r}); read again to find out") from exc
+
+    async def open_watch(self) -> None:
+        """Count a watch that is about to be opened against the budget."""
+        await self._budget.take()
+        self.calls += 1
+
+    def endpoint(self) -> str:
+        """Return the base URL for the next call."""
+        return self._rng.choice(self._endpoints)
+
+    def http(self) -> aiohttp.ClientSession:
+        """Return the session, opened on first use."""
+        if self._session is None:
+            connector = aiohttp.TCPConnector(socket_factory=_keepalive_socket)
+            self._session = aiohttp.ClientSession(connector=connector)
+            # A hidden repeat of a transaction would hide that the first one took effect.
+            self._session._retry_connection = False
+        return self._session
+
+
+def _keepalive_socket(addr_info: tuple) -> socket.socket:
+    family, kind, proto, _, _ = addr_info
+    sock = socket.socket(family, kind, proto)
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, KEEPALIVE_IDLE)
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, KEEPALIVE_INTERVAL)
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPCNT, KEEPALIVE_PROBES)
+    sock.setblocking(False)
+    return sock
