--- a/packages/thorntray-node/src/thorntray_node/mesh_node.py
+++ b/packages/thorntray-node/src/thorntray_node/mesh_node.py
@@ -23,7 +23,7 @@
 from thorntray.internal.process.retry_budget import RetryBudget
 from thorntray.internal.process.root_admission import RootAdmission
 from thorntray.internal.process.seeds import PlatformState, SeedPace, Seeds, SeedStore
-from thorntray.internal.process.slot_price import SlotPrice
+from thorntray.internal.process.slot_price import MIN_PRICE, SlotPrice
 from thorntray.internal.process.slot_queue import SlotQueue
 from thorntray.internal.process.tasks import BackgroundTasks
 from thorntray.internal.process.udp import UdpTransport
@@ -272,9 +272,25 @@
             await asyncio.sleep(TICK)
             self.owner.tick(self.clock.monotonic())
 
+    def _log_load(self) -> None:
+        queue, price = self.queue, self.owner.parts.price.price
+        shares = {route: round(s, 2) for route, s in self.admission.shares.items() if s < 1}
+        if price <= MIN_PRICE and not shares:
+            return
+        log_event(
+            Event.LOAD,
+            service=self.cfg.service,
+            in_flight=queue.in_flight,
+            waiting=queue.waiting,
+            limit=queue.limit,
+            price=round(price, 3),
+            shares=shares,
+        )
+
     async def _housekeeping(self) -> None:
         while True:
             await asyncio.sleep(HOUSEKEEPING_PERIOD)
+            self._log_load()
             self.registration.check_silence()
             self.pool.close_idle()
             current = self.registration.current
--- a/packages/thorntray/src/thorntray/internal/process/events.py
+++ b/packages/thorntray/src/thorntray/internal/process/events.py
@@ -65,6 +65,7 @@
     TASK_FAILED = EventKind(402, Level.ERROR, "background task failed")
     LEVEL_RAISED = EventKind(500, Level.WARNING, "instance sheds requests")
     REQUEST_ENDED = EventKind(510, Level.INFO, "request ended")
+    LOAD = EventKind(520, Level.INFO, "load of the instance and prices heard")
     LIMIT_LOWERED = EventKind(501, Level.WARNING, "concurrency limit lowered")
 
 
--- a/packages/thorntray/src/thorntray/internal/process/placement.py
+++ b/packages/thorntray/src/thorntray/internal/process/placement.py
@@ -7,6 +7,8 @@
 there exceeds its limit.
 
 Bytes between failure domains are dear and add delay, so another domain must be clearly faster.
+But an instance near its limit soon makes everybody wait, and a full one at home beside an idle one
+away wastes slots while callers are refused; so the last slots count as slower the fewer are left.
 A member whose node or instance did not take requests lately rests for a while.
 """
 
@@ -17,9 +19,12 @@
 from thorntray.internal.request.result import LoadReport
 
 AWAY_PENALTY = 0.06  # seconds added for another failure domain
+FILLING_ABOVE = 0.65  # share of the limit in use from which an instance counts as slower
+FULL_PENALTY = 0.15  # seconds added when the last slot is in use
 UNKNOWN_SERVICE_TIME = 0.05  # seconds, before the first result
 TIME_WEIGHT = 0.15  # of the newest service time of a member
 REST_AFTER_REFUSAL = 0.25  # seconds without new requests after a refusal that was not about load
+ASSUMED_LIMIT = 16  # slots of an instance that has not reported yet
 REPORT_LIFETIME = 1.0  # seconds in which a report of load counts
 
 
@@ -96,8 +101,8 @@
         report = load.report
         fresh = now - load.reported_at < REPORT_LIFETIME
         present = report.in_flight + load.sent_since if fresh else load.out
-        limit = report.limit or 16
-        wait = seconds * max(0.0, present + 1 - limit) / limit
+        limit = report.limit or ASSUMED_LIMIT
+        wait = _congestion((present + 1) / limit, seconds)
         if fresh:
             wait = max(wait, report.queue_wait)
         away = 0.0 if member.domain == self._domain else AWAY_PENALTY
@@ -109,3 +114,10 @@
         if load is None:
             load = self._loads[member] = _Load()
         return load
+
+
+def _congestion(load: float, seconds: float) -> float:
+    """Return the seconds to add for an instance at a share `load` of its limit."""
+    filling = min(1.0, max(0.0, (load - FILLING_ABOVE) / (1.0 - FILLING_ABOVE)))
+    queued = max(0.0, load - 1.0)
+    return FULL_PENALTY * filling + seconds * queued
--- a/packages/thorntray/src/thorntray/internal/process/root_admission.py
+++ b/packages/thorntray/src/thorntray/internal/process/root_admission.py
@@ -103,6 +103,7 @@
         self.costs = RouteCosts()
         self.prices = PriceTable()
         self._credit: dict[str, float] = {}
+        self.shares: dict[str, float] = {}  # as last used, by route
 
     def tree_price(self, route: str, now: float) -> float:
         """Return the summed price of all slots that a request of a route will hold."""
@@ -112,6 +113,7 @@
     def admit(self, route: str, priority: int, now: float) -> bool:
         """Return whether a request may begin; shares are kept by counting, not by chance."""
         share = admitted_share(self.tree_price(route, now), worth_of(priority))
+        self.shares[route] = share
         credit = self._credit.get(route, 0.5) + share
         if credit >= 1.0:
             self._credit[route] = credit - 1.0
