--- a/packages/thorntray/src/thorntray/internal/process/root_admission.py
+++ b/packages/thorntray/src/thorntray/internal/process/root_admission.py
@@ -22,7 +22,7 @@
 BAND = math.log(2.5)  # half width of the gradual zone, in the logarithm of price over worth
 LEAST_SHARE = 0.3  # of a route's requests, up to `CLOSING_RATIO`
 LAST_SHARE = 0.03  # of a route's requests, however high the price
-CLOSING_RATIO = 8.0  # price over worth from which the least share shrinks too
+CLOSING_RATIO = 3.0  # price over worth from which the least share shrinks too
 WORTH_BY_PRIORITY = (3.0, 1.5, 1.0)  # of one request; lower ranks count as the last
 
 
