--- a/packages/thorntray/src/thorntray/internal/process/store_calls.py
+++ b/packages/thorntray/src/thorntray/internal/process/store_calls.py
@@ -71,12 +71,18 @@
 
 
 class StoreCalls:
-    """HTTP calls with JSON bodies. `endpoints` are base URLs."""
+    """HTTP calls with JSON bodies. `endpoints` are base URLs, `rate` the calls a second."""
 
-    def __init__(self, endpoints: list[str], clock: Clock, rng: Random) -> None:
+    def __init__(
+        self,
+        endpoints: list[str],
+        clock: Clock,
+        rng: Random,
+        rate: float = CALLS_PER_SECOND,
+    ) -> None:
         self._endpoints = endpoints
         self._rng = rng
-        self._budget = CallBudget(clock, at=clock.monotonic())
+        self._budget = CallBudget(clock, rate=rate, at=clock.monotonic())
         self._session: aiohttp.ClientSession | None = None
         self.calls = 0
 
--- /dev/null
+++ b/tests/test_kv_store.py
@@ -0,0 +1,134 @@
+"""The platform's store behind the product's interface, against the stand-in with its troubles."""
+
+import asyncio
+import sys
+from pathlib import Path
+from random import Random
+
+import pytest
+
+sys.path.insert(0, str(Path(__file__).resolve().parent.parent / "platform"))
+
+from kv_store import KvStore  # noqa: E402
+from standins.fleet import free_port  # noqa: E402
+from standins.kv_store import KvStoreStandIn  # noqa: E402
+from tests.mesh_builders import HOST, make_policy  # noqa: E402
+from thorntray.errors import PlatformUnavailable, WriteUndetermined  # noqa: E402
+from thorntray.internal.connection.link import Links  # noqa: E402
+from thorntray.internal.process.clock import SystemClock  # noqa: E402
+from thorntray.internal.process.policy_watch import PolicyWatch  # noqa: E402
+from thorntray.internal.process.seeds import PlatformState  # noqa: E402
+from thorntray.internal.process.store_calls import StoreCalls  # noqa: E402
+from thorntray.internal.version.policy import PolicyHolder  # noqa: E402
+
+KEY = "op/config"
+
+
+def play(scenario):
+    async def work():
+        stand_in, port = KvStoreStandIn(), free_port()
+        await stand_in.start(HOST, port)
+        store = KvStore(StoreCalls([f"http://{HOST}:{port}"], SystemClock(), Random(1)))
+        try:
+            return await scenario(store, stand_in)
+        finally:
+            await store.close()
+            await stand_in.close()
+
+    return asyncio.run(work())
+
+
+def test_a_key_written_under_a_lease_is_read_and_goes_with_it():
+    async def scenario(store, stand_in):
+        lease = await store.lease_grant(10)
+        await store.put("a/1", b"\x00value", lease)
+        entries, revision = await store.read("a/1")
+        kept = await store.lease_keep(lease)
+        await store.lease_revoke(lease)
+        gone, _ = await store.read("a/1")
+        return entries[0].value, revision, kept, gone, await store.lease_keep(lease)
+
+    value, revision, kept, gone, kept_after = play(scenario)
+    assert value == b"\x00value" and revision > 0 and kept
+    assert gone == [] and not kept_after
+
+
+def test_a_range_of_many_pages_is_read_whole():
+    async def scenario(store, stand_in):
+        for number in range(5):
+            await stand_in.write(f"a/{number}", b"x")
+        entries, _ = await store.read("a/", prefix=True)
+        return [entry.key for entry in entries]
+
+    assert play(scenario) == [f"a/{n}" for n in range(5)]
+
+
+@pytest.mark.parametrize("trouble", ["busy", "many"])
+def test_a_refused_call_has_done_nothing_and_says_so(trouble):
+    async def scenario(store, stand_in):
+        stand_in.trouble = trouble
+        with pytest.raises(PlatformUnavailable):
+            await store.read(KEY)
+        with pytest.raises(PlatformUnavailable):
+            await store.put("a/1", b"x", 0)
+        return stand_in.items
+
+    assert play(scenario) == {}
+
+
+def test_a_write_whose_answer_is_lost_is_undetermined_not_failed():
+    async def scenario(store, stand_in):
+        stand_in.lose_answers = 1
+        with pytest.raises(WriteUndetermined):
+            await store.put("a/1", b"x", 0)
+        return list(stand_in.items)
+
+    assert play(scenario) == ["a/1"]
+
+
+def test_a_watch_tells_changes_and_that_its_history_is_gone():
+    async def scenario(store, stand_in):
+        await stand_in.write(KEY, b"one")
+        entries, revision = await store.read(KEY)
+        watch = store.watch(KEY, revision + 1)
+        pending = asyncio.ensure_future(anext(watch))
+        await asyncio.sleep(0.05)
+        await stand_in.write(KEY, b"two")
+        batch = await pending
+        await stand_in.compact()
+        old = await anext(store.watch(KEY, 5))
+        return batch.entries[0].value, old.compacted
+
+    assert play(scenario) == (b"two", True)
+
+
+def test_a_policy_is_in_force_soon_after_the_store_is_back_and_never_goes_back():
+    """Load pattern: the store is down when a change is written, and its history is dropped."""
+
+    async def scenario(store, stand_in):
+        holder = PolicyHolder(lambda policy: None)
+        watch = PolicyWatch(
+            store,
+            KEY,
+            lambda document: make_policy(int(document)),
+            holder,
+            Links("n", b"s", "a", SystemClock()),
+            PlatformState(),
+            Random(1),
+        )
+        await stand_in.write(KEY, b"3")
+        task = asyncio.ensure_future(watch.run())
+        await asyncio.sleep(0.2)
+        first = holder.version
+        stand_in.trouble = "busy"
+        await stand_in.write(KEY, b"7")
+        await stand_in.compact()
+        await asyncio.sleep(0.5)
+        stand_in.trouble = ""
+        await asyncio.sleep(2.0)
+        second = holder.version
+        watch.offer(b"5", "a peer")
+        task.cancel()
+        return first, second, holder.version
+
+    assert play(scenario) == (3, 7, 7)
--- /dev/null
+++ b/tests/test_slot_decisions.py
@@ -0,0 +1,230 @@
+"""Decisions on slots, prices and admission, each replaying the load pattern that it answers."""
+
+from random import Random
+
+from hypothesis import given
+from hypothesis import strategies as st
+
+from tests.builders import make_member
+from thorntray.internal.process.call_parents import InnerRoutes, RunningCalls
+from thorntray.internal.process.ejection import Ejection
+from thorntray.internal.process.placement import Placement
+from thorntray.internal.process.retry_budget import BudgetTerms, RetryBudget
+from thorntray.internal.process.root_admission import (
+    LAST_SHARE,
+    PriceTable,
+    RootAdmission,
+    admitted_share,
+)
+from thorntray.internal.process.slot_price import MIN_PRICE, SlotPrice
+from thorntray.internal.process.slot_queue import SlotQueue, Ticket
+from thorntray.internal.request.result import LoadReport, SlotUse
+
+
+class Counted:
+    """Tickets that note when they were started."""
+
+    def __init__(self):
+        self.started = []
+
+    def ticket(self, name, worth=1.0, nested=False):
+        return Ticket(worth, nested, lambda: self.started.append(name))
+
+
+def full_queue(slots=16):
+    queue = SlotQueue()
+    queue.set_slots(slots, cold=False)
+    tickets = [Ticket(1.0, False, lambda: None) for _ in range(queue.limit)]
+    for ticket in tickets:
+        queue.enter(ticket)
+    return queue, tickets
+
+
+def test_an_instance_is_never_sent_more_than_its_usable_slots():
+    queue, tickets = full_queue(16)
+    assert queue.in_flight == queue.limit == 15
+    assert not queue.enter(Ticket(9.0, True, lambda: None))
+
+
+def test_waiting_payouts_go_first_then_calls_of_running_requests_then_fresh_ones():
+    queue, tickets = full_queue()
+    counted = Counted()
+    for name, worth, nested in (
+        ("fresh", 1.0, False),
+        ("call", 1.0, True),
+        ("payout", 3.0, False),
+        ("payout call", 3.0, True),
+    ):
+        queue.enter(counted.ticket(name, worth, nested))
+    for ticket in tickets[:4]:
+        queue.release(ticket)
+    assert counted.started == ["payout call", "payout", "call", "fresh"]
+
+
+def test_a_withdrawn_request_never_starts_and_frees_no_slot():
+    queue, tickets = full_queue()
+    counted = Counted()
+    waiting = counted.ticket("gone")
+    queue.enter(waiting)
+    assert queue.withdraw(waiting) and not queue.withdraw(waiting)
+    queue.release(tickets[0])
+    assert counted.started == []
+    assert queue.in_flight == queue.limit - 1
+
+
+@given(st.lists(st.sampled_from(["enter", "release", "withdraw"]), max_size=60))
+def test_slots_in_use_equal_the_requests_that_hold_one(steps):
+    queue = SlotQueue()
+    queue.set_slots(4, cold=False)
+    tickets = []
+    for index, step in enumerate(steps):
+        if step == "enter":
+            ticket = Ticket(float(index % 3), bool(index % 2), lambda: None)
+            tickets.append(ticket)
+            queue.enter(ticket)
+        elif tickets and step == "release":
+            queue.release(tickets[index % len(tickets)])
+        elif tickets:
+            queue.withdraw(tickets[index % len(tickets)])
+        assert queue.in_flight == sum(t.holds_slot for t in tickets) <= queue.limit
+        assert not queue.waiting or queue.in_flight == queue.limit
+
+
+def test_the_price_rises_within_a_second_of_a_surge_and_falls_when_the_queue_is_gone():
+    """Load pattern: a burst fills the queue to three times the slots, then ends."""
+    price, now = SlotPrice(0.0), 0.0
+    for _ in range(10):
+        now += 0.1
+        price.update(45, 15, now)
+    surge = price.price
+    assert surge > 5 * MIN_PRICE
+    now += 0.1
+    price.update(12, 15, now)
+    assert price.price < surge / 3
+    for _ in range(80):
+        now += 0.1
+        price.update(3, 15, now)
+    assert price.price < 2 * MIN_PRICE
+
+
+def admitted(admission, route, priority, count, now):
+    return sum(admission.admit(route, priority, now) for _ in range(count)) / count
+
+
+def test_a_shortage_deep_down_sheds_what_brings_least_for_its_slots_and_payouts_last():
+    """Load pattern: the stock service is short; three routes lead there at different costs."""
+    admission = RootAdmission()
+    admission.costs.note("prices", {"tariff": SlotUse(0.4, 1), "stock": SlotUse(0.24, 8)})
+    admission.costs.note("payouts", {"settle": SlotUse(0.3, 1), "stock": SlotUse(0.12, 4)})
+    admission.costs.note("stock-view", {"stock": SlotUse(0.48, 1)})
+    admission.costs.note("pickups", {"haul": SlotUse(0.3, 1)})
+    for _ in range(30):
+        admission.prices.hear({"stock": 5.0, "haul": MIN_PRICE}, 1.0)
+    views = admitted(admission, "stock-view", 2, 200, 1.0)
+    prices = admitted(admission, "prices", 2, 200, 1.0)
+    payouts = admitted(admission, "payouts", 0, 200, 1.0)
+    assert views < prices < payouts
+    assert payouts == 1.0
+    assert admitted(admission, "pickups", 2, 200, 1.0) == 1.0
+
+
+def test_a_price_that_is_not_heard_any_more_fades_so_that_a_route_opens_again():
+    table = PriceTable()
+    for _ in range(30):
+        table.hear({"stock": 20.0}, 0.0)
+    assert table.price("stock", 0.1) > 15
+    assert table.price("stock", 6.0) == MIN_PRICE
+
+
+@given(st.floats(0.001, 1e6), st.floats(0.1, 10))
+def test_every_route_keeps_a_share_and_a_higher_price_never_admits_more(price, worth):
+    share = admitted_share(price, worth)
+    assert LAST_SHARE <= share <= 1.0
+    assert admitted_share(price * 2, worth) <= share
+
+
+def placed(placement, members, count, now=0.0):
+    names = []
+    for _ in range(count):
+        member = placement.pick(members, "r", set(), now)
+        placement.sent(member.name)
+        names.append(member.name)
+    return names
+
+
+def test_a_full_instance_at_home_does_not_leave_an_idle_one_away_unused():
+    """Load pattern of scale-2: home ran 15 of 15 slots with a queue beside 1 of 15 away."""
+    ejection = Ejection(clock=None)
+    ejection.keep = lambda names: set(names)
+    placement = Placement("home", ejection, Random(1))
+    home = make_member("h", domain="home", service="s", ready=True)
+    away = make_member("a", domain="away", service="s", ready=True)
+    placement.ended("h", "r", LoadReport(0.0, 0.03, 4, 15), 0.0)
+    placement.ended("a", "r", LoadReport(0.0, 0.05, 1, 15), 0.0)
+    assert set(placed(placement, [home, away], 4)) == {"h"}
+    placement.ended("h", "r", LoadReport(0.0, 0.03, 15, 15), 0.0)
+    assert placed(placement, [home, away], 1) == ["a"]
+
+
+def test_a_slow_instance_gets_less_than_a_fast_one():
+    ejection = Ejection(clock=None)
+    ejection.keep = lambda names: set(names)
+    placement = Placement("home", ejection, Random(1))
+    members = [make_member(n, domain="home", service="s", ready=True) for n in ("fast", "slow")]
+    for _ in range(20):
+        placement.ended("fast", "r", LoadReport(0.0, 0.1, 1, 50), 0.0)
+        placement.ended("slow", "r", LoadReport(0.0, 0.5, 1, 50), 0.0)
+    assert placed(placement, members, 20).count("slow") == 0
+
+
+def test_all_nodes_together_stay_under_the_bound_on_repeats():
+    """Load pattern: every node repeats whatever it may, for a minute."""
+    terms = BudgetTerms(ratio=0.2, slack=48.0, window=10.0)
+    budgets = [RetryBudget(terms, 0.0) for _ in range(12)]
+    repeats, requests = [], []
+    for step in range(600):
+        now = step * 0.1
+        for budget in budgets:
+            budget.set_nodes(12)
+            budget.refill(["s"], now)
+            budget.earn("s")
+            requests.append(now)
+            while budget.spend("s", {}):
+                repeats.append(now)
+    for start in range(0, 50):
+        spent = sum(start <= at < start + 10 for at in repeats)
+        asked = sum(start <= at < start + 10 for at in requests)
+        assert spent <= terms.ratio * asked + terms.slack
+
+
+def test_a_repeat_is_paid_at_every_service_of_its_call_tree():
+    budget = RetryBudget(BudgetTerms(0.2, 48.0, 10.0), 0.0)
+    budget.refill(["top", "deep"], 5.0)
+    tree = {"top": SlotUse(0.1, 1), "deep": SlotUse(0.2, 8)}
+    assert budget.spend("top", tree)
+    assert not budget.spend("top", tree)
+    assert budget.spend("top", {})
+
+
+def test_a_restarted_node_begins_without_slack():
+    assert not RetryBudget(BudgetTerms(0.2, 48.0, 10.0), 0.0).spend("s", {})
+
+
+def test_a_nested_call_finds_the_run_that_expires_when_it_does():
+    running = RunningCalls()
+    payout = running.begin(10.0, 3.0)
+    running.begin(10.5, 1.0)
+    assert running.parent_of(10.003) is payout
+    assert running.parent_of(10.2) is None
+    assert running.outliving(9.0) is payout
+    running.end(payout)
+    assert running.parent_of(10.003) is None
+
+
+def test_a_route_counts_as_inner_once_its_requests_match_runs():
+    routes = InnerRoutes()
+    for _ in range(5):
+        routes.note("inner", True)
+        routes.note("root", False)
+    assert routes.is_inner("inner") and not routes.is_inner("root")
+    assert not routes.is_inner("unseen")
