Recently gone members are pinged; a service without instances prices its trees out

Change: members that went a moment ago are pinged, and a node that knows nobody joins whoever pings; a service without an instance is told to the entries as the highest price.

--- a/packages/thorntray/src/thorntray/internal/process/membership.py
+++ b/packages/thorntray/src/thorntray/internal/process/membership.py
@@ -13,7 +13,8 @@
 within a byte budget: when two regions find each other again, 800 refutations at once must not
 eat the bandwidth. A digest exchange with one random member repairs what loss has left out.
 Dead members are pinged now and then for hours, so that halves of a cut find each other without
-the platform.
+the platform. Members that went a moment ago, planned or not, are pinged more often: a process that
+starts again at the same address while the platform is down knows nobody, and joins whoever pings.
 """
 
 import asyncio
@@ -54,6 +55,8 @@
 SPREAD_BURST_BYTES = 5000.0
 SYNC_PERIOD = 5.0  # seconds between digest exchanges
 REVIVE_PERIOD = 5.0  # seconds between pings to a dead member
+RECENT_PERIOD = 0.5  # seconds between pings to a member that went a moment ago
+RECENTLY_GONE = 15.0  # seconds
 MAX_REPAIR_ENTRIES = 200  # members in one repair
 DEAD_KEPT = 2 * 3600.0  # seconds for which a dead member is remembered
 LEAVE_DATAGRAMS = 12
@@ -152,7 +155,14 @@
 
     def start(self) -> None:
         """Start probing and gossip."""
-        for work in (self._probe_loop, self._spread_loop, self._sync_loop, self._revive_loop):
+        loops = (
+            self._probe_loop,
+            self._spread_loop,
+            self._sync_loop,
+            self._revive_loop,
+            self._recent_loop,
+        )
+        for work in loops:
             self._tasks.spawn(work())
 
     async def stop(self) -> None:
@@ -226,9 +236,20 @@
             self._forget_long_gone()
             dead = [m for m in self.view.all() if m.health is Health.DEAD]
             if dead:
-                member = self._rng.choice(dead)
-                # It sees its own record among the updates and refutes.
-                self._send(Ping(0, self.own, self._heads(), (member,)), member)
+                self._ping_gone(self._rng.choice(dead))
+
+    async def _recent_loop(self) -> None:
+        while True:
+            await asyncio.sleep(RECENT_PERIOD * (0.5 + self._rng.random()))
+            horizon = self._clock.monotonic() - RECENTLY_GONE
+            recent = [name for name, since in self._gone_at.items() if since > horizon]
+            member = self.view.get(self._rng.choice(recent)) if recent else None
+            if member is not None:
+                self._ping_gone(member)
+
+    def _ping_gone(self, member: Member) -> None:
+        # It sees its own record among the updates and refutes.
+        self._send(Ping(0, self.own, self._heads(), (member,)), member)
 
     # Datagrams.
 
@@ -241,7 +262,10 @@
             self.bad_datagrams += 1
             log_event(Event.BAD_MESSAGE, detail=str(exc), peer=f"{address.host}:{address.port}")
             return
+        alone = len(self.view) == 1
         self._take(datagram.sender)
+        if alone and not isinstance(datagram, Join):
+            self._send(Join(self.own), datagram.sender)
         match datagram:
             case Ping(sequence, sender, heads, updates):
                 self._take_all(sender, heads, updates)
--- a/packages/thorntray/src/thorntray/internal/request/origin.py
+++ b/packages/thorntray/src/thorntray/internal/request/origin.py
@@ -22,6 +22,7 @@
 from thorntray.internal.process.placement import Placement
 from thorntray.internal.process.retry_budget import RetryBudget
 from thorntray.internal.process.root_admission import RootAdmission, worth_of
+from thorntray.internal.process.slot_price import MAX_PRICE
 from thorntray.internal.request.owner import Held, Owner
 from thorntray.internal.request.result import (
     NO_REPORT,
@@ -277,10 +278,18 @@
         members = parts.directory.members_of(self.service)
         member = parts.placement.pick(members, self.route_key, self.tried, now)
         if member is None:
+            self._tell_closed(now)
             self._give_up(not_run(Cause.NO_INSTANCE, NO_INSTANCE_RETRY))
             return
         self._send_to(member, now)
 
+    def _tell_closed(self, now: float) -> None:
+        """Let the entries know that a service takes nothing: trees that need it are wasted."""
+        closed = {self.service: MAX_PRICE}
+        self.origin.parts.admission.prices.hear(closed, now)
+        if self.parent is not None:
+            self.parent.add({}, closed)
+
     def _send_to(self, member: Member, now: float) -> None:
         parts = self.origin.parts
         self.member = member
--- a/tests/fleet_builders.py
+++ b/tests/fleet_builders.py
@@ -149,12 +149,18 @@
     """Membership, settings and roles of one node."""
 
     def __init__(
-        self, fleet: MemoryFleet, name: str, domain: str, service: str, version: int | None = None
+        self,
+        fleet: MemoryFleet,
+        name: str,
+        domain: str,
+        service: str,
+        version: int | None = None,
+        port: int | None = None,
     ) -> None:
         self.fleet, self.name, self.running = fleet, name, True
         self.clock = LoopClock()
         fleet.next_port += 1
-        self.address = Address("127.0.0.1", fleet.next_port)
+        self.address = Address("127.0.0.1", fleet.next_port if port is None else port)
         self.paused = False
         self.revisions: list[int] = []
         self.holder = SettingsHolder(KEYS, self._changed)
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -145,6 +145,24 @@
     assert run_virtual(scenario()) == []
 
 
+def test_a_restarted_member_without_seeds_or_platform_is_found_by_its_old_peers_in_two_seconds():
+    """Load pattern of trouble-3: nodes restart one after the other while the store is down."""
+
+    async def scenario():
+        fleet = await _fleet(12)
+        old = fleet.nodes["n004"]
+        old.membership.leave()
+        await asyncio.sleep(0.5)
+        await old.kill()
+        heir = fleet.add("n004", "d1", "s0", port=old.address.port)
+        heir.start()
+        await asyncio.sleep(2)
+        return len(heir.sees()), _routed_to(fleet, "n004")
+
+    seen, routed = run_virtual(scenario())
+    assert seen == 12 and len(routed) == 12
+
+
 def test_halves_of_a_cut_serve_their_own_and_merge_without_the_platform():
     async def scenario():
         fleet = await _fleet(10)
