--- a/packages/thorntray/src/thorntray/internal/process/call_parents.py
+++ b/packages/thorntray/src/thorntray/internal/process/call_parents.py
@@ -17,6 +17,9 @@
 INNER_ABOVE = 0.3  # matched share from which a route is an inner one
 
 
+EXPIRY_STEP = 0.004  # seconds between expiries that count as distinct
+
+
 class Run:
     """A request that runs at the instance, and what its calls have cost so far."""
 
@@ -39,6 +42,10 @@
         self.prices.update(prices)
 
 
+def _step(expiry: float) -> int:
+    return int(expiry / EXPIRY_STEP)
+
+
 def _expiry(run: Run) -> float:
     return run.expiry
 
@@ -48,6 +55,7 @@
 
     def __init__(self) -> None:
         self._runs: SortedKeyList = SortedKeyList(key=_expiry)
+        self._steps: dict[int, int] = {}  # runs by expiry in whole steps
 
     def __len__(self) -> int:
         return len(self._runs)
@@ -56,11 +64,27 @@
         """Note a request that begins."""
         run = Run(expiry, worth)
         self._runs.add(run)
+        step = _step(expiry)
+        self._steps[step] = self._steps.get(step, 0) + 1
         return run
 
     def end(self, run: Run) -> None:
         """Note its end."""
         self._runs.discard(run)
+        step = _step(run.expiry)
+        left = self._steps.get(step, 0) - 1
+        if left > 0:
+            self._steps[step] = left
+        else:
+            self._steps.pop(step, None)
+
+    def distinct_expiry(self, expiry: float, most_steps: int) -> float:
+        """Return the latest expiry, a few steps earlier at most, that no run has."""
+        step = _step(expiry)
+        for earlier in range(most_steps):
+            if step - earlier not in self._steps:
+                return expiry - earlier * EXPIRY_STEP
+        return expiry
 
     def parent_of(self, expiry: float) -> Run | None:
         """Return the run that expires when a nested call does, None if no run fits."""
--- a/packages/thorntray/src/thorntray/internal/process/ejection.py
+++ b/packages/thorntray/src/thorntray/internal/process/ejection.py
@@ -32,6 +32,7 @@
     def __init__(self, clock: Clock) -> None:
         self._clock = clock
         self._records: dict[str, _Record] = {}
+        self._last_until = float("-inf")  # when the last ejection ends
 
     def note(self, node: str, failed: bool) -> None:
         """Take the result of one attempt."""
@@ -47,6 +48,7 @@
             return
         if record.failing > EJECT_ABOVE:
             record.until = now + record.length
+            self._last_until = max(self._last_until, record.until)
             record.length = min(MAX_EJECTION, record.length * 2)
             record.failing = EJECT_ABOVE / 2  # one success after return clears it
 
@@ -57,6 +59,8 @@
     def keep(self, nodes: list[str]) -> set[str]:
         """Return the nodes that stay in rotation, at least all but the bounded share."""
         now = self._clock.monotonic()
+        if now >= self._last_until:
+            return set(nodes)
         ejected = [node for node in nodes if self._until(node) > now]
         allowed = int(len(nodes) * MAX_EJECTED_SHARE)
         ejected.sort(key=self._until, reverse=True)
--- a/packages/thorntray/src/thorntray/internal/request/origin.py
+++ b/packages/thorntray/src/thorntray/internal/request/origin.py
@@ -12,7 +12,7 @@
 from typing import NamedTuple, Protocol
 
 from thorntray.internal.connection.frame import CallFrame, ResultFrame
-from thorntray.internal.connection.header_names import HOP_HEADERS, HeaderNames
+from thorntray.internal.connection.header_names import FieldKind, FieldKinds, HeaderNames
 from thorntray.internal.connection.http_server import Exchange
 from thorntray.internal.connection.link import Link, Links
 from thorntray.internal.process.call_parents import InnerRoutes, Run, RunningCalls
@@ -95,10 +95,16 @@
     def __init__(self, parts: OriginParts) -> None:
         self.parts = parts
         names = parts.names
-        self._id_name = names.request_id.lower()
-        self._deadline_name = names.deadline_ms.lower()
-        own = {names.deadline_ms, names.expected_instance, names.caller_service}
-        self._dropped = HOP_HEADERS | {name.lower() for name in own}
+        self._fields = FieldKinds(
+            {
+                b"Connection": FieldKind.CONNECTION,
+                b"Host": FieldKind.HOST,
+                names.request_id: FieldKind.REQUEST_ID,
+                names.deadline_ms: FieldKind.DEADLINE,
+                names.expected_instance: FieldKind.DROPPED,
+                names.caller_service: FieldKind.DROPPED,
+            }
+        )
         self.inner_routes = InnerRoutes()
         self._split_credit: dict[tuple[str, str], float] = {}
 
@@ -123,22 +129,24 @@
 
     def read_head(self, headers: list[tuple[bytes, bytes]]) -> RequestHead:
         """Return what counts of the header fields; raises `BadHead`."""
-        host, request_id, deadline = b"", b"", None
+        host, request_id, deadline, named = b"", b"", None, b""
         lines: list[bytes] = []
-        dropped = self._dropped
-        for name, value in headers:
-            lower = name.lower()
-            if lower == b"connection":
-                dropped = dropped | {part.strip().lower() for part in value.split(b",")}
-            elif lower == b"host":
-                host = value
-            elif lower == self._id_name:
-                request_id = value
-            elif lower == self._deadline_name:
-                deadline = _seconds(value)
         for name, value in headers:
-            if name.lower() not in dropped:
-                lines.append(b"%b: %b\r\n" % (name, value))
+            match self._fields.kind(name):
+                case FieldKind.PASSED:
+                    lines.append(b"%b: %b\r\n" % (name, value))
+                case FieldKind.HOST:
+                    host = value
+                    lines.append(b"%b: %b\r\n" % (name, value))
+                case FieldKind.REQUEST_ID:
+                    request_id = value
+                    lines.append(b"%b: %b\r\n" % (name, value))
+                case FieldKind.DEADLINE:
+                    deadline = _seconds(value)
+                case FieldKind.CONNECTION:
+                    named = value.lower()
+        if named not in (b"", b"close", b"keep-alive"):
+            lines = _without(lines, named)
         if not request_id or not host:
             raise BadHead("host or request id is missing")
         host = host.rpartition(b":")[0] if host.rpartition(b":")[2].isdigit() else host
@@ -174,6 +182,12 @@
         return b"%b: %.3f\r\n" % (self.parts.names.retry_after, self.retry_after(seconds))
 
 
+def _without(lines: list[bytes], named: bytes) -> list[bytes]:
+    """Return the fields that a Connection field does not bind to the connection."""
+    bound = {part.strip() for part in named.split(b",")}
+    return [line for line in lines if line.partition(b":")[0].lower() not in bound]
+
+
 def _seconds(value: bytes) -> float:
     if not value.isdigit() or len(value) > 9:
         raise BadHead("the deadline is no whole number of milliseconds")
@@ -257,6 +271,7 @@
 
     def _end(self, result: Result) -> None:
         self.ended = True
+        self.exchange.on_cancel = None
         if self.timer is not None:
             self.timer.cancel()
         self.origin.parts.on_end(self, result)
--- a/packages/thorntray/src/thorntray/internal/request/owner.py
+++ b/packages/thorntray/src/thorntray/internal/request/owner.py
@@ -10,7 +10,7 @@
 from typing import NamedTuple
 
 from thorntray.internal.connection.frame import CallFrame
-from thorntray.internal.connection.header_names import HOP_HEADERS, HeaderNames
+from thorntray.internal.connection.header_names import FieldKind, FieldKinds, HeaderNames
 from thorntray.internal.connection.instance_pool import (
     Answer,
     AnswerFault,
@@ -32,7 +32,6 @@
 )
 
 MISDIRECTED = 421
-DEADLINE_STEP = 0.002  # seconds between the expiries that are handed out
 MAX_DEADLINE_STEPS = 15
 TIME_WEIGHT = 0.1  # of the newest service time in the moving average
 EXPIRY_GRACE = 0.15  # seconds past its time in which the instance may still answer
@@ -100,6 +99,7 @@
         if self.timer is not None:
             self.timer.cancel()
         self.owner.ended(self, result)
+        self.ticket.start = _nothing  # ends the cycle, so that no collector is needed
 
     def _give_up(self) -> None:
         expired = self.owner.parts.clock.monotonic() >= self.expiry - 2 * MIN_BUDGET
@@ -112,12 +112,17 @@
         self.owner.start(self)
 
 
+def _nothing() -> None:
+    """Start nothing."""
+
+
 class Owner:
     """Runs requests at the instance beside this node."""
 
     def __init__(self, parts: OwnerParts) -> None:
         self.parts = parts
         self.held: set[Held] = set()
+        self._answer_fields = FieldKinds({parts.names.not_run: FieldKind.NOT_RUN})
         self._service_time = 0.0  # seconds, moving average
         self._queue_wait = 0.0  # seconds, moving average
         self._unreachable_until = float("-inf")
@@ -207,13 +212,7 @@
 
     def _distinct_budget(self, expiry: float, now: float) -> int:
         """Return whole milliseconds whose end no other running request has."""
-        running = self.parts.running
-        for step in range(MAX_DEADLINE_STEPS):
-            wanted = expiry - step * DEADLINE_STEP
-            if running.parent_of(wanted) is None:
-                break
-        else:
-            wanted = expiry
+        wanted = self.parts.running.distinct_expiry(expiry, MAX_DEADLINE_STEPS)
         return max(1, int((wanted - now) * 1000))
 
     def _request_bytes(self, call: CallFrame, budget_ms: int) -> bytes:
@@ -255,14 +254,14 @@
     def _result_of_answer(
         self, status: int, headers: list[tuple[bytes, bytes]], body: bytes
     ) -> Result:
-        not_run_name = self.parts.names.not_run.lower()
         lines: list[bytes] = []
+        kinds = self._answer_fields
         for name, value in headers:
-            lower = name.lower()
-            if lower == not_run_name:
-                return not_run(Cause.REJECTED)
-            if lower not in HOP_HEADERS:
-                lines.append(b"%b: %b\r\n" % (name, value))
+            match kinds.kind(name):
+                case FieldKind.PASSED:
+                    lines.append(b"%b: %b\r\n" % (name, value))
+                case FieldKind.NOT_RUN:
+                    return not_run(Cause.REJECTED)
         if status == MISDIRECTED:
             return not_run(Cause.NO_INSTANCE)
         return Result(End.ANSWERED, status=status, header_lines=b"".join(lines), body=body)
