--- a/packages/thorntray/src/thorntray/internal/process/root_admission.py
+++ b/packages/thorntray/src/thorntray/internal/process/root_admission.py
@@ -2,7 +2,7 @@
 
 Load pattern: a surge, or clients that repeat at once, ask for more than the tightest service
 down the tree can carry. A call that is refused there wastes the whole tree above it. So the
-entry learns from finished requests what each route takes from each service (`RouteCosts`), hears
+entry learns from ended requests what each route takes from each service (`RouteCosts`), hears
 the present price of a slot-second there (`PriceTable`), and admits the share of a route's
 requests that its worth pays for. Shares change gradually around the break-even point, and a
 small share of every route stays admitted, so that nobody is shut out for long and prices are
@@ -51,6 +51,22 @@
                 old.calls + COST_WEIGHT * (new[1] - old.calls),
             )
 
+    def note_failed(self, route: str, costs: Costs) -> None:
+        """Take what one failed request took before it failed.
+
+        Its tree was cut short, so it shows no less than the costs of a whole one. When all
+        requests of a route fail, as after a restart under overload, there is nothing else to
+        learn from, and a route without known costs would be admitted for ever.
+        """
+        known = self._costs.setdefault(route, {})
+        for service, use in costs.items():
+            old = known.get(service, SlotUse(0.0, 0.0))
+            weight = COST_WEIGHT if old.calls else 1.0
+            known[service] = SlotUse(
+                old.seconds + weight * max(0.0, use[0] - old.seconds),
+                old.calls + weight * max(0.0, use[1] - old.calls),
+            )
+
     def of(self, route: str) -> Costs:
         """Return the costs of a route, empty when unknown."""
         return self._costs.get(route, {})
--- a/packages/thorntray/src/thorntray/internal/request/origin.py
+++ b/packages/thorntray/src/thorntray/internal/request/origin.py
@@ -376,9 +376,11 @@
         parts.admission.prices.hear(result.prices, now)
         if self.parent is not None:
             self.parent.add(result.costs, result.prices)
-        served = result.end is End.ANSWERED and result.status < 500
-        if served and not self.nested:
-            parts.admission.costs.note(self.route_key, result.costs)
+        if not self.nested and result.costs:
+            if result.end is End.ANSWERED and result.status < 500:
+                parts.admission.costs.note(self.route_key, result.costs)
+            else:
+                parts.admission.costs.note_failed(self.route_key, result.costs)
         match result.cause:
             case Cause.LOST | Cause.GARBLED | Cause.REJECTED:
                 parts.ejection.note(member.name, failed=True)
--- a/tests/test_slot_decisions.py
+++ b/tests/test_slot_decisions.py
@@ -128,6 +128,27 @@
     assert admitted(admission, "pickups", 2, 200, 1.0) == 1.0
 
 
+def test_a_route_whose_requests_all_fail_is_priced_out_after_a_restart_under_overload():
+    """Load pattern of incident 2e1b: all nodes restart while the stock service is short.
+
+    Every lookup failed after two of its eight calls there, so none was ever served.
+    """
+    admission = RootAdmission()
+    for _ in range(30):
+        admission.prices.hear({"stock": 20.0}, 1.0)
+    assert admitted(admission, "prices", 2, 50, 1.0) == 1.0
+    admission.costs.note_failed("prices", {"tariff": (0.5, 1), "stock": (0.12, 2)})
+    assert admitted(admission, "prices", 2, 200, 1.0) < 0.5
+
+
+def test_failures_never_lower_the_known_costs_of_a_route():
+    admission = RootAdmission()
+    admission.costs.note("prices", {"stock": SlotUse(0.24, 8)})
+    for _ in range(50):
+        admission.costs.note_failed("prices", {"stock": (0.03, 1)})
+    assert admission.costs.of("prices")["stock"] == SlotUse(0.24, 8)
+
+
 def test_a_price_that_is_not_heard_any_more_fades_so_that_a_route_opens_again():
     table = PriceTable()
     for _ in range(30):
