--- a/packages/thorntray/src/thorntray/internal/process/root_admission.py
+++ b/packages/thorntray/src/thorntray/internal/process/root_admission.py
@@ -108,7 +108,8 @@
     share = min(1.0, max(0.0, 0.5 - math.log(ratio) / (2 * BAND)))
     least = LEAST_SHARE
     if ratio > CLOSING_RATIO:
-        least = max(LAST_SHARE, LEAST_SHARE * CLOSING_RATIO / ratio)
+        # By the root, so that the dearest route is not shut out to keep the next one whole.
+        least = max(LAST_SHARE, LEAST_SHARE * math.sqrt(CLOSING_RATIO / ratio))
     return max(share, least)
 
 
