Payouts count far above lookups in admission; least shares close in proportion again

Tried and taken back: closing by the root of the price. Cause: the larger least shares of lookups filled the slots, the price rose to where payouts were refused. Change: the first rank counts 8 instead of 3, so that it is admitted while others are at their least.

--- a/packages/thorntray/src/thorntray/internal/process/root_admission.py
+++ b/packages/thorntray/src/thorntray/internal/process/root_admission.py
@@ -23,7 +23,9 @@
 LEAST_SHARE = 0.3  # of a route's requests, up to `CLOSING_RATIO`
 LAST_SHARE = 0.03  # of a route's requests, however high the price
 CLOSING_RATIO = 3.0  # price over worth from which the least share shrinks too
-WORTH_BY_PRIORITY = (3.0, 1.5, 1.0)  # of one request; lower ranks count as the last
+# Of one request; lower ranks count as the last. The first rank stands far above the others, so
+# that it is still admitted when all others are down to their least shares.
+WORTH_BY_PRIORITY = (8.0, 2.0, 1.0)
 
 
 def worth_of(priority: int) -> float:
@@ -108,8 +110,7 @@
     share = min(1.0, max(0.0, 0.5 - math.log(ratio) / (2 * BAND)))
     least = LEAST_SHARE
     if ratio > CLOSING_RATIO:
-        # By the root, so that the dearest route is not shut out to keep the next one whole.
-        least = max(LAST_SHARE, LEAST_SHARE * math.sqrt(CLOSING_RATIO / ratio))
+        least = max(LAST_SHARE, LEAST_SHARE * CLOSING_RATIO / ratio)
     return max(share, least)
 
 
