An instance is served on while its node stops, and asked where no other is open

Change: the node announces that it is not ready, but serves until callers have left; placement asks such a member where no other is open. Test: the last instance is served on while its node stops.

--- a/packages/thorntray-node/src/thorntray_node/mesh_node.py
+++ b/packages/thorntray-node/src/thorntray_node/mesh_node.py
@@ -36,6 +36,7 @@
 TICK = 0.1  # seconds between looks at the load
 HOUSEKEEPING_PERIOD = 0.5  # seconds
 UNREADY_LINGER = 2.2  # seconds after the first "not ready" in which callers still come
+STOP_POLL = 0.05  # seconds
 STOP_RESERVE = 0.4  # seconds of the stop limit that are left for closing
 OK, UNAVAILABLE = 200, 503
 
@@ -252,7 +253,7 @@
             self.queue.set_slots(current.slots, registration.cold)
         if not registration.open:
             self.owner.refuse_waiting(Cause.DRAINING)
-        self.membership.announce(ready=registration.open and current is not None)
+        self.membership.announce(ready=registration.open and not self.stopping)
 
     def _member_gone(self, name: str) -> None:
         self.links.forget(name)
@@ -316,14 +317,15 @@
         self.stopping = True
         log_event(Event.DRAIN_BEGUN, active=self.callers.active, held=len(self.owner.held))
         started = self.clock.monotonic()
-        self.registration.drain_node()
         self.callers.closing = True
+        self._instance_changed()
+        # Callers come until they have seen twice that this node is not ready, and the instance may
+        # be the last of its service, so both are served on meanwhile.
+        await asyncio.sleep(UNREADY_LINGER)
+        self.registration.drain_node()
         limit = started + self.cfg.stop_limit - STOP_RESERVE
-        while self.clock.monotonic() < limit:
-            lingered = self.clock.monotonic() - started > UNREADY_LINGER
-            if lingered and not self.callers.active and not self.owner.held:
-                break
-            await asyncio.sleep(0.05)
+        while self.clock.monotonic() < limit and (self.callers.active or self.owner.held):
+            await asyncio.sleep(STOP_POLL)
         seconds = round(self.clock.monotonic() - started, 3)
         log_event(Event.DRAIN_ENDED, seconds=seconds, active=self.callers.active)
         self.membership.leave()
--- a/packages/thorntray/src/thorntray/internal/process/placement.py
+++ b/packages/thorntray/src/thorntray/internal/process/placement.py
@@ -9,13 +9,14 @@
 Bytes between failure domains are dear and add delay, so another domain must be clearly faster.
 But an instance near its limit soon makes everybody wait, and a full one at home beside an idle one
 away wastes slots while callers are refused; so the last slots count as slower the fewer are left.
-A member whose node or instance did not take requests lately rests for a while.
+A member whose node or instance did not take requests lately rests for a while. Where no member is
+open, one whose node is about to stop is still asked: it serves until it ends, or refuses at once.
 """
 
 from random import Random
 
 from thorntray.internal.process.ejection import Ejection
-from thorntray.internal.process.member import Member
+from thorntray.internal.process.member import Health, Member
 from thorntray.internal.request.result import LoadReport
 
 AWAY_PENALTY = 0.06  # seconds added for another failure domain
@@ -78,15 +79,22 @@
     def pick(self, members: list[Member], route: str, tried: set[str], now: float) -> Member | None:
         """Return the member with the least expected time, None if no one may be tried."""
         routable = [m for m in members if m.routable and m.name not in tried]
+        if not routable:
+            return self._last_resort(members, tried, now)
         kept = self._ejection.keep([m.name for m in routable])
         pool = [m for m in routable if m.name in kept] or routable
         awake = [m for m in pool if self._load(m.name).rests_until <= now]
         pool = awake or pool
-        if not pool:
-            return None
         usual = self._usual_time(pool, route)
         return min(pool, key=lambda m: self._expected(m, route, usual, now))
 
+    def _last_resort(self, members: list[Member], tried: set[str], now: float) -> Member | None:
+        for member in members:
+            alive = member.health is Health.ALIVE and member.name not in tried
+            if alive and self._load(member.name).rests_until <= now:
+                return member
+        return None
+
     def expected_time(self, member: Member, route: str, now: float) -> float:
         """Return the seconds that a request is expected to take at a member."""
         return self._expected(member, route, UNKNOWN_SERVICE_TIME, now)
--- a/tests/test_lean_path.py
+++ b/tests/test_lean_path.py
@@ -252,6 +252,26 @@
     assert answer.endswith(b"slow") and not ready
 
 
+def test_the_last_instance_of_a_service_is_served_on_while_its_node_stops():
+    """Load pattern of trouble-1: the node of the only instance left is restarted."""
+
+    async def scenario(fleet):
+        node = await fleet.add("t1", "tariff")
+        other = await fleet.add("h1", "haul")
+        await fleet.settle()
+        stopping = asyncio.ensure_future(node.stop())
+        await asyncio.sleep(0.1)
+        other.membership.view.apply(node.membership.own)
+        ready = other.membership.find("t1").ready
+        answers = [await fleet.send("h1", b"POST", "/payouts/1", f"id-{n}") for n in range(3)]
+        await stopping
+        return ready, answers
+
+    ready, answers = play(scenario)
+    assert not ready
+    assert all(answer.startswith(b"HTTP/1.1 200") for answer in answers)
+
+
 def test_a_draining_instance_gets_nothing_that_waits_or_comes_later():
     async def scenario(fleet):
         node = await fleet.add("t1", "tariff", slow)
