Silent links are given up after 0.7 s, and their peers rest for a second

Cause: when a domain is cut off, requests to it hung for up to 1.6 s, longer than most routes' time-outs, and the next ones waited for a new dial. Change: ping after 0.2 s, lost 0.5 s later; a lost link or failed dial lets its member rest for 1 s and be probed at once.

--- a/packages/thorntray-node/src/thorntray_node/mesh_node.py
+++ b/packages/thorntray-node/src/thorntray_node/mesh_node.py
@@ -34,6 +34,7 @@
 from thorntray_node.mesh_config import MeshConfig
 
 TICK = 0.1  # seconds between looks at the load
+REST_AFTER_LINK_LOSS = 1.0  # seconds
 HOUSEKEEPING_PERIOD = 0.5  # seconds
 UNREADY_LINGER = 2.2  # seconds after the first "not ready" in which callers still come
 STOP_POLL = 0.05  # seconds
@@ -109,6 +110,7 @@
         self.holder = PolicyHolder(self._policy_changed)
         self.links = Links(cfg.name, self._session, cfg.domain, clock)
         self.links.on_other_frame = self._peer_frame
+        self.links.on_trouble = self._link_trouble
         self.ejection = Ejection(clock)
         self.placement = Placement(cfg.domain, self.ejection, self.rng)
         self.admission = RootAdmission()
@@ -260,6 +262,11 @@
         self.placement.forget(name)
         self.ejection.forget(name)
 
+    def _link_trouble(self, member: Member) -> None:
+        """Send nothing there for a while, and let the membership look at it now."""
+        self.placement.rest(member.name, self.clock.monotonic(), REST_AFTER_LINK_LOSS)
+        self.membership.doubt(member.name)
+
     def _owner_ended(self, call: CallFrame, result: Result, seconds: float) -> None:
         self.log.owner_ended(call, result, seconds)
 
--- a/packages/thorntray/src/thorntray/internal/connection/link.py
+++ b/packages/thorntray/src/thorntray/internal/connection/link.py
@@ -33,10 +33,9 @@
 from thorntray.internal.request.result import Cause
 
 CONNECT_TIMEOUT = 0.4  # seconds
-REDIAL_PAUSE = 0.3  # seconds after a failed dial in which the peer counts as unreachable
-PING_AFTER = 0.4  # seconds of silence
-SILENCE_LIMIT = 1.2  # seconds of silence after which a link is lost
-CHECK_PERIOD = 0.2  # seconds
+PING_AFTER = 0.2  # seconds of silence
+SILENCE_LIMIT = 0.5  # seconds without a sign of life after which a link is lost
+CHECK_PERIOD = 0.1  # seconds
 WRITE_BUFFER_LIMIT = 16 * 1024 * 1024  # bytes that a peer may leave unread
 COMPRESSION_LEVEL = 1
 PLAIN, COMPRESSED = b"\x00", b"\x01"  # first byte of a connection
@@ -167,6 +166,7 @@
 
 ResultHandler = Callable[[ResultFrame | Cause], None]
 FrameSink = Callable[[Member, Frame], None]
+LossSink = Callable[[Member], None]
 
 
 class Link:
@@ -179,25 +179,19 @@
         compressed: bool,
         clock: Clock,
         on_other_frame: FrameSink,
+        on_trouble: LossSink,
     ) -> None:
         self.member = member
         self._hello = hello
         self._compressed = compressed
         self._clock = clock
         self._on_other_frame = on_other_frame
+        self._on_trouble = on_trouble
         self._connection: LinkConnection | None = None
         self._waiting: dict[int, ResultHandler] = {}
         self._unsent: list[Frame] = []
         self._number = 0
         self._dialling: asyncio.Task[None] | None = None
-        self._failed_at = float("-inf")
-
-    @property
-    def reachable(self) -> bool:
-        """Return whether a request may be tried on this link now."""
-        if self._connection is not None and not self._connection.lost:
-            return True
-        return self._clock.monotonic() - self._failed_at > REDIAL_PAUSE
 
     def call(self, make_frame: Callable[[int], CallFrame], on_result: ResultHandler) -> int:
         """Send a call; `on_result` gets a cause if no result comes. Returns its number."""
@@ -217,10 +211,6 @@
             self._connection.send(CancelFrame(number))
         return True
 
-    def was_sent(self, number: int) -> bool:
-        """Return whether a call has left this node."""
-        return all(not isinstance(f, CallFrame) or f.number != number for f in self._unsent)
-
     def send(self, frame: Frame) -> None:
         """Send any frame, dialling first if need be."""
         if self._connection is not None and not self._connection.lost:
@@ -258,6 +248,7 @@
             return
         self._connection = None
         log_event(Event.LINK_LOST, peer=self.member.name, waiting=len(self._waiting))
+        self._on_trouble(self.member)
         unsent = {f.number for f in self._unsent if isinstance(f, CallFrame)}
         for number in [n for n in self._waiting if n not in unsent]:
             self._waiting.pop(number)(Cause.LOST)
@@ -270,7 +261,7 @@
             async with asyncio.timeout(CONNECT_TIMEOUT):
                 await loop.create_connection(lambda: connection, member.address, member.peer_port)
         except (OSError, TimeoutError) as exc:
-            self._failed_at = self._clock.monotonic()
+            self._on_trouble(member)
             log_event(Event.LINK_UNREACHABLE, peer=member.name, detail=repr(exc))
             self._dialling = None
             self._fail_unsent()
@@ -304,6 +295,7 @@
         self._clock = clock
         self._links: dict[str, Link] = {}
         self.on_other_frame: FrameSink = lambda member, frame: None
+        self.on_trouble: LossSink = lambda member: None
 
     def to(self, member: Member) -> Link:
         """Return the link to a peer; a restarted peer gets a new one."""
@@ -314,7 +306,14 @@
             link.close()
         compressed = member.domain != self._domain
         hello = Hello(self._name, self._session)
-        link = Link(member, hello, compressed, self._clock, lambda m, f: self.on_other_frame(m, f))
+        link = Link(
+            member,
+            hello,
+            compressed,
+            self._clock,
+            lambda m, f: self.on_other_frame(m, f),
+            lambda m: self.on_trouble(m),
+        )
         self._links[member.name] = link
         return link
 
--- a/tests/test_lean_path.py
+++ b/tests/test_lean_path.py
@@ -30,6 +30,11 @@
     return asyncio.run(work())
 
 
+PAYOUTS_OF_FIVE_SECONDS = make_route(
+    name="payouts", prefix="/payouts/", idempotent=False, priority=0, timeout=5.0
+)
+
+
 async def drops(request_id, writer):
     """Run the request and lose its answer."""
     writer.close()
@@ -131,6 +136,28 @@
     assert ran == [b"id-1"]
 
 
+def test_a_peer_that_falls_silent_is_left_within_a_second_and_rests():
+    """Load pattern of a cut domain: connections to it go silent without a reset."""
+
+    async def scenario(fleet):
+        owner = await fleet.add("t1", "tariff", silent)
+        origin = await fleet.add("h1", "haul")
+        await fleet.settle()
+        began = time.monotonic()
+        pending = asyncio.ensure_future(fleet.send("h1", b"POST", "/payouts/1", "id-1"))
+        await asyncio.sleep(0.1)
+        for link, _ in list(owner._held):
+            link._transport.pause_reading()
+        answer = await pending
+        seconds = time.monotonic() - began
+        load = origin.placement._load("t1")
+        return answer, seconds, load.rests_until > origin.clock.monotonic()
+
+    answer, seconds, rests = play(scenario, make_policy(routes=[PAYOUTS_OF_FIVE_SECONDS]))
+    assert answer.startswith(b"HTTP/1.1 502")
+    assert seconds < 1.3 and rests
+
+
 def test_work_for_a_caller_that_has_left_is_withdrawn_at_once():
     async def scenario(fleet):
         await fleet.add("t1", "tariff", silent)
