--- a/packages/thorntray/src/thorntray/internal/process/root_admission.py
+++ b/packages/thorntray/src/thorntray/internal/process/root_admission.py
@@ -74,6 +74,10 @@
         return self._costs.get(route, {})
 
 
+CLOSED_PRICE = 1000.0  # worth per slot-second, tells that a service takes nothing
+CLOSED_FOR = 0.25  # seconds for which that word counts
+
+
 class _Price(NamedTuple):
     value: float
     at: float  # monotonic seconds
@@ -84,15 +88,23 @@
 
     def __init__(self) -> None:
         self._prices: dict[str, _Price] = {}
+        self._closed_until: dict[str, float] = {}
 
     def hear(self, prices: dict[str, float], now: float) -> None:
         """Take the prices that came with a result."""
         for service, value in prices.items():
+            if value >= CLOSED_PRICE:
+                # No part of the average: the service opens again at its old price.
+                self._closed_until[service] = now + CLOSED_FOR
+                continue
+            self._closed_until.pop(service, None)
             old = self.price(service, now)
             self._prices[service] = _Price(old + PRICE_WEIGHT * (value - old), now)
 
     def price(self, service: str, now: float) -> float:
         """Return the price now; what was not heard lately fades."""
+        if now < self._closed_until.get(service, 0.0):
+            return CLOSED_PRICE
         known = self._prices.get(service)
         if known is None:
             return MIN_PRICE
--- a/packages/thorntray/src/thorntray/internal/request/origin.py
+++ b/packages/thorntray/src/thorntray/internal/request/origin.py
@@ -21,8 +21,7 @@
 from thorntray.internal.process.member import Member
 from thorntray.internal.process.placement import Placement
 from thorntray.internal.process.retry_budget import RetryBudget
-from thorntray.internal.process.root_admission import RootAdmission, worth_of
-from thorntray.internal.process.slot_price import MAX_PRICE
+from thorntray.internal.process.root_admission import CLOSED_PRICE, RootAdmission, worth_of
 from thorntray.internal.request.owner import Held, Owner
 from thorntray.internal.request.result import (
     NO_REPORT,
@@ -300,7 +299,7 @@
 
     def _tell_closed(self, now: float) -> None:
         """Let the entries know that a service takes nothing: trees that need it are wasted."""
-        closed = {self.service: MAX_PRICE}
+        closed = {self.service: CLOSED_PRICE}
         self.origin.parts.admission.prices.hear(closed, now)
         if self.parent is not None:
             self.parent.add({}, closed)
--- a/tests/test_slot_decisions.py
+++ b/tests/test_slot_decisions.py
@@ -11,6 +11,7 @@
 from thorntray.internal.process.placement import Placement
 from thorntray.internal.process.retry_budget import BudgetTerms, RetryBudget
 from thorntray.internal.process.root_admission import (
+    CLOSED_PRICE,
     LAST_SHARE,
     PriceTable,
     RootAdmission,
@@ -149,6 +150,19 @@
     assert admission.costs.of("prices")["stock"] == SlotUse(0.24, 8)
 
 
+def test_a_service_without_instances_closes_its_trees_and_opens_again_at_its_old_price():
+    """Load pattern of trouble-1: the only instance of a service is away for a second."""
+    admission = RootAdmission()
+    admission.costs.note("prices", {"haul": SlotUse(0.2, 1)})
+    admission.prices.hear({"haul": MIN_PRICE}, 1.0)
+    admission.prices.hear({"haul": CLOSED_PRICE}, 1.1)
+    assert admitted(admission, "prices", 2, 100, 1.2) < 0.1
+    assert admitted(admission, "prices", 2, 100, 1.6) > 0.9
+    admission.prices.hear({"haul": CLOSED_PRICE}, 1.7)
+    admission.prices.hear({"haul": MIN_PRICE}, 1.75)
+    assert admitted(admission, "prices", 2, 100, 1.8) > 0.9
+
+
 def test_a_price_that_is_not_heard_any_more_fades_so_that_a_route_opens_again():
     table = PriceTable()
     for _ in range(30):
