--- a/packages/thorntray/src/thorntray/internal/connection/header_names.py
+++ b/packages/thorntray/src/thorntray/internal/connection/header_names.py
@@ -44,6 +44,8 @@
     REQUEST_ID = auto()
     DEADLINE = auto()
     NOT_RUN = auto()
+    FRAMING = auto()
+    KEEP_ALIVE = auto()
 
 
 class FieldKinds:
--- a/packages/thorntray/src/thorntray/internal/connection/http_server.py
+++ b/packages/thorntray/src/thorntray/internal/connection/http_server.py
@@ -24,6 +24,7 @@
 BACKLOG = 1024  # connections that wait to be accepted
 
 _REASONS = {status.value: status.phrase.encode() for status in HTTPStatus}
+_WITHOUT_BODY = frozenset({b"GET", b"HEAD", b"DELETE", b"OPTIONS"})
 _CONTINUE = b"HTTP/1.1 100 Continue\r\n\r\n"
 
 Header = tuple[bytes, bytes]
@@ -199,6 +200,8 @@
 
     def on_headers_complete(self) -> None:
         """Let a caller that waits for it send its body."""
+        if self._parser.get_method() in _WITHOUT_BODY:
+            return
         for name, value in self._headers:
             if name.lower() == b"expect" and value.lower() == b"100-continue":
                 if not self.pending and self._transport is not None:
--- a/packages/thorntray/src/thorntray/internal/connection/instance_pool.py
+++ b/packages/thorntray/src/thorntray/internal/connection/instance_pool.py
@@ -18,6 +18,7 @@
 
 import httptools
 
+from thorntray.internal.connection.header_names import FieldKind, FieldKinds
 from thorntray.internal.connection.http_server import Header
 from thorntray.internal.process.clock import Clock
 
@@ -123,13 +124,18 @@
     def on_header(self, name: bytes, value: bytes) -> None:
         """Take one header field."""
         self._headers.append((name, value))
+        kind = self._pool.fields.kind(name)
+        if kind is FieldKind.REQUEST_ID:
+            self._answer_id = value
+        elif kind is FieldKind.FRAMING:
+            self._framed = True
+        elif kind is FieldKind.KEEP_ALIVE:
+            self._keep_alive = value
 
     def on_headers_complete(self) -> None:
         """Find out how the answer ends."""
-        names = {name.lower() for name, _ in self._headers}
-        framed = b"content-length" in names or b"transfer-encoding" in names
         status = self._parser.get_status_code()
-        self._until_close = not framed and status >= 200 and status not in (204, 304)
+        self._until_close = not self._framed and status >= 200 and status not in (204, 304)
         if self._head_only:
             self._finish(reusable=False)
 
@@ -146,23 +152,18 @@
         self._in_message = False
         if self._parser.get_status_code() < 200 or self._answer is not None:
             return
-        if self._id_of_answer() not in (self._request_id, None):
+        if self._answer_id not in (self._request_id, None):
             return  # a late answer to an earlier request
         self._finish(reusable=self._parser.should_keep_alive())
 
-    def _id_of_answer(self) -> bytes | None:
-        for name, value in self._headers:
-            if name.lower() == self._pool.id_header:
-                return value
-        return None
-
     def _finish(self, reusable: bool) -> None:
-        if self._id_of_answer() != self._request_id:
+        if self._answer_id != self._request_id:
             self._fault = AnswerFault.GARBLED
             return
         self._in_message = False
         self._reusable = reusable
-        self._note_lifetime()
+        if self._keep_alive is not None:
+            self.lifetime = _lifetime_from(self._keep_alive)
         self._answer = Answer(self._parser.get_status_code(), self._headers, b"".join(self._body))
 
     def _deliver(self) -> None:
@@ -180,11 +181,6 @@
         if done is not None:
             done(answer or fault or AnswerFault.LOST)
 
-    def _note_lifetime(self) -> None:
-        for name, value in self._headers:
-            if name.lower() == b"keep-alive":
-                self.lifetime = _lifetime_from(value)
-
     def _close(self) -> None:
         if not self.closed:
             self.closed = True
@@ -194,6 +190,9 @@
 
     def _clear(self) -> None:
         self._headers: list[Header] = []
+        self._answer_id: bytes | None = None
+        self._framed = False
+        self._keep_alive: bytes | None = None
         self._body: list[bytes] = []
         self._body_bytes = 0
 
@@ -231,7 +230,14 @@
 
     def __init__(self, host: str, port: int, id_header: bytes, clock: Clock) -> None:
         self.clock = clock
-        self.id_header = id_header  # in lower case
+        self.fields = FieldKinds(
+            {
+                id_header: FieldKind.REQUEST_ID,
+                b"Content-Length": FieldKind.FRAMING,
+                b"Transfer-Encoding": FieldKind.FRAMING,
+                b"Keep-Alive": FieldKind.KEEP_ALIVE,
+            }
+        )
         self._host = host
         self._port = port
         self._idle: list[InstanceConnection] = []
--- a/packages/thorntray/src/thorntray/internal/process/ejection.py
+++ b/packages/thorntray/src/thorntray/internal/process/ejection.py
@@ -56,11 +56,14 @@
         """Drop what is known of a peer that left."""
         self._records.pop(node, None)
 
+    @property
+    def active(self) -> bool:
+        """Return whether any peer may be ejected now."""
+        return self._clock.monotonic() < self._last_until
+
     def keep(self, nodes: list[str]) -> set[str]:
         """Return the nodes that stay in rotation, at least all but the bounded share."""
         now = self._clock.monotonic()
-        if now >= self._last_until:
-            return set(nodes)
         ejected = [node for node in nodes if self._until(node) > now]
         allowed = int(len(nodes) * MAX_EJECTED_SHARE)
         ejected.sort(key=self._until, reverse=True)
--- a/packages/thorntray/src/thorntray/internal/process/placement.py
+++ b/packages/thorntray/src/thorntray/internal/process/placement.py
@@ -26,6 +26,9 @@
 TIME_WEIGHT = 0.15  # of the newest service time of a member
 REST_AFTER_REFUSAL = 0.25  # seconds without new requests after a refusal that was not about load
 ASSUMED_LIMIT = 16  # slots of an instance that has not reported yet
+ALL_BELOW = 6  # members up to which all are compared
+HOME_SAMPLE = 4  # members of the own domain that are compared otherwise
+AWAY_SAMPLE = 2  # members of other domains that are compared otherwise
 REPORT_LIFETIME = 1.0  # seconds in which a report of load counts
 
 
@@ -49,6 +52,7 @@
         self._ejection = ejection
         self._rng = rng
         self._loads: dict[str, _Load] = {}
+        self._rest_ends = float("-inf")  # when the last rest ends
 
     def sent(self, member: str) -> None:
         """Note that a request is on its way."""
@@ -71,6 +75,7 @@
     def rest(self, member: str, now: float, seconds: float = REST_AFTER_REFUSAL) -> None:
         """Leave a member out for a while."""
         self._load(member).rests_until = now + seconds
+        self._rest_ends = max(self._rest_ends, now + seconds)
 
     def forget(self, member: str) -> None:
         """Drop what is known of a member that left."""
@@ -81,12 +86,33 @@
         routable = [m for m in members if m.routable and m.name not in tried]
         if not routable:
             return self._last_resort(members, tried, now)
-        kept = self._ejection.keep([m.name for m in routable])
-        pool = [m for m in routable if m.name in kept] or routable
-        awake = [m for m in pool if self._load(m.name).rests_until <= now]
-        pool = awake or pool
+        pool = self._sample(self._in_rotation(routable, now))
         usual = self._usual_time(pool, route)
-        return min(pool, key=lambda m: self._expected(m, route, usual, now))
+        best, least = pool[0], float("inf")
+        for member in pool:
+            expected = self._expected(member, route, usual, now)
+            if expected < least:
+                best, least = member, expected
+        return best
+
+    def _in_rotation(self, routable: list[Member], now: float) -> list[Member]:
+        """Return the members that are neither ejected nor resting, or else all of them."""
+        pool = routable
+        if self._ejection.active:
+            kept = self._ejection.keep([m.name for m in routable])
+            pool = [m for m in routable if m.name in kept] or routable
+        if now < self._rest_ends:
+            pool = [m for m in pool if self._load(m.name).rests_until <= now] or pool
+        return pool
+
+    def _sample(self, pool: list[Member]) -> list[Member]:
+        """Return the members at home and a few others: looking at all would cost with the fleet."""
+        if len(pool) <= ALL_BELOW:
+            return pool
+        home = [m for m in pool if m.domain == self._domain]
+        away = [m for m in pool if m.domain != self._domain]
+        sampled = self._rng.sample(home, min(HOME_SAMPLE, len(home)))
+        return sampled + self._rng.sample(away, min(AWAY_SAMPLE, len(away)))
 
     def _last_resort(self, members: list[Member], tried: set[str], now: float) -> Member | None:
         for member in members:
@@ -110,7 +136,8 @@
         fresh = now - load.reported_at < REPORT_LIFETIME
         present = report.in_flight + load.sent_since if fresh else load.out
         limit = report.limit or ASSUMED_LIMIT
-        wait = _congestion((present + 1) / limit, seconds)
+        load_share = (present + 1) / limit
+        wait = _congestion(load_share, seconds) if load_share > FILLING_ABOVE else 0.0
         if fresh:
             wait = max(wait, report.queue_wait)
         away = 0.0 if member.domain == self._domain else AWAY_PENALTY
--- a/packages/thorntray/src/thorntray/internal/process/request_log.py
+++ b/packages/thorntray/src/thorntray/internal/process/request_log.py
@@ -4,10 +4,11 @@
 a hash of the request's id, so that all nodes on its way keep the same ones.
 """
 
+from zlib import crc32
+
 from thorntray.internal.connection.frame import CallFrame
 from thorntray.internal.process.clock import Clock
 from thorntray.internal.process.events import Event, log_event
-from thorntray.internal.process.hashing import hash64
 from thorntray.internal.request.origin import OriginRequest
 from thorntray.internal.request.result import End, Result
 
@@ -64,4 +65,4 @@
 def _worth_a_line(request_id: bytes, result: Result) -> bool:
     if result.end is not End.ANSWERED or result.status >= 500:
         return True
-    return hash64(request_id.decode("latin-1")) % SAMPLE_ONE_IN == 0
+    return crc32(request_id) % SAMPLE_ONE_IN == 0
--- a/packages/thorntray/src/thorntray/internal/process/root_admission.py
+++ b/packages/thorntray/src/thorntray/internal/process/root_admission.py
@@ -90,8 +90,13 @@
         self._prices: dict[str, _Price] = {}
         self._closed_until: dict[str, float] = {}
 
-    def hear(self, prices: dict[str, float], now: float) -> None:
-        """Take the prices that came with a result."""
+    def hear(self, asked: str, prices: dict[str, float], now: float) -> None:
+        """Take the prices that came with a result of the service `asked`.
+
+        An idle service does not tell its price.
+        """
+        if asked not in prices and asked in self._prices:
+            prices = {**prices, asked: MIN_PRICE}
         for service, value in prices.items():
             if value >= CLOSED_PRICE:
                 # No part of the average: the service opens again at its old price.
--- a/packages/thorntray/src/thorntray/internal/request/origin.py
+++ b/packages/thorntray/src/thorntray/internal/request/origin.py
@@ -131,19 +131,20 @@
         host, request_id, deadline, named = b"", b"", None, b""
         lines: list[bytes] = []
         for name, value in headers:
-            match self._fields.kind(name):
-                case FieldKind.PASSED:
-                    lines.append(b"%b: %b\r\n" % (name, value))
-                case FieldKind.HOST:
-                    host = value
-                    lines.append(b"%b: %b\r\n" % (name, value))
-                case FieldKind.REQUEST_ID:
-                    request_id = value
-                    lines.append(b"%b: %b\r\n" % (name, value))
-                case FieldKind.DEADLINE:
-                    deadline = _seconds(value)
-                case FieldKind.CONNECTION:
-                    named = value.lower()
+            kind = self._fields.kind(name)
+            if kind is FieldKind.DROPPED:
+                continue
+            if kind is FieldKind.DEADLINE:
+                deadline = _seconds(value)
+                continue
+            if kind is FieldKind.CONNECTION:
+                named = value.lower()
+                continue
+            lines.append(b"%b: %b\r\n" % (name, value))
+            if kind is FieldKind.HOST:
+                host = value
+            elif kind is FieldKind.REQUEST_ID:
+                request_id = value
         if named not in (b"", b"close", b"keep-alive"):
             lines = _without(lines, named)
         if not request_id or not host:
@@ -300,7 +301,7 @@
     def _tell_closed(self, now: float) -> None:
         """Let the entries know that a service takes nothing: trees that need it are wasted."""
         closed = {self.service: CLOSED_PRICE}
-        self.origin.parts.admission.prices.hear(closed, now)
+        self.origin.parts.admission.prices.hear(self.service, closed, now)
         if self.parent is not None:
             self.parent.add({}, closed)
 
@@ -372,7 +373,7 @@
 
     def _learn(self, member: Member, result: Result, now: float) -> None:
         parts = self.origin.parts
-        parts.admission.prices.hear(result.prices, now)
+        parts.admission.prices.hear(self.service, result.prices, now)
         if self.parent is not None:
             self.parent.add(result.costs, result.prices)
         if not self.nested and result.costs:
--- a/packages/thorntray/src/thorntray/internal/request/owner.py
+++ b/packages/thorntray/src/thorntray/internal/request/owner.py
@@ -20,7 +20,7 @@
 from thorntray.internal.process.call_parents import Run, RunningCalls
 from thorntray.internal.process.clock import Clock
 from thorntray.internal.process.registration import Registration
-from thorntray.internal.process.slot_price import SlotPrice
+from thorntray.internal.process.slot_price import MIN_PRICE, SlotPrice
 from thorntray.internal.process.slot_queue import SlotQueue, Ticket
 from thorntray.internal.request.result import (
     Cause,
@@ -257,11 +257,11 @@
         lines: list[bytes] = []
         kinds = self._answer_fields
         for name, value in headers:
-            match kinds.kind(name):
-                case FieldKind.PASSED:
-                    lines.append(b"%b: %b\r\n" % (name, value))
-                case FieldKind.NOT_RUN:
-                    return not_run(Cause.REJECTED)
+            kind = kinds.kind(name)
+            if kind is FieldKind.PASSED:
+                lines.append(b"%b: %b\r\n" % (name, value))
+            elif kind is FieldKind.NOT_RUN:
+                return not_run(Cause.REJECTED)
         if status == MISDIRECTED:
             return not_run(Cause.NO_INSTANCE)
         return Result(End.ANSWERED, status=status, header_lines=b"".join(lines), body=body)
@@ -275,7 +275,9 @@
     def _with_report(self, held: Held, result: Result, now: float) -> Result:
         parts, run = self.parts, held.run
         costs: dict[str, tuple[float, float]] = {}
-        prices = {parts.service: parts.price.price}
+        # An idle service says nothing of its price: the usual case stays cheap.
+        price = parts.price.price
+        prices = {parts.service: price} if price > MIN_PRICE else {}
         service_time = 0.0
         if run is not None:
             held_for = now - held.started_at
@@ -284,7 +286,8 @@
                 self._service_time += TIME_WEIGHT * (held_for - self._service_time)
             run.add({parts.service: (held_for, 1.0)}, {})
             costs = run.costs
-            prices = {**run.prices, **prices}
+            if run.prices:
+                prices = {**run.prices, **prices}
         queue = parts.queue
         report = LoadReport(
             self._queue_wait, service_time, queue.in_flight + queue.waiting, queue.limit
--- a/tests/test_slot_decisions.py
+++ b/tests/test_slot_decisions.py
@@ -5,7 +5,7 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from tests.builders import make_member
+from tests.builders import ManualClock, make_member
 from thorntray.internal.process.call_parents import InnerRoutes, RunningCalls
 from thorntray.internal.process.ejection import Ejection
 from thorntray.internal.process.placement import Placement
@@ -120,7 +120,7 @@
     admission.costs.note("stock-view", {"stock": SlotUse(0.48, 1)})
     admission.costs.note("pickups", {"haul": SlotUse(0.3, 1)})
     for _ in range(30):
-        admission.prices.hear({"stock": 5.0, "haul": MIN_PRICE}, 1.0)
+        admission.prices.hear("stock", {"stock": 5.0, "haul": MIN_PRICE}, 1.0)
     views = admitted(admission, "stock-view", 2, 200, 1.0)
     prices = admitted(admission, "prices", 2, 200, 1.0)
     payouts = admitted(admission, "payouts", 0, 200, 1.0)
@@ -136,7 +136,7 @@
     """
     admission = RootAdmission()
     for _ in range(30):
-        admission.prices.hear({"stock": 20.0}, 1.0)
+        admission.prices.hear("stock", {"stock": 20.0}, 1.0)
     assert admitted(admission, "prices", 2, 50, 1.0) == 1.0
     admission.costs.note_failed("prices", {"tariff": (0.5, 1), "stock": (0.12, 2)})
     assert admitted(admission, "prices", 2, 200, 1.0) < 0.5
@@ -154,19 +154,19 @@
     """Load pattern of trouble-1: the only instance of a service is away for a second."""
     admission = RootAdmission()
     admission.costs.note("prices", {"haul": SlotUse(0.2, 1)})
-    admission.prices.hear({"haul": MIN_PRICE}, 1.0)
-    admission.prices.hear({"haul": CLOSED_PRICE}, 1.1)
+    admission.prices.hear("haul", {"haul": MIN_PRICE}, 1.0)
+    admission.prices.hear("haul", {"haul": CLOSED_PRICE}, 1.1)
     assert admitted(admission, "prices", 2, 100, 1.2) < 0.1
     assert admitted(admission, "prices", 2, 100, 1.6) > 0.9
-    admission.prices.hear({"haul": CLOSED_PRICE}, 1.7)
-    admission.prices.hear({"haul": MIN_PRICE}, 1.75)
+    admission.prices.hear("haul", {"haul": CLOSED_PRICE}, 1.7)
+    admission.prices.hear("haul", {"haul": MIN_PRICE}, 1.75)
     assert admitted(admission, "prices", 2, 100, 1.8) > 0.9
 
 
 def test_a_price_that_is_not_heard_any_more_fades_so_that_a_route_opens_again():
     table = PriceTable()
     for _ in range(30):
-        table.hear({"stock": 20.0}, 0.0)
+        table.hear("stock", {"stock": 20.0}, 0.0)
     assert table.price("stock", 0.1) > 15
     assert table.price("stock", 6.0) == MIN_PRICE
 
@@ -189,8 +189,7 @@
 
 def test_a_full_instance_at_home_does_not_leave_an_idle_one_away_unused():
     """Load pattern of scale-2: home ran 15 of 15 slots with a queue beside 1 of 15 away."""
-    ejection = Ejection(clock=None)
-    ejection.keep = lambda names: set(names)
+    ejection = Ejection(ManualClock())
     placement = Placement("home", ejection, Random(1))
     home = make_member("h", domain="home", service="s", ready=True)
     away = make_member("a", domain="away", service="s", ready=True)
@@ -202,8 +201,7 @@
 
 
 def test_a_slow_instance_gets_less_than_a_fast_one():
-    ejection = Ejection(clock=None)
-    ejection.keep = lambda names: set(names)
+    ejection = Ejection(ManualClock())
     placement = Placement("home", ejection, Random(1))
     members = [make_member(n, domain="home", service="s", ready=True) for n in ("fast", "slow")]
     for _ in range(20):
