--- a/packages/thorntray-node/src/thorntray_node/mesh_node.py
+++ b/packages/thorntray-node/src/thorntray_node/mesh_node.py
@@ -252,7 +252,7 @@
         registration = self.registration
         current = registration.current
         if current is not None and current.slots > 0:
-            self.queue.set_slots(current.slots, registration.cold)
+            self.queue.set_slots(current.slots)
         if not registration.open:
             self.owner.refuse_waiting(Cause.DRAINING)
         self.membership.announce(ready=registration.open and not self.stopping)
@@ -301,9 +301,6 @@
             self._log_load()
             self.registration.check_silence()
             self.pool.close_idle()
-            current = self.registration.current
-            if current is not None:
-                self.queue.set_slots(current.slots, self.registration.cold)
             self.budget.set_nodes(len(self.membership.alive()))
             policy = self.holder.policy
             if policy is not None:
--- a/packages/thorntray/src/thorntray/internal/process/registration.py
+++ b/packages/thorntray/src/thorntray/internal/process/registration.py
@@ -57,18 +57,12 @@
         self.accepting = False
         self.node_draining = False
         self._heard_at = clock.monotonic()
-        self._cold_until = 0.0
 
     @property
     def open(self) -> bool:
         """Return whether new work may be sent to the instance."""
         return self.accepting and not self.node_draining
 
-    @property
-    def cold(self) -> bool:
-        """Return whether the instance has just started and is slow."""
-        return self._clock.monotonic() < self._cold_until
-
     def set_place(self, service: str, address: str) -> None:
         """Take the service and address of changed settings."""
         if (service, address) != (self._service, self._address):
@@ -87,7 +81,6 @@
         changed = changed or said.phase is not self.current.phase
         self.current = said
         self._heard_at = self._clock.monotonic()
-        self._cold_until = self._heard_at + said.cold_remaining
         if said.phase is Phase.DRAINING:
             self._remember_gone(boot)
         if changed:
--- a/packages/thorntray/src/thorntray/internal/process/slot_queue.py
+++ b/packages/thorntray/src/thorntray/internal/process/slot_queue.py
@@ -7,6 +7,9 @@
 
 Calls of a request that already runs somewhere go before fresh requests of the same value: their
 parents hold slots elsewhere until they end.
+
+An instance that has just started is slower but has all its slots; it gets less because placement
+sees its longer times.
 """
 
 from collections.abc import Callable
@@ -14,7 +17,6 @@
 from sortedcontainers import SortedKeyList
 
 USABLE_SHARE = 0.94  # of the slots
-COLD_SHARE = 0.6  # of the slots of an instance that has just started
 NESTED_BONUS = 0.5  # of a step of worth
 
 
@@ -50,10 +52,9 @@
         """Return how many requests wait."""
         return len(self._waiting)
 
-    def set_slots(self, slots: int, cold: bool) -> None:
+    def set_slots(self, slots: int) -> None:
         """Take the number of slots that the instance has."""
-        share = COLD_SHARE if cold else USABLE_SHARE
-        self.limit = max(1, int(slots * share))
+        self.limit = max(1, int(slots * USABLE_SHARE))
         self._fill()
 
     def enter(self, ticket: Ticket) -> bool:
--- a/tests/test_slot_decisions.py
+++ b/tests/test_slot_decisions.py
@@ -34,7 +34,7 @@
 
 def full_queue(slots=16):
     queue = SlotQueue()
-    queue.set_slots(slots, cold=False)
+    queue.set_slots(slots)
     tickets = [Ticket(1.0, False, lambda: None) for _ in range(queue.limit)]
     for ticket in tickets:
         queue.enter(ticket)
@@ -76,7 +76,7 @@
 @given(st.lists(st.sampled_from(["enter", "release", "withdraw"]), max_size=60))
 def test_slots_in_use_equal_the_requests_that_hold_one(steps):
     queue = SlotQueue()
-    queue.set_slots(4, cold=False)
+    queue.set_slots(4)
     tickets = []
     for index, step in enumerate(steps):
         if step == "enter":
