--- a/packages/thorntray/src/thorntray/internal/process/root_admission.py
+++ b/packages/thorntray/src/thorntray/internal/process/root_admission.py
@@ -7,6 +7,9 @@
 requests that its worth pays for. Shares change gradually around the break-even point, and a
 small share of every route stays admitted, so that nobody is shut out for long and prices are
 heard again.
+
+A tree that will fail is worth nothing, however valuable its request: when a route's requests
+mostly end in failure, its worth counts less, and scarce slots go to what still succeeds.
 """
 
 import math
@@ -16,6 +19,8 @@
 from thorntray.internal.request.result import Costs, SlotUse
 
 COST_WEIGHT = 0.08  # of the newest request in a route's costs
+SUCCESS_WEIGHT = 0.1  # of the newest request in a route's success
+LEAST_SUCCESS = 0.1  # share of successes below which a route's worth falls no further
 PRICE_WEIGHT = 0.3  # of the newest report of a service's price
 PRICE_HALF_LIFE = 0.7  # seconds after which an unheard price has fallen to its half
 PRICE_LIFETIME = 0.3  # seconds in which a price is taken as heard
@@ -38,9 +43,11 @@
 
     def __init__(self) -> None:
         self._costs: dict[str, Costs] = {}
+        self._success: dict[str, float] = {}
 
     def note(self, route: str, costs: Costs) -> None:
         """Take what one served request took."""
+        self._note_end(route, 1.0)
         known = self._costs.setdefault(route, {})
         for service in known.keys() | costs.keys():
             old = known.get(service)
@@ -60,6 +67,7 @@
         requests of a route fail, as after a restart under overload, there is nothing else to
         learn from, and a route without known costs would be admitted for ever.
         """
+        self._note_end(route, 0.0)
         known = self._costs.setdefault(route, {})
         for service, use in costs.items():
             old = known.get(service, SlotUse(0.0, 0.0))
@@ -69,6 +77,14 @@
                 old.calls + weight * max(0.0, use[1] - old.calls),
             )
 
+    def success(self, route: str) -> float:
+        """Return the share of a route's begun requests that lately succeeded."""
+        return max(LEAST_SUCCESS, self._success.get(route, 1.0))
+
+    def _note_end(self, route: str, succeeded: float) -> None:
+        known = self._success.get(route, 1.0)
+        self._success[route] = known + SUCCESS_WEIGHT * (succeeded - known)
+
     def of(self, route: str) -> Costs:
         """Return the costs of a route, empty when unknown."""
         return self._costs.get(route, {})
@@ -141,13 +157,16 @@
         self.shares: dict[str, float] = {}  # as last used, by route
 
     def tree_price(self, route: str, now: float) -> float:
-        """Return the summed price of all slots that a request of a route will hold."""
-        costs = self.costs.of(route)
-        return sum(use.seconds * self.prices.price(service, now) for service, use in costs.items())
+        """Return the summed price of all slots that a request will hold; idle ones cost nothing."""
+        price = 0.0
+        for service, use in self.costs.of(route).items():
+            price += use.seconds * (self.prices.price(service, now) - MIN_PRICE)
+        return price
 
     def admit(self, route: str, priority: int, now: float) -> bool:
         """Return whether a request may begin; shares are kept by counting, not by chance."""
-        share = admitted_share(self.tree_price(route, now), worth_of(priority))
+        worth = worth_of(priority) * self.costs.success(route)
+        share = admitted_share(self.tree_price(route, now), worth)
         self.shares[route] = share
         credit = self._credit.get(route, 0.5) + share
         if credit >= 1.0:
--- a/tests/test_slot_decisions.py
+++ b/tests/test_slot_decisions.py
@@ -163,6 +163,28 @@
     assert admitted(admission, "prices", 2, 100, 1.8) > 0.9
 
 
+def test_scarce_slots_go_to_the_route_that_still_succeeds():
+    """Load pattern of a cold start: lookups of many calls all miss their time, views do not."""
+    admission = RootAdmission()
+    for _ in range(30):
+        admission.prices.hear("stock", {"stock": 3.0}, 1.0)
+        admission.costs.note("views", {"stock": SlotUse(0.24, 1)})
+        admission.costs.note("prices", {"stock": SlotUse(0.24, 8)})
+    before = admitted(admission, "prices", 2, 200, 1.0)
+    for _ in range(40):
+        admission.costs.note_failed("prices", {"stock": SlotUse(0.24, 8)})
+    assert admitted(admission, "prices", 2, 200, 1.0) < before / 1.5
+    assert admitted(admission, "views", 2, 200, 1.0) == before
+
+
+def test_failures_shut_nobody_out_while_slots_are_idle():
+    admission = RootAdmission()
+    admission.prices.hear("stock", {"stock": MIN_PRICE}, 1.0)
+    for _ in range(40):
+        admission.costs.note_failed("prices", {"stock": SlotUse(0.24, 8)})
+    assert admitted(admission, "prices", 2, 200, 1.0) == 1.0
+
+
 def test_a_price_that_is_not_heard_any_more_fades_so_that_a_route_opens_again():
     table = PriceTable()
     for _ in range(30):
