Cancelled calls of other requests may finish within a quarter of a second; fewer system calls

Change: a cancelled nested call keeps its slot for up to 0.25 s and its connection is used again; addresses and socket options that the loop sets anyway are no longer asked for.

--- a/packages/thorntray/src/thorntray/internal/connection/http_server.py
+++ b/packages/thorntray/src/thorntray/internal/connection/http_server.py
@@ -9,7 +9,6 @@
 """
 
 import asyncio
-import socket
 from collections import deque
 from collections.abc import Callable
 from http import HTTPStatus
@@ -46,7 +45,6 @@
     target: bytes
     headers: list[Header]
     body: bytes
-    peer_host: str
 
 
 class Exchange:
@@ -142,7 +140,6 @@
         self.pending: deque[Exchange] = deque()
         self._transport: asyncio.Transport | None = None
         self._parser = httptools.HttpRequestParser(self)
-        self._peer_host = ""
         self._active_at = server.clock.monotonic()
         self._reading_since: float | None = None  # when the first byte of a request came
         self._refused = False
@@ -150,12 +147,8 @@
         self._clear()
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
-        """Note the caller's address."""
+        """Count the connection."""
         self._transport = transport  # uvloop's is no subclass of asyncio.Transport
-        sock = transport.get_extra_info("socket")
-        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-        peer = transport.get_extra_info("peername")
-        self._peer_host = peer[0] if peer else ""
         self.server.connections.add(self)
 
     def data_received(self, data: bytes) -> None:
@@ -221,9 +214,7 @@
             return
         self._reading_since = None
         body = b"".join(self._body)
-        request = HttpRequest(
-            self._parser.get_method(), self._target, self._headers, body, self._peer_host
-        )
+        request = HttpRequest(self._parser.get_method(), self._target, self._headers, body)
         exchange = Exchange(self, request)
         exchange.keep_alive = self._parser.should_keep_alive()
         self.pending.append(exchange)
@@ -278,7 +269,7 @@
     def _refuse(self, status: int) -> None:
         """Answer a request that was not read to its end, and close after that answer."""
         self._refused = True
-        request = HttpRequest(b"GET", self._target, [], b"", self._peer_host)
+        request = HttpRequest(b"GET", self._target, [], b"")
         exchange = Exchange(self, request)
         exchange.keep_alive = False
         self.pending.append(exchange)
--- a/packages/thorntray/src/thorntray/internal/connection/instance_pool.py
+++ b/packages/thorntray/src/thorntray/internal/connection/instance_pool.py
@@ -11,7 +11,6 @@
 """
 
 import asyncio
-import socket
 from collections.abc import Callable
 from enum import Enum, auto
 from typing import NamedTuple
@@ -82,10 +81,8 @@
         self._close()
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
-        """Send small requests without delay."""
+        """Keep the transport; the loop sends small requests without delay."""
         self._transport = transport  # uvloop's is no subclass of asyncio.Transport
-        sock = transport.get_extra_info("socket")
-        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
 
     def data_received(self, data: bytes) -> None:
         """Parse an answer; bytes that nobody asked for end the connection."""
--- a/packages/thorntray/src/thorntray/internal/connection/link.py
+++ b/packages/thorntray/src/thorntray/internal/connection/link.py
@@ -10,7 +10,6 @@
 """
 
 import asyncio
-import socket
 import zlib
 from collections.abc import Callable
 from typing import Protocol
@@ -83,8 +82,6 @@
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Introduce this node if it has dialled."""
         self._transport = transport  # uvloop's is no subclass of asyncio.Transport
-        sock = transport.get_extra_info("socket")
-        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         if self._hello is not None:
             transport.write(COMPRESSED if self._compressed else PLAIN)
             if self._compressed:
--- a/packages/thorntray/src/thorntray/internal/request/owner.py
+++ b/packages/thorntray/src/thorntray/internal/request/owner.py
@@ -35,6 +35,7 @@
 MAX_DEADLINE_STEPS = 15
 TIME_WEIGHT = 0.1  # of the newest service time in the moving average
 EXPIRY_GRACE = 0.15  # seconds past its time in which the instance may still answer
+DETACHED_TIME = 0.25  # seconds that a cancelled call may still run at the instance
 MIN_BUDGET = 0.002  # seconds below which a request is not begun
 UNREACHABLE_PAUSE = 0.3  # seconds without new work after a failed connect
 _BODY_METHODS = frozenset({b"POST", b"PUT", b"PATCH"})
@@ -60,7 +61,7 @@
     """One request at this node, until its result is given."""
 
     __slots__ = ("owner", "call", "sink", "expiry", "ticket", "run", "sending", "timer")
-    __slots__ += ("arrived_at", "started_at", "ended")
+    __slots__ += ("arrived_at", "started_at", "ended", "detached")
 
     def __init__(self, owner: "Owner", call: CallFrame, sink: ResultSink) -> None:
         self.owner = owner
@@ -74,6 +75,7 @@
         self.timer: asyncio.TimerHandle | None = None
         self.started_at = 0.0
         self.ended = False
+        self.detached = False  # whether nobody waits for the result any more
 
     def cancel(self) -> None:
         """Withdraw the request; one that runs and must run once goes on."""
@@ -81,9 +83,25 @@
             return
         if self.sending is None:
             self.end(not_run(Cause.CANCELLED))
-        elif self.call.idempotent:
+        elif self.call.idempotent and not self.detached:
+            self._detach()
+
+    def _detach(self) -> None:
+        """Let the instance finish a short call of another request; abort what takes longer.
+
+        When a request fails, the calls that it has under way are cancelled by the dozen. Aborting
+        them means as many new connections, which cost more than the rest of these calls.
+        """
+        self.detached = True
+        if self.timer is not None:
+            self.timer.cancel()
+        left = DETACHED_TIME if self.call.nested else 0.0
+        self.timer = asyncio.get_running_loop().call_later(left, self._abort)
+
+    def _abort(self) -> None:
+        if self.sending is not None:
             self.sending.cancel()
-            self.end(unknown(Cause.CANCELLED))
+        self.end(unknown(Cause.CANCELLED))
 
     def wait(self) -> None:
         """Bound the wait for a slot."""
--- a/tests/test_lean_path.py
+++ b/tests/test_lean_path.py
@@ -11,6 +11,7 @@
     answer_bytes,
     header_of,
     make_announcement,
+    make_call,
     make_policy,
     make_route,
     request_bytes,
@@ -173,6 +174,27 @@
     assert play(scenario) == ([b"id-1"], 1)
 
 
+def test_a_cancelled_call_of_another_request_is_finished_if_short_and_aborted_if_not():
+    """Load pattern of the kite clubs' scale-1: failing requests cancel ten calls each."""
+
+    async def scenario(fleet, seconds):
+        async def reply(request_id, writer):
+            await asyncio.sleep(seconds)
+            writer.write(answer_bytes(request_id))
+
+        node = await fleet.add("t1", "tariff", reply)
+        await fleet.settle()
+        call = make_call(nested=True, budget=3.0)
+        held = node.owner.submit(call, lambda result: None)
+        await asyncio.sleep(0.05)
+        held.cancel()
+        await asyncio.sleep(0.4)
+        return len(node.owner.held), node.queue.in_flight, len(node.pool._idle)
+
+    assert play(lambda fleet: scenario(fleet, 0.1)) == (0, 0, 1)
+    assert play(lambda fleet: scenario(fleet, 2.0)) == (0, 0, 0)
+
+
 def test_a_request_is_answered_at_its_routes_timeout():
     async def scenario(fleet):
         await fleet.add("t1", "tariff", silent)
