--- a/tests/test_instance_pool.py
+++ b/tests/test_instance_pool.py
@@ -118,6 +118,8 @@
             writer.write(answer_bytes(request_id, b"one"))
         else:
             writer.write(answer_bytes(b"id-1", b"one again"))
+            await writer.drain()
+            await asyncio.sleep(0.1)
             writer.write(answer_bytes(request_id, b"two"))
 
     async def scenario(pool, instance):
--- a/tests/test_lean_path.py
+++ b/tests/test_lean_path.py
@@ -120,6 +120,37 @@
     assert without[:12] in (b"HTTP/1.1 502", b"HTTP/1.1 200")
 
 
+def test_an_unknown_end_stays_unknown_when_the_next_instance_refuses():
+    async def scenario(fleet):
+        await fleet.add("t1", "tariff", drops)
+        refusing = await fleet.add("t2", "tariff")
+        node = await fleet.add("h1", "haul")
+        await fleet.settle()
+        refusing.registration.accepting = False
+        node.placement.rest("t2", node.clock.monotonic(), 5.0)
+        node.budget._tokens["tariff"] = 5.0
+        return await fleet.get("h1", "/prices/1", "id-1"), fleet.instances["t1"].ran
+
+    answer, ran = play(scenario)
+    assert ran == [b"id-1"]
+    assert answer.startswith(b"HTTP/1.1 502")
+
+
+def test_a_lookup_is_sent_to_no_more_instances_than_its_route_allows():
+    async def scenario(fleet):
+        for name in ("t1", "t2", "t3"):
+            await fleet.add(name, "tariff", drops)
+        node = await fleet.add("h1", "haul")
+        await fleet.settle()
+        node.budget._tokens["tariff"] = 50.0
+        answer = await fleet.get("h1", "/prices/1", "id-1")
+        return answer, sum(len(instance.ran) for instance in fleet.instances.values())
+
+    answer, ran = play(scenario)
+    assert answer.startswith(b"HTTP/1.1 502")
+    assert ran == make_route().max_attempts
+
+
 def test_a_lost_link_leaves_a_payout_unknown():
     async def scenario(fleet):
         owner = await fleet.add("t1", "tariff", slow)
--- a/tests/test_registration.py
+++ b/tests/test_registration.py
@@ -30,6 +30,13 @@
     assert not registration.open
 
 
+def test_a_late_announcement_does_not_replace_a_newer_one():
+    registration, _, _ = make_registration()
+    registration.take(make_announcement(sequence=5, slots=16))
+    registration.take(make_announcement(sequence=4, slots=8))
+    assert registration.current.slots == 16
+
+
 def test_an_instance_that_deregisters_without_draining_gets_no_new_work():
     registration, _, _ = make_registration()
     registration.take(make_announcement())
