--- a/packages/thorntray/src/thorntray/internal/request/origin.py
+++ b/packages/thorntray/src/thorntray/internal/request/origin.py
@@ -44,6 +44,8 @@
 NO_POLICY_RETRY = 0.5  # seconds
 MAX_LEAF_CALLS = 1.5  # calls of a tree up to which a failed answer is asked for again
 
+# Refusals that show an instance at work: the service is short of slots, not closed.
+_BUSY_CAUSES = frozenset({Cause.FULL, Cause.EXPIRED, Cause.REJECTED})
 NOT_FOUND, BAD_REQUEST, UNAVAILABLE, BAD_GATEWAY, GATEWAY_TIMEOUT = 404, 400, 503, 502, 504
 
 
@@ -199,7 +201,17 @@
 
     __slots__ = ("origin", "exchange", "head", "route", "service", "route_key", "parent", "worth")
     __slots__ += ("arrived_at", "expiry", "timer", "tried", "refusals", "arrivals", "maybe_ran")
-    __slots__ += ("member", "held", "link", "number", "ended", "attempt", "sent_at", "nested")
+    __slots__ += (
+        "member",
+        "held",
+        "link",
+        "number",
+        "ended",
+        "attempt",
+        "sent_at",
+        "nested",
+        "found_full",
+    )
 
     def __init__(self, origin: Origin, exchange: Exchange, head: RequestHead, route: Route) -> None:
         self.origin = origin
@@ -220,6 +232,7 @@
         self.arrivals = 0
         self.attempt = 0
         self.maybe_ran = False
+        self.found_full = False  # whether an instance refused because of its load
         self.member: Member | None = None
         self.held: Held | None = None
         self.link: Link | None = None
@@ -293,7 +306,8 @@
         members = parts.directory.members_of(self.service)
         member = parts.placement.pick(members, self.route_key, self.tried, now)
         if member is None:
-            self._tell_closed(now)
+            if not self.found_full:
+                self._tell_closed(now)
             self._give_up(not_run(Cause.NO_INSTANCE, NO_INSTANCE_RETRY))
             return
         self._send_to(member, now)
@@ -402,6 +416,7 @@
             self.arrivals += 1
         else:
             self.refusals += 1
+        self.found_full = self.found_full or result.cause in _BUSY_CAUSES
         if now >= self.expiry or result.cause is Cause.EXPIRED:
             self._give_up(result)
         elif arrived and not self._may_repeat(result):
--- a/tests/test_lean_path.py
+++ b/tests/test_lean_path.py
@@ -17,6 +17,7 @@
     request_bytes,
 )
 from thorntray.internal.process.registration import Phase
+from thorntray.internal.process.root_admission import CLOSED_PRICE
 from thorntray.internal.request.result import Cause
 
 
@@ -151,6 +152,25 @@
     assert ran == make_route().max_attempts
 
 
+@pytest.mark.parametrize(("full", "price_is_closed"), [(True, False), (False, True)])
+def test_a_full_service_is_not_told_as_closed(full, price_is_closed):
+    async def scenario(fleet):
+        owner = await fleet.add("t1", "tariff", silent)
+        node = await fleet.add("h1", "haul")
+        await fleet.settle()
+        if full:
+            owner.queue.limit = 0
+        else:
+            owner.registration.accepting = False
+        answer = await fleet.get("h1", "/prices/1", "id-1")
+        price = node.admission.prices.price("tariff", node.clock.monotonic())
+        return answer, price >= CLOSED_PRICE
+
+    answer, closed = play(scenario)
+    assert answer.startswith(b"HTTP/1.1 503")
+    assert closed is price_is_closed
+
+
 def test_a_lost_link_leaves_a_payout_unknown():
     async def scenario(fleet):
         owner = await fleet.add("t1", "tariff", slow)
