--- a/packages/thorntray-node/src/thorntray_node/mesh_node.py
+++ b/packages/thorntray-node/src/thorntray_node/mesh_node.py
@@ -19,7 +19,6 @@
 from thorntray.internal.process.placement import Placement
 from thorntray.internal.process.policy_watch import PolicyDecoder, PolicyStore, PolicyWatch
 from thorntray.internal.process.registration import Registration
-from thorntray.internal.process.request_log import RequestLog
 from thorntray.internal.process.retry_budget import RetryBudget
 from thorntray.internal.process.root_admission import RootAdmission
 from thorntray.internal.process.seeds import PlatformState, SeedPace, Seeds, SeedStore
@@ -27,9 +26,12 @@
 from thorntray.internal.process.slot_queue import SlotQueue
 from thorntray.internal.process.tasks import BackgroundTasks
 from thorntray.internal.process.udp import UdpTransport
-from thorntray.internal.request.origin import Origin, OriginParts, OriginRequest, result_frame
+from thorntray.internal.request.origin import Origin
+from thorntray.internal.request.origin_request import OriginParts, OriginRequest
 from thorntray.internal.request.owner import Held, Owner, OwnerParts
+from thorntray.internal.request.request_log import RequestLog
 from thorntray.internal.request.result import Cause, Result
+from thorntray.internal.request.result_frames import result_frame
 from thorntray.internal.version.policy import Policy, PolicyHolder
 from thorntray_node.mesh_config import MeshConfig
 
