--- a/packages/thorntray/src/thorntray/internal/process/placement.py
+++ b/packages/thorntray/src/thorntray/internal/process/placement.py
@@ -121,10 +121,6 @@
                 return member
         return None
 
-    def expected_time(self, member: Member, route: str, now: float) -> float:
-        """Return the seconds that a request is expected to take at a member."""
-        return self._expected(member, route, UNKNOWN_SERVICE_TIME, now)
-
     def _usual_time(self, pool: list[Member], route: str) -> float:
         times = [t for m in pool if (t := self._load(m.name).service_time.get(route))]
         return min(times) if times else UNKNOWN_SERVICE_TIME
