--- a/packages/thorntray/src/thorntray/internal/process/registration.py
+++ b/packages/thorntray/src/thorntray/internal/process/registration.py
@@ -14,6 +14,7 @@
 from thorntray.internal.process.events import Event, log_event
 
 MAX_GONE_BOOTS = 64  # boots that have left and are remembered
+MS_PER_SECOND = 1000
 SILENT_AFTER = 6.0  # seconds without an announcement after which an instance counts as gone
 
 
@@ -53,6 +54,7 @@
         self._clock = clock
         self._on_change = on_change
         self._gone: dict[_Boot, None] = {}
+        self._left_at: dict[str, float] = {}  # milliseconds since 1970, by id of unknown boot
         self.current: Announcement | None = None
         self.accepting = False
         self.node_draining = False
@@ -75,7 +77,7 @@
         if said.service != self._service or said.address != self._address:
             return False
         boot = _Boot(said.instance_id, said.born)
-        if boot in self._gone or not self._is_news(said):
+        if self._is_gone(boot) or not self._is_news(said):
             return True
         changed = self.current is None or said[:2] != self.current[:2]
         changed = changed or said.phase is not self.current.phase
@@ -102,6 +104,10 @@
                 self._remember_gone(_Boot(instance_id, current.born))
                 log_event(Event.INSTANCE_LEFT, instance=instance_id)
                 self._set_accepting(False)
+        elif born is None:
+            # This node has started again and knows no boot of the id: all until now are meant.
+            self._left_at[instance_id] = self._clock.time() * MS_PER_SECOND
+            log_event(Event.INSTANCE_LEFT, instance=instance_id)
         if born is not None:
             self._remember_gone(_Boot(instance_id, born))
 
@@ -116,6 +122,10 @@
         self.node_draining = True
         self._on_change()
 
+    def _is_gone(self, boot: _Boot) -> bool:
+        left_at = self._left_at.get(boot.instance_id)
+        return boot in self._gone or (left_at is not None and boot.born <= left_at)
+
     def _is_news(self, said: Announcement) -> bool:
         current = self.current
         if current is None or said.born > current.born:
--- a/tests/test_registration.py
+++ b/tests/test_registration.py
@@ -45,6 +45,17 @@
     assert not registration.open
 
 
+def test_an_instance_that_leaves_before_its_restarted_node_knows_it_stays_gone():
+    """Load pattern of hunt-853e-3: the node starts again, and hears first that the instance leaves."""
+    registration, clock, _ = make_registration()
+    registration.leave("i-1", None)
+    registration.take(make_announcement(sequence=19))
+    assert not registration.open
+    born_later = int(clock.time() * 1000) + 500
+    registration.take(make_announcement(born=born_later, sequence=1))
+    assert registration.open
+
+
 def test_the_same_id_started_again_counts_from_the_beginning():
     registration, _, _ = make_registration()
     registration.take(make_announcement(sequence=50))
