--- a/tests/test_registration.py
+++ b/tests/test_registration.py
@@ -46,7 +46,7 @@
 
 
 def test_an_instance_that_leaves_before_its_restarted_node_knows_it_stays_gone():
-    """Load pattern of hunt-853e-3: a node that starts again hears first that its instance leaves."""
+    """Load pattern of hunt-853e-3: a restarted node hears first that its instance leaves."""
     registration, clock, _ = make_registration()
     registration.leave("i-1", None)
     registration.take(make_announcement(sequence=19))
