The failing share of an instance counts as time in placement

Each origin alone sees few answers of one instance.

Ruled out: a lower ejection threshold alone; one origin's sample is too small to tell 0.4 from bad luck, and an ejection closes an instance whose other answers are good.

Change: the node in front of an instance keeps the failing share of what it sent (a 5xx after nested calls says nothing) and tells it with each result; placement adds 0.5 s at a full share, faded by the age of the word. An own 5xx counts in ejection as well.

--- a/packages/thorntray/src/thorntray/internal/connection/frame.py
+++ b/packages/thorntray/src/thorntray/internal/connection/frame.py
@@ -58,6 +58,7 @@
     service_time: float
     in_flight: int
     limit: int
+    failing: float
 
 
 class CancelFrame(msgspec.Struct, tag=3, array_like=True, frozen=True):
--- a/packages/thorntray/src/thorntray/internal/process/call_parents.py
+++ b/packages/thorntray/src/thorntray/internal/process/call_parents.py
@@ -23,13 +23,14 @@
 class Run:
     """A request that runs at the instance, and what its calls have cost so far."""
 
-    __slots__ = ("expiry", "worth", "costs", "prices")
+    __slots__ = ("expiry", "worth", "costs", "prices", "made_calls")
 
     def __init__(self, expiry: float, worth: float) -> None:
         self.expiry = expiry  # monotonic seconds
         self.worth = worth
         self.costs: dict[str, tuple[float, float]] = {}
         self.prices: dict[str, float] = {}
+        self.made_calls = False  # whether a nested call was counted to it
 
     def add(self, costs: dict[str, tuple[float, float]], prices: dict[str, float]) -> None:
         """Count what one nested call took, and keep the prices that it told."""
--- a/packages/thorntray/src/thorntray/internal/process/placement.py
+++ b/packages/thorntray/src/thorntray/internal/process/placement.py
@@ -9,6 +9,8 @@
 Bytes between failure domains are dear and add delay, so another domain must be clearly faster.
 But an instance near its limit soon makes everybody wait, and a full one at home beside an idle one
 away wastes slots while callers are refused; so the last slots count as slower the fewer are left.
+An instance that fails a share of its requests counts as slower by that share: a failed call costs
+another one, or the whole request above it.
 A member whose node or instance did not take requests lately rests for a while. Where no member is
 open, one whose node is about to stop is still asked: it serves until it ends, or refuses at once.
 """
@@ -22,6 +24,9 @@
 AWAY_PENALTY = 0.06  # seconds added for another failure domain
 FILLING_ABOVE = 0.65  # share of the limit in use from which an instance counts as slower
 FULL_PENALTY = 0.15  # seconds added when the last slot is in use
+FAILING_PENALTY = 0.5  # seconds added for an instance that fails all its requests
+NEGLIGIBLE_SHARE = 0.02  # failing share that counts as none
+FAILING_HALF_LIFE = 2.0  # seconds after which a failing share that was told counts half
 UNKNOWN_SERVICE_TIME = 0.05  # seconds, before the first result
 TIME_WEIGHT = 0.15  # of the newest service time of a member
 REST_AFTER_REFUSAL = 0.25  # seconds without new requests after a refusal that was not about load
@@ -137,8 +142,9 @@
         if fresh:
             wait = max(wait, report.queue_wait)
         away = 0.0 if member.domain == self._domain else AWAY_PENALTY
+        failing = _failing_penalty(report.failing, now - load.reported_at)
         jitter = self._rng.random() * 0.002
-        return seconds + wait + away + jitter
+        return seconds + wait + away + failing + jitter
 
     def _load(self, member: str) -> _Load:
         load = self._loads.get(member)
@@ -147,6 +153,16 @@
         return load
 
 
+def _failing_penalty(share: float, age: float) -> float:
+    """Return the seconds to add for a failing share that was told `age` seconds ago.
+
+    It fades, since an instance that is avoided shows no success.
+    """
+    if share < NEGLIGIBLE_SHARE:
+        return 0.0
+    return float(FAILING_PENALTY * share * 0.5 ** (age / FAILING_HALF_LIFE))
+
+
 def _congestion(load: float, seconds: float) -> float:
     """Return the seconds to add for an instance at a share `load` of its limit."""
     filling = min(1.0, max(0.0, (load - FILLING_ABOVE) / (1.0 - FILLING_ABOVE)))
--- a/packages/thorntray/src/thorntray/internal/request/origin_request.py
+++ b/packages/thorntray/src/thorntray/internal/request/origin_request.py
@@ -190,6 +190,7 @@
         if self.nested and self.parent is None:
             self.parent = running.outliving(expiry)
         if self.parent is not None:
+            self.parent.made_calls = True
             self.worth = self.parent.worth
 
     def cancel(self) -> None:
@@ -324,11 +325,15 @@
             case Cause.NO_INSTANCE | Cause.DRAINING:
                 parts.placement.rest(member.name, now)
             case Cause.NONE:
-                parts.ejection.note(member.name, failed=False)
+                parts.ejection.note(member.name, failed=self._failed_by_itself(result))
 
     def _ask_again(self, result: Result) -> bool:
         """Return whether a failure of the instance is worth another attempt."""
-        if result.status < 500 or not self.route.idempotent:
+        return self.route.idempotent and self._failed_by_itself(result)
+
+    def _failed_by_itself(self, result: Result) -> bool:
+        """Return whether an instance failed that had made no calls which may be the cause."""
+        if result.status < 500:
             return False
         return sum(use[1] for use in result.costs.values()) <= MAX_LEAF_CALLS
 
--- a/packages/thorntray/src/thorntray/internal/request/owner.py
+++ b/packages/thorntray/src/thorntray/internal/request/owner.py
@@ -19,6 +19,7 @@
 )
 from thorntray.internal.process.call_parents import Run, RunningCalls
 from thorntray.internal.process.clock import Clock
+from thorntray.internal.process.failing_share import FailingShare
 from thorntray.internal.process.registration import Registration
 from thorntray.internal.process.slot_price import MIN_PRICE, SlotPrice
 from thorntray.internal.process.slot_queue import SlotQueue, Ticket
@@ -143,6 +144,7 @@
         self._answer_fields = FieldKinds({parts.names.not_run: FieldKind.NOT_RUN})
         self._service_time = 0.0  # seconds, moving average
         self._queue_wait = 0.0  # seconds, moving average
+        self._failing = FailingShare()
         self._unreachable_until = float("-inf")
 
     @property
@@ -200,6 +202,7 @@
         parts.queue.withdraw(held.ticket)
         if held.run is not None:
             parts.running.end(held.run)
+            self._failing.note(result, held.run.made_calls)
         if held.ticket.holds_slot:
             parts.queue.release(held.ticket)
         result = self._with_report(held, result, now)
@@ -308,6 +311,10 @@
                 prices = {**run.prices, **prices}
         queue = parts.queue
         report = LoadReport(
-            self._queue_wait, service_time, queue.in_flight + queue.waiting, queue.limit
+            self._queue_wait,
+            service_time,
+            queue.in_flight + queue.waiting,
+            queue.limit,
+            self._failing.share,
         )
         return result._replace(costs=costs, prices=prices, report=report)
--- a/packages/thorntray/src/thorntray/internal/request/result.py
+++ b/packages/thorntray/src/thorntray/internal/request/result.py
@@ -51,6 +51,7 @@
     service_time: float
     in_flight: int
     limit: int
+    failing: float = 0.0  # share of the requests that the instance itself fails
 
 
 NO_REPORT = LoadReport(0.0, 0.0, 0, 0)
--- a/packages/thorntray/src/thorntray/internal/request/result_frames.py
+++ b/packages/thorntray/src/thorntray/internal/request/result_frames.py
@@ -6,7 +6,9 @@
 
 def result_from(frame: ResultFrame) -> Result:
     """Return the result that a frame carries."""
-    report = LoadReport(frame.queue_wait, frame.service_time, frame.in_flight, frame.limit)
+    report = LoadReport(
+        frame.queue_wait, frame.service_time, frame.in_flight, frame.limit, frame.failing
+    )
     return Result(
         End(frame.end),
         Cause(frame.reason),
@@ -37,4 +39,5 @@
         report.service_time,
         report.in_flight,
         report.limit,
+        report.failing,
     )
--- a/tests/test_slot_decisions.py
+++ b/tests/test_slot_decisions.py
@@ -8,6 +8,7 @@
 from tests.builders import ManualClock, make_member
 from thorntray.internal.process.call_parents import InnerRoutes, RunningCalls
 from thorntray.internal.process.ejection import Ejection
+from thorntray.internal.process.failing_share import FailingShare
 from thorntray.internal.process.placement import Placement
 from thorntray.internal.process.retry_budget import BudgetTerms, RetryBudget
 from thorntray.internal.process.root_admission import (
@@ -19,7 +20,14 @@
 )
 from thorntray.internal.process.slot_price import MIN_PRICE, SlotPrice
 from thorntray.internal.process.slot_queue import SlotQueue, Ticket
-from thorntray.internal.request.result import LoadReport, SlotUse
+from thorntray.internal.request.result import (
+    Cause,
+    End,
+    LoadReport,
+    Result,
+    SlotUse,
+    unknown,
+)
 
 
 class Counted:
@@ -232,6 +240,29 @@
     assert placed(placement, members, 20).count("slow") == 0
 
 
+def test_an_instance_that_loses_two_answers_in_five_gets_few_requests_until_its_word_is_old():
+    """Load pattern of incident e93a: too few in a row fail to eject it."""
+    placement = Placement("home", Ejection(ManualClock()), Random(1))
+    members = [make_member(n, domain="home", service="s", ready=True) for n in ("sound", "lossy")]
+    placement.ended("sound", "r", LoadReport(0.0, 0.05, 4, 50), 0.0)
+    placement.ended("lossy", "r", LoadReport(0.0, 0.03, 1, 50, failing=0.4), 0.0)
+    assert set(placed(placement, members, 20)) == {"sound"}
+    much_later = 20.0
+    assert placement.pick(members, "r", set(), much_later).name == "lossy"
+
+
+def test_only_what_the_instance_itself_failed_counts_in_its_failing_share():
+    failing = FailingShare()
+    for _ in range(20):
+        failing.note(Result(End.ANSWERED, status=500), made_calls=True)
+        failing.note(unknown(Cause.EXPIRED), made_calls=False)
+    assert failing.share == 0.0
+    for _ in range(40):
+        failing.note(unknown(Cause.LOST), made_calls=True)
+        failing.note(Result(End.ANSWERED, status=200), made_calls=True)
+    assert 0.4 < failing.share < 0.6
+
+
 def test_all_nodes_together_stay_under_the_bound_on_repeats():
     """Load pattern: every node repeats whatever it may, for a minute."""
     terms = BudgetTerms(ratio=0.2, slack=48.0, window=10.0)
