Rooms for what lives as long as the process: overload, membership, store, telemetry

A mechanical move of modules with their imports; process/ held 23 files of four kinds. The tests of the decisions, the lean path, membership, the store and the pages pass.

--- a/bench/capacity.py
+++ b/bench/capacity.py
@@ -19,10 +19,10 @@
 from standins.fleet import ROOT, Fleet, Site, http
 from tests.builders import ManualClock, make_member, run_virtual
 from tests.fleet_builders import TEAM, MemoryFleet, MemoryPlatform, make_document
-from thorntray.internal.process.member import Health
-from thorntray.internal.process.member_view import MemberView
-from thorntray.internal.process.roles import settings_key
+from thorntray.internal.membership.member import Health
+from thorntray.internal.membership.member_view import MemberView
 from thorntray.internal.request.grant import GrantBook
+from thorntray.internal.store.roles import settings_key
 from thorntray.internal.version.document import Change, Document, encode_document
 from thorntray.internal.version.holder import SettingsHolder
 
--- a/bench/variant_node.py
+++ b/bench/variant_node.py
@@ -8,10 +8,10 @@
 import sys
 from collections.abc import Callable
 
-from thorntray.internal.process import admission, levels
-from thorntray.internal.process.dependencies import DependencyWaits
-from thorntray.internal.process.limiter import Limiter
-from thorntray.internal.process.service_times import ServiceTimes
+from thorntray.internal.overload import admission, levels
+from thorntray.internal.overload.dependencies import DependencyWaits
+from thorntray.internal.overload.limiter import Limiter
+from thorntray.internal.overload.service_times import ServiceTimes
 from thorntray.internal.request import order, outbound
 from thorntray.internal.request.escrow import Escrow
 from thorntray.internal.request.outcome import Done, NotRun, Outcome, Reason
--- a/packages/thorntray-node/src/thorntray_node/config.py
+++ b/packages/thorntray-node/src/thorntray_node/config.py
@@ -14,7 +14,7 @@
 from nacl.signing import VerifyKey
 
 from thorntray import Fault, InvalidSettings
-from thorntray.internal.process.gossip import Address
+from thorntray.internal.membership.gossip import Address
 from thorntray.internal.version.ini import parse_ini
 
 _NODE_KEYS = {
--- a/packages/thorntray-node/src/thorntray_node/dump.py
+++ b/packages/thorntray-node/src/thorntray_node/dump.py
@@ -4,7 +4,7 @@
 import resource
 from typing import Any, TypedDict
 
-from thorntray.internal.process.member import Health
+from thorntray.internal.membership.member import Health
 from thorntray_node.node import Node
 
 DUMP_VERSION = 1
--- a/packages/thorntray-node/src/thorntray_node/main.py
+++ b/packages/thorntray-node/src/thorntray_node/main.py
@@ -18,7 +18,7 @@
 from absl import app, flags, logging
 
 from thorntray import InvalidSettings
-from thorntray.internal.process.events import Event, log_event, set_up_events
+from thorntray.internal.telemetry.events import Event, log_event, set_up_events
 from thorntray_node.config import NodeConfig
 from thorntray_node.dump import state_dump
 from thorntray_node.http import make_server
--- a/packages/thorntray-node/src/thorntray_node/mesh_config.py
+++ b/packages/thorntray-node/src/thorntray_node/mesh_config.py
@@ -4,7 +4,7 @@
 
 from thorntray.errors import Fault, InvalidSettings
 from thorntray.internal.connection.header_names import HeaderNames
-from thorntray.internal.process.retry_budget import BudgetTerms
+from thorntray.internal.overload.retry_budget import BudgetTerms
 
 MAX_PORT = 65535
 
--- a/packages/thorntray-node/src/thorntray_node/mesh_node.py
+++ b/packages/thorntray-node/src/thorntray_node/mesh_node.py
@@ -9,29 +9,29 @@
 from thorntray.internal.connection.http_server import Exchange, HttpServer
 from thorntray.internal.connection.instance_pool import InstancePool
 from thorntray.internal.connection.link import LinkConnection, LinkListener, Links
-from thorntray.internal.process.call_parents import RunningCalls
+from thorntray.internal.membership.gossip import Address
+from thorntray.internal.membership.member import SESSION_BYTES, Member
+from thorntray.internal.membership.membership import Membership
+from thorntray.internal.membership.udp import UdpTransport
+from thorntray.internal.overload.call_parents import RunningCalls
+from thorntray.internal.overload.ejection import Ejection
+from thorntray.internal.overload.placement import Placement
+from thorntray.internal.overload.retry_budget import RetryBudget
+from thorntray.internal.overload.root_admission import RootAdmission
+from thorntray.internal.overload.slot_price import MIN_PRICE, SlotPrice
+from thorntray.internal.overload.slot_queue import SlotQueue
 from thorntray.internal.process.clock import Clock
-from thorntray.internal.process.ejection import Ejection
-from thorntray.internal.process.events import Event, log_event
-from thorntray.internal.process.gossip import Address
-from thorntray.internal.process.member import SESSION_BYTES, Member
-from thorntray.internal.process.membership import Membership
-from thorntray.internal.process.placement import Placement
-from thorntray.internal.process.policy_watch import PolicyDecoder, PolicyStore, PolicyWatch
 from thorntray.internal.process.registration import Registration
-from thorntray.internal.process.retry_budget import RetryBudget
-from thorntray.internal.process.root_admission import RootAdmission
-from thorntray.internal.process.seeds import PlatformState, SeedPace, Seeds, SeedStore
-from thorntray.internal.process.slot_price import MIN_PRICE, SlotPrice
-from thorntray.internal.process.slot_queue import SlotQueue
 from thorntray.internal.process.tasks import BackgroundTasks
-from thorntray.internal.process.udp import UdpTransport
 from thorntray.internal.request.origin import Origin
 from thorntray.internal.request.origin_request import OriginParts, OriginRequest
 from thorntray.internal.request.owner import Held, Owner, OwnerParts
 from thorntray.internal.request.request_log import RequestLog
 from thorntray.internal.request.result import Cause, Result
 from thorntray.internal.request.result_frames import result_frame
+from thorntray.internal.store.policy_watch import PolicyDecoder, PolicyStore, PolicyWatch
+from thorntray.internal.store.seeds import PlatformState, SeedPace, Seeds, SeedStore
+from thorntray.internal.telemetry.events import Event, log_event
 from thorntray.internal.version.policy import Policy, PolicyHolder
 from thorntray_node.mesh_config import MeshConfig
 
--- a/packages/thorntray-node/src/thorntray_node/node.py
+++ b/packages/thorntray-node/src/thorntray_node/node.py
@@ -10,19 +10,19 @@
 from thorntray.internal.connection.documents import DocumentClient, DocumentServer
 from thorntray.internal.connection.peer import PeerLinks, PeerListener
 from thorntray.internal.connection.upstream import UpstreamConnections
+from thorntray.internal.membership.gossip import Address
+from thorntray.internal.membership.member import SESSION_BYTES, Member
+from thorntray.internal.membership.membership import Membership
+from thorntray.internal.membership.udp import UdpTransport
 from thorntray.internal.process.clock import Clock, SystemClock
-from thorntray.internal.process.events import Event, log_event
-from thorntray.internal.process.gossip import Address
 from thorntray.internal.process.instance import Instance
-from thorntray.internal.process.member import SESSION_BYTES, Member
-from thorntray.internal.process.membership import Membership
-from thorntray.internal.process.metrics import FLUSH_PERIOD, Metrics
-from thorntray.internal.process.platform import PlatformClient
-from thorntray.internal.process.roles import Roles
-from thorntray.internal.process.settings_sync import SettingsSync
 from thorntray.internal.process.tasks import BackgroundTasks
 from thorntray.internal.process.traffic import Surroundings, Traffic
-from thorntray.internal.process.udp import UdpTransport
+from thorntray.internal.store.platform import PlatformClient
+from thorntray.internal.store.roles import Roles
+from thorntray.internal.store.settings_sync import SettingsSync
+from thorntray.internal.telemetry.events import Event, log_event
+from thorntray.internal.telemetry.metrics import FLUSH_PERIOD, Metrics
 from thorntray.internal.version.holder import SettingsHolder
 from thorntray.internal.version.settings import ServiceSettings
 from thorntray_node.config import NodeConfig
--- a/packages/thorntray/src/thorntray/internal/connection/documents.py
+++ b/packages/thorntray/src/thorntray/internal/connection/documents.py
@@ -19,9 +19,9 @@
     decode,
     encode,
 )
-from thorntray.internal.process.events import Event, log_event
-from thorntray.internal.process.member import Member
+from thorntray.internal.membership.member import Member
 from thorntray.internal.process.tasks import BackgroundTasks
+from thorntray.internal.telemetry.events import Event, log_event
 from thorntray.internal.version.holder import SettingsHolder
 
 NEVER_RESEND = -1
--- a/packages/thorntray/src/thorntray/internal/connection/link.py
+++ b/packages/thorntray/src/thorntray/internal/connection/link.py
@@ -26,10 +26,10 @@
     ResultFrame,
     encode_frame,
 )
+from thorntray.internal.membership.member import Member
 from thorntray.internal.process.clock import Clock
-from thorntray.internal.process.events import Event, log_event
-from thorntray.internal.process.member import Member
 from thorntray.internal.request.result import Cause
+from thorntray.internal.telemetry.events import Event, log_event
 
 CONNECT_TIMEOUT = 0.4  # seconds
 PING_AFTER = 0.2  # seconds of silence
--- a/packages/thorntray/src/thorntray/internal/connection/peer.py
+++ b/packages/thorntray/src/thorntray/internal/connection/peer.py
@@ -24,10 +24,10 @@
     decode,
     encode,
 )
+from thorntray.internal.membership.member import Member
 from thorntray.internal.process.clock import Clock
-from thorntray.internal.process.events import Event, log_event
-from thorntray.internal.process.member import Member
 from thorntray.internal.process.tasks import BackgroundTasks
+from thorntray.internal.telemetry.events import Event, log_event
 
 LENGTH_BYTES = 4
 NUMBER_BYTES = 8
--- a/packages/thorntray/src/thorntray/internal/process/gossip.py
+++ b/packages/thorntray/src/thorntray/internal/membership/gossip.py
@@ -5,7 +5,7 @@
 import msgspec
 
 from thorntray.errors import BadMessage
-from thorntray.internal.process.member import Member
+from thorntray.internal.membership.member import Member
 
 GOSSIP_VERSION = 1
 MAX_DATAGRAM_BYTES = 1200  # fits any usual path without fragments
--- a/packages/thorntray/src/thorntray/internal/process/member_view.py
+++ b/packages/thorntray/src/thorntray/internal/membership/member_view.py
@@ -4,9 +4,9 @@
 from random import Random
 from sys import intern
 
-from thorntray.internal.process.gossip import encoded_size
-from thorntray.internal.process.hashing import HASH_RANGE, hash64
-from thorntray.internal.process.member import Health, Member
+from thorntray.internal.membership.gossip import encoded_size
+from thorntray.internal.membership.hashing import HASH_RANGE, hash64
+from thorntray.internal.membership.member import Health, Member
 
 BUCKETS = 16  # of the anti-entropy digest
 SPREAD_FACTOR = 3  # transmissions of an update, times log2 of the fleet
--- a/packages/thorntray/src/thorntray/internal/process/membership.py
+++ b/packages/thorntray/src/thorntray/internal/membership/membership.py
@@ -23,9 +23,7 @@
 from typing import Protocol
 
 from thorntray.errors import BadMessage
-from thorntray.internal.process.clock import Clock
-from thorntray.internal.process.events import Event, log_event
-from thorntray.internal.process.gossip import (
+from thorntray.internal.membership.gossip import (
     MAX_DATAGRAM_BYTES,
     Ack,
     Address,
@@ -40,9 +38,11 @@
     encode_datagram,
     encoded_size,
 )
-from thorntray.internal.process.member import Health, Member
-from thorntray.internal.process.member_view import SPREAD_FACTOR, MemberView
+from thorntray.internal.membership.member import Health, Member
+from thorntray.internal.membership.member_view import SPREAD_FACTOR, MemberView
+from thorntray.internal.process.clock import Clock
 from thorntray.internal.process.tasks import BackgroundTasks
+from thorntray.internal.telemetry.events import Event, log_event
 
 PROBE_PERIOD = 1.0  # seconds
 PROBE_TIMEOUT = 0.3  # seconds until others are asked
--- a/packages/thorntray/src/thorntray/internal/process/udp.py
+++ b/packages/thorntray/src/thorntray/internal/membership/udp.py
@@ -4,7 +4,7 @@
 from collections.abc import Callable
 from typing import Self
 
-from thorntray.internal.process.gossip import Address
+from thorntray.internal.membership.gossip import Address
 
 
 class UdpTransport(asyncio.DatagramProtocol):
--- a/packages/thorntray/src/thorntray/internal/process/admission.py
+++ b/packages/thorntray/src/thorntray/internal/overload/admission.py
@@ -17,8 +17,8 @@
 from dataclasses import dataclass, field
 
 from thorntray.errors import RequestRefused
+from thorntray.internal.overload.limiter import Limiter
 from thorntray.internal.process.clock import Clock
-from thorntray.internal.process.limiter import Limiter
 from thorntray.internal.request.deadline import Deadline
 from thorntray.internal.request.outcome import Reason
 
--- a/packages/thorntray/src/thorntray/internal/process/placement.py
+++ b/packages/thorntray/src/thorntray/internal/overload/placement.py
@@ -17,8 +17,8 @@
 
 from random import Random
 
-from thorntray.internal.process.ejection import Ejection
-from thorntray.internal.process.member import Health, Member
+from thorntray.internal.membership.member import Health, Member
+from thorntray.internal.overload.ejection import Ejection
 from thorntray.internal.request.result import LoadReport
 
 AWAY_PENALTY = 0.06  # seconds added for another failure domain
--- a/packages/thorntray/src/thorntray/internal/process/root_admission.py
+++ b/packages/thorntray/src/thorntray/internal/overload/root_admission.py
@@ -15,7 +15,7 @@
 import math
 from typing import NamedTuple
 
-from thorntray.internal.process.slot_price import MIN_PRICE
+from thorntray.internal.overload.slot_price import MIN_PRICE
 from thorntray.internal.request.result import Costs, SlotUse
 
 COST_WEIGHT = 0.08  # of the newest request in a route's costs
--- a/packages/thorntray/src/thorntray/internal/process/routing.py
+++ b/packages/thorntray/src/thorntray/internal/overload/routing.py
@@ -8,9 +8,9 @@
 
 from random import Random
 
-from thorntray.internal.process.ejection import Ejection
-from thorntray.internal.process.levels import LevelTable
-from thorntray.internal.process.member import Member
+from thorntray.internal.membership.member import Member
+from thorntray.internal.overload.ejection import Ejection
+from thorntray.internal.overload.levels import LevelTable
 
 SPILL_LOAD = 0.9  # load at home from which other domains are considered
 SPILL_GAIN = 0.2  # by which the other domain must be less loaded
--- a/packages/thorntray/src/thorntray/internal/process/__init__.py
+++ b/packages/thorntray/src/thorntray/internal/process/__init__.py
@@ -1,1 +1,1 @@
-"""What lives as long as the process."""
+"""The process itself: its clock and tasks, and the upstream instance beside it."""
--- a/packages/thorntray/src/thorntray/internal/process/instance.py
+++ b/packages/thorntray/src/thorntray/internal/process/instance.py
@@ -8,8 +8,8 @@
 from enum import StrEnum
 
 from thorntray.internal.process.clock import Clock
-from thorntray.internal.process.events import Event, log_event
 from thorntray.internal.request.outcome import Reason
+from thorntray.internal.telemetry.events import Event, log_event
 
 RENEW_WITHIN = 10.0  # seconds after which a silent instance is taken for gone
 
--- a/packages/thorntray/src/thorntray/internal/process/registration.py
+++ b/packages/thorntray/src/thorntray/internal/process/registration.py
@@ -11,7 +11,7 @@
 from typing import NamedTuple
 
 from thorntray.internal.process.clock import Clock
-from thorntray.internal.process.events import Event, log_event
+from thorntray.internal.telemetry.events import Event, log_event
 
 MAX_GONE_BOOTS = 64  # boots that have left and are remembered
 MS_PER_SECOND = 1000
--- a/packages/thorntray/src/thorntray/internal/process/tasks.py
+++ b/packages/thorntray/src/thorntray/internal/process/tasks.py
@@ -9,7 +9,7 @@
 
 from absl import logging
 
-from thorntray.internal.process.events import Event, log_event
+from thorntray.internal.telemetry.events import Event, log_event
 
 
 class BackgroundTasks:
--- a/packages/thorntray/src/thorntray/internal/process/traffic.py
+++ b/packages/thorntray/src/thorntray/internal/process/traffic.py
@@ -17,15 +17,14 @@
     Revoke,
 )
 from thorntray.internal.connection.reply import reply_from
-from thorntray.internal.process.admission import Admission
+from thorntray.internal.overload.admission import Admission
+from thorntray.internal.overload.dependencies import DependencyWaits
+from thorntray.internal.overload.ejection import Ejection
+from thorntray.internal.overload.levels import LevelTable
+from thorntray.internal.overload.limiter import Limiter
+from thorntray.internal.overload.routing import Router
+from thorntray.internal.overload.service_times import ServiceTimes
 from thorntray.internal.process.clock import Clock
-from thorntray.internal.process.dependencies import DependencyWaits
-from thorntray.internal.process.ejection import Ejection
-from thorntray.internal.process.levels import LevelTable
-from thorntray.internal.process.limiter import Limiter
-from thorntray.internal.process.metrics import Metrics
-from thorntray.internal.process.routing import Router
-from thorntray.internal.process.service_times import ServiceTimes
 from thorntray.internal.request.attempts import AttemptTable
 from thorntray.internal.request.execution import ExecutionTable
 from thorntray.internal.request.grant import GrantBook
@@ -33,6 +32,7 @@
 from thorntray.internal.request.ingress import Ingress, IngressParts
 from thorntray.internal.request.outbound import Directory, Outbound, OutboundParts, Peers
 from thorntray.internal.request.outcome import Attempt, outcome_word
+from thorntray.internal.telemetry.metrics import Metrics
 from thorntray.internal.version.settings import RouteSettings, ServiceSettings, Settings
 
 INITIAL_SLOTS = 50  # until the service's settings are known
--- a/packages/thorntray/src/thorntray/internal/request/inbound.py
+++ b/packages/thorntray/src/thorntray/internal/request/inbound.py
@@ -22,10 +22,10 @@
 
 from thorntray.errors import GrantRejected, GrantsFull, RequestRefused
 from thorntray.internal.connection.message import Call, GrantReply, GrantRequest, Revoke, Revoked
-from thorntray.internal.process.admission import Admission
+from thorntray.internal.overload.admission import Admission
+from thorntray.internal.overload.dependencies import DependencyWaits
+from thorntray.internal.overload.service_times import ServiceTimes
 from thorntray.internal.process.clock import Clock
-from thorntray.internal.process.dependencies import DependencyWaits
-from thorntray.internal.process.service_times import ServiceTimes
 from thorntray.internal.request.attempts import AttemptTable
 from thorntray.internal.request.deadline import Deadline
 from thorntray.internal.request.escrow import Escrow
--- a/packages/thorntray/src/thorntray/internal/request/ingress.py
+++ b/packages/thorntray/src/thorntray/internal/request/ingress.py
@@ -15,8 +15,8 @@
 from expression import Result
 
 from thorntray.internal.connection.message import digest_of
+from thorntray.internal.overload.dependencies import DependencyWaits
 from thorntray.internal.process.clock import Clock
-from thorntray.internal.process.dependencies import DependencyWaits
 from thorntray.internal.request.deadline import Deadline
 from thorntray.internal.request.escrow import Escrow
 from thorntray.internal.request.execution import Execution, ExecutionTable
--- a/packages/thorntray/src/thorntray/internal/request/order.py
+++ b/packages/thorntray/src/thorntray/internal/request/order.py
@@ -12,7 +12,7 @@
 further hop would not do: the key of a root could no longer be compared with a deep level.
 """
 
-from thorntray.internal.process.hashing import HASH_RANGE, hash64
+from thorntray.internal.membership.hashing import HASH_RANGE, hash64
 
 INVESTED_STEP = 0.1  # of the width of a class, for calls below the root
 LOWEST_PRIORITY = 0
--- a/packages/thorntray/src/thorntray/internal/request/origin_request.py
+++ b/packages/thorntray/src/thorntray/internal/request/origin_request.py
@@ -13,13 +13,13 @@
 from thorntray.internal.connection.header_names import HeaderNames
 from thorntray.internal.connection.http_server import Exchange
 from thorntray.internal.connection.link import Link, Links
-from thorntray.internal.process.call_parents import InnerRoutes, Run, RunningCalls
+from thorntray.internal.membership.member import Member
+from thorntray.internal.overload.call_parents import InnerRoutes, Run, RunningCalls
+from thorntray.internal.overload.ejection import Ejection
+from thorntray.internal.overload.placement import Placement
+from thorntray.internal.overload.retry_budget import RetryBudget
+from thorntray.internal.overload.root_admission import CLOSED_PRICE, RootAdmission, worth_of
 from thorntray.internal.process.clock import Clock
-from thorntray.internal.process.ejection import Ejection
-from thorntray.internal.process.member import Member
-from thorntray.internal.process.placement import Placement
-from thorntray.internal.process.retry_budget import RetryBudget
-from thorntray.internal.process.root_admission import CLOSED_PRICE, RootAdmission, worth_of
 from thorntray.internal.request.owner import Held, Owner
 from thorntray.internal.request.result import (
     NO_REPORT,
--- a/packages/thorntray/src/thorntray/internal/request/outbound.py
+++ b/packages/thorntray/src/thorntray/internal/request/outbound.py
@@ -21,12 +21,12 @@
     Revoked,
 )
 from thorntray.internal.connection.reply import attempt_from
+from thorntray.internal.membership.hashing import hash64
+from thorntray.internal.membership.member import Member
+from thorntray.internal.overload.ejection import Ejection
+from thorntray.internal.overload.levels import LevelTable
+from thorntray.internal.overload.routing import Router
 from thorntray.internal.process.clock import Clock
-from thorntray.internal.process.ejection import Ejection
-from thorntray.internal.process.hashing import hash64
-from thorntray.internal.process.levels import LevelTable
-from thorntray.internal.process.member import Member
-from thorntray.internal.process.routing import Router
 from thorntray.internal.request.deadline import Deadline
 from thorntray.internal.request.escrow import Escrow
 from thorntray.internal.request.order import shed_key
--- a/packages/thorntray/src/thorntray/internal/request/owner.py
+++ b/packages/thorntray/src/thorntray/internal/request/owner.py
@@ -17,12 +17,12 @@
     InstancePool,
     Sending,
 )
-from thorntray.internal.process.call_parents import Run, RunningCalls
+from thorntray.internal.overload.call_parents import Run, RunningCalls
+from thorntray.internal.overload.failing_share import FailingShare
+from thorntray.internal.overload.slot_price import MIN_PRICE, SlotPrice
+from thorntray.internal.overload.slot_queue import SlotQueue, Ticket
 from thorntray.internal.process.clock import Clock
-from thorntray.internal.process.failing_share import FailingShare
 from thorntray.internal.process.registration import Registration
-from thorntray.internal.process.slot_price import MIN_PRICE, SlotPrice
-from thorntray.internal.process.slot_queue import SlotQueue, Ticket
 from thorntray.internal.request.result import (
     Cause,
     End,
--- a/packages/thorntray/src/thorntray/internal/request/request_log.py
+++ b/packages/thorntray/src/thorntray/internal/request/request_log.py
@@ -8,9 +8,9 @@
 
 from thorntray.internal.connection.frame import CallFrame
 from thorntray.internal.process.clock import Clock
-from thorntray.internal.process.events import Event, log_event
 from thorntray.internal.request.origin_request import OriginRequest
 from thorntray.internal.request.result import End, Result
+from thorntray.internal.telemetry.events import Event, log_event
 
 SAMPLE_ONE_IN = 512
 
--- a/packages/thorntray/src/thorntray/internal/process/platform.py
+++ b/packages/thorntray/src/thorntray/internal/store/platform.py
@@ -17,7 +17,7 @@
 
 from thorntray.errors import PlatformUnavailable, WriteUndetermined
 from thorntray.internal.process.clock import Clock
-from thorntray.internal.process.store_calls import (
+from thorntray.internal.store.store_calls import (
     CALL_TIMEOUT,
     Entry,
     StoreCalls,
--- a/packages/thorntray/src/thorntray/internal/process/policy_watch.py
+++ b/packages/thorntray/src/thorntray/internal/store/policy_watch.py
@@ -14,11 +14,11 @@
 from thorntray.errors import BadDocument, PlatformUnavailable
 from thorntray.internal.connection.frame import FetchPolicy, Frame, PolicyFrame
 from thorntray.internal.connection.link import Links
-from thorntray.internal.process.events import Event, log_event
-from thorntray.internal.process.gossip import Heads
-from thorntray.internal.process.member import Member
-from thorntray.internal.process.seeds import PlatformState
-from thorntray.internal.process.store_calls import Entry, WatchBatch
+from thorntray.internal.membership.gossip import Heads
+from thorntray.internal.membership.member import Member
+from thorntray.internal.store.seeds import PlatformState
+from thorntray.internal.store.store_calls import Entry, WatchBatch
+from thorntray.internal.telemetry.events import Event, log_event
 from thorntray.internal.version.policy import Policy, PolicyHolder
 
 POLICY_HEAD = "policy"  # name of the policy's version among the heads
--- a/packages/thorntray/src/thorntray/internal/process/roles.py
+++ b/packages/thorntray/src/thorntray/internal/store/roles.py
@@ -10,18 +10,18 @@
 from random import Random
 
 from thorntray.errors import PlatformUnavailable
-from thorntray.internal.process.gossip import Address
-from thorntray.internal.process.membership import Membership
-from thorntray.internal.process.platform import PlatformClient
-from thorntray.internal.process.seeds import (
+from thorntray.internal.membership.gossip import Address
+from thorntray.internal.membership.membership import Membership
+from thorntray.internal.process.tasks import BackgroundTasks
+from thorntray.internal.store.platform import PlatformClient
+from thorntray.internal.store.seeds import (
     ROLE_CHECK_PERIOD,
     PlatformState,
     SeedPace,
     Seeds,
     chosen,
 )
-from thorntray.internal.process.store_calls import WatchBatch
-from thorntray.internal.process.tasks import BackgroundTasks
+from thorntray.internal.store.store_calls import WatchBatch
 from thorntray.internal.version.holder import SettingsHolder
 
 WATCHERS_PER_DOMAIN = 2
--- a/packages/thorntray/src/thorntray/internal/process/seeds.py
+++ b/packages/thorntray/src/thorntray/internal/store/seeds.py
@@ -13,13 +13,13 @@
 from absl import logging
 
 from thorntray.errors import PlatformUnavailable, WriteUndetermined
-from thorntray.internal.process.events import Event, log_event
-from thorntray.internal.process.gossip import Address
-from thorntray.internal.process.hashing import hash64
-from thorntray.internal.process.member import Member
-from thorntray.internal.process.membership import Membership
-from thorntray.internal.process.store_calls import Entry
+from thorntray.internal.membership.gossip import Address
+from thorntray.internal.membership.hashing import hash64
+from thorntray.internal.membership.member import Member
+from thorntray.internal.membership.membership import Membership
 from thorntray.internal.process.tasks import BackgroundTasks
+from thorntray.internal.store.store_calls import Entry
+from thorntray.internal.telemetry.events import Event, log_event
 
 SEEDS_PER_DOMAIN = 3
 ROLE_CHECK_PERIOD = 2.0  # seconds
--- a/packages/thorntray/src/thorntray/internal/process/settings_sync.py
+++ b/packages/thorntray/src/thorntray/internal/store/settings_sync.py
@@ -7,7 +7,7 @@
 
 from thorntray.errors import BadMessage, PeerLost, PeerUnreachable
 from thorntray.internal.connection.message import DocumentReply, FetchDocument
-from thorntray.internal.process.member import Member
+from thorntray.internal.membership.member import Member
 from thorntray.internal.process.tasks import BackgroundTasks
 from thorntray.internal.request.outbound import Peers
 from thorntray.internal.version.holder import SettingsHolder
--- /dev/null
+++ b/packages/thorntray/src/thorntray/internal/telemetry/__init__.py
@@ -0,0 +1,1 @@
+"""What an operator sees: numbered events and metrics."""
--- a/packages/thorntray/src/thorntray/internal/version/holder.py
+++ b/packages/thorntray/src/thorntray/internal/version/holder.py
@@ -15,7 +15,7 @@
 
 from thorntray.errors import BadDocument
 from thorntray.internal.connection.message import DocumentReply, FetchDocument
-from thorntray.internal.process.events import Event, log_event
+from thorntray.internal.telemetry.events import Event, log_event
 from thorntray.internal.version.document import (
     DOCUMENT_FORMAT,
     MAX_RECENT_CHANGES,
--- a/packages/thorntray/src/thorntray/internal/version/writer.py
+++ b/packages/thorntray/src/thorntray/internal/version/writer.py
@@ -22,8 +22,8 @@
     WriteUndetermined,
 )
 from thorntray.internal.process.clock import Clock
-from thorntray.internal.process.platform import PlatformClient
-from thorntray.internal.process.roles import settings_key
+from thorntray.internal.store.platform import PlatformClient
+from thorntray.internal.store.roles import settings_key
 from thorntray.internal.version.document import (
     Change,
     Document,
--- a/packages/thorntrayctl/src/thorntrayctl/settings_commands.py
+++ b/packages/thorntrayctl/src/thorntrayctl/settings_commands.py
@@ -14,7 +14,7 @@
 
 from thorntray import Fault, InvalidSettings
 from thorntray.internal.process.clock import SystemClock
-from thorntray.internal.process.platform import PlatformClient
+from thorntray.internal.store.platform import PlatformClient
 from thorntray.internal.version.document import difference
 from thorntray.internal.version.ini import read_settings
 from thorntray.internal.version.writer import SettingsWriter, Stored
--- a/tests/builders.py
+++ b/tests/builders.py
@@ -10,13 +10,13 @@
 
 from thorntray.errors import PeerLost, PeerUnreachable
 from thorntray.internal.connection.message import Call, Message, decode, encode
+from thorntray.internal.membership.member import Member
 from thorntray.internal.process.instance import Instance
-from thorntray.internal.process.member import Member
-from thorntray.internal.process.metrics import Metrics
 from thorntray.internal.process.traffic import Surroundings, Traffic
 from thorntray.internal.request.http_answer import HttpAnswer
 from thorntray.internal.request.ingress import IncomingRequest
 from thorntray.internal.request.outcome import Answer, Done, Outcome, Unknown
+from thorntray.internal.telemetry.metrics import Metrics
 from thorntray.internal.version.settings import Settings
 
 EPOCH = 1_800_000_000.0  # wall clock at the start of virtual time, seconds
--- a/tests/fleet_builders.py
+++ b/tests/fleet_builders.py
@@ -10,12 +10,12 @@
 from tests.builders import LoopClock, settings_paths
 from thorntray.errors import PeerLost, PlatformUnavailable, WriteUndetermined
 from thorntray.internal.connection.message import Message, decode, encode
-from thorntray.internal.process.gossip import Address
-from thorntray.internal.process.member import Health, Member
-from thorntray.internal.process.membership import Membership
-from thorntray.internal.process.roles import Roles
-from thorntray.internal.process.settings_sync import SettingsSync
-from thorntray.internal.process.store_calls import Entry, WatchBatch
+from thorntray.internal.membership.gossip import Address
+from thorntray.internal.membership.member import Health, Member
+from thorntray.internal.membership.membership import Membership
+from thorntray.internal.store.roles import Roles
+from thorntray.internal.store.settings_sync import SettingsSync
+from thorntray.internal.store.store_calls import Entry, WatchBatch
 from thorntray.internal.version.document import Change, Document, encode_document
 from thorntray.internal.version.holder import SettingsHolder
 
--- a/tests/mesh_builders.py
+++ b/tests/mesh_builders.py
@@ -9,10 +9,10 @@
 from thorntray.internal.connection.frame import CallFrame
 from thorntray.internal.connection.header_names import HeaderNames
 from thorntray.internal.connection.http_server import RequestLimits
+from thorntray.internal.overload.retry_budget import BudgetTerms
 from thorntray.internal.process.clock import SystemClock
 from thorntray.internal.process.registration import Announcement, Phase
-from thorntray.internal.process.retry_budget import BudgetTerms
-from thorntray.internal.process.store_calls import Entry, WatchBatch
+from thorntray.internal.store.store_calls import Entry, WatchBatch
 from thorntray.internal.version.policy import Policy, Route, ServicePolicy, Target
 from thorntray_node.mesh_config import Endpoint, MeshConfig
 from thorntray_node.mesh_node import MeshNode, StorePlaces
--- a/tests/test_docs.py
+++ b/tests/test_docs.py
@@ -3,9 +3,9 @@
 import re
 from pathlib import Path
 
-from thorntray.internal.process.events import Event
-from thorntray.internal.process.metrics import METRICS
 from thorntray.internal.request.outcome import Reason
+from thorntray.internal.telemetry.events import Event
+from thorntray.internal.telemetry.metrics import METRICS
 from thorntray.internal.version.schema import FIELDS
 from thorntray_node.config import _NODE_KEYS, _OPTIONAL_NODE_KEYS
 
--- a/tests/test_kv_store.py
+++ b/tests/test_kv_store.py
@@ -16,9 +16,9 @@
 from thorntray.errors import PlatformUnavailable, WriteUndetermined  # noqa: E402
 from thorntray.internal.connection.link import Links  # noqa: E402
 from thorntray.internal.process.clock import SystemClock  # noqa: E402
-from thorntray.internal.process.policy_watch import PolicyWatch  # noqa: E402
-from thorntray.internal.process.seeds import PlatformState  # noqa: E402
-from thorntray.internal.process.store_calls import StoreCalls  # noqa: E402
+from thorntray.internal.store.policy_watch import PolicyWatch  # noqa: E402
+from thorntray.internal.store.seeds import PlatformState  # noqa: E402
+from thorntray.internal.store.store_calls import StoreCalls  # noqa: E402
 from thorntray.internal.version.policy import PolicyHolder  # noqa: E402
 
 KEY = "op/config"
--- a/tests/test_lean_path.py
+++ b/tests/test_lean_path.py
@@ -16,8 +16,8 @@
     make_route,
     request_bytes,
 )
+from thorntray.internal.overload.root_admission import CLOSED_PRICE
 from thorntray.internal.process.registration import Phase
-from thorntray.internal.process.root_admission import CLOSED_PRICE
 from thorntray.internal.request.result import Cause
 
 
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -14,9 +14,9 @@
     MemoryPlatform,
     make_document,
 )
-from thorntray.internal.process.member import Health
-from thorntray.internal.process.member_view import MemberView
-from thorntray.internal.process.roles import settings_key
+from thorntray.internal.membership.member import Health
+from thorntray.internal.membership.member_view import MemberView
+from thorntray.internal.store.roles import settings_key
 from thorntray.internal.version.document import encode_document
 
 SPREAD_LIMIT = 3.0  # seconds; today's target for settings
--- a/tests/test_messages.py
+++ b/tests/test_messages.py
@@ -8,7 +8,7 @@
 from thorntray.errors import BadMessage
 from thorntray.internal.connection.message import Reply, decode, digest_of, encode
 from thorntray.internal.connection.reply import attempt_from, reply_from
-from thorntray.internal.process.gossip import Ping, decode_datagram, encode_datagram
+from thorntray.internal.membership.gossip import Ping, decode_datagram, encode_datagram
 from thorntray.internal.request.http_answer import http_answer
 from thorntray.internal.request.outcome import (
     Answer,
--- a/tests/test_overload_decisions.py
+++ b/tests/test_overload_decisions.py
@@ -17,12 +17,12 @@
 )
 from thorntray.errors import RequestRefused
 from thorntray.internal.connection.message import decode
-from thorntray.internal.process.admission import Admission, AdmissionLevel
-from thorntray.internal.process.ejection import Ejection
-from thorntray.internal.process.levels import LevelTable
-from thorntray.internal.process.limiter import Limiter
-from thorntray.internal.process.routing import Router
-from thorntray.internal.process.service_times import ServiceTimes
+from thorntray.internal.overload.admission import Admission, AdmissionLevel
+from thorntray.internal.overload.ejection import Ejection
+from thorntray.internal.overload.levels import LevelTable
+from thorntray.internal.overload.limiter import Limiter
+from thorntray.internal.overload.routing import Router
+from thorntray.internal.overload.service_times import ServiceTimes
 from thorntray.internal.request.deadline import Deadline
 from thorntray.internal.request.order import rank_of, shed_key
 from thorntray.internal.request.outcome import NotRun, Reason
--- a/tests/test_slot_decisions.py
+++ b/tests/test_slot_decisions.py
@@ -6,20 +6,20 @@
 from hypothesis import strategies as st
 
 from tests.builders import ManualClock, make_member
-from thorntray.internal.process.call_parents import InnerRoutes, RunningCalls
-from thorntray.internal.process.ejection import Ejection
-from thorntray.internal.process.failing_share import FailingShare
-from thorntray.internal.process.placement import Placement
-from thorntray.internal.process.retry_budget import BudgetTerms, RetryBudget
-from thorntray.internal.process.root_admission import (
+from thorntray.internal.overload.call_parents import InnerRoutes, RunningCalls
+from thorntray.internal.overload.ejection import Ejection
+from thorntray.internal.overload.failing_share import FailingShare
+from thorntray.internal.overload.placement import Placement
+from thorntray.internal.overload.retry_budget import BudgetTerms, RetryBudget
+from thorntray.internal.overload.root_admission import (
     CLOSED_PRICE,
     LAST_SHARE,
     PriceTable,
     RootAdmission,
     admitted_share,
 )
-from thorntray.internal.process.slot_price import MIN_PRICE, SlotPrice
-from thorntray.internal.process.slot_queue import SlotQueue, Ticket
+from thorntray.internal.overload.slot_price import MIN_PRICE, SlotPrice
+from thorntray.internal.overload.slot_queue import SlotQueue, Ticket
 from thorntray.internal.request.result import (
     Cause,
     End,
