--- a/soak/checks.py
+++ b/soak/checks.py
@@ -38,7 +38,6 @@
     record: Record
     faults: list[Fault]
     changes: list[Change]
-    domains: int
 
     def sound(self, node: str, since: float, until: float) -> bool:
         """Return whether a node was free of faults in a span, and `STABLE` before it."""
--- a/soak/run.py
+++ b/soak/run.py
@@ -91,7 +91,6 @@
             self.fleet.record,
             self._faults,
             self._changes,
-            len(DOMAINS),
         )
 
     async def _check(self) -> None:
