--- a/Makefile
+++ b/Makefile
@@ -30,8 +30,8 @@
 
 $(READY): requirements.txt $(wildcard packages/*/pyproject.toml)
 	$(PYTHON) -m venv $(VENV)
-	$(BIN)/python -m pip install --quiet --requirement requirements.txt
-	$(BIN)/python -m pip install --quiet --no-deps --editable packages/thorntray \
+	$(BIN)/python -m pip install -qq --requirement requirements.txt
+	$(BIN)/python -m pip install -qq --no-deps --editable packages/thorntray \
 		--editable packages/thorntray-node --editable packages/thorntrayctl
 	touch $(READY)
 
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -37,7 +37,10 @@
     return Arrival(at, request_id, node, boot, service, "/prices/1", True)
 
 
-def observed(attempts, arrivals, faults=(), changes=(Change(0.0, "tariff"),), draining=None):
+AS_AT_FIRST = (Change(0.0, "tariff"),)
+
+
+def observed(attempts, arrivals, faults=(), changes=AS_AT_FIRST, draining=None):
     record = Record(list(arrivals), draining or {})
     return Observation(0.0, list(attempts), record, list(faults), list(changes))
 
