A stopping node works on for its peers until it turns work away

With a stop every two seconds two of three instances of a service were away together.

Ruled out: slow joining after the restart (0.7 s to the instance's first report, most of it the report's period); the entries (they refused within the second).

Change: peers hear that it takes nothing when it does turn work away; what comes meanwhile is finished within the stop's limit.

--- a/packages/thorntray-node/src/thorntray_node/mesh_node.py
+++ b/packages/thorntray-node/src/thorntray_node/mesh_node.py
@@ -277,7 +277,7 @@
             self.queue.set_slots(current.slots)
         if not registration.open:
             self.owner.refuse_waiting(Cause.DRAINING)
-        self.membership.announce(ready=registration.open and not self.stopping)
+        self.membership.announce(ready=registration.open)
 
     def _member_gone(self, name: str) -> None:
         self.links.forget(name)
@@ -357,9 +357,8 @@
         log_event(Event.DRAIN_BEGUN, active=self.callers.active, held=len(self.owner.held))
         started = self.clock.monotonic()
         self.callers.closing = True
-        self._instance_changed()
-        # Callers come until they have seen twice that this node is not ready, and the instance may
-        # be the last of its service, so both are served on meanwhile.
+        # Callers come until they have seen twice that this node is not ready, so this time passes
+        # in any case; the instance works on for peers meanwhile, since others may be stopping too.
         await asyncio.sleep(UNREADY_LINGER)
         self.registration.drain_node()
         limit = started + self.cfg.stop_limit - STOP_RESERVE
