--- a/tests/mesh_builders.py
+++ b/tests/mesh_builders.py
@@ -278,4 +278,37 @@
     ) % (method, path.encode(), request_id.encode(), deadline_ms)
 
 
+def play(scenario, policy=None):
+    """Return what a scenario returns that is given a fleet of its own."""
+
+    async def work():
+        fleet = MeshFleet(policy)
+        try:
+            return await asyncio.wait_for(scenario(fleet), 20)
+        finally:
+            await fleet.close()
+
+    return asyncio.run(work())
+
+
+PAYOUTS_OF_FIVE_SECONDS = make_route(
+    name="payouts", prefix="/payouts/", idempotent=False, priority=0, timeout=5.0
+)
+
+
+async def drops(request_id, writer):
+    """Run the request and lose its answer."""
+    writer.close()
+
+
+async def silent(request_id, writer):
+    """Run the request for long."""
+
+
+async def slow(request_id, writer):
+    """Run the request for a third of a second."""
+    await asyncio.sleep(0.3)
+    writer.write(answer_bytes(request_id, b"slow"))
+
+
 __all__ = ["make_member"]
