Taken back: the price of an instance in placement, and its faster fall

A price may send a request away only if it is weighed against the bytes that this costs; the nodes do not know that yet.

--- a/packages/thorntray/src/thorntray/internal/overload/placement.py
+++ b/packages/thorntray/src/thorntray/internal/overload/placement.py
@@ -9,9 +9,6 @@
 Bytes between failure domains are dear and add delay, so another domain must be clearly faster.
 But an instance near its limit soon makes everybody wait, and a full one at home beside an idle one
 away wastes slots while callers are refused; so the last slots count as slower the fewer are left.
-Its price counts in proportion to the time that a request holds a slot. Without it a fast instance
-draws all long requests, however short of slots it is: its price closes the entries while a slower
-one has slots free. Short requests stay at home, where they save bytes and cost little.
 An instance that fails a share of its requests counts as slower by that share: a failed call costs
 another one, or the whole request above it.
 A member whose node or instance did not take requests lately rests for a while. Where no member is
@@ -22,13 +19,11 @@
 
 from thorntray.internal.membership.member import Health, Member
 from thorntray.internal.overload.ejection import Ejection
-from thorntray.internal.overload.slot_price import MIN_PRICE
 from thorntray.internal.request.result import LoadReport
 
 AWAY_PENALTY = 0.06  # seconds added for another failure domain
 FILLING_ABOVE = 0.65  # share of the limit in use from which an instance counts as slower
 FULL_PENALTY = 0.15  # seconds added when the last slot is in use
-PRICE_WEIGHT = 0.3  # seconds added for each second of a slot and unit of its price
 FAILING_PENALTY = 0.5  # seconds added for an instance that fails all its requests
 NEGLIGIBLE_SHARE = 0.02  # failing share that counts as none
 FAILING_HALF_LIFE = 2.0  # seconds after which a failing share that was told counts half
@@ -43,15 +38,7 @@
 
 
 class _Load:
-    __slots__ = (
-        "service_time",
-        "report",
-        "reported_at",
-        "sent_since",
-        "rests_until",
-        "out",
-        "price",
-    )
+    __slots__ = ("service_time", "report", "reported_at", "sent_since", "rests_until", "out")
 
     def __init__(self) -> None:
         self.service_time: dict[str, float] = {}  # seconds, by route
@@ -59,7 +46,6 @@
         self.reported_at = float("-inf")
         self.sent_since = 0
         self.rests_until = float("-inf")
-        self.price = MIN_PRICE  # of a slot-second
         self.out = 0  # requests of this node that are there now
 
 
@@ -79,20 +65,12 @@
         load.out += 1
         load.sent_since += 1
 
-    def ended(
-        self,
-        member: str,
-        route: str,
-        report: LoadReport,
-        now: float,
-        price: float = MIN_PRICE,
-    ) -> None:
-        """Note that a request is over, with what its node has told; `price` of a slot-second."""
+    def ended(self, member: str, route: str, report: LoadReport, now: float) -> None:
+        """Note that a request is over, with what its node has told."""
         load = self._load(member)
         load.out = max(0, load.out - 1)
         if report.limit:
             load.report = report
-            load.price = price
             load.reported_at = now
             load.sent_since = 0
         if report.service_time > 0:
@@ -163,7 +141,6 @@
         wait = _congestion(load_share, seconds) if load_share > FILLING_ABOVE else 0.0
         if fresh:
             wait = max(wait, report.queue_wait)
-            wait += PRICE_WEIGHT * (load.price - MIN_PRICE) * seconds
         away = 0.0 if member.domain == self._domain else AWAY_PENALTY
         failing = _failing_penalty(report.failing, now - load.reported_at)
         jitter = self._rng.random() * 0.002
--- a/packages/thorntray/src/thorntray/internal/overload/slot_price.py
+++ b/packages/thorntray/src/thorntray/internal/overload/slot_price.py
@@ -16,7 +16,7 @@
 MIN_PRICE = 0.2  # worth per slot-second, of an idle instance
 MAX_PRICE = 20.0
 RISE_PER_SECOND = 2.5  # exponent, at twice the work that the slots carry
-FALL_PER_SECOND = 4.0  # exponent, for an idle instance
+FALL_PER_SECOND = 2.0  # exponent, for an idle instance
 CALM_LOAD = 0.92  # share of slots in use below which the price falls
 MAX_OVERLOAD = 2.0  # load beyond the limit that still speeds up the rise
 
--- a/packages/thorntray/src/thorntray/internal/request/origin_request.py
+++ b/packages/thorntray/src/thorntray/internal/request/origin_request.py
@@ -19,7 +19,6 @@
 from thorntray.internal.overload.placement import Placement
 from thorntray.internal.overload.retry_budget import RetryBudget
 from thorntray.internal.overload.root_admission import CLOSED_PRICE, RootAdmission, worth_of
-from thorntray.internal.overload.slot_price import MIN_PRICE
 from thorntray.internal.process.clock import Clock
 from thorntray.internal.request.owner import Held, Owner
 from thorntray.internal.request.result import (
@@ -302,8 +301,7 @@
     def _on_result(self, attempt: int, member: Member, result: Result) -> None:
         parts = self.context.parts
         now = parts.clock.monotonic()
-        price = result.prices.get(self.service, MIN_PRICE)
-        parts.placement.ended(member.name, self.route_key, result.report, now, price)
+        parts.placement.ended(member.name, self.route_key, result.report, now)
         if self.ended or attempt != self.attempt:
             return
         self.held = self.link = None
