--- a/packages/thorntray/src/thorntray/internal/overload/placement.py
+++ b/packages/thorntray/src/thorntray/internal/overload/placement.py
@@ -93,9 +93,11 @@
             return self._last_resort(members, tried, now)
         pool = self._sample(self._in_rotation(routable, now))
         usual = self._usual_time(pool, route)
+        least_failing = min(self._load(m.name).report.failing for m in pool)
         best, least = pool[0], float("inf")
         for member in pool:
             expected = self._expected(member, route, usual, now)
+            expected += self._failing_penalty(member, least_failing, now)
             if expected < least:
                 best, least = member, expected
         return best
@@ -142,9 +144,21 @@
         if fresh:
             wait = max(wait, report.queue_wait)
         away = 0.0 if member.domain == self._domain else AWAY_PENALTY
-        failing = _failing_penalty(report.failing, now - load.reported_at)
         jitter = self._rng.random() * 0.002
-        return seconds + wait + away + failing + jitter
+        return seconds + wait + away + jitter
+
+    def _failing_penalty(self, member: Member, least: float, now: float) -> float:
+        """Return the seconds to add for a failing share above the least one among all compared.
+
+        Where all fail alike there is nowhere better to go. The penalty fades with the age of the
+        word, since an instance that is avoided shows no success.
+        """
+        load = self._load(member.name)
+        more = load.report.failing - least
+        if more < NEGLIGIBLE_SHARE:
+            return 0.0
+        age = now - load.reported_at
+        return float(FAILING_PENALTY * more * 0.5 ** (age / FAILING_HALF_LIFE))
 
     def _load(self, member: str) -> _Load:
         load = self._loads.get(member)
@@ -153,16 +167,6 @@
         return load
 
 
-def _failing_penalty(share: float, age: float) -> float:
-    """Return the seconds to add for a failing share that was told `age` seconds ago.
-
-    It fades, since an instance that is avoided shows no success.
-    """
-    if share < NEGLIGIBLE_SHARE:
-        return 0.0
-    return float(FAILING_PENALTY * share * 0.5 ** (age / FAILING_HALF_LIFE))
-
-
 def _congestion(load: float, seconds: float) -> float:
     """Return the seconds to add for an instance at a share `load` of its limit."""
     filling = min(1.0, max(0.0, (load - FILLING_ABOVE) / (1.0 - FILLING_ABOVE)))
