--- a/packages/thorntray/src/thorntray/internal/overload/failing_share.py
+++ b/packages/thorntray/src/thorntray/internal/overload/failing_share.py
@@ -1,9 +1,8 @@
 """How much of its work an instance fails, as the node in front of it sees.
 
 Load pattern: one instance in seven loses or refuses two answers in five, while its health checks
-pass. Each caller alone sees few of its answers, and too few in a row fail to eject it; but a
-request that makes ten calls to that service nearly always meets it. The node in front sees every
-answer, so it tells the share with each result, and placement counts it as time.
+pass. Each caller alone sees few of its answers; the node in front sees every one. It tells the
+share with each result, for logs and metrics; no decision goes by it yet (docs/PLATFORM.md, "Open").
 
 A failure that a nested call may have caused says nothing of the instance that passed it on.
 """
--- a/packages/thorntray/src/thorntray/internal/overload/placement.py
+++ b/packages/thorntray/src/thorntray/internal/overload/placement.py
@@ -9,8 +9,6 @@
 Bytes between failure domains are dear and add delay, so another domain must be clearly faster.
 But an instance near its limit soon makes everybody wait, and a full one at home beside an idle one
 away wastes slots while callers are refused; so the last slots count as slower the fewer are left.
-An instance that fails a share of its requests counts as slower by that share: a failed call costs
-another one, or the whole request above it.
 A member whose node or instance did not take requests lately rests for a while. Where no member is
 open, one whose node is about to stop is still asked: it serves until it ends, or refuses at once.
 """
@@ -24,9 +22,6 @@
 AWAY_PENALTY = 0.06  # seconds added for another failure domain
 FILLING_ABOVE = 0.65  # share of the limit in use from which an instance counts as slower
 FULL_PENALTY = 0.15  # seconds added when the last slot is in use
-FAILING_PENALTY = 0.5  # seconds added for an instance that fails all its requests
-NEGLIGIBLE_SHARE = 0.02  # failing share that counts as none
-FAILING_HALF_LIFE = 2.0  # seconds after which a failing share that was told counts half
 UNKNOWN_SERVICE_TIME = 0.05  # seconds, before the first result
 TIME_WEIGHT = 0.15  # of the newest service time of a member
 REST_AFTER_REFUSAL = 0.25  # seconds without new requests after a refusal that was not about load
@@ -93,11 +88,9 @@
             return self._last_resort(members, tried, now)
         pool = self._sample(self._in_rotation(routable, now))
         usual = self._usual_time(pool, route)
-        least_failing = min(self._load(m.name).report.failing for m in pool)
         best, least = pool[0], float("inf")
         for member in pool:
             expected = self._expected(member, route, usual, now)
-            expected += self._failing_penalty(member, least_failing, now)
             if expected < least:
                 best, least = member, expected
         return best
@@ -147,19 +140,6 @@
         jitter = self._rng.random() * 0.002
         return seconds + wait + away + jitter
 
-    def _failing_penalty(self, member: Member, least: float, now: float) -> float:
-        """Return the seconds to add for a failing share above the least one among all compared.
-
-        Where all fail alike there is nowhere better to go. The penalty fades with the age of the
-        word, since an instance that is avoided shows no success.
-        """
-        load = self._load(member.name)
-        more = load.report.failing - least
-        if more < NEGLIGIBLE_SHARE:
-            return 0.0
-        age = now - load.reported_at
-        return float(FAILING_PENALTY * more * 0.5 ** (age / FAILING_HALF_LIFE))
-
     def _load(self, member: str) -> _Load:
         load = self._loads.get(member)
         if load is None:
--- a/packages/thorntray/src/thorntray/internal/request/origin_request.py
+++ b/packages/thorntray/src/thorntray/internal/request/origin_request.py
@@ -327,7 +327,7 @@
             case Cause.NO_INSTANCE | Cause.DRAINING:
                 parts.placement.rest(member.name, now)
             case Cause.NONE:
-                parts.ejection.note(member.name, failed=self._failed_by_itself(result))
+                parts.ejection.note(member.name, failed=False)
 
     def _ask_again(self, result: Result) -> bool:
         """Return whether a failure of the instance is worth another attempt."""
