The store's epoch: nothing known before a restore is used after it

Cause: in a drill the store may come back from an older copy and give revisions and lease ids out again. A watch whose revision the store has passed anew missed changes without an error; a lease id could belong to another node, whose lease was then renewed, written under or, at a stop, ended; a late answer from before the restore was taken as the store's state.

Ruled out: comparing revisions (they are reused); reading each key back after each write (a call for each write, and still a race with the restore); revoking the lease at a stop after a fresh check of the epoch (the restore may come between the two calls).

Change: `StoreEpoch` holds the highest epoch seen in any answer, also of refused calls and watches. Leases and watches are bound to the epoch they came from; answers of an earlier one fail as undetermined. A void lease is taken anew at once. A stop removes the node's own key and lets the lease expire. Reads after a restore spread over 0.5 s. Policies in force never go back (as before).

--- a/packages/thorntray/src/thorntray/internal/store/platform.py
+++ b/packages/thorntray/src/thorntray/internal/store/platform.py
@@ -23,6 +23,7 @@
     StoreEntry,
     WatchBatch,
 )
+from thorntray.internal.store.store_epoch import StoreEpoch
 
 READ_ATTEMPTS = 3
 READ_BACKOFF = (
@@ -61,6 +62,11 @@
         """Return the number of calls made so far."""
         return self._http.calls
 
+    @property
+    def epoch(self) -> StoreEpoch:
+        """Return the epoch of the service; its answers carry none, so it stays 0."""
+        return self._http.epoch
+
     async def close(self) -> None:
         """Close all connections."""
         await self._http.close()
--- a/packages/thorntray/src/thorntray/internal/store/policy_watch.py
+++ b/packages/thorntray/src/thorntray/internal/store/policy_watch.py
@@ -18,6 +18,7 @@
 from thorntray.internal.membership.member import Member
 from thorntray.internal.store.seeds import PlatformState
 from thorntray.internal.store.store_calls import StoreEntry, WatchBatch
+from thorntray.internal.store.store_epoch import RESTORE_SPREAD, StoreEpoch
 from thorntray.internal.telemetry.events import Event, log_event
 from thorntray.internal.version.policy import Policy, PolicyHolder
 
@@ -32,6 +33,11 @@
 class PolicyStore(Protocol):
     """The operations of the platform's service that the policy watch needs."""
 
+    @property
+    def epoch(self) -> StoreEpoch:
+        """Return the epoch of the service's data."""
+        ...
+
     async def read(self, key: str, *, prefix: bool = False) -> tuple[list[StoreEntry], int]:
         """Return the entries of a key or prefix and the store's revision."""
         ...
@@ -112,6 +118,7 @@
         while True:
             try:
                 entries, revision = await self._store.read(self._key)
+                epoch = self._store.epoch.current
                 self._apply(WatchBatch(tuple(entries), revision))
                 backoff = INITIAL_BACKOFF
                 async for batch in self._store.watch(self._key, revision + 1):
@@ -119,6 +126,8 @@
                     if batch.compacted:
                         break  # changes may have been missed: read the key again
                     self._apply(batch)
+                if self._store.epoch.current > epoch:
+                    await asyncio.sleep(RESTORE_SPREAD * self._rng.random())
                 continue
             except PlatformUnavailable as exc:
                 self._state.record(False, str(exc))
--- a/packages/thorntray/src/thorntray/internal/store/seeds.py
+++ b/packages/thorntray/src/thorntray/internal/store/seeds.py
@@ -19,6 +19,7 @@
 from thorntray.internal.membership.membership import Membership
 from thorntray.internal.process.tasks import BackgroundTasks
 from thorntray.internal.store.store_calls import StoreEntry
+from thorntray.internal.store.store_epoch import RESTORE_SPREAD, StoreEpoch
 from thorntray.internal.telemetry.events import Event, log_event
 
 SEEDS_PER_DOMAIN = 3
@@ -31,6 +32,11 @@
 class SeedStore(Protocol):
     """The operations of the platform's service that seeds need."""
 
+    @property
+    def epoch(self) -> StoreEpoch:
+        """Return the epoch of the service's data."""
+        ...
+
     async def read(self, key: str, *, prefix: bool = False) -> tuple[list[StoreEntry], int]:
         """Return the entries of a key or prefix and the store's revision."""
         ...
@@ -44,11 +50,11 @@
         ...
 
     async def lease_keepalive(self, lease: int) -> bool:
-        """Renew a lease; return False if it has expired."""
+        """Renew a lease; return False if it has expired or the service has lost it."""
         ...
 
     async def lease_revoke(self, lease: int) -> None:
-        """Revoke a lease, which removes its keys."""
+        """Give up a lease and remove its keys."""
         ...
 
 
@@ -175,6 +181,7 @@
         await self.wait_until_settled()
         last_lookup = asyncio.get_running_loop().time()
         while True:
+            epoch = self._platform.epoch.current
             own = self._membership.own
             members = self._membership.alive()
             if own.name in role_holders(members, own.domain, "seed", SEEDS_PER_DOMAIN):
@@ -183,11 +190,18 @@
                 if now - last_lookup > REJOIN_PERIOD:
                     last_lookup = now
                     await self._join_listed_seeds()
-                await asyncio.sleep(self._timing.renew_period * (0.8 + 0.4 * self._rng.random()))
+                pause = self._timing.renew_period * (0.8 + 0.4 * self._rng.random())
+                await self._sleep_unless_restored(epoch, pause)
             else:
                 self._lease = 0  # the entry expires with its lease
                 await asyncio.sleep(ROLE_CHECK_PERIOD * (0.5 + self._rng.random()))
 
+    async def _sleep_unless_restored(self, epoch: int, seconds: float) -> None:
+        """Sleep, but take a void lease anew soon after a restore of the platform's service."""
+        await self._platform.epoch.sleep_within(epoch, seconds)
+        if self._platform.epoch.current > epoch:
+            await asyncio.sleep(RESTORE_SPREAD * self._rng.random())
+
     async def _hold_entry(self) -> None:
         own = self._membership.own
         try:
--- a/packages/thorntray/src/thorntray/internal/store/store_calls.py
+++ b/packages/thorntray/src/thorntray/internal/store/store_calls.py
@@ -17,6 +17,8 @@
 
 from thorntray.errors import PlatformUnavailable, WriteUndetermined
 from thorntray.internal.process.clock import Clock
+from thorntray.internal.store.store_epoch import StoreEpoch
+from thorntray.internal.telemetry.events import Event, log_event
 
 CALL_TIMEOUT = 2.0  # seconds
 CALLS_PER_SECOND = 1.0  # default limit for one node, on average
@@ -74,7 +76,8 @@
 class StoreCalls:
     """HTTP calls with JSON bodies. `endpoints` are base URLs, `rate` is in calls per second.
 
-    `on_call` is called with the method and the result of each call.
+    `on_call` is called with the method and the result of each call. `epoch_header` names the field
+    of each answer that carries the store's epoch; without it, the store is taken as never restored.
     """
 
     def __init__(
@@ -84,9 +87,12 @@
         rng: Random,
         rate: float = CALLS_PER_SECOND,
         on_call: Callable[[str, str], None] = lambda method, result: None,
+        epoch_header: str = "",
     ) -> None:
         self._endpoints = endpoints
         self._on_call = on_call
+        self._epoch_header = epoch_header
+        self.epoch = StoreEpoch()
         self._rng = rng
         self._budget = CallBudget(clock, rate=rate, updated_at=clock.monotonic())
         self._session: aiohttp.ClientSession | None = None
@@ -107,7 +113,7 @@
         """Make one call and return the reply, whatever its status.
 
         Raises `PlatformUnavailable` if the call cannot have been received, and
-        `WriteUndetermined` if it may have taken effect.
+        `WriteUndetermined` if it may have taken effect or the store has been restored since.
         """
         await self._budget.acquire()
         self.calls += 1
@@ -122,7 +128,8 @@
                 body = await resp.read()
                 self._on_call(method, str(resp.status))
                 decoded = msgspec.json.decode(body, type=dict) if resp.status == 200 else {}
-                return StoreReply(resp.status, decoded)
+                reply = StoreReply(resp.status, decoded)
+                epoch = resp.headers.get(self._epoch_header, "")
         except (aiohttp.ClientConnectorError, aiohttp.ServerTimeoutError) as exc:
             self._on_call(method, "no connection")
             raise PlatformUnavailable(f"no connection to {url}; is the service up?") from exc
@@ -131,6 +138,18 @@
             raise WriteUndetermined(
                 f"{path}: no answer ({exc!r}); read the key to see whether it took effect"
             ) from exc
+        self._check_epoch(path, epoch)
+        return reply
+
+    def _check_epoch(self, path: str, epoch: str) -> None:
+        if not epoch.isdigit():
+            return
+        if int(epoch) > self.epoch.current > 0:
+            log_event(Event.PLATFORM_RESTORED, epoch=int(epoch))
+        if not self.epoch.observe(int(epoch)):
+            raise WriteUndetermined(
+                f"{path}: answered before the store was restored; make the call again"
+            )
 
     async def open_watch(self) -> None:
         """Wait until the budget allows a watch to be opened, and count it as a call."""
--- a/packages/thorntray/src/thorntray/internal/telemetry/events.py
+++ b/packages/thorntray/src/thorntray/internal/telemetry/events.py
@@ -63,6 +63,9 @@
     POLICY_REFUSED = EventKind(303, Level.ERROR, "policy refused, last valid one kept")
     PLATFORM_DOWN = EventKind(310, Level.WARNING, "platform service unavailable")
     PLATFORM_BACK = EventKind(311, Level.INFO, "platform service available again")
+    PLATFORM_RESTORED = EventKind(
+        312, Level.WARNING, "platform service restored from an older copy"
+    )
     BAD_MESSAGE = EventKind(400, Level.WARNING, "message refused")
     HANDLER_FAILED = EventKind(401, Level.ERROR, "message handler failed")
     LINK_LOST = EventKind(410, Level.WARNING, "link to a peer lost")
--- a/soak/plan.py
+++ b/soak/plan.py
@@ -27,12 +27,19 @@
     STORE_SILENT = "store does not respond"
     STORE_LOSES = "store applies a write but its response is lost"
     STORE_COMPACT = "store compacts its history"
+    STORE_RESTORE = "store responds 503, then returns to a copy of its data some seconds old"
     CHANGE = "route `moving` is moved to another service"
     SURGE = "callers send at four times the rate"
 
 
 STORE_FAULTS = frozenset(
-    {FaultKind.STORE_BUSY, FaultKind.STORE_SILENT, FaultKind.STORE_LOSES, FaultKind.STORE_COMPACT}
+    {
+        FaultKind.STORE_BUSY,
+        FaultKind.STORE_SILENT,
+        FaultKind.STORE_LOSES,
+        FaultKind.STORE_COMPACT,
+        FaultKind.STORE_RESTORE,
+    }
 )
 NODE_FAULTS = frozenset(
     {
--- a/soak/run.py
+++ b/soak/run.py
@@ -45,6 +45,7 @@
 CHECK_INTERVAL = 1.0  # seconds
 MEMBERSHIP_SETTLE_TIME = 3.0  # seconds for the nodes to discover each other
 PROXY_DELAY = 0.2  # seconds, of delayed links
+RESTORED_COPY_AGE = 5.0  # seconds, at the start of the fault
 SURGE_FACTOR = 4.0
 SLOW_FACTOR = 8.0
 
@@ -137,6 +138,8 @@
                 await self._change_route()
             case FaultKind.STORE_COMPACT:
                 await self.fleet.store.compact()
+            case FaultKind.STORE_RESTORE:
+                await self._restore_store(fault)
             case FaultKind.STORE_LOSES:
                 self.fleet.store.responses_to_drop += 1
             case _:
@@ -160,6 +163,14 @@
                 if not node.running:
                     self.fleet.start_node(node)
 
+    async def _restore_store(self, fault: Fault) -> None:
+        store = self.fleet.store
+        store.fault_mode = "busy"
+        await asyncio.sleep(fault.duration)
+        await store.restore(fault.duration + RESTORED_COPY_AGE)
+        await self.fleet.publish_again()
+        store.fault_mode = ""
+
     async def _wait_exit(self, node: NodeProcess) -> None:
         with suppress(TimeoutError):
             async with asyncio.timeout(STOP_TIMEOUT):
--- a/standins/kv_store.py
+++ b/standins/kv_store.py
@@ -2,14 +2,16 @@
 
 Set `fault_mode` to "busy" (status 503), "many" (status 429) or "silent" (no response). The next
 `responses_to_drop` transactions and lease grants are applied without a response. `compact()` drops
-the event history. `call_counts` has the number of calls by the first segment of the path.
+the event history. `restore()` returns the store to an older copy of its data: newer writes and
+leases are lost, their revisions and lease ids are given out again, and the epoch in all responses
+rises. `call_counts` has the number of calls by the first segment of the path.
 """
 
 import asyncio
 import base64
 import time
 from collections import Counter
-from typing import Any
+from typing import Any, NamedTuple
 
 from aiohttp import web
 
@@ -17,6 +19,20 @@
 OPERATOR_KEY_PREFIXES = ("op/", "servers/")  # transactions on these prefixes get status 403
 
 
+EPOCH_HEADER = "Store-Era"
+
+
+class _Copy(NamedTuple):
+    """The data of the store at one time (monotonic seconds)."""
+
+    taken_at: float
+    revision: int
+    items: dict[str, dict[str, Any]]
+    events: list[tuple[int, dict[str, Any]]]
+    leases: dict[int, tuple[float, float]]
+    last_lease_id: int
+
+
 class KvStoreStandIn:
     """A key-value store with revisions, leases and watches."""
 
@@ -29,7 +45,9 @@
         self.fault_mode = ""
         self.responses_to_drop = 0
         self.call_counts: Counter[str] = Counter()
+        self.epoch = 1
         self._last_lease_id = 100
+        self._copies: list[_Copy] = []
         self._changed = asyncio.Condition()
         self._runner: web.AppRunner | None = None
 
@@ -43,6 +61,7 @@
         app.router.add_post("/kv-lease", self._handle_lease_grant)
         app.router.add_post("/kv-keep/{lease}", self._handle_keepalive)
         app.router.add_delete("/kv-lease-end/{lease}", self._handle_lease_revoke)
+        app.middlewares.append(self._add_epoch)
         app.middlewares.append(self._inject_fault)
         self._runner = web.AppRunner(app, shutdown_timeout=0.1, access_log=None)
         await self._runner.setup()
@@ -53,6 +72,33 @@
         if self._runner is not None:
             await self._runner.cleanup()
 
+    async def restore(self, age: float) -> None:
+        """Return to the data of `age` seconds ago, in a new epoch."""
+        cutoff = time.monotonic() - age
+        older = [copy for copy in self._copies if copy.taken_at <= cutoff]
+        copy = older[-1] if older else _Copy(cutoff, 10, {}, [], {}, 100)
+        self.revision, self._last_lease_id = copy.revision, copy.last_lease_id
+        self.items, self.events, self.leases = dict(copy.items), list(copy.events), {}
+        for lease, (_, ttl) in copy.leases.items():
+            self.leases[lease] = (time.monotonic() + ttl, ttl)
+        self._copies = older
+        self.compacted_revision = min(self.compacted_revision, self.revision)
+        self.epoch += 1
+        async with self._changed:
+            self._changed.notify_all()
+
+    def _keep_copy(self) -> None:
+        self._copies.append(
+            _Copy(
+                time.monotonic(),
+                self.revision,
+                dict(self.items),
+                list(self.events),
+                dict(self.leases),
+                self._last_lease_id,
+            )
+        )
+
     async def write(self, key: str, value: bytes, lease: int = 0) -> None:
         """Write a key without the prefix check, as operators do."""
         self.revision += 1
@@ -71,7 +117,10 @@
         """Remove a lease and delete its keys."""
         self.leases.pop(lease, None)
         for key in [k for k, item in self.items.items() if item["Lease"] == lease]:
-            del self.items[key]
+            await self._remove(key)
+
+    async def _remove(self, key: str) -> None:
+        if self.items.pop(key, None) is not None:
             self.revision += 1
             await self._append_event({"Key": key, "Revision": self.revision, "Deleted": True})
 
@@ -82,6 +131,12 @@
         async with self._changed:
             self._changed.notify_all()
 
+    @web.middleware
+    async def _add_epoch(self, req: web.Request, handler: Any) -> web.StreamResponse:
+        resp = await handler(req)
+        resp.headers[EPOCH_HEADER] = str(req.get("epoch", self.epoch))
+        return resp
+
     @web.middleware
     async def _inject_fault(self, req: web.Request, handler: Any) -> web.StreamResponse:
         self.call_counts[req.path.split("/")[1]] += 1
@@ -118,7 +173,7 @@
         prefix, after = req.query["PathPrefix"], int(req.query["after"])
         deadline = time.monotonic() + int(req.query["WaitMs"]) / 1000
         while time.monotonic() < deadline:
-            if after < self.compacted_revision:
+            if after < self.compacted_revision or after > self.revision:
                 return web.Response(status=410)
             matching = [e for rev, e in self.events if rev > after and e["Key"].startswith(prefix)]
             if matching:
@@ -144,12 +199,15 @@
         for write in body["Writes"]:
             value = base64.b64decode(write["Value"], validate=True)
             await self.write(write["Key"], value, write.get("Lease", 0))
+        for key in body["Remove"]:
+            await self._remove(key)
         return await self._respond({"Revision": self.revision})
 
     async def _handle_lease_grant(self, req: web.Request) -> web.Response:
         ttl = float((await req.json())["TtlS"])
         self._last_lease_id += 1
         self.leases[self._last_lease_id] = (time.monotonic() + ttl, ttl)
+        self._keep_copy()
         return await self._respond({"Lease": self._last_lease_id, "TtlS": ttl})
 
     async def _handle_keepalive(self, req: web.Request) -> web.Response:
@@ -172,5 +230,6 @@
 
     async def _append_event(self, event: dict[str, Any]) -> None:
         self.events.append((event["Revision"], event))
+        self._keep_copy()
         async with self._changed:
             self._changed.notify_all()
--- a/standins/mesh_fleet.py
+++ b/standins/mesh_fleet.py
@@ -118,10 +118,14 @@
         """Write the routes to the store as a new version; returns its number."""
         self.version += 1
         self.routes = routes
-        document = {"Version": f"r{self.version}", "Resources": _resources(routes)}
-        await self.store.write("op/config", json.dumps(document).encode())
+        await self.publish_again()
         return self.version
 
+    async def publish_again(self) -> None:
+        """Write the newest version to the store again, after the store may have lost it."""
+        document = {"Version": f"r{self.version}", "Resources": _resources(self.routes)}
+        await self.store.write("op/config", json.dumps(document).encode())
+
     def start_node(self, node: NodeProcess) -> None:
         """Start or restart the process of a node."""
         settings = self.folder / f"{node.name}.toml"
--- a/tests/fleet_builders.py
+++ b/tests/fleet_builders.py
@@ -16,6 +16,7 @@
 from thorntray.internal.store.roles import Roles
 from thorntray.internal.store.settings_sync import SettingsSync
 from thorntray.internal.store.store_calls import StoreEntry, WatchBatch
+from thorntray.internal.store.store_epoch import StoreEpoch
 from thorntray.internal.version.document import Change, Document, encode_document
 from thorntray.internal.version.holder import SettingsHolder
 
@@ -51,6 +52,7 @@
         self.requests_to_lose = 0
         self.calls_by_second: Counter[int] = Counter()
         self.leases: set[int] = set()
+        self.epoch = StoreEpoch()
         self._change_event = asyncio.Event()
 
     def _count(self) -> None:
--- a/tests/mesh_builders.py
+++ b/tests/mesh_builders.py
@@ -13,6 +13,7 @@
 from thorntray.internal.process.clock import SystemClock
 from thorntray.internal.process.registration import Announcement, Phase
 from thorntray.internal.store.store_calls import StoreEntry, WatchBatch
+from thorntray.internal.store.store_epoch import StoreEpoch
 from thorntray.internal.version.policy import Policy, Route, ServicePolicy, Target
 from thorntray_node.mesh_config import Endpoint, MeshConfig
 from thorntray_node.mesh_node import MeshNode, StoreKeys
@@ -161,6 +162,7 @@
     def __init__(self) -> None:
         self.entries: dict[str, bytes] = {}
         self.up = True
+        self.epoch = StoreEpoch()
 
     async def read(self, key: str, *, prefix: bool = False) -> tuple[list[StoreEntry], int]:
         """Return the entries of a key or prefix, and the revision 1."""
