A few nodes of each domain watch the policy; the others fetch it from peers

Ruled out: one or two watchers a domain (a stalled watch, or a node that the store refuses, would delay the domain); fetching from whoever told of the version (four of five tellers are in another domain: the document crosses domains for each node); a subscription link to the watchers (state and liveness checks for each node, while datagrams carry the version anyway).

Change: four watchers in each domain by rendezvous hash (`store/watch_duty.py`). A node reads the policy at its start, then fetches newer versions from peers, from a watcher of its own domain if the teller is elsewhere. Domains of four nodes or fewer are unchanged: all their nodes watch.

Served better: nobody directly; the platform's store, which is shared, is.

--- a/packages/thorntray-node/src/thorntray_node/mesh_gauges.py
+++ b/packages/thorntray-node/src/thorntray_node/mesh_gauges.py
@@ -17,6 +17,7 @@
         "thorntray_failing_share": lambda: node.owner.failure_rate,
         "thorntray_members": lambda: len(node.membership.alive()),
         "thorntray_policy_version": lambda: node.holder.version,
+        "thorntray_policy_watch": lambda: float(node.policy_watch.duty.on_duty()),
         "thorntray_gossip_sent_bytes": lambda: node.membership.bytes_sent,
         "thorntray_gossip_received_bytes": lambda: node.membership.bytes_received,
         "thorntray_instance_connections": lambda: node.pool.connections_opened,
--- a/packages/thorntray-node/src/thorntray_node/mesh_node.py
+++ b/packages/thorntray-node/src/thorntray_node/mesh_node.py
@@ -31,6 +31,7 @@
 from thorntray.internal.request.result_frames import frame_from_result
 from thorntray.internal.store.policy_watch import PolicyDecoder, PolicyStore, PolicyWatch
 from thorntray.internal.store.seeds import PlatformState, Seeds, SeedStore, SeedTiming
+from thorntray.internal.store.watch_duty import WatchDuty
 from thorntray.internal.telemetry.events import Event, log_event
 from thorntray.internal.telemetry.node_metrics import NodeMetrics
 from thorntray.internal.version.policy import Policy, PolicyHolder
@@ -179,6 +180,7 @@
             SEED_TIMING,
             self.rng,
         )
+        self.policy_watch.duty = WatchDuty(self.membership, self.seeds, self.clock, self.rng)
         origin = Origin(self._origin_dependencies())
         self.callers = HttpServer(origin.handle, self.clock)
         self.readiness = HttpServer(self._answer_readiness, self.clock)
--- a/packages/thorntray/src/thorntray/internal/membership/membership.py
+++ b/packages/thorntray/src/thorntray/internal/membership/membership.py
@@ -20,6 +20,7 @@
 """
 
 import asyncio
+from collections import deque
 from collections.abc import Callable
 from random import Random
 from typing import Protocol
@@ -49,6 +50,7 @@
 PROBE_PERIOD = 1.0  # seconds
 PROBE_TIMEOUT = 0.3  # seconds without an ack until other members are asked to ping
 INDIRECT_TIMEOUT = 0.5  # seconds after that until the member is suspected
+PROBES_PER_PERIOD = 2
 INDIRECT_PROBES = 3  # members that are asked to ping
 SUSPECT_TIMEOUT = 3.0  # seconds until a suspect that has not refuted is dead
 SPREAD_PERIOD = 0.2  # seconds
@@ -101,6 +103,7 @@
         self._on_revisions = on_revisions
         self._on_member_gone = on_member_gone
         self._sequence = 0
+        self._recent_probes: deque[bool] = deque(maxlen=PROBES_PER_PERIOD)  # whether acked in time
         self._pending_acks: dict[int, asyncio.Future[None]] = {}
         self._suspected_at: dict[str, float] = {}
         self._gone_at: dict[str, float] = {}
@@ -153,6 +156,13 @@
         """Return the alive and suspect members, including this node."""
         return [m for m in self.view.all() if m.health in (Health.ALIVE, Health.SUSPECT)]
 
+    @property
+    def connected(self) -> bool:
+        """Return whether other members are known and any of the newest probes was answered."""
+        if len(self.alive()) == 1:
+            return False
+        return any(self._recent_probes) or len(self._recent_probes) < PROBES_PER_PERIOD
+
     def probe_now(self, name: str) -> None:
         """Probe a member at once, because an attempt through it has failed."""
         member = self.find(name)
@@ -189,15 +199,20 @@
             successor = self.view.ring_successor()
             others = [m for m in self.view.sample(self._rng, 1) if m != successor]
             for member in [successor, *others] if successor else others:
-                self._tasks.spawn(self._probe(member))
+                self._tasks.spawn(self._probe(member, self._recent_probes.append))
             self._declare_suspects_dead()
             await asyncio.sleep(PROBE_PERIOD)
 
-    async def _probe(self, member: Member) -> None:
+    async def _probe(
+        self, member: Member, on_answer: Callable[[bool], None] = lambda answered: None
+    ) -> None:
+        """Probe a member; `on_answer` is called with whether it answered directly and in time."""
         sequence, ack = self._expect_ack()
         try:
             self._ping(member, sequence)
-            if await self._wait_for_ack(ack, PROBE_TIMEOUT):
+            answered = await self._wait_for_ack(ack, PROBE_TIMEOUT)
+            on_answer(answered)
+            if answered:
                 return
             for helper in self.view.sample(self._rng, INDIRECT_PROBES, exclude=member.name):
                 self._send(PingRequest(sequence, self.own, member.name), helper)
--- a/packages/thorntray/src/thorntray/internal/store/seeds.py
+++ b/packages/thorntray/src/thorntray/internal/store/seeds.py
@@ -115,6 +115,7 @@
         self._rng = rng
         self._lease = 0
         self._first_lookup_done = asyncio.Event()
+        self.settled = False  # whether the view has stopped growing after the start
         self._tasks = BackgroundTasks()
 
     @property
@@ -179,6 +180,7 @@
 
     async def _seed_loop(self) -> None:
         await self.wait_until_settled()
+        self.settled = True
         last_lookup = asyncio.get_running_loop().time()
         while True:
             epoch = self._platform.epoch.current
--- /dev/null
+++ b/packages/thorntray/src/thorntray/internal/store/watch_duty.py
@@ -0,0 +1,71 @@
+"""Decides which nodes watch the policy in the platform's store themselves.
+
+Load pattern: a change of the policy wakes every open watch, and each woken watch is one more call
+to the store, so with a watch at every node the calls for one change grow with the fleet. Therefore
+only a few nodes of each failure domain watch, chosen by rendezvous hashing: several, so that a
+stalled watch, or a node that the store refuses, delays nobody. The others learn of a new version
+from datagrams and fetch it from a peer, preferably one in their own domain.
+
+A node cannot rely on its peers while its probes of them are not answered. It then watches the store
+itself, and continues to do so for `ISOLATION_HOLD` after the probes are answered again.
+"""
+
+from random import Random
+
+from thorntray.internal.membership.member import Member
+from thorntray.internal.membership.membership import Membership
+from thorntray.internal.process.clock import Clock
+from thorntray.internal.store.seeds import Seeds, role_holders
+
+WATCHERS_PER_DOMAIN = 4
+POLICY_WATCH_ROLE = "policy"
+START_PATIENCE = 3.0  # seconds after its start for which a node waits for a complete view
+ISOLATION_HOLD = 5.0  # seconds
+
+
+class WatchDuty:
+    """Whether this node watches the policy, and from which peer it fetches a new version."""
+
+    def __init__(self, membership: Membership, seeds: Seeds, clock: Clock, rng: Random) -> None:
+        self._membership = membership
+        self._seeds = seeds
+        self._clock = clock
+        self._rng = rng
+        self._started_at = clock.monotonic()
+        self._isolated_until = float("-inf")
+
+    def on_duty(self) -> bool:
+        """Return whether this node has to watch the store now."""
+        now = self._clock.monotonic()
+        if not self._seeds.settled and now - self._started_at < START_PATIENCE:
+            return False
+        if not self._membership.connected:
+            self._isolated_until = now + ISOLATION_HOLD
+        if now < self._isolated_until:
+            return True
+        return self._membership.own.name in self._watchers()
+
+    def source_for(self, sender: Member) -> Member:
+        """Return the peer from which to fetch a version that `sender` has told of."""
+        own = self._membership.own
+        if sender.domain == own.domain:
+            return sender
+        names = sorted(self._watchers() - {own.name})
+        watcher = self._membership.find(self._rng.choice(names)) if names else None
+        return watcher or sender
+
+    def _watchers(self) -> set[str]:
+        members, own = self._membership.alive(), self._membership.own
+        return role_holders(members, own.domain, POLICY_WATCH_ROLE, WATCHERS_PER_DOMAIN)
+
+
+class EveryNode:
+    """The duty of a node that always watches the store."""
+
+    def on_duty(self) -> bool:
+        """Return True."""
+        return True
+
+    def source_for(self, sender: Member) -> Member:
+        """Return `sender`."""
+        return sender
--- a/packages/thorntray/src/thorntray/internal/telemetry/node_metrics.py
+++ b/packages/thorntray/src/thorntray/internal/telemetry/node_metrics.py
@@ -34,6 +34,7 @@
     "thorntray_repeat_budget": ("gauge", "retries left in the budget of this node, by service"),
     "thorntray_members": ("gauge", "members considered alive"),
     "thorntray_policy_version": ("gauge", "version of the policy in force, 0 for none"),
+    "thorntray_policy_watch": ("gauge", "1 if this node watches the policy in the store, else 0"),
     "thorntray_gossip_sent_bytes": ("gauge", "bytes of membership datagrams sent since the start"),
     "thorntray_gossip_received_bytes": ("gauge", "bytes of membership datagrams received"),
     "thorntray_instance_connections": ("gauge", "connections opened to the instance"),
