A node that has just started asks its domain's members until its view stops growing

Cause: when a whole fleet starts at once, the first member that a node asks knows only those that joined before. All later joins came by gossip in its byte budget and by repairs of ten members each 0.4 s: at 200 nodes 9.25 s until 99 % of the nodes knew 99 % of the members and 13 s until all knew all, beyond the moment when callers begin (in memory, virtual time).

Ruled out: a larger gossip budget (it holds for the fleet's whole life, for a moment at its start); shorter pauses between a repair's datagrams (the same, and it runs when a partition heals).

Change: after its first lookup a node asks a random member of its own domain for all members, each half second on average, as long as its view has grown since; at most eight times.

Served better: callers of nodes that did not know a service yet.

--- a/packages/thorntray/src/thorntray/internal/store/seeds.py
+++ b/packages/thorntray/src/thorntray/internal/store/seeds.py
@@ -26,6 +26,8 @@
 ROLE_CHECK_PERIOD = 2.0  # seconds between checks whether this node is chosen for a role
 JOIN_REPLY_WAIT = 0.2  # seconds to wait for replies to a join
 MAX_JOIN_SEEDS = 5  # seeds that one join is sent to
+CATCH_UP_PERIOD = 0.5  # seconds between requests for all members after the start, jittered
+CATCH_UP_REQUESTS = 8  # most such requests
 REJOIN_PERIOD = 30.0  # seconds between the joins of a node that holds a seed entry
 
 
@@ -125,7 +127,7 @@
 
     def start(self) -> None:
         """Start looking for peers, and take a seed entry once the view has settled."""
-        for work in (self._find_peers(), self._seed_loop()):
+        for work in (self._find_peers(), self._catch_up(), self._seed_loop()):
             self._tasks.spawn(work)
 
     async def stop(self) -> None:
@@ -155,6 +157,27 @@
             await asyncio.sleep(self._timing.retry_pause * (0.5 + self._rng.random()))
             await self._look_up_seeds()
 
+    async def _catch_up(self) -> None:
+        """Ask a member for all members again, as long as the view has grown since the last time.
+
+        When a whole fleet starts at once, the first member asked knows only those that joined
+        before, and the gossip of all the others takes long in its byte budget.
+        """
+        await self._first_lookup_done.wait()
+        for _ in range(CATCH_UP_REQUESTS):
+            known = len(self._membership.alive())
+            await asyncio.sleep(CATCH_UP_PERIOD * (0.5 + self._rng.random()))
+            members = self._membership.alive()
+            if len(members) > known:
+                self._ask_for_members(members)
+
+    def _ask_for_members(self, members: list[Member]) -> None:
+        own = self._membership.own
+        others = [m for m in members if m.name != own.name]
+        local = [m for m in others if m.domain == own.domain]
+        member = self._rng.choice(local or others)
+        self._membership.join([Address(member.address, member.gossip_port)])
+
     async def _look_up_seeds(self) -> None:
         await self._join_listed_seeds()
         await asyncio.sleep(JOIN_REPLY_WAIT)
