One slot is kept for nested calls while they are usual

Cause: at an instance with three slots, three stock views of half a second hold all of them, and the nested calls of lookups and payouts (32 ms) wait behind.

Ruled out: the order of waiting requests alone (nested calls already go first, but a slot must get free); a share of the slots in place of one slot (with 15 slots one gets free every 34 ms anyway).

Change: while at least three in ten requests are nested calls, requests that are not nested get all slots but one; without nested calls they get all. Waiting requests that may start are no longer held up by one before them that may not.

The property "no request waits while a slot is free" now holds as it was for requests that are not nested and for nested calls; other requests leave at most that one slot free, which is the change itself.

--- a/packages/thorntray/src/thorntray/internal/overload/slot_queue.py
+++ b/packages/thorntray/src/thorntray/internal/overload/slot_queue.py
@@ -8,6 +8,10 @@
 Calls of a request that is already running go before new requests of the same worth: their parents
 hold slots elsewhere until the calls end.
 
+A request that takes long may hold each of a few slots while short nested calls wait, one after the
+other, until their parent runs out of time. While nested calls are usual here, one slot is therefore
+not given to other requests.
+
 An instance with few slots keeps none of them unused: leaving one of three out would cost more
 than any slow-down that it avoids.
 
@@ -20,6 +24,9 @@
 from sortedcontainers import SortedKeyList
 
 UNUSED_SHARE = 0.07  # most of the slots of an instance that stay unused
+NESTED_SLOTS = 1  # slots that only nested calls get, while they are usual
+NESTED_WEIGHT = 0.1  # weight of the newest request in the share of nested calls
+USUAL_NESTED_SHARE = 0.3  # share of nested calls from which they are usual
 NESTED_BONUS = 0.5  # worth added for a nested call; half the smallest step between priorities
 
 
@@ -48,6 +55,7 @@
         self.limit = 0
         self.in_flight = 0
         self._sequence = 0
+        self._nested_share = 0.0  # of the newest requests, moving average
         self._waiting: SortedKeyList = SortedKeyList(key=_sort_key)
 
     @property
@@ -62,14 +70,16 @@
 
     def submit(self, ticket: Ticket) -> bool:
         """Start a request if a slot is free, else queue it; True if it was started."""
-        if self.in_flight < self.limit and not self._waiting:
+        self._nested_share += NESTED_WEIGHT * (ticket.nested - self._nested_share)
+        if not self._waiting and self._may_start(ticket):
             self._assign_slot(ticket)
             return True
         self._sequence += 1
         rank = ticket.worth + (NESTED_BONUS if ticket.nested else 0.0)
         ticket.sort_key = (-rank, self._sequence)
         self._waiting.add(ticket)
-        return False
+        self._assign_free_slots()
+        return ticket.holds_slot
 
     def count_ahead(self, worth: float, nested: bool) -> int:
         """Return the number of waiting requests that go before a new one of this worth."""
@@ -96,9 +106,22 @@
         self._waiting.clear()
         return tickets
 
+    def _may_start(self, ticket: Ticket) -> bool:
+        reserved = 0
+        if not ticket.nested and self._nested_share > USUAL_NESTED_SHARE:
+            reserved = min(NESTED_SLOTS, self.limit - 1)
+        return self.in_flight < self.limit - reserved
+
+    def _startable_waiting(self) -> Ticket | None:
+        """Return the first waiting request that may start now, None if there is none."""
+        if self.in_flight >= self.limit:
+            return None
+        return next((ticket for ticket in self._waiting if self._may_start(ticket)), None)
+
     def _assign_free_slots(self) -> None:
-        while self._waiting and self.in_flight < self.limit:
-            self._assign_slot(self._waiting.pop(0))
+        while (ticket := self._startable_waiting()) is not None:
+            self._waiting.remove(ticket)
+            self._assign_slot(ticket)
 
     def _assign_slot(self, ticket: Ticket) -> None:
         self.in_flight += 1
--- a/tests/test_slot_decisions.py
+++ b/tests/test_slot_decisions.py
@@ -19,7 +19,7 @@
     admitted_share,
 )
 from thorntray.internal.overload.slot_price import MIN_PRICE, SlotPrice
-from thorntray.internal.overload.slot_queue import SlotQueue, Ticket
+from thorntray.internal.overload.slot_queue import NESTED_SLOTS, SlotQueue, Ticket
 from thorntray.internal.request.result import (
     Cause,
     LoadReport,
@@ -64,6 +64,41 @@
     ]
 
 
+def test_short_nested_calls_do_not_wait_until_a_long_request_ends():
+    """Load pattern: three slots; views take half a second, nested calls a thirtieth of it.
+
+    A lookup makes eight nested calls one after the other, so each wait counts eight times.
+    """
+    queue = SlotQueue()
+    queue.set_slots(3)
+    for _ in range(10):
+        call = Ticket(1.0, True, lambda: None)
+        assert queue.submit(call)
+        queue.release(call)
+    views = [queue.submit(Ticket(1.0, False, lambda: None)) for _ in range(3)]
+    assert views == [True, True, False]
+    call = Ticket(1.0, True, lambda: None)
+    assert queue.submit(call)
+    queue.release(call)
+    assert queue.in_flight == 2 and queue.waiting == 1
+
+
+def test_without_nested_calls_other_requests_get_every_slot():
+    queue = SlotQueue()
+    queue.set_slots(3)
+    queue.submit(Ticket(1.0, True, lambda: None))
+    for _ in range(30):
+        ticket = Ticket(1.0, False, lambda: None)
+        queue.submit(ticket)
+        queue.release(ticket)
+        queue.withdraw(ticket)
+    assert [queue.submit(Ticket(1.0, False, lambda: None)) for _ in range(3)] == [
+        True,
+        True,
+        False,
+    ]
+
+
 @given(st.integers(min_value=1, max_value=1000))
 def test_at_most_a_tenth_of_the_slots_stays_unused(slots):
     queue = SlotQueue()
@@ -112,6 +147,26 @@
         elif tickets:
             queue.withdraw(tickets[index % len(tickets)])
         assert queue.in_flight == sum(t.holds_slot for t in tickets) <= queue.limit
+        waiting = [t for t in tickets if t in queue._waiting]
+        if any(t.nested for t in waiting):
+            assert queue.in_flight == queue.limit
+        if waiting:
+            assert queue.in_flight >= queue.limit - NESTED_SLOTS
+
+
+@given(st.lists(st.sampled_from(["enter", "release", "withdraw"]), max_size=60))
+def test_without_nested_calls_no_request_waits_while_a_slot_is_free(steps):
+    queue = SlotQueue()
+    queue.set_slots(4)
+    tickets = []
+    for index, step in enumerate(steps):
+        if step == "enter":
+            tickets.append(Ticket(float(index % 3), False, lambda: None))
+            queue.submit(tickets[-1])
+        elif tickets and step == "release":
+            queue.release(tickets[index % len(tickets)])
+        elif tickets:
+            queue.withdraw(tickets[index % len(tickets)])
         assert not queue.waiting or queue.in_flight == queue.limit
 
 
