Of equal requests the one that expires first gets the slot

Cause: waiting requests of equal worth went in the order in which they reached an instance. A lookup makes eight nested calls in turn, and each of them queued behind the first calls of newer lookups, so under the surge all trees advanced a little and many ended at their route's second, half done.

Ruled out: the sum of slot-seconds that a tree has used as its rank (the caller's expiry says nearly the same and is known here already); first in, first out by the arrival of the root (needs a field more in each frame).

Change: within one rank the queue is ordered by expiry, then by arrival; the expected wait counts those ahead in that order. The test of a tree's next call beside newer trees failed before.

--- a/packages/thorntray/src/thorntray/internal/overload/slot_queue.py
+++ b/packages/thorntray/src/thorntray/internal/overload/slot_queue.py
@@ -6,7 +6,8 @@
 slow down when nearly full, so the last few slots stay unused.
 
 Calls of a request that is already running go before new requests of the same worth: their parents
-hold slots elsewhere until the calls end.
+hold slots elsewhere until the calls end. Of equal ones the first to expire goes first: a call tree
+that makes many calls in turn is then completed rather than left halfway behind newer ones.
 
 A request that takes long may hold each of a few slots while short nested calls wait, one after the
 other, until their parent runs out of time. While nested calls are usual here, one slot is therefore
@@ -33,18 +34,20 @@
 class Ticket:
     """A request for a slot; `start` is called when it gets one."""
 
-    __slots__ = ("worth", "nested", "sort_key", "start", "holds_slot", "entered_at")
+    __slots__ = ("worth", "nested", "expiry", "sort_key", "start", "holds_slot")
 
-    def __init__(self, worth: float, nested: bool, start: Callable[[], None]) -> None:
+    def __init__(
+        self, worth: float, nested: bool, start: Callable[[], None], expiry: float = 0.0
+    ) -> None:
         self.worth = worth
         self.nested = nested
+        self.expiry = expiry  # monotonic seconds
         self.start = start
-        self.sort_key = (0.0, 0)
+        self.sort_key = (0.0, 0.0, 0)
         self.holds_slot = False
-        self.entered_at = 0.0  # monotonic seconds
 
 
-def _sort_key(ticket: Ticket) -> tuple[float, int]:
+def _sort_key(ticket: Ticket) -> tuple[float, float, int]:
     return ticket.sort_key
 
 
@@ -76,15 +79,14 @@
             return True
         self._sequence += 1
         rank = ticket.worth + (NESTED_BONUS if ticket.nested else 0.0)
-        ticket.sort_key = (-rank, self._sequence)
+        ticket.sort_key = (-rank, ticket.expiry, self._sequence)
         self._waiting.add(ticket)
         self._assign_free_slots()
         return ticket.holds_slot
 
-    def count_ahead(self, worth: float, nested: bool) -> int:
-        """Return the number of waiting requests that go before a new one of this worth."""
-        rank = worth + (NESTED_BONUS if nested else 0.0)
-        return self._waiting.bisect_key_right((-rank, self._sequence + 1))
+    def count_ahead(self, ticket: Ticket) -> int:
+        """Return the number of waiting requests that go before a waiting one."""
+        return self._waiting.bisect_key_left(ticket.sort_key)
 
     def withdraw(self, ticket: Ticket) -> bool:
         """Remove a waiting request; False if it is not waiting."""
--- a/packages/thorntray/src/thorntray/internal/request/owner.py
+++ b/packages/thorntray/src/thorntray/internal/request/owner.py
@@ -72,7 +72,7 @@
         self.on_result = on_result
         self.arrived_at = owner.deps.clock.monotonic()
         self.expiry = self.arrived_at + call.budget
-        self.ticket = Ticket(call.worth, call.nested, self._on_slot_granted)
+        self.ticket = Ticket(call.worth, call.nested, self._on_slot_granted, self.expiry)
         self.run: RunningRequest | None = None
         self.instance_call: PendingSend | None = None
         self.timer: asyncio.TimerHandle | None = None
@@ -241,7 +241,7 @@
 
     def _expected_wait(self, ticket: Ticket) -> float:
         queue = self.deps.queue
-        ahead = queue.count_ahead(ticket.worth, ticket.nested)
+        ahead = queue.count_ahead(ticket)
         return self._service_time * ahead / max(1, queue.limit)
 
     def _distinct_budget(self, expiry: float, now: float) -> int:
--- a/tests/test_slot_decisions.py
+++ b/tests/test_slot_decisions.py
@@ -36,8 +36,8 @@
     def __init__(self):
         self.started = []
 
-    def ticket(self, name, worth=1.0, nested=False):
-        return Ticket(worth, nested, lambda: self.started.append(name))
+    def ticket(self, name, worth=1.0, nested=False, expiry=0.0):
+        return Ticket(worth, nested, lambda: self.started.append(name), expiry)
 
 
 def full_queue(slots=16):
@@ -121,6 +121,19 @@
     assert start_log.started == ["payout call", "payout", "call", "fresh"]
 
 
+def test_the_next_call_of_an_older_tree_goes_before_the_first_calls_of_newer_ones():
+    """Load pattern: trees of eight calls in turn; newer trees fill the queue between two calls."""
+    queue, tickets = full_queue()
+    start_log = StartLog()
+    newer = [start_log.ticket(f"newer {n}", 1.0, True, expiry=10.0 + n) for n in range(3)]
+    older = start_log.ticket("older", 1.0, True, expiry=9.5)
+    for ticket in [*newer, older]:
+        queue.submit(ticket)
+    assert [queue.count_ahead(ticket) for ticket in [older, *newer]] == [0, 1, 2, 3]
+    queue.release(tickets[0])
+    assert start_log.started == ["older"]
+
+
 def test_a_withdrawn_request_never_starts_and_frees_no_slot():
     queue, tickets = full_queue()
     start_log = StartLog()
