Membership and the request's origin in smaller modules

Ruled out: classes that inherit from one another (the parts have separate state).

Before and after: tests of membership, settings, links, the lean path, watch duty and cold start pass unchanged; they run in virtual time and gave the same results.

--- a/packages/thorntray-node/src/thorntray_node/mesh_node.py
+++ b/packages/thorntray-node/src/thorntray_node/mesh_node.py
@@ -24,7 +24,8 @@
 from thorntray.internal.process.registration import Registration
 from thorntray.internal.process.tasks import BackgroundTasks
 from thorntray.internal.request.origin import Origin
-from thorntray.internal.request.origin_request import OriginDependencies, OriginRequest
+from thorntray.internal.request.origin_context import OriginDependencies
+from thorntray.internal.request.origin_request import OriginRequest
 from thorntray.internal.request.owner import Owner, OwnerDependencies, OwnerRequest
 from thorntray.internal.request.request_log import RequestLog
 from thorntray.internal.request.result import Cause, Result
--- a/packages/thorntray/src/thorntray/internal/membership/membership.py
+++ b/packages/thorntray/src/thorntray/internal/membership/membership.py
@@ -20,17 +20,13 @@
 """
 
 import asyncio
-from collections import deque
 from collections.abc import Callable
 from random import Random
-from typing import Protocol
 
 from thorntray.errors import BadMessage
 from thorntray.internal.membership.gossip import (
-    MAX_DATAGRAM_BYTES,
     Ack,
     Address,
-    Datagram,
     Digest,
     Join,
     Ping,
@@ -38,20 +34,16 @@
     Revisions,
     Spread,
     decode_datagram,
-    encode_datagram,
-    encoded_size,
 )
 from thorntray.internal.membership.member import Health, Member
 from thorntray.internal.membership.member_view import RETRANSMIT_FACTOR, MemberView
+from thorntray.internal.membership.prober import PROBE_PERIOD, Prober
+from thorntray.internal.membership.repair import Repair
+from thorntray.internal.membership.sender import PIGGYBACK_BYTES, DatagramSender, Transport
 from thorntray.internal.process.clock import Clock
 from thorntray.internal.process.tasks import BackgroundTasks
 from thorntray.internal.telemetry.events import Event, log_event
 
-PROBE_PERIOD = 1.0  # seconds
-PROBE_TIMEOUT = 0.3  # seconds without an ack until other members are asked to ping
-INDIRECT_TIMEOUT = 0.5  # seconds after that until the member is suspected
-PROBES_PER_PERIOD = 2
-INDIRECT_PROBES = 3  # members that are asked to ping
 SUSPECT_TIMEOUT = 3.0  # seconds until a suspect that has not refuted is dead
 SPREAD_PERIOD = 0.2  # seconds
 SPREAD_FANOUT = 3  # random members in each spread period
@@ -61,21 +53,8 @@
 REVIVE_PERIOD = 5.0  # seconds between pings to a random dead member
 RECENT_PERIOD = 0.5  # seconds between pings to a random member that has recently died or left
 RECENT_WINDOW = 15.0  # seconds in which a death or leave counts as recent
-MAX_REPAIR_MEMBERS = 200  # members in one repair
 GONE_RETENTION = 2 * 3600.0  # seconds for which a member that died or left is kept
 LEAVE_DATAGRAMS = 12  # members to which a stopping node sends its record
-JOIN_INTERVAL = 0.02  # seconds between datagrams to a joining node, which waits for them
-REPAIR_INTERVAL = 0.4  # seconds between datagrams of a repair; limits its bandwidth
-_PIGGYBACK_BYTES = 500  # budget for the updates in one datagram
-_HEADER_BYTES = 250  # room left for the other fields of a datagram
-
-
-class Transport(Protocol):
-    """Sends datagrams, which may be lost, delayed or duplicated."""
-
-    def send(self, data: bytes, address: Address) -> None:
-        """Send one datagram."""
-        ...
 
 
 class Membership:
@@ -96,25 +75,26 @@
         on_member_gone: Callable[[str], None],
     ) -> None:
         self.view = MemberView(own)
-        self._transport = transport
+        self._sender = DatagramSender(self.view, transport, revisions)
+        self._prober = Prober(self.view, self._sender, rng, self._suspect)
+        self._repair = Repair(self.view, self._sender, rng)
         self._clock = clock
         self._rng = rng
-        self._revisions = revisions
         self._on_revisions = on_revisions
         self._on_member_gone = on_member_gone
-        self._sequence = 0
-        self._recent_probes: deque[bool] = deque(maxlen=PROBES_PER_PERIOD)  # whether acked in time
-        self._pending_acks: dict[int, asyncio.Future[None]] = {}
         self._suspected_at: dict[str, float] = {}
         self._gone_at: dict[str, float] = {}
         self._spread_tokens = SPREAD_BURST_BYTES
         self._revisions_sent = 0
-        self._repairing = False
         self._tasks = BackgroundTasks()
-        self.bytes_sent = 0
         self.bytes_received = 0
         self.bad_datagrams = 0
 
+    @property
+    def bytes_sent(self) -> int:
+        """Return the number of bytes sent in datagrams."""
+        return self._sender.bytes_sent
+
     # This node's own record.
 
     @property
@@ -137,7 +117,7 @@
             self.own._replace(ready=False, version=self.own.version + 1, health=Health.LEFT)
         )
         for member in self.view.sample(self._rng, LEAVE_DATAGRAMS):
-            self._send(Spread(self.own, self._revisions(), (self.own,)), member)
+            self._sender.spread((self.own,), member)
 
     # The members.
 
@@ -161,13 +141,13 @@
         """Return whether other members are known and any of the newest probes was answered."""
         if len(self.alive()) == 1:
             return False
-        return any(self._recent_probes) or len(self._recent_probes) < PROBES_PER_PERIOD
+        return self._prober.answered
 
     def probe_now(self, name: str) -> None:
         """Probe a member at once, because an attempt through it has failed."""
         member = self.find(name)
         if member is not None and name != self.own.name:
-            self._tasks.spawn(self._probe(member))
+            self._prober.probe(member)
 
     # Background tasks.
 
@@ -186,45 +166,22 @@
     async def stop(self) -> None:
         """End all tasks."""
         await self._tasks.stop()
+        await self._prober.stop()
+        await self._repair.stop()
 
     def join(self, seeds: list[Address]) -> None:
         """Ask each of the seeds for all members."""
         for seed in seeds:
             if seed != Address(self.own.address, self.own.gossip_port):
-                self._send_to(Join(self.own), seed)
+                self._sender.send_to(Join(self.own), seed)
 
     async def _probe_loop(self) -> None:
         await asyncio.sleep(self._rng.random() * PROBE_PERIOD)
         while True:
-            successor = self.view.ring_successor()
-            others = [m for m in self.view.sample(self._rng, 1) if m != successor]
-            for member in [successor, *others] if successor else others:
-                self._tasks.spawn(self._probe(member, self._recent_probes.append))
+            self._prober.probe_period()
             self._declare_suspects_dead()
             await asyncio.sleep(PROBE_PERIOD)
 
-    async def _probe(
-        self, member: Member, on_answer: Callable[[bool], None] = lambda answered: None
-    ) -> None:
-        """Probe a member; `on_answer` is called with whether it answered directly and in time."""
-        sequence, ack = self._expect_ack()
-        try:
-            self._ping(member, sequence)
-            answered = await self._wait_for_ack(ack, PROBE_TIMEOUT)
-            on_answer(answered)
-            if answered:
-                return
-            for helper in self.view.sample(self._rng, INDIRECT_PROBES, exclude=member.name):
-                self._send(PingRequest(sequence, self.own, member.name), helper)
-            if not await self._wait_for_ack(ack, INDIRECT_TIMEOUT):
-                self._suspect(member)
-        finally:
-            del self._pending_acks[sequence]
-
-    async def _wait_for_ack(self, ack: "asyncio.Future[None]", seconds: float) -> bool:
-        await asyncio.wait({ack}, timeout=seconds)
-        return ack.done()
-
     async def _spread_loop(self) -> None:
         while True:
             await asyncio.sleep(SPREAD_PERIOD * (0.9 + 0.2 * self._rng.random()))
@@ -238,8 +195,8 @@
         for member in self.view.sample(self._rng, SPREAD_FANOUT):
             if self._spread_tokens <= 0 or not self._has_pending_gossip:
                 return
-            updates = self.view.take_updates(_PIGGYBACK_BYTES)
-            self._spread_tokens -= self._send(Spread(self.own, self._revisions(), updates), member)
+            updates = self.view.take_updates(PIGGYBACK_BYTES)
+            self._spread_tokens -= self._sender.spread(updates, member)
             self._revisions_sent += 1
 
     @property
@@ -250,8 +207,7 @@
     async def _sync_loop(self) -> None:
         while True:
             await asyncio.sleep(SYNC_PERIOD * (0.5 + self._rng.random()))
-            for member in self.view.sample(self._rng, 1):
-                self._send(Digest(self.own, self._revisions(), self.view.bucket_hashes()), member)
+            self._repair.send_digest()
 
     async def _revive_loop(self) -> None:
         while True:
@@ -259,7 +215,7 @@
             self._forget_expired()
             dead = [m for m in self.view.all() if m.health is Health.DEAD]
             if dead:
-                self._ping_gone(self._rng.choice(dead))
+                self._sender.ping_gone(self._rng.choice(dead))
 
     async def _recent_loop(self) -> None:
         while True:
@@ -268,11 +224,7 @@
             recent = [name for name, since in self._gone_at.items() if since > cutoff]
             member = self.view.get(self._rng.choice(recent)) if recent else None
             if member is not None:
-                self._ping_gone(member)
-
-    def _ping_gone(self, member: Member) -> None:
-        # If it runs, it finds its own record among the updates and refutes it.
-        self._send(Ping(0, self.own, self._revisions(), (member,)), member)
+                self._sender.ping_gone(member)
 
     # Incoming datagrams.
 
@@ -288,23 +240,23 @@
         was_alone = len(self.view) == 1
         self._apply(datagram.sender)
         if was_alone and not isinstance(datagram, Join):
-            self._send(Join(self.own), datagram.sender)
+            self._sender.send(Join(self.own), datagram.sender)
         match datagram:
             case Ping(sequence, sender, revisions, updates):
                 self._apply_all(sender, revisions, updates)
-                self._send_ack(sequence, sender)
+                self._sender.ack(sender, sequence)
             case Ack(sequence, sender, revisions, updates):
                 self._apply_all(sender, revisions, updates)
-                self._on_ack(sequence)
+                self._prober.on_ack(sequence)
             case PingRequest(sequence, sender, target):
-                self._tasks.spawn(self._ping_for(sequence, sender, target))
+                self._prober.ping_for(sequence, sender, target)
             case Spread(sender, revisions, updates):
                 self._apply_all(sender, revisions, updates)
             case Join(sender):
-                self._tasks.spawn(self._send_entries(sender, list(self.view.all()), JOIN_INTERVAL))
+                self._repair.send_all(sender)
             case Digest(sender, revisions, buckets):
                 self._on_revisions(sender, revisions)
-                self._answer_digest(sender, buckets)
+                self._repair.on_digest(sender, buckets)
 
     def _apply_all(self, sender: Member, revisions: Revisions, updates: tuple[Member, ...]) -> None:
         for update in updates:
@@ -354,59 +306,7 @@
         }
         log_event(events[member.health], member=member.name, domain=member.domain)
 
-    def _send_ack(self, sequence: int, sender: Member) -> None:
-        updates = self.view.take_updates(_PIGGYBACK_BYTES)
-        self._send(Ack(sequence, self.own, self._revisions(), updates), sender)
-
-    def _on_ack(self, sequence: int) -> None:
-        pending = self._pending_acks.get(sequence)
-        if pending is not None and not pending.done():
-            pending.set_result(None)
-
-    async def _ping_for(self, sequence: int, requester: Member, target: str) -> None:
-        member = self.view.get(target)
-        if member is None:
-            return
-        own_sequence, ack = self._expect_ack()
-        try:
-            self._ping(member, own_sequence)
-            if await self._wait_for_ack(ack, PROBE_TIMEOUT):
-                self._send_ack(sequence, requester)
-        finally:
-            del self._pending_acks[own_sequence]
-
-    async def _send_entries(self, receiver: Member, members: list[Member], interval: float) -> None:
-        self._rng.shuffle(members)  # answers of several members then cover all records sooner
-        while members:
-            room = MAX_DATAGRAM_BYTES - _HEADER_BYTES
-            batch: list[Member] = []
-            while members and (room := room - encoded_size(members[-1])) >= 0:
-                batch.append(members.pop())
-            self._send(Spread(self.own, self._revisions(), tuple(batch)), receiver)
-            await asyncio.sleep(interval)
-
-    def _answer_digest(self, sender: Member, buckets: tuple[int, ...]) -> None:
-        own_hashes = self.view.bucket_hashes()
-        if len(buckets) != len(own_hashes):
-            return
-        differing = {
-            i
-            for i, (mine, theirs) in enumerate(zip(own_hashes, buckets, strict=True))
-            if mine != theirs
-        }
-        if differing and not self._repairing:
-            self._tasks.spawn(self._repair(sender, differing))
-
-    async def _repair(self, receiver: Member, buckets: set[int]) -> None:
-        self._repairing = True  # only one repair runs at a time
-        try:
-            members = self.view.members_in_buckets(buckets)
-            chosen = self._rng.sample(members, min(MAX_REPAIR_MEMBERS, len(members)))
-            await self._send_entries(receiver, chosen, REPAIR_INTERVAL)
-        finally:
-            self._repairing = False
-
-    # State changes and sending.
+    # State changes.
 
     def _publish(self, own: Member) -> None:
         self.view.apply(own)
@@ -433,24 +333,3 @@
         for name in [n for n, since in self._gone_at.items() if since <= cutoff]:
             del self._gone_at[name]
             self.view.forget(name)
-
-    def _expect_ack(self) -> tuple[int, "asyncio.Future[None]"]:
-        self._sequence += 1
-        ack = asyncio.get_running_loop().create_future()
-        self._pending_acks[self._sequence] = ack
-        return self._sequence, ack
-
-    def _ping(self, member: Member, sequence: int) -> None:
-        updates = self.view.take_updates(_PIGGYBACK_BYTES)
-        if member.health is not Health.ALIVE:
-            updates = (member, *updates)  # so that it can refute its recorded state
-        self._send(Ping(sequence, self.own, self._revisions(), updates), member)
-
-    def _send(self, datagram: Datagram, member: Member) -> int:
-        return self._send_to(datagram, Address(member.address, member.gossip_port))
-
-    def _send_to(self, datagram: Datagram, address: Address) -> int:
-        data = encode_datagram(datagram)
-        self.bytes_sent += len(data)
-        self._transport.send(data, address)
-        return len(data)
--- a/packages/thorntray/src/thorntray/internal/request/origin.py
+++ b/packages/thorntray/src/thorntray/internal/request/origin.py
@@ -7,12 +7,12 @@
 
 from thorntray.internal.connection.header_names import FieldClassifier, FieldKind
 from thorntray.internal.connection.http_server import Exchange
-from thorntray.internal.request.origin_request import (
+from thorntray.internal.request.origin_context import (
     OriginContext,
     OriginDependencies,
-    OriginRequest,
     RequestHead,
 )
+from thorntray.internal.request.origin_request import OriginRequest
 
 NO_POLICY_RETRY_AFTER = 0.5  # seconds, before jitter
 NOT_FOUND, BAD_REQUEST, UNAVAILABLE = 404, 400, 503
--- /dev/null
+++ b/packages/thorntray/src/thorntray/internal/request/origin_context.py
@@ -0,0 +1,96 @@
+"""What all requests of one origin share: the node's components, and the state between requests."""
+
+from collections.abc import Callable
+from random import Random
+from typing import TYPE_CHECKING, NamedTuple, Protocol
+
+from thorntray.internal.connection.header_names import HeaderNames
+from thorntray.internal.connection.link import Links
+from thorntray.internal.membership.member import Member
+from thorntray.internal.overload.call_parents import NestedRoutes, RunningRequests
+from thorntray.internal.overload.ejection import Ejection
+from thorntray.internal.overload.placement import Placement
+from thorntray.internal.overload.retry_budget import RetryBudget
+from thorntray.internal.overload.root_admission import RootAdmission
+from thorntray.internal.process.clock import Clock
+from thorntray.internal.request.owner import Owner
+from thorntray.internal.request.result import Result
+from thorntray.internal.version.policy import Policy, Route
+
+if TYPE_CHECKING:
+    from thorntray.internal.request.origin_request import OriginRequest
+
+RETRY_AFTER_JITTER = 0.5  # largest relative addition; keeps callers from retrying simultaneously
+
+
+class Directory(Protocol):
+    """Looks up members by service."""
+
+    def members_of(self, service: str) -> list[Member]:
+        """Return the members whose instance provides `service`."""
+        ...
+
+
+class OriginDependencies(NamedTuple):
+    """Process-wide components that an `Origin` and its requests use."""
+
+    own_name: str
+    own_service: str
+    names: HeaderNames
+    policy: Callable[[], Policy | None]
+    directory: Directory
+    owner: Owner
+    links: Links
+    running: RunningRequests
+    admission: RootAdmission
+    placement: Placement
+    ejection: Ejection
+    budget: RetryBudget
+    clock: Clock
+    rng: Random
+    on_finish: Callable[["OriginRequest", Result], None]
+    on_retry: Callable[
+        ["OriginRequest", Result, bool], None
+    ]  # bool: whether the retry budget allows it
+
+
+class OriginContext:
+    """State shared by all requests of one origin."""
+
+    def __init__(self, deps: OriginDependencies) -> None:
+        self.deps = deps
+        self.nested_routes = NestedRoutes()
+        self._split_credit: dict[tuple[str, str], float] = {}
+
+    def choose_service(self, route: Route) -> str:
+        """Choose the target service of one request by smooth weighted round-robin."""
+        if len(route.targets) == 1:
+            return route.targets[0].service
+        total = sum(target.weight for target in route.targets)
+        best, best_credit = route.targets[0].service, float("-inf")
+        for service, weight in route.targets:
+            key = (route.name, service)
+            credit = self._split_credit.get(key, self.deps.rng.random()) + weight / total
+            self._split_credit[key] = credit
+            if credit > best_credit:
+                best, best_credit = service, credit
+        self._split_credit[(route.name, best)] -= 1.0
+        return best
+
+    def retry_after_line(self, seconds: float) -> bytes:
+        """Return the Retry-After header line for `seconds` plus jitter."""
+        return b"%b: %.3f\r\n" % (self.deps.names.retry_after, _jittered(seconds, self.deps.rng))
+
+
+def _jittered(seconds: float, rng: Random) -> float:
+    """Return `seconds` plus a random addition of up to `RETRY_AFTER_JITTER` of it."""
+    return seconds * (1.0 + RETRY_AFTER_JITTER * rng.random())
+
+
+class RequestHead(NamedTuple):
+    """The parsed header fields of a request."""
+
+    host: str
+    request_id: bytes
+    deadline: float | None  # seconds after arrival
+    lines: bytes  # header lines to forward, each with its CRLF
--- a/packages/thorntray/src/thorntray/internal/request/origin_request.py
+++ b/packages/thorntray/src/thorntray/internal/request/origin_request.py
@@ -6,22 +6,15 @@
 """
 
 import asyncio
-from collections.abc import Callable
-from random import Random
-from typing import NamedTuple, Protocol
 
 from thorntray.internal.connection.frame import CallFrame, ResultFrame
-from thorntray.internal.connection.header_names import HeaderNames
 from thorntray.internal.connection.http_server import Exchange
-from thorntray.internal.connection.link import Link, Links
+from thorntray.internal.connection.link import Link
 from thorntray.internal.membership.member import Member
-from thorntray.internal.overload.call_parents import NestedRoutes, RunningRequest, RunningRequests
-from thorntray.internal.overload.ejection import Ejection
-from thorntray.internal.overload.placement import Placement
-from thorntray.internal.overload.retry_budget import RetryBudget
-from thorntray.internal.overload.root_admission import CLOSED_PRICE, RootAdmission, worth_of
-from thorntray.internal.process.clock import Clock
-from thorntray.internal.request.owner import Owner, OwnerRequest
+from thorntray.internal.overload.call_parents import RunningRequest
+from thorntray.internal.overload.root_admission import CLOSED_PRICE, worth_of
+from thorntray.internal.request.origin_context import OriginContext, RequestHead
+from thorntray.internal.request.owner import OwnerRequest
 from thorntray.internal.request.result import (
     NO_REPORT,
     Cause,
@@ -32,7 +25,7 @@
     unknown,
 )
 from thorntray.internal.request.result_frames import result_from_frame
-from thorntray.internal.version.policy import Policy, Route
+from thorntray.internal.version.policy import Route
 
 DEFAULT_DEADLINE = 10.0  # seconds, for requests without a deadline field
 OWNER_RESULT_GRACE = 0.03  # seconds past the deadline to wait for the owner's own result
@@ -40,7 +33,6 @@
 ROOT_MAX_SLOT_WAIT_RATIO = 0.125  # longest slot wait of a root request / target latency
 NESTED_MAX_SLOT_WAIT = 0.5  # seconds that a nested call may wait for a slot
 NO_INSTANCE_RETRY_AFTER = 0.5  # seconds, before jitter
-RETRY_AFTER_JITTER = 0.5  # largest relative addition; keeps callers from retrying simultaneously
 MAX_LEAF_CALLS = 1.5  # calls, own call included, up to which a failed call tree counts as a leaf
 
 # Refusals by a working instance: the service is overloaded, not unavailable.
@@ -48,79 +40,6 @@
 UNAVAILABLE, BAD_GATEWAY, GATEWAY_TIMEOUT = 503, 502, 504
 
 
-class Directory(Protocol):
-    """Looks up members by service."""
-
-    def members_of(self, service: str) -> list[Member]:
-        """Return the members whose instance provides `service`."""
-        ...
-
-
-class OriginDependencies(NamedTuple):
-    """Process-wide components that an `Origin` and its requests use."""
-
-    own_name: str
-    own_service: str
-    names: HeaderNames
-    policy: Callable[[], Policy | None]
-    directory: Directory
-    owner: Owner
-    links: Links
-    running: RunningRequests
-    admission: RootAdmission
-    placement: Placement
-    ejection: Ejection
-    budget: RetryBudget
-    clock: Clock
-    rng: Random
-    on_finish: Callable[["OriginRequest", Result], None]
-    on_retry: Callable[
-        ["OriginRequest", Result, bool], None
-    ]  # bool: whether the retry budget allows it
-
-
-class OriginContext:
-    """State shared by all requests of one origin."""
-
-    def __init__(self, deps: OriginDependencies) -> None:
-        self.deps = deps
-        self.nested_routes = NestedRoutes()
-        self._split_credit: dict[tuple[str, str], float] = {}
-
-    def choose_service(self, route: Route) -> str:
-        """Choose the target service of one request by smooth weighted round-robin."""
-        if len(route.targets) == 1:
-            return route.targets[0].service
-        total = sum(target.weight for target in route.targets)
-        best, best_credit = route.targets[0].service, float("-inf")
-        for service, weight in route.targets:
-            key = (route.name, service)
-            credit = self._split_credit.get(key, self.deps.rng.random()) + weight / total
-            self._split_credit[key] = credit
-            if credit > best_credit:
-                best, best_credit = service, credit
-        self._split_credit[(route.name, best)] -= 1.0
-        return best
-
-    def retry_after_line(self, seconds: float) -> bytes:
-        """Return the Retry-After header line for `seconds` plus jitter."""
-        return b"%b: %.3f\r\n" % (self.deps.names.retry_after, _jittered(seconds, self.deps.rng))
-
-
-def _jittered(seconds: float, rng: Random) -> float:
-    """Return `seconds` plus a random addition of up to `RETRY_AFTER_JITTER` of it."""
-    return seconds * (1.0 + RETRY_AFTER_JITTER * rng.random())
-
-
-class RequestHead(NamedTuple):
-    """The parsed header fields of a request."""
-
-    host: str
-    request_id: bytes
-    deadline: float | None  # seconds after arrival
-    lines: bytes  # header lines to forward, each with its CRLF
-
-
 class OriginRequest:
     """One request at its origin, from its arrival to its response."""
 
