A nested call is matched to its parent by the id that it extends

Cause: a call was matched to the request it serves by its expiry, which is its parent's unless the called route has a shorter limit.

Ruled out: refusals by the queue (the same calls at other limits were served); the address of the caller (clients and the instance share the listener; what address a client has is not promised); a guess among the requests that expire later (used before and still the last resort: it mixes payouts and lookups).

Change: an id that extends a running request's id by one segment, as hierarchical ids do, names the parent. Expiry remains for ids without a hierarchy. Two unit tests, and a test with whole nodes in which the calls of a running request were refused before.

--- a/packages/thorntray/src/thorntray/internal/overload/call_parents.py
+++ b/packages/thorntray/src/thorntray/internal/overload/call_parents.py
@@ -1,8 +1,9 @@
 """Finds the running request that a nested call belongs to.
 
-An instance does not name the parent request when it makes a nested call, but the call expires
-together with the request it serves, and this node assigned that deadline itself. A call whose
-expiry matches that of a running request is therefore attributed to that request. The link gives
+An instance does not name the parent request when it makes a nested call. Many instances extend the
+ID of the request they serve by one segment, which is then unambiguous. Otherwise the call expires
+together with the request it serves, and this node assigned that deadline itself, so a call whose
+expiry matches that of a running request is attributed to that request. The link gives
 all requests of a call tree the same worth and sums up their costs at the root, so that a retry of
 the root is charged for all calls that it repeats.
 
@@ -11,8 +12,11 @@
 (`NestedRoutes`), and the call is attributed to a running request that expires after it.
 """
 
+import re
+
 from sortedcontainers import SortedKeyList
 
+_LAST_ID_SEGMENT = re.compile(rb"[^0-9A-Za-z][0-9A-Za-z]+$")
 MATCH_TOLERANCE = 0.006  # seconds
 MATCH_WEIGHT = 0.05  # weight of the newest request in a route's moving average of matches
 NESTED_ROUTE_THRESHOLD = 0.3  # share of matched requests above which a route counts as nested
@@ -56,6 +60,7 @@
 
     def __init__(self) -> None:
         self._requests: SortedKeyList = SortedKeyList(key=_expiry)
+        self._by_id: dict[bytes, RunningRequest] = {}
         self._count_by_step: dict[int, int] = {}  # number of requests in each expiry step
 
     def __len__(self) -> int:
@@ -65,6 +70,7 @@
         """Add a request that starts; `expiry` is in monotonic seconds."""
         request = RunningRequest(expiry, worth, request_id)
         self._requests.add(request)
+        self._by_id[request_id] = request
         step = _step_index(expiry)
         self._count_by_step[step] = self._count_by_step.get(step, 0) + 1
         return request
@@ -72,6 +78,8 @@
     def end(self, request: RunningRequest) -> None:
         """Remove a request that has ended."""
         self._requests.discard(request)
+        if self._by_id.get(request.request_id) is request:
+            del self._by_id[request.request_id]
         step = _step_index(request.expiry)
         left = self._count_by_step.get(step, 0) - 1
         if left > 0:
@@ -91,6 +99,11 @@
                 return expiry - steps_back * EXPIRY_STEP
         return expiry
 
+    def parent_by_id(self, call_id: bytes) -> RunningRequest | None:
+        """Return the running request whose ID a nested call's ID extends by a segment, or None."""
+        parent_id = _LAST_ID_SEGMENT.sub(b"", call_id)
+        return self._by_id.get(parent_id) if parent_id != call_id else None
+
     def parent_of(self, expiry: float) -> RunningRequest | None:
         """Return the running request that expires together with a nested call, or None."""
         requests = self._requests
--- a/packages/thorntray/src/thorntray/internal/request/origin_request.py
+++ b/packages/thorntray/src/thorntray/internal/request/origin_request.py
@@ -107,7 +107,7 @@
             return
         running, nested_routes = self.context.deps.running, self.context.nested_routes
         expiry = self.arrived_at + deadline
-        self.parent = running.parent_of(expiry)
+        self.parent = running.parent_by_id(self.head.request_id) or running.parent_of(expiry)
         nested_routes.record(self.route.name, self.parent is not None)
         self.nested = self.parent is not None or nested_routes.is_nested(self.route.name)
         if self.nested and self.parent is None:
--- a/tests/test_lean_path.py
+++ b/tests/test_lean_path.py
@@ -16,7 +16,7 @@
     run_scenario,
 )
 from thorntray.internal.overload.root_admission import CLOSED_PRICE
-from thorntray.internal.request.result import Cause
+from thorntray.internal.request.result import Cause, SlotUse
 
 
 def test_a_request_runs_at_an_instance_of_its_service_and_gets_the_complete_answer():
@@ -140,6 +140,31 @@
     assert closed is price_is_closed
 
 
+def test_calls_of_a_running_request_are_not_refused_while_new_requests_are():
+    """Load pattern: the called service is short of slots; the calls expire before their parent.
+
+    A refused call wastes what its call tree has used so far.
+    """
+
+    async def scenario(fleet):
+        await fleet.add("t1", "tariff")
+        node = await fleet.add("h1", "haul")
+        await fleet.share_membership()
+        now = node.clock.monotonic()
+        node.admission.costs.record_success("prices>tariff", {"tariff": SlotUse(0.5, 1.0)})
+        for _ in range(20):
+            node.admission.prices.update("tariff", {"tariff": 500.0}, now)
+        run = node.running.begin(now + 5.0, 8.0, b"run")
+        roots = [await fleet.get("h1", "/prices/1", f"root-{n}", deadline_ms=700) for n in range(5)]
+        calls = [await fleet.get("h1", "/prices/1", f"run.{n}", deadline_ms=700) for n in range(5)]
+        return calls, roots, run.costs
+
+    calls, roots, costs = run_scenario(scenario)
+    assert all(answer.startswith(b"HTTP/1.1 200") for answer in calls)
+    assert any(answer.startswith(b"HTTP/1.1 503") for answer in roots)
+    assert costs["tariff"][1] == 5.0
+
+
 def test_a_lost_link_leaves_a_payout_unknown():
     async def scenario(fleet):
         owner = await fleet.add("t1", "tariff", answer_slowly)
--- a/tests/test_slot_decisions.py
+++ b/tests/test_slot_decisions.py
@@ -382,6 +382,30 @@
     assert running.parent_of(10.003) is None
 
 
+def test_a_nested_call_with_a_shorter_time_limit_is_matched_by_the_id_it_extends():
+    """Load pattern: calls that expire before their parents, so that no expiry matches."""
+    running = RunningRequests()
+    lookup = running.begin(10.0, 1.0, b"6f1c")
+    inner = running.begin(9.0, 1.0, b"6f1c.02ab")
+    assert running.parent_by_id(b"6f1c.77") is lookup
+    assert running.parent_by_id(b"6f1c.02ab.9d") is inner
+    assert running.parent_by_id(b"6f1c") is None
+    assert running.parent_by_id(b"6f1c77") is None
+    assert running.parent_by_id(b"other.77") is None
+    running.end(lookup)
+    assert running.parent_by_id(b"6f1c.77") is None
+
+
+def test_a_request_id_that_comes_twice_is_matched_to_the_newer_run_until_that_ends():
+    running = RunningRequests()
+    first = running.begin(10.0, 1.0, b"6f1c")
+    second = running.begin(11.0, 1.0, b"6f1c")
+    running.end(first)
+    assert running.parent_by_id(b"6f1c.77") is second
+    running.end(second)
+    assert running.parent_by_id(b"6f1c.77") is None
+
+
 def test_a_route_counts_as_nested_once_its_requests_match_running_requests():
     routes = NestedRoutes()
     for _ in range(5):
