One waiting request does not raise the price of a slot

Cause: at three slots the load moves in steps of a third.

Change: the load behind the price leaves one waiting request out of account. With 15 slots and more that is a fifteenth or less. The test of a nearly full small instance failed before.

--- a/packages/thorntray/src/thorntray/internal/overload/slot_price.py
+++ b/packages/thorntray/src/thorntray/internal/overload/slot_price.py
@@ -18,6 +18,7 @@
 MAX_PRICE = 20.0  # worth per slot-second, of the integral part
 RISE_PER_SECOND = 2.5  # growth rate of the integral part, at a load of twice the limit
 FALL_PER_SECOND = 2.0  # decay rate of the integral part, at an idle instance
+USUAL_WAITING = 1  # waiting requests that are no sign of a shortage
 PRICE_FALL_LOAD = 0.92  # load, as a share of the limit, below which the integral part falls
 MAX_OVERLOAD = 2.0  # load above the limit beyond which the rise does not get faster
 PROPORTIONAL_GAIN = 0.8  # exponent of the proportional part, per load above or below the limit
@@ -36,7 +37,7 @@
         """Adjust the price to the requests present, running or waiting, and return it."""
         elapsed = min(now - self._updated_at, 0.5)
         self._updated_at = now
-        load = present / limit if limit else 1.0
+        load = max(0, present - USUAL_WAITING) / limit if limit else 1.0
         if load > 1.0:
             exponent = RISE_PER_SECOND * min(load - 1.0, MAX_OVERLOAD) * elapsed
         elif load < PRICE_FALL_LOAD:
--- a/tests/test_slot_decisions.py
+++ b/tests/test_slot_decisions.py
@@ -200,6 +200,19 @@
     assert price.price < 2 * MIN_PRICE
 
 
+def test_a_single_waiting_request_at_a_small_instance_does_not_raise_the_price():
+    """Load pattern: three slots, nearly always in use, and now and then a request that waits."""
+    price, now = SlotPrice(0.0), 0.0
+    for step in range(100):
+        now += 0.1
+        price.update(4 if step % 2 else 3, 3, now)
+    assert price.price == MIN_PRICE
+    for _ in range(20):
+        now += 0.1
+        price.update(7, 3, now)
+    assert price.price > 5 * MIN_PRICE
+
+
 def measured_share(admission, route, priority, count, now):
     return sum(admission.admit(route, priority, now) for _ in range(count)) / count
 
