A request waits briefly at its first instances and its whole time at the last

Cause: at 43 instances of three slots some have a free slot at any moment, and no entry node knows which: a load report is older than the time for which a slot is used.

Change: `overload/slot_wait.py`: the first two offers wait at most 20 ms while another instance is left; each refusal brings a fresh report; the last two offers wait the whole time, also at an instance that was full before. Never more than four refusals, as before. Nothing is held that has been given up on.

Served better: everybody whose requests reach the service that is short of slots.

--- a/packages/thorntray/src/thorntray/internal/request/origin_request.py
+++ b/packages/thorntray/src/thorntray/internal/request/origin_request.py
@@ -13,6 +13,7 @@
 from thorntray.internal.membership.member import Member
 from thorntray.internal.overload.call_parents import RunningRequest
 from thorntray.internal.overload.root_admission import CLOSED_PRICE, worth_of
+from thorntray.internal.overload.slot_wait import longest_wait
 from thorntray.internal.request.origin_context import OriginContext, RequestHead
 from thorntray.internal.request.owner import OwnerRequest
 from thorntray.internal.request.result import (
@@ -44,7 +45,16 @@
     """One request at its origin, from its arrival to its response."""
 
     __slots__ = ("context", "exchange", "head", "route", "service", "route_key", "parent", "worth")
-    __slots__ += ("arrived_at", "expiry", "timer", "tried", "refusals", "arrivals", "maybe_ran")
+    __slots__ += (
+        "arrived_at",
+        "expiry",
+        "timer",
+        "tried",
+        "full",
+        "refusals",
+        "arrivals",
+        "maybe_ran",
+    )
     __slots__ += (
         "member",
         "owner_request",
@@ -73,7 +83,8 @@
         self.nested = False  # whether the own instance sent it for a request that it is running
         self.worth = worth_of(route.priority)
         self.timer: asyncio.TimerHandle | None = None
-        self.tried: set[str] = set()
+        self.tried: set[str] = set()  # members not to send it to again
+        self.full: set[str] = set()  # members that had no free slot in time
         self.refusals = 0  # attempts that did not reach an instance
         self.arrivals = 0  # attempts that reached an instance, or may have
         self.attempt = 0  # number of the current attempt; results of earlier ones are ignored
@@ -151,7 +162,10 @@
         deps = self.context.deps
         now = deps.clock.monotonic()
         members = deps.directory.members_of(self.service)
-        member = deps.placement.pick(members, self.route_key, self.tried, now)
+        member = deps.placement.pick(members, self.route_key, self.tried | self.full, now)
+        if member is None and self.full:
+            self.full.clear()
+            member = deps.placement.pick(members, self.route_key, self.tried, now)
         if member is None:
             if not self.saw_overload:
                 self._mark_service_unavailable(now)
@@ -199,11 +213,6 @@
 
     def _call_frame(self, number: int, now: float) -> CallFrame:
         request = self.exchange.request
-        max_wait = (
-            NESTED_MAX_SLOT_WAIT
-            if self.nested
-            else self.route.target_latency * ROOT_MAX_SLOT_WAIT_RATIO
-        )
         return CallFrame(
             number=number,
             service=self.service,
@@ -217,10 +226,19 @@
             idempotent=self.route.idempotent,
             nested=self.nested,
             budget=self.expiry - now,
-            max_wait=max_wait,
+            max_wait=self._max_slot_wait(),
             worth=self.worth,
         )
 
+    def _max_slot_wait(self) -> float:
+        whole_wait = NESTED_MAX_SLOT_WAIT
+        if not self.nested:
+            whole_wait = self.route.target_latency * ROOT_MAX_SLOT_WAIT_RATIO
+        members = self.context.deps.directory.members_of(self.service)
+        excluded = self.tried | self.full
+        others_left = any(m.routable and m.name not in excluded for m in members)
+        return longest_wait(whole_wait, self.refusals, others_left)
+
     def _on_frame(self, attempt: int, member: Member, outcome: ResultFrame | Cause) -> None:
         match outcome:
             case ResultFrame():
@@ -279,6 +297,9 @@
             self.arrivals += 1
         else:
             self.refusals += 1
+        if result.cause is Cause.FULL and self.member is not None:
+            self.tried.discard(self.member.name)
+            self.full.add(self.member.name)
         self.saw_overload = self.saw_overload or result.cause in _OVERLOAD_CAUSES
         if now >= self.expiry or result.cause is Cause.EXPIRED:
             self._give_up(result)
