--- a/tests/policy_fleet.py
+++ b/tests/policy_fleet.py
@@ -4,7 +4,7 @@
 from collections import Counter
 from random import Random
 
-from tests.builders import LoopClock
+from tests.builders import LoopClock, make_member
 from tests.fleet_builders import MemoryFleet, MemoryPlatform
 from tests.mesh_builders import make_policy
 from thorntray.errors import PlatformUnavailable
@@ -110,19 +110,12 @@
         view = store.of_node(name)
         state = PlatformState()
         self.watch = PolicyWatch(view, KEY, _decode, self.holder, self, state, rng)
-        own = Member(
+        own = make_member(
             name,
-            rng.randbytes(8),
-            1,
-            "127.0.0.1",
-            1,
-            2,
-            3,
-            self.address.port,
-            "s",
-            domain,
-            "r",
-            True,
+            domain=domain,
+            session=rng.randbytes(8),
+            address="127.0.0.1",
+            gossip_port=self.address.port,
         )
         self.membership = Membership(
             own,
--- a/tests/test_store_epoch.py
+++ b/tests/test_store_epoch.py
@@ -76,6 +76,18 @@
             await asyncio.sleep(0.01)
 
 
+async def reuse_lease(stand_in, store, other_store):
+    """Restore the store so that it gives a lease of `store` to `other_store`; return both ids."""
+    await stand_in.write("a/0", b"x")
+    await asyncio.sleep(RESTORED_AGE)
+    lease = await store.lease_grant(10)
+    await store.put("a/1", b"mine", lease)
+    await stand_in.restore(RESTORED_AGE / 2)
+    other_lease = await other_store.lease_grant(10)
+    await other_store.put("a/2", b"other", other_lease)
+    return lease, other_lease
+
+
 def test_a_watch_reads_the_key_again_although_the_restored_store_has_passed_its_revision(
     monkeypatch,
 ):
@@ -140,13 +152,7 @@
     """The restored store has given the lease id to another node."""
 
     async def scenario(stand_in, store, other_store):
-        await stand_in.write("a/0", b"x")
-        await asyncio.sleep(RESTORED_AGE)
-        lease = await store.lease_grant(10)
-        await store.put("a/1", b"mine", lease)
-        await stand_in.restore(RESTORED_AGE / 2)
-        other_lease = await other_store.lease_grant(10)
-        await other_store.put("a/2", b"other", other_lease)
+        lease, other_lease = await reuse_lease(stand_in, store, other_store)
         renewed = await store.lease_keepalive(lease)
         with pytest.raises(PlatformUnavailable):
             await store.put("a/1", b"mine", lease)
@@ -160,13 +166,7 @@
 
 def test_a_stop_before_the_restore_is_known_does_not_end_the_lease_of_another_node():
     async def scenario(stand_in, store, other_store):
-        await stand_in.write("a/0", b"x")
-        await asyncio.sleep(RESTORED_AGE)
-        lease = await store.lease_grant(10)
-        await store.put("a/1", b"mine", lease)
-        await stand_in.restore(RESTORED_AGE / 2)
-        other_lease = await other_store.lease_grant(10)
-        await other_store.put("a/2", b"other", other_lease)
+        lease, other_lease = await reuse_lease(stand_in, store, other_store)
         await store.lease_revoke(lease)
         return lease == other_lease, sorted(stand_in.items)
 
