Links into other domains keep a small compression window

Cause: each end of a link between domains holds a compressor with the default window of 32 KiB and its hash tables: 586 KB a link, both ends, after 60 frames (allocated, tracemalloc). A node of 195 comes to have up to 156 links out and as many in; frames have a few hundred bytes, so most of it is never of use.

Change: a window of 4 KiB and memory level 5 for sending; receivers still accept any window, so old and new nodes understand each other.

Nobody is served better by it directly.

--- a/packages/thorntray/src/thorntray/internal/connection/link.py
+++ b/packages/thorntray/src/thorntray/internal/connection/link.py
@@ -41,6 +41,8 @@
 COMPRESSION_LEVEL = 1
 PLAIN_STREAM, COMPRESSED_STREAM = b"\x00", b"\x01"  # the first byte of a connection
 RAW_DEFLATE_WBITS = -15  # raw deflate stream without zlib header
+COMPRESSION_WBITS = -12  # window of 4 KiB, a few frames
+COMPRESSION_MEMORY_LEVEL = 5  # 16 KiB of state for each link
 
 
 class FrameHandler(Protocol):
@@ -148,7 +150,9 @@
                     self._handler.on_frame(self, frame)
 
     def _enable_compression(self) -> None:
-        self._compressor = zlib.compressobj(COMPRESSION_LEVEL, zlib.DEFLATED, RAW_DEFLATE_WBITS)
+        self._compressor = zlib.compressobj(
+            COMPRESSION_LEVEL, zlib.DEFLATED, COMPRESSION_WBITS, COMPRESSION_MEMORY_LEVEL
+        )
         self._decompressor = zlib.decompressobj(RAW_DEFLATE_WBITS)
 
     def _flush(self) -> None:
