A stop reports what it still owes to callers

DRAIN_ENDED now also counts the requests read during the stop and the bytes of answers not yet taken. STOPPED (109) is written last: requests without an answer, requests read after the drain, bytes not taken. REQUEST_UNANSWERED (512) names a request whose connection this node ended, and whether by its exit; the metric thorntray_unanswered also counts those that callers ended. No decision changes.

--- a/packages/thorntray-node/src/thorntray_node/mesh_node.py
+++ b/packages/thorntray-node/src/thorntray_node/mesh_node.py
@@ -6,7 +6,7 @@
 from typing import NamedTuple, Protocol
 
 from thorntray.internal.connection.frame import CallFrame, CancelFrame, FetchPolicy, Frame
-from thorntray.internal.connection.http_server import Exchange, HttpServer
+from thorntray.internal.connection.http_server import ClosedBy, Exchange, HttpServer
 from thorntray.internal.connection.instance_pool import InstancePool
 from thorntray.internal.connection.link import LinkConnection, LinkListener, Links
 from thorntray.internal.membership.gossip import Address
@@ -184,6 +184,7 @@
         self.policy_watch.duty = WatchDuty(self.membership, self.seeds, self.clock, self.rng)
         origin = Origin(self._origin_dependencies())
         self.callers = HttpServer(origin.handle, self.clock)
+        self.callers.on_unanswered = self._request_unanswered
         self.readiness = HttpServer(self._answer_readiness, self.clock)
         self.announcements = HttpServer(announcements, self.clock)
         await self.callers.start(*cfg.callers)
@@ -302,6 +303,17 @@
         seconds = self.clock.monotonic() - req.arrived_at
         self.metrics.request_ended("origin", req.route_key, result, seconds)
 
+    def _request_unanswered(self, exchange: Exchange, closed_by: ClosedBy) -> None:
+        self.log.unanswered(self._request_id(exchange), closed_by)
+        self.metrics.request_unanswered(closed_by.value)
+
+    def _request_id(self, exchange: Exchange) -> bytes:
+        wanted = self.cfg.header_names.request_id.lower()
+        for name, value in exchange.request.headers:
+            if name.lower() == wanted:
+                return value
+        return b""
+
     def _retry_requested(self, req: OriginRequest, result: Result, paid: bool) -> None:
         self.log.retried(req, result, paid)
         self.metrics.retry_requested(req.service, paid)
@@ -361,6 +373,7 @@
         log_event(Event.DRAIN_BEGUN, active=self.callers.active, held=len(self.owner.requests))
         started = self.clock.monotonic()
         self.callers.closing = True
+        read_before = self.callers.requests_read
         # Callers send requests until two readiness checks have failed, so this delay is always
         # waited out. The instance serves peers meanwhile, since other nodes may be stopping too.
         await asyncio.sleep(READINESS_PROPAGATION_DELAY)
@@ -369,7 +382,14 @@
         while self.clock.monotonic() < deadline and (self.callers.active or self.owner.requests):
             await asyncio.sleep(STOP_POLL_PERIOD)
         seconds = round(self.clock.monotonic() - started, 3)
-        log_event(Event.DRAIN_ENDED, seconds=seconds, active=self.callers.active)
+        log_event(
+            Event.DRAIN_ENDED,
+            seconds=seconds,
+            active=self.callers.active,
+            read=self.callers.requests_read - read_before,
+            unsent=self.callers.unsent_bytes,
+        )
+        read_before = self.callers.requests_read
         self.membership.leave()
         self.callers.close()
         self.metrics_server.close()
@@ -377,6 +397,13 @@
         await asyncio.sleep(0.05)
         await self.seeds.stop()
         await self._store.close()
+        log_event(
+            Event.STOPPED,
+            seconds=round(self.clock.monotonic() - started, 3),
+            unanswered=self.callers.report_unanswered(ClosedBy.EXIT),
+            read=self.callers.requests_read - read_before,
+            unsent=self.callers.unsent_bytes,
+        )
 
 
 SEED_TIMING = SeedTiming(
--- a/packages/thorntray/src/thorntray/internal/connection/http_server.py
+++ b/packages/thorntray/src/thorntray/internal/connection/http_server.py
@@ -12,6 +12,7 @@
 import asyncio
 from collections import deque
 from collections.abc import Callable
+from enum import Enum
 from http import HTTPStatus
 from typing import NamedTuple
 
@@ -30,6 +31,14 @@
 Header = tuple[bytes, bytes]
 
 
+class ClosedBy(Enum):
+    """Who ended a connection on which a response was still owed."""
+
+    CALLER = "caller"
+    NODE = "node"  # this node, while it continues running
+    EXIT = "exit"  # the end of this process
+
+
 class RequestLimits(NamedTuple):
     """Limits on the size (bytes) and arrival time (seconds) of requests, and on idle time."""
 
@@ -92,6 +101,11 @@
 
 
 ExchangeHandler = Callable[[Exchange], None]
+UnansweredHandler = Callable[[Exchange, ClosedBy], None]
+
+
+def _ignore_unanswered(exchange: Exchange, closed_by: ClosedBy) -> None:
+    """Do nothing."""
 
 
 class HttpServer:
@@ -103,6 +117,8 @@
         self.limits = RequestLimits()
         self.closing = False
         self.connections: set[HttpServerConnection] = set()
+        self.requests_read = 0  # complete requests, since the start
+        self.on_unanswered: UnansweredHandler = _ignore_unanswered
         self._server: asyncio.Server | None = None
 
     async def start(self, host: str, port: int) -> None:
@@ -117,6 +133,18 @@
         """Return the number of requests whose response has not been sent."""
         return sum(len(connection.pending) for connection in self.connections)
 
+    @property
+    def unsent_bytes(self) -> int:
+        """Return the number of response bytes that callers have not taken yet."""
+        return sum(connection.unsent_bytes for connection in self.connections)
+
+    def report_unanswered(self, closed_by: ClosedBy) -> int:
+        """Report every request that still has no response; returns their number."""
+        owed = [e for c in self.connections for e in c.pending if not e.responded]
+        for exchange in owed:
+            self.on_unanswered(exchange, closed_by)
+        return len(owed)
+
     async def sweep(self) -> None:
         """Enforce the timeouts of all connections until cancelled."""
         while True:
@@ -169,10 +197,12 @@
     def connection_lost(self, exc: Exception | None) -> None:
         """Cancel pending requests, since their caller has disconnected."""
         self.server.connections.discard(self)
-        pending, self.pending = self.pending, deque()
-        for exchange in pending:
-            if not exchange.responded and exchange.on_cancel is not None:
-                exchange.on_cancel()
+        self._cancel_pending(ClosedBy.CALLER)
+
+    @property
+    def unsent_bytes(self) -> int:
+        """Return the number of response bytes that the caller has not taken yet."""
+        return 0 if self._transport is None else self._transport.get_write_buffer_size()
 
     # Called by the parser.
 
@@ -218,6 +248,7 @@
         request = HttpRequest(self._parser.get_method(), self._target, self._headers, body)
         exchange = Exchange(self, request)
         exchange.keep_alive = self._parser.should_keep_alive()
+        self.server.requests_read += 1
         self.pending.append(exchange)
         if len(self.pending) >= MAX_PIPELINED:
             self._pause_reading()
@@ -235,7 +266,7 @@
                 continue
             transport.write(exchange.response_bytes or b"")
             if not exchange.keep_alive:
-                self._cancel_pending()
+                self._cancel_pending(ClosedBy.NODE)
                 transport.close()
                 return
         if self._reading_paused and len(self.pending) < MAX_PIPELINED:
@@ -276,10 +307,13 @@
         self.pending.append(exchange)
         exchange.respond(status, b"", b"")
 
-    def _cancel_pending(self) -> None:
+    def _cancel_pending(self, closed_by: ClosedBy) -> None:
         pending, self.pending = self.pending, deque()
         for exchange in pending:
-            if not exchange.responded and exchange.on_cancel is not None:
+            if exchange.responded:
+                continue
+            self.server.on_unanswered(exchange, closed_by)
+            if exchange.on_cancel is not None:
                 exchange.on_cancel()
 
     def _pause_reading(self) -> None:
--- a/packages/thorntray/src/thorntray/internal/request/request_log.py
+++ b/packages/thorntray/src/thorntray/internal/request/request_log.py
@@ -7,6 +7,7 @@
 from zlib import crc32
 
 from thorntray.internal.connection.frame import CallFrame
+from thorntray.internal.connection.http_server import ClosedBy
 from thorntray.internal.process.clock import Clock
 from thorntray.internal.request.origin_request import OriginRequest
 from thorntray.internal.request.result import Cause, Result, ResultKind
@@ -63,6 +64,15 @@
             **fields,
         )
 
+    def unanswered(self, request_id: bytes, closed_by: ClosedBy) -> None:
+        """Log a request whose connection this node ended before the answer."""
+        if closed_by is not ClosedBy.CALLER:
+            log_event(
+                Event.REQUEST_UNANSWERED,
+                id=request_id.decode("latin-1"),
+                closed_by=closed_by.value,
+            )
+
     def retried(self, req: OriginRequest, result: Result, paid: bool) -> None:
         """Log an intended retry; `paid` is whether the retry budget allowed it."""
         log_event(
--- a/packages/thorntray/src/thorntray/internal/telemetry/events.py
+++ b/packages/thorntray/src/thorntray/internal/telemetry/events.py
@@ -40,6 +40,7 @@
     DRAIN_BEGUN = EventKind(101, Level.INFO, "graceful stop begun")
     DRAIN_ENDED = EventKind(102, Level.INFO, "graceful stop ended")
     DRAIN_CUT = EventKind(103, Level.ERROR, "graceful stop ran out of time")
+    STOPPED = EventKind(109, Level.INFO, "node stopped")
     SETTINGS_CHANGED = EventKind(105, Level.INFO, "settings file changed")
     METRICS_NOT_SERVED = EventKind(106, Level.WARNING, "metrics not served")
     LOG_LINES_DROPPED = EventKind(107, Level.WARNING, "log lines dropped")
@@ -74,6 +75,9 @@
     LEVEL_RAISED = EventKind(500, Level.WARNING, "instance sheds requests")
     REQUEST_ENDED = EventKind(510, Level.INFO, "request ended", MAX_REQUEST_LINES_PER_SECOND)
     REQUEST_REPEATED = EventKind(511, Level.INFO, "request sent again")
+    REQUEST_UNANSWERED = EventKind(
+        512, Level.WARNING, "connection ended by this node before the answer"
+    )
     LOAD = EventKind(520, Level.INFO, "load of the instance and prices received")
     LIMIT_LOWERED = EventKind(501, Level.WARNING, "concurrency limit lowered")
 
--- a/packages/thorntray/src/thorntray/internal/telemetry/node_metrics.py
+++ b/packages/thorntray/src/thorntray/internal/telemetry/node_metrics.py
@@ -24,6 +24,10 @@
         "counter",
         "retries requested, by service and whether the budget covered them",
     ),
+    "thorntray_unanswered": (
+        "counter",
+        "requests whose connection ended before the answer, by who ended it",
+    ),
     "thorntray_store_calls": ("counter", "calls to the platform's store, by method and result"),
     "thorntray_loop_lag_seconds": ("histogram", "delay of timers of the event loop"),
     "thorntray_in_flight": ("gauge", "requests in slots of the own instance"),
@@ -53,6 +57,7 @@
         )
         self._queue_wait = self._histogram("thorntray_queue_wait_seconds", WAIT_BUCKETS)
         self._repeats = self._counter("thorntray_repeats", "service", "paid")
+        self._unanswered = self._counter("thorntray_unanswered", "closed_by")
         self._store_calls = self._counter("thorntray_store_calls", "method", "result")
         self._loop_lag = self._histogram("thorntray_loop_lag_seconds", LAG_BUCKETS)
         self._labelled_gauges: list[tuple[Gauge, Callable[[], dict[str, float]]]] = []
@@ -80,6 +85,10 @@
         """Count a requested retry; `paid` is whether the retry budget covered it."""
         self._repeats.labels(service, str(paid).lower()).inc()
 
+    def request_unanswered(self, closed_by: str) -> None:
+        """Count a request whose connection ended before its answer."""
+        self._unanswered.labels(closed_by).inc()
+
     def store_call_ended(self, method: str, result: str) -> None:
         """Count a call to the platform's store; `result` is the status or the kind of failure."""
         self._store_calls.labels(method, result).inc()
