--- /dev/null
+++ b/tests/test_stop_answers.py
@@ -0,0 +1,183 @@
+"""A node that stops answers every request that it has read before its process ends.
+
+`exit_process` stands for the end of the process: the kernel closes what is still open.
+"""
+
+import asyncio
+from typing import NamedTuple
+
+from tests.mesh_builders import (
+    answer_bytes,
+    make_policy,
+    make_route,
+    never_answer,
+    request_bytes,
+    run_scenario,
+)
+from thorntray_node.mesh_node import READINESS_PROPAGATION_DELAY
+
+LONG_ROUTE_POLICY = make_policy(routes=[make_route(timeout=9.0, target_latency=8.0)])
+SERVICE_TIME = 0.5  # seconds
+READ_TIMEOUT = 10.0  # seconds
+LARGE_BODY = b"x" * (8 * 1024 * 1024)  # more than the kernel's socket buffers hold
+
+
+class Seen(NamedTuple):
+    """What a caller read until its connection ended."""
+
+    request_id: bytes
+    answer: bytes
+
+    @property
+    def status(self) -> bytes:
+        """Return the status of the first answer, empty if there is none."""
+        return self.answer[9:12]
+
+
+async def answer_after_service_time(request_id, writer):
+    await asyncio.sleep(SERVICE_TIME)
+    writer.write(answer_bytes(request_id, b"done"))
+
+
+def exit_process(node):
+    for connection in list(node.callers.connections):
+        connection._transport.abort()
+
+
+async def stop_and_exit(node):
+    await node.stop()
+    exit_process(node)
+
+
+async def read_until_closed(reader):
+    answer = b""
+    try:
+        async with asyncio.timeout(READ_TIMEOUT):
+            while data := await reader.read(1 << 16):
+                answer += data
+    except ConnectionError:
+        pass
+    return answer
+
+
+def kept(request):
+    return request.replace(b"Connection: close\r\n", b"")
+
+
+async def call(node, request_id, deadline_ms=9000):
+    reader, writer = await asyncio.open_connection(*node.cfg.callers)
+    writer.write(kept(request_bytes(b"GET", "/prices/1", request_id, deadline_ms)))
+    answer = await read_until_closed(reader)
+    writer.close()
+    return Seen(request_id.encode(), answer)
+
+
+async def keep_calling(node, calls):
+    """Send a request every 50 ms until the node no longer listens."""
+    number = 0
+    while True:
+        number += 1
+        try:
+            _, writer = await asyncio.open_connection(*node.cfg.callers)
+            writer.close()
+        except ConnectionError:
+            return
+        calls.append(asyncio.ensure_future(call(node, f"id-{number}")))
+        await asyncio.sleep(0.05)
+
+
+def test_callers_that_go_on_sending_to_a_stopping_node_get_no_closed_connection():
+    async def scenario(fleet):
+        node = await fleet.add("h1", "haul")
+        await fleet.add("t1", "tariff", answer_after_service_time)
+        await fleet.share_membership()
+        calls = []
+        sender = asyncio.ensure_future(keep_calling(node, calls))
+        await asyncio.sleep(0.2)
+        await stop_and_exit(node)
+        await sender
+        ran = set(fleet.instances["t1"].run_ids)
+        return [seen for seen in await asyncio.gather(*calls) if seen.request_id in ran]
+
+    ran = run_scenario(scenario, LONG_ROUTE_POLICY)
+    assert len(ran) > 20
+    assert [seen for seen in ran if not seen.answer.endswith(b"done")] == []
+
+
+def test_requests_without_an_answer_at_the_end_of_a_stop_are_answered_before_the_exit():
+    async def scenario(fleet):
+        node = await fleet.add("h1", "haul")
+        await fleet.add("t1", "tariff", never_answer)
+        await fleet.share_membership()
+        running = asyncio.ensure_future(call(node, "runs"))
+        await asyncio.sleep(0.2)
+        await stop_and_exit(node)
+        return await running
+
+    assert run_scenario(scenario, LONG_ROUTE_POLICY).status == b"502"
+
+
+def test_a_request_completed_after_the_drain_is_refused_and_not_run():
+    async def scenario(fleet):
+        node = await fleet.add("h1", "haul")
+        await fleet.add("t1", "tariff", never_answer)
+        await fleet.share_membership()
+        removing = asyncio.Event()
+
+        async def remove_seed_slowly():
+            removing.set()
+            await asyncio.sleep(0.5)
+
+        node.seeds.stop = remove_seed_slowly
+        reader, writer = await asyncio.open_connection(*node.cfg.callers)
+        request = kept(request_bytes(b"GET", "/prices/1", "late"))
+        writer.write(request[:20])
+        stopping = asyncio.ensure_future(stop_and_exit(node))
+        await removing.wait()
+        writer.write(request[20:])
+        answer = await read_until_closed(reader)
+        writer.close()
+        await stopping
+        return answer, fleet.instances["t1"].run_ids
+
+    answer, ran = run_scenario(scenario)
+    assert ran == [] and answer.startswith(b"HTTP/1.1 503")
+
+
+def test_pipelined_requests_that_run_are_answered_when_the_node_stops():
+    async def scenario(fleet):
+        node = await fleet.add("t1", "tariff", answer_after_service_time)
+        await fleet.share_membership()
+        reader, writer = await asyncio.open_connection(*node.cfg.callers)
+        for number in range(3):
+            writer.write(kept(request_bytes(b"GET", "/prices/1", f"id-{number}")))
+            await asyncio.sleep(0.1)
+        await stop_and_exit(node)
+        answer = await read_until_closed(reader)
+        writer.close()
+        return answer, fleet.instances["t1"].run_ids
+
+    answer, ran = run_scenario(scenario)
+    assert ran == [b"id-0", b"id-1", b"id-2"]
+    assert [answer.count(b"Thorntray-Request-Id: " + request_id) for request_id in ran] == [1] * 3
+    assert answer.count(b"Connection: close") == 1
+
+
+def test_a_slow_reader_gets_its_whole_answer_when_the_node_stops():
+    async def answer_large(request_id, writer):
+        writer.write(answer_bytes(request_id, LARGE_BODY))
+
+    async def scenario(fleet):
+        node = await fleet.add("t1", "tariff", answer_large)
+        await fleet.share_membership()
+        reader, writer = await asyncio.open_connection(*node.cfg.callers, limit=1 << 16)
+        writer.write(kept(request_bytes(b"GET", "/prices/1", "id-1")))
+        await asyncio.sleep(0.3)
+        stopping = asyncio.ensure_future(stop_and_exit(node))
+        await asyncio.sleep(READINESS_PROPAGATION_DELAY + 0.5)
+        answer = await read_until_closed(reader)
+        writer.close()
+        await stopping
+        return answer
+
+    assert len(run_scenario(scenario).partition(b"\r\n\r\n")[2]) == len(LARGE_BODY)
