A stopping node refuses callers once they can have noticed, and answers the rest

Cause: stop() waited until no request was pending, but went on accepting new ones. While callers have nowhere else to go (fewer than half of a domain's nodes ready) it never became idle, and 0.4 s before the limit the process ended with whatever it had accepted last. In the same way a request that was completed while the seed entry was removed, after the drain, was sent to an instance and lost at the exit.

Change: process/drain.py decides. Callers are refused (not run, with a retry time) once two readiness checks can have failed; nested calls, whose refusal would fail an accepted request, until a second before answers are due. What is left then is ended with a true answer: not run if it was never sent, otherwise 502, and results go to peers. The listener of callers closes last, so late requests are refused, not cut.

Ruled out: a longer stop limit (the node never becomes idle at any limit); closing the listener early (callers would see resets, which promise nothing); a shorter time limit for requests accepted late (an instance would be cut at work).

--- a/packages/thorntray-node/src/thorntray_node/mesh_node.py
+++ b/packages/thorntray-node/src/thorntray_node/mesh_node.py
@@ -21,6 +21,7 @@
 from thorntray.internal.overload.slot_price import MIN_PRICE, SlotPrice
 from thorntray.internal.overload.slot_queue import SlotQueue
 from thorntray.internal.process.clock import Clock
+from thorntray.internal.process.drain import Drain
 from thorntray.internal.process.registration import Registration
 from thorntray.internal.process.tasks import BackgroundTasks
 from thorntray.internal.request.origin import Origin
@@ -38,14 +39,12 @@
 from thorntray.internal.version.policy import Policy, PolicyHolder
 from thorntray_node.mesh_config import MeshConfig
 from thorntray_node.mesh_gauges import register_gauges
+from thorntray_node.request_drain import RequestDrain
 
 PRICE_UPDATE_PERIOD = 0.1  # seconds between updates of the slot price
 LINK_FAILURE_PAUSE = 1.0  # seconds without new requests to a member after a link failure
 HOUSEKEEPING_PERIOD = 0.5  # seconds
-# Seconds after the first "not ready" answer during which callers still send requests.
-READINESS_PROPAGATION_DELAY = 2.2
-STOP_POLL_PERIOD = 0.05  # seconds
-CLOSE_TIME_RESERVE = 0.4  # seconds of the stop limit reserved for closing the connections
+LEAVE_TIME = 0.05  # seconds for the datagrams that announce the leave
 OK, UNAVAILABLE = 200, 503
 METRICS_CONTENT_TYPE = b"Content-Type: text/plain; version=0.0.4\r\n"
 
@@ -81,7 +80,7 @@
         self.cfg = cfg
         self.clock = clock
         self.rng = rng
-        self.stopping = False
+        self.drain = Drain(cfg.stop_limit, clock)
         self.metrics = metrics or NodeMetrics()
         self._store = store
         self._store_keys = store_keys
@@ -142,6 +141,7 @@
             placement=self.placement,
             ejection=self.ejection,
             budget=self.budget,
+            drain=self.drain,
             clock=self.clock,
             rng=self.rng,
             on_finish=self._origin_finished,
@@ -182,8 +182,8 @@
             self.rng,
         )
         self.policy_watch.duty = WatchDuty(self.membership, self.seeds, self.clock, self.rng)
-        origin = Origin(self._origin_dependencies())
-        self.callers = HttpServer(origin.handle, self.clock)
+        self.origin = Origin(self._origin_dependencies())
+        self.callers = HttpServer(self.origin.handle, self.clock)
         self.callers.on_unanswered = self._request_unanswered
         self.readiness = HttpServer(self._answer_readiness, self.clock)
         self.announcements = HttpServer(announcements, self.clock)
@@ -359,7 +359,7 @@
     @property
     def ready(self) -> bool:
         """Return whether the node accepts callers' requests."""
-        return not self.stopping and self.holder.policy is not None
+        return not self.drain.begun and self.holder.policy is not None
 
     def _answer_readiness(self, exchange: Exchange) -> None:
         exchange.respond(OK if self.ready else UNAVAILABLE, b"", b"")
@@ -368,35 +368,38 @@
         exchange.respond(OK, METRICS_CONTENT_TYPE, self.metrics.exposition())
 
     async def stop(self) -> None:
-        """Stop gracefully: refuse new requests, finish the running ones, close all sockets."""
-        self.stopping = True
-        log_event(Event.DRAIN_BEGUN, active=self.callers.active, held=len(self.owner.requests))
+        """Stop gracefully: refuse new requests, answer all others, close all sockets."""
         started = self.clock.monotonic()
+        self.drain.begin()
+        log_event(Event.DRAIN_BEGUN, active=self.callers.active, held=len(self.owner.requests))
         self.callers.closing = True
         read_before = self.callers.requests_read
         # Callers send requests until two readiness checks have failed, so this delay is always
         # waited out. The instance serves peers meanwhile, since other nodes may be stopping too.
-        await asyncio.sleep(READINESS_PROPAGATION_DELAY)
+        await asyncio.sleep(self.drain.accepting_for)
         self.registration.drain_node()
-        deadline = started + self.cfg.stop_limit - CLOSE_TIME_RESERVE
-        while self.clock.monotonic() < deadline and (self.callers.active or self.owner.requests):
-            await asyncio.sleep(STOP_POLL_PERIOD)
-        seconds = round(self.clock.monotonic() - started, 3)
+        ended = await RequestDrain(self.drain, self.origin, self.owner, self.callers).run()
+        if ended:
+            log_event(Event.DRAIN_CUT, active=ended)
         log_event(
             Event.DRAIN_ENDED,
-            seconds=seconds,
+            seconds=round(self.clock.monotonic() - started, 3),
             active=self.callers.active,
             read=self.callers.requests_read - read_before,
             unsent=self.callers.unsent_bytes,
         )
+        await self._close(started)
+
+    async def _close(self, started: float) -> None:
+        """Leave the fleet and close all sockets; callers are refused until the last step."""
         read_before = self.callers.requests_read
         self.membership.leave()
-        self.callers.close()
         self.metrics_server.close()
         self.listener.close()
-        await asyncio.sleep(0.05)
+        await asyncio.sleep(LEAVE_TIME)
         await self.seeds.stop()
         await self._store.close()
+        self.callers.close()
         log_event(
             Event.STOPPED,
             seconds=round(self.clock.monotonic() - started, 3),
--- /dev/null
+++ b/packages/thorntray-node/src/thorntray_node/request_drain.py
@@ -0,0 +1,48 @@
+"""End of all requests of a stopping node, each with an answer.
+
+The kernel closes all sockets when the process ends, so whoever still waits then sees a closed
+connection and cannot tell whether the request ran. Therefore the process ends only when nothing is
+owed, and what is left when answers are due is ended with the answer that is true by then.
+"""
+
+import asyncio
+
+from thorntray.internal.connection.http_server import HttpServer
+from thorntray.internal.process.drain import Drain
+from thorntray.internal.request.origin import Origin
+from thorntray.internal.request.owner import Owner
+
+POLL_PERIOD = 0.05  # seconds
+FINAL_FLUSH_TIME = 0.2  # seconds for sending the answers of the requests that were ended
+
+
+class RequestDrain:
+    """Waits for the requests of a node and ends those that are left when answers are due."""
+
+    def __init__(self, drain: Drain, origin: Origin, owner: Owner, callers: HttpServer) -> None:
+        self._drain = drain
+        self._origin = origin
+        self._owner = owner
+        self._callers = callers
+
+    async def run(self) -> int:
+        """Return the number of requests that had to be ended, once all answers are sent."""
+        while self._owes_answers and not self._drain.overdue:
+            await asyncio.sleep(POLL_PERIOD)
+        ended = self._origin.end_all() + self._owner.end_all()
+        await self._flush()
+        return ended
+
+    @property
+    def _owes_answers(self) -> bool:
+        return bool(self._callers.active or self._owner.requests)
+
+    @property
+    def _unsent_bytes(self) -> int:
+        return self._callers.unsent_bytes
+
+    async def _flush(self) -> None:
+        for _ in range(int(FINAL_FLUSH_TIME / POLL_PERIOD)):
+            if not self._unsent_bytes:
+                return
+            await asyncio.sleep(POLL_PERIOD)
--- a/packages/thorntray/src/thorntray/internal/request/origin.py
+++ b/packages/thorntray/src/thorntray/internal/request/origin.py
@@ -59,6 +59,13 @@
             return
         OriginRequest(self._context, exchange, head, route).start()
 
+    def end_all(self) -> int:
+        """End all requests now, as their node stops; returns their number."""
+        active = list(self._context.active)
+        for request in active:
+            request.end_for_stop()
+        return len(active)
+
     def read_head(self, headers: list[tuple[bytes, bytes]]) -> RequestHead:
         """Parse the header fields; raises `InvalidRequestHead`."""
         host, request_id, deadline, connection_options = b"", b"", None, b""
--- a/packages/thorntray/src/thorntray/internal/request/origin_context.py
+++ b/packages/thorntray/src/thorntray/internal/request/origin_context.py
@@ -13,6 +13,7 @@
 from thorntray.internal.overload.retry_budget import RetryBudget
 from thorntray.internal.overload.root_admission import RootAdmission
 from thorntray.internal.process.clock import Clock
+from thorntray.internal.process.drain import Drain
 from thorntray.internal.request.owner import Owner
 from thorntray.internal.request.result import Result
 from thorntray.internal.version.policy import Policy, Route
@@ -46,6 +47,7 @@
     placement: Placement
     ejection: Ejection
     budget: RetryBudget
+    drain: Drain
     clock: Clock
     rng: Random
     on_finish: Callable[["OriginRequest", Result], None]
@@ -60,6 +62,7 @@
     def __init__(self, deps: OriginDependencies) -> None:
         self.deps = deps
         self.nested_routes = NestedRoutes()
+        self.active: set[OriginRequest] = set()  # requests without a result
         self._split_credit: dict[tuple[str, str], float] = {}
 
     def choose_service(self, route: Route) -> str:
--- a/packages/thorntray/src/thorntray/internal/request/origin_request.py
+++ b/packages/thorntray/src/thorntray/internal/request/origin_request.py
@@ -34,6 +34,7 @@
 ROOT_MAX_SLOT_WAIT_RATIO = 0.125  # longest slot wait of a root request / target latency
 NESTED_MAX_SLOT_WAIT = 0.5  # seconds that a nested call may wait for a slot
 NO_INSTANCE_RETRY_AFTER = 0.5  # seconds, before jitter
+STOPPING_RETRY_AFTER = 1.0  # seconds, before jitter; about the time of a restart
 MAX_LEAF_CALLS = 1.5  # calls, own call included, up to which a failed call tree counts as a leaf
 
 # Refusals by a working instance: the service is overloaded, not unavailable.
@@ -100,7 +101,11 @@
     def start(self) -> None:
         """Decide on admission and start the first attempt."""
         deps = self.context.deps
+        self.context.active.add(self)
         self._find_parent()
+        if not deps.drain.admits(self.nested):
+            self.finish(not_run(Cause.DRAINING, STOPPING_RETRY_AFTER))
+            return
         if not self.nested:
             deps.budget.deposit(self.service)
             if not deps.admission.admit(self.route_key, self.route.priority, self.arrived_at):
@@ -133,6 +138,14 @@
             self._cancel_attempt()
             self._mark_finished(unknown(Cause.CANCELLED))
 
+    def end_for_stop(self) -> None:
+        """End the request because this node stops; it must not be said "not run" if it may run."""
+        sent = self._cancel_attempt()
+        if sent or self.maybe_ran:
+            self.finish(unknown(Cause.DRAINING))
+        else:
+            self.finish(not_run(Cause.DRAINING, STOPPING_RETRY_AFTER))
+
     def finish(self, result: Result) -> None:
         """Send the response to the caller; only the first call has an effect."""
         if self.finished:
@@ -142,6 +155,7 @@
 
     def _mark_finished(self, result: Result) -> None:
         self.finished = True
+        self.context.active.discard(self)
         self.exchange.on_cancel = None
         if self.timer is not None:
             self.timer.cancel()
--- a/packages/thorntray/src/thorntray/internal/request/owner.py
+++ b/packages/thorntray/src/thorntray/internal/request/owner.py
@@ -204,6 +204,17 @@
         for request in [r for r in self.requests if r.instance_call is None and not r.finished]:
             request.finish(not_run(cause))
 
+    def end_all(self) -> int:
+        """End all requests now, as their node stops; returns their number."""
+        requests = list(self.requests)
+        for request in requests:
+            if request.instance_call is None:
+                request.finish(not_run(Cause.DRAINING))
+            else:
+                request.instance_call.cancel()
+                request.finish(unknown(Cause.DRAINING))
+        return len(requests)
+
     def complete(self, request: OwnerRequest, result: Result) -> None:
         """Release what a request holds and pass its result, with a load report, to its callback."""
         deps = self.deps
--- a/tests/test_lean_stops.py
+++ b/tests/test_lean_stops.py
@@ -10,8 +10,8 @@
     request_bytes,
     run_scenario,
 )
+from thorntray.internal.process.drain import READINESS_PROPAGATION_DELAY
 from thorntray.internal.process.registration import Phase
-from thorntray_node.mesh_node import READINESS_PROPAGATION_DELAY
 
 
 def test_a_planned_stop_finishes_running_requests_and_sends_connection_close():
--- a/tests/test_stop_answers.py
+++ b/tests/test_stop_answers.py
@@ -14,7 +14,7 @@
     request_bytes,
     run_scenario,
 )
-from thorntray_node.mesh_node import READINESS_PROPAGATION_DELAY
+from thorntray.internal.process.drain import READINESS_PROPAGATION_DELAY
 
 LONG_ROUTE_POLICY = make_policy(routes=[make_route(timeout=9.0, target_latency=8.0)])
 SERVICE_TIME = 0.5  # seconds
