While a node stops, a connection closes with its last answer, not with the next one

What callers saw: of several requests sent on one connection without waiting, only the first was answered when the node was stopping, though an instance ran all.

Cause: each response of a stopping node carried Connection: close, and the requests behind such a response were cancelled, also those already sent to an instance. The same with one segment that held a request refused at once and another behind it.

Change: whether a response closes its connection is decided when it is sent: only if no other request was read from the connection. After it nothing more is read. A caller that goes on pipelining is refused at once in the second phase of the stop, so the connection ends.

Ruled out: handling pipelined requests one after the other, which lets idempotent requests wait for each other without need.

--- a/packages/thorntray/src/thorntray/internal/connection/http_server.py
+++ b/packages/thorntray/src/thorntray/internal/connection/http_server.py
@@ -5,8 +5,8 @@
 also use more processor time than the rest of the request path.
 
 Requests may be pipelined; responses are sent in the order of the requests. While the server is
-shutting down, each response carries `Connection: close`. Requests that the caller has pipelined
-behind such a response are cancelled; the caller has to treat them as not read.
+shutting down, a connection is closed with the response to the last request that was read from it,
+which carries `Connection: close`.
 """
 
 import asyncio
@@ -60,44 +60,37 @@
 class Exchange:
     """One request on a connection and its response."""
 
-    __slots__ = ("request", "on_cancel", "_connection", "_response", "keep_alive")
+    __slots__ = ("request", "on_cancel", "_connection", "_head", "_body", "keep_alive")
 
     def __init__(self, connection: "HttpServerConnection", request: HttpRequest) -> None:
         self.request = request
         self.on_cancel: Callable[[], None] | None = None  # called when no response can be sent
         self.keep_alive = True
         self._connection = connection
-        self._response: bytes | None = None
+        self._head: bytes | None = None  # without the Connection field
+        self._body = b""
 
     @property
     def responded(self) -> bool:
         """Return whether a response was set."""
-        return self._response is not None
-
-    @property
-    def response_bytes(self) -> bytes | None:
-        """Return the complete response as sent to the caller, None before it is set."""
-        return self._response
+        return self._head is not None
 
     def respond(self, status: int, header_lines: bytes, body: bytes) -> None:
         """Set the response, sent after those of earlier requests. Later calls are ignored."""
-        if self._response is not None:
+        if self._head is not None:
             return
-        connection = self._connection
-        if connection.server.closing:
-            self.keep_alive = False
-        parts = [
-            b"HTTP/1.1 %d %s\r\n" % (status, _REASON_PHRASES.get(status, b"Unknown")),
-            header_lines,
-        ]
+        reason = _REASON_PHRASES.get(status, b"Unknown")
+        self._head = b"HTTP/1.1 %d %b\r\n%b" % (status, reason, header_lines)
         if self.request.method != b"HEAD":
-            parts.append(b"Content-Length: %d\r\n" % len(body))
-            parts.append(b"\r\n" if self.keep_alive else b"Connection: close\r\n\r\n")
-            parts.append(body)
-        else:
-            parts.append(b"\r\n" if self.keep_alive else b"Connection: close\r\n\r\n")
-        self._response = b"".join(parts)
-        connection.flush()
+            self._head += b"Content-Length: %d\r\n" % len(body)
+            self._body = body
+        self._connection.flush()
+
+    def encode_response(self, keep_alive: bool) -> bytes:
+        """Return the bytes of the response; it must have been set."""
+        assert self._head is not None
+        end = b"\r\n" if keep_alive else b"Connection: close\r\n\r\n"
+        return b"".join((self._head, end, self._body))
 
 
 ExchangeHandler = Callable[[Exchange], None]
@@ -171,7 +164,7 @@
         self._parser = httptools.HttpRequestParser(self)
         self._last_active_at = server.clock.monotonic()
         self._receiving_since: float | None = None  # arrival of the first byte of a request
-        self._rejected = False
+        self._last_request_read = False  # whether the next response closes the connection
         self._reading_paused = False
         self._reset_message()
 
@@ -182,7 +175,7 @@
 
     def data_received(self, data: bytes) -> None:
         """Parse received bytes; malformed input is rejected and closes the connection."""
-        if self._rejected:
+        if self._last_request_read:
             return
         if self._receiving_since is None:
             self._receiving_since = self.server.clock.monotonic()
@@ -191,7 +184,7 @@
         except httptools.HttpParserUpgrade:
             self._reject(400)
         except httptools.HttpParserError:
-            if not self._rejected:
+            if not self._last_request_read:
                 self._reject(400)
 
     def connection_lost(self, exc: Exception | None) -> None:
@@ -241,7 +234,7 @@
 
     def on_message_complete(self) -> None:
         """Pass the complete request to the handler."""
-        if self._rejected:
+        if self._last_request_read:
             return
         self._receiving_since = None
         body = b"".join(self._body)
@@ -264,8 +257,12 @@
             self._last_active_at = self.server.clock.monotonic()
             if transport is None or transport.is_closing():
                 continue
-            transport.write(exchange.response_bytes or b"")
-            if not exchange.keep_alive:
+            # A closing response ends the connection for all requests behind it, so while the
+            # server is shutting down only the response to the last request read may be one.
+            keep_alive = exchange.keep_alive and not (self.server.closing and not self.pending)
+            transport.write(exchange.encode_response(keep_alive))
+            if not keep_alive:
+                self._last_request_read = True
                 self._cancel_pending(ClosedBy.NODE)
                 transport.close()
                 return
@@ -288,7 +285,7 @@
         """Reject a request that takes too long to arrive; close an idle connection."""
         limits = self.server.limits
         if self._receiving_since is not None and not self.pending:
-            if now - self._receiving_since > limits.header_timeout and not self._rejected:
+            if now - self._receiving_since > limits.header_timeout and not self._last_request_read:
                 self._reject(408)
         elif not self.pending and now - self._last_active_at > limits.idle_timeout:
             self.close_if_idle()
@@ -300,7 +297,7 @@
 
     def _reject(self, status: int) -> None:
         """Respond to a request that was not fully read, and close the connection afterwards."""
-        self._rejected = True
+        self._last_request_read = True
         request = HttpRequest(b"GET", self._target, [], b"")
         exchange = Exchange(self, request)
         exchange.keep_alive = False
--- a/tests/test_stop_answers.py
+++ b/tests/test_stop_answers.py
@@ -163,6 +163,27 @@
     assert answer.count(b"Connection: close") == 1
 
 
+def test_requests_behind_a_closing_response_in_one_segment_are_not_run():
+    async def scenario(fleet):
+        node = await fleet.add("t1", "tariff", answer_after_service_time)
+        await fleet.share_membership()
+        await fleet.get("t1", "/prices/1", "opens-a-connection-to-the-instance")
+        fleet.instances["t1"].run_ids.clear()
+        reader, writer = await asyncio.open_connection(*node.cfg.callers)
+        stopping = asyncio.ensure_future(stop_and_exit(node))
+        await asyncio.sleep(0.1)
+        refused_at_once = kept(request_bytes(b"GET", "/unknown/1", "id-0"))
+        writer.write(refused_at_once + kept(request_bytes(b"GET", "/prices/1", "id-1")))
+        answer = await read_until_closed(reader)
+        writer.close()
+        await stopping
+        return answer, fleet.instances["t1"].run_ids
+
+    answer, ran = run_scenario(scenario)
+    assert answer.startswith(b"HTTP/1.1 404") and b"Connection: close" in answer
+    assert ran == []
+
+
 def test_a_slow_reader_gets_its_whole_answer_when_the_node_stops():
     async def answer_large(request_id, writer):
         writer.write(answer_bytes(request_id, LARGE_BODY))
