A stop waits until callers have taken their answers

What callers saw: one that reads slowly got only the part of its answer that the kernel held when the node's process ended.

Cause: a request counted as answered once its response was handed to the transport. What the caller had not taken yet stayed in the process and ended with it.

Change: the drain also waits for bytes not yet taken, up to the time at which answers are due. Ruled out: larger kernel buffers (bounded by the system).

--- a/packages/thorntray-node/src/thorntray_node/request_drain.py
+++ b/packages/thorntray-node/src/thorntray_node/request_drain.py
@@ -35,7 +35,7 @@
 
     @property
     def _owes_answers(self) -> bool:
-        return bool(self._callers.active or self._owner.requests)
+        return bool(self._callers.active or self._owner.requests or self._unsent_bytes)
 
     @property
     def _unsent_bytes(self) -> int:
