A connection that the server closes is closed so that its last response arrives

What callers saw: a reset instead of the response, when they were still sending: a body over the limit, or requests behind a response with Connection: close.

Cause: closing a socket with unread input sends a reset, which discards what the other side has not read yet.

Evidence: the test ends with 'ConnectionResetError: [Errno 104] Connection reset by peer' on the old code, and reads the 413 now.

Change: after the last response only the output is ended; input is discarded until the caller closes, for a second at most. Where the caller itself asked for the close, nothing more can come and the connection is closed at once, as before.

Ruled out: reading the whole rest of the input first (a caller may send without end).

--- a/packages/thorntray/src/thorntray/internal/connection/http_server.py
+++ b/packages/thorntray/src/thorntray/internal/connection/http_server.py
@@ -22,6 +22,7 @@
 
 MAX_PIPELINED = 32  # pending requests on one connection at which reading pauses
 TIMEOUT_CHECK_PERIOD = 0.5  # seconds between checks for slow and idle connections
+LINGER_TIME = 1.0  # seconds for which input is discarded before a connection is closed
 LISTEN_BACKLOG = 1024  # connections waiting to be accepted
 
 _REASON_PHRASES = {status.value: status.phrase.encode() for status in HTTPStatus}
@@ -60,12 +61,13 @@
 class Exchange:
     """One request on a connection and its response."""
 
-    __slots__ = ("request", "on_cancel", "_connection", "_head", "_body", "keep_alive")
+    __slots__ = ("request", "on_cancel", "_connection", "_head", "_body", "keep_alive", "last")
 
     def __init__(self, connection: "HttpServerConnection", request: HttpRequest) -> None:
         self.request = request
         self.on_cancel: Callable[[], None] | None = None  # called when no response can be sent
-        self.keep_alive = True
+        self.keep_alive = True  # whether the caller keeps the connection open
+        self.last = False  # whether the server ends the connection with the response
         self._connection = connection
         self._head: bytes | None = None  # without the Connection field
         self._body = b""
@@ -166,6 +168,7 @@
         self._receiving_since: float | None = None  # arrival of the first byte of a request
         self._last_request_read = False  # whether the next response closes the connection
         self._reading_paused = False
+        self._linger_until: float | None = None  # monotonic seconds, once output has ended
         self._reset_message()
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
@@ -259,18 +262,34 @@
                 continue
             # A closing response ends the connection for all requests behind it, so while the
             # server is shutting down only the response to the last request read may be one.
-            keep_alive = exchange.keep_alive and not (self.server.closing and not self.pending)
+            last = exchange.last or (self.server.closing and not self.pending)
+            keep_alive = exchange.keep_alive and not last
             transport.write(exchange.encode_response(keep_alive))
             if not keep_alive:
                 self._last_request_read = True
                 self._cancel_pending(ClosedBy.NODE)
-                transport.close()
+                self._close_after_response(transport, closed_by_caller=not exchange.keep_alive)
                 return
         if self._reading_paused and len(self.pending) < MAX_PIPELINED:
             self._reading_paused = False
             if transport is not None:
                 transport.resume_reading()
 
+    def _close_after_response(self, transport: asyncio.Transport, closed_by_caller: bool) -> None:
+        """Close the connection so that the caller can read the response.
+
+        Closing with unread input resets the connection, which may discard the response. Unless
+        the caller itself sends nothing more, only the output is ended, and input is discarded.
+        """
+        if closed_by_caller:
+            transport.close()
+            return
+        self._linger_until = self.server.clock.monotonic() + LINGER_TIME
+        transport.write_eof()
+        if self._reading_paused:
+            self._reading_paused = False
+            transport.resume_reading()
+
     def pause_writing(self) -> None:
         """Stop reading requests from a caller that does not read its responses."""
         self._pause_reading()
@@ -283,6 +302,10 @@
 
     def enforce_timeouts(self, now: float) -> None:
         """Reject a request that takes too long to arrive; close an idle connection."""
+        if self._linger_until is not None:
+            if now > self._linger_until and not self.unsent_bytes:
+                self._transport.close()
+            return
         limits = self.server.limits
         if self._receiving_since is not None and not self.pending:
             if now - self._receiving_since > limits.header_timeout and not self._last_request_read:
@@ -300,7 +323,7 @@
         self._last_request_read = True
         request = HttpRequest(b"GET", self._target, [], b"")
         exchange = Exchange(self, request)
-        exchange.keep_alive = False
+        exchange.last = True
         self.pending.append(exchange)
         exchange.respond(status, b"", b"")
 
--- a/tests/test_lean_callers.py
+++ b/tests/test_lean_callers.py
@@ -9,6 +9,7 @@
     request_bytes,
     run_scenario,
 )
+from thorntray.internal.connection.http_server import RequestLimits
 
 
 def test_pipelined_requests_are_answered_in_order():
@@ -46,6 +47,26 @@
     assert no_policy.startswith(b"HTTP/1.1 503") and b"Retry-After: " in no_policy
 
 
+def test_a_refusal_reaches_a_caller_that_is_still_sending():
+    """Closing a connection with unread bytes resets it, and the response is lost."""
+
+    async def scenario(fleet):
+        node = await fleet.add("t1", "tariff")
+        await fleet.share_membership()
+        node.callers.limits = RequestLimits(body_bytes=1000)
+        reader, writer = await asyncio.open_connection(*node.cfg.callers)
+        head = request_bytes(b"POST", "/payouts/1", "id-1")
+        body = b"x" * 4_000_000
+        writer.write(head.replace(b"\r\n\r\n", b"\r\nContent-Length: %d\r\n\r\n" % len(body)))
+        writer.write(body)
+        await writer.drain()
+        answer = await reader.read(1 << 20)
+        writer.close()
+        return answer
+
+    assert run_scenario(scenario).startswith(b"HTTP/1.1 413")
+
+
 @pytest.mark.parametrize(
     "faulty",
     [
