A request whose handler fails is answered, and its connection goes on

What callers saw: no answer at all, until they gave up, also for later requests on the connection.

Cause: the HTTP parser wraps an exception of the handler as a parser error, so it was taken for malformed input: a 400 was queued behind the request that never answered.

Change: the exception is logged (HANDLER_FAILED) and that request is answered with 500, which promises nothing. Ruled out: 503, since the request may have been sent before the failure.

--- a/packages/thorntray/src/thorntray/internal/connection/http_server.py
+++ b/packages/thorntray/src/thorntray/internal/connection/http_server.py
@@ -19,6 +19,7 @@
 import httptools
 
 from thorntray.internal.process.clock import Clock
+from thorntray.internal.telemetry.events import Event, log_event
 
 MAX_PIPELINED = 32  # pending requests on one connection at which reading pauses
 TIMEOUT_CHECK_PERIOD = 0.5  # seconds between checks for slow and idle connections
@@ -248,7 +249,15 @@
         self.pending.append(exchange)
         if len(self.pending) >= MAX_PIPELINED:
             self._pause_reading()
-        self.server.handler(exchange)
+        self._handle(exchange)
+
+    def _handle(self, exchange: Exchange) -> None:
+        """Pass a request to the handler; if that fails, only this request fails."""
+        try:
+            self.server.handler(exchange)
+        except Exception as exc:  # the parser would take it for malformed input
+            log_event(Event.HANDLER_FAILED, detail=repr(exc))
+            exchange.respond(HTTPStatus.INTERNAL_SERVER_ERROR, b"", b"")
 
     # Responses.
 
--- /dev/null
+++ b/tests/test_http_server.py
@@ -0,0 +1,81 @@
+"""Tests of the HTTP server's connections without a node."""
+
+import asyncio
+from contextlib import asynccontextmanager
+
+from standins.fleet import free_port
+from tests.mesh_builders import HOST
+from thorntray.internal.connection.http_server import (
+    HttpServer,
+    HttpServerConnection,
+    RequestLimits,
+)
+from thorntray.internal.process.clock import SystemClock
+
+REQUEST = b"GET /%b HTTP/1.1\r\nHost: a.example\r\n\r\n"
+
+
+class RecordingTransport(asyncio.Transport):
+    """Transport that records whether reading is paused, and what was written."""
+
+    def __init__(self):
+        super().__init__()
+        self.reading = True
+        self.written = b""
+
+    def pause_reading(self):
+        self.reading = False
+
+    def resume_reading(self):
+        self.reading = True
+
+    def is_closing(self):
+        return False
+
+    def write(self, data):
+        self.written += data
+
+    def get_write_buffer_size(self):
+        return 0
+
+
+@asynccontextmanager
+async def serving(handler, limits=None):
+    server = HttpServer(handler, SystemClock())
+    server.limits = limits or RequestLimits()
+    port = free_port()
+    await server.start(HOST, port)
+    sweeping = asyncio.ensure_future(server.sweep())
+    reader, writer = await asyncio.open_connection(HOST, port)
+    try:
+        yield reader, writer
+    finally:
+        writer.close()
+        sweeping.cancel()
+        server.close()
+
+
+def connection_with(handler):
+    connection = HttpServerConnection(HttpServer(handler, SystemClock()))
+    transport = RecordingTransport()
+    connection.connection_made(transport)
+    return connection, transport
+
+
+def test_a_request_whose_handler_fails_is_answered():
+    def handler(exchange):
+        if exchange.request.target == b"/fails":
+            raise KeyError("fails")
+        exchange.respond(200, b"", b"ok")
+
+    async def scenario():
+        async with serving(handler) as (reader, writer):
+            writer.write(REQUEST % b"fails" + REQUEST % b"works")
+            answer = b""
+            async with asyncio.timeout(2):
+                while not answer.endswith(b"ok"):
+                    answer += await reader.read(1 << 16)
+            return answer
+
+    answer = asyncio.run(scenario())
+    assert answer.startswith(b"HTTP/1.1 500") and b"HTTP/1.1 200" in answer
