The time for receiving a request runs from its first byte

What callers saw: a 408 on an idle connection after a stray line end, which a caller takes for the answer to its next request; and no 408, only the much longer idle timeout, when a segment ended in the middle of a second request.

Cause: the time was started by any input and cleared by any complete request, not by the first byte of a request.

Evidence: 'assert 1 == 2' answers of 200 before a 408, and TimeoutError, on the old code. Change: it starts when the parser begins a message.

--- a/packages/thorntray/src/thorntray/internal/connection/http_server.py
+++ b/packages/thorntray/src/thorntray/internal/connection/http_server.py
@@ -181,8 +181,6 @@
         """Parse received bytes; malformed input is rejected and closes the connection."""
         if self._last_request_read:
             return
-        if self._receiving_since is None:
-            self._receiving_since = self.server.clock.monotonic()
         try:
             self._parser.feed_data(data)
         except httptools.HttpParserUpgrade:
@@ -205,6 +203,7 @@
 
     def on_message_begin(self) -> None:
         """Reset the state for a new request."""
+        self._receiving_since = self.server.clock.monotonic()
         self._reset_message()
 
     def on_url(self, target: bytes) -> None:
--- a/tests/test_http_server.py
+++ b/tests/test_http_server.py
@@ -79,3 +79,32 @@
 
     answer = asyncio.run(scenario())
     assert answer.startswith(b"HTTP/1.1 500") and b"HTTP/1.1 200" in answer
+
+
+def test_a_line_end_between_requests_is_not_answered_with_a_timeout():
+    async def scenario():
+        limits = RequestLimits(header_timeout=0.3)
+        handler = lambda exchange: exchange.respond(200, b"", b"ok")  # noqa: E731
+        async with serving(handler, limits) as (reader, writer):
+            writer.write(REQUEST % b"1")
+            await asyncio.sleep(0.1)
+            writer.write(b"\r\n")
+            await asyncio.sleep(1.5)
+            writer.write(REQUEST % b"2")
+            await asyncio.sleep(0.2)
+            return await reader.read(1 << 16)
+
+    assert asyncio.run(scenario()).count(b"HTTP/1.1 200") == 2
+
+
+def test_the_second_half_of_a_request_that_never_comes_is_answered_with_a_timeout():
+    async def scenario():
+        limits = RequestLimits(header_timeout=0.3)
+        handler = lambda exchange: exchange.respond(200, b"", b"ok")  # noqa: E731
+        async with serving(handler, limits) as (reader, writer):
+            writer.write(REQUEST % b"1" + b"GET /2 HT")
+            async with asyncio.timeout(3):
+                return await reader.read(-1)
+
+    answer = asyncio.run(scenario())
+    assert b"HTTP/1.1 200" in answer and b"HTTP/1.1 408" in answer
