Reading from a caller pauses for both reasons independently

What callers saw: nothing directly; a caller that sends many requests and does not read made the node hold any number of answers, up to its memory limit, which ends the process and with it all answers owed.

Cause: one flag served two reasons to pause, a full write buffer and too many pending requests. Each response resumed reading though the buffer was full, and a drained buffer resumed it though too many requests were pending.

Evidence: 'assert not True' (reading) for both on the old code. Change: reading is derived from both conditions in one place.

--- a/packages/thorntray/src/thorntray/internal/connection/http_server.py
+++ b/packages/thorntray/src/thorntray/internal/connection/http_server.py
@@ -169,6 +169,7 @@
         self._receiving_since: float | None = None  # arrival of the first byte of a request
         self._last_request_read = False  # whether the next response closes the connection
         self._reading_paused = False
+        self._writing_paused = False
         self._linger_until: float | None = None  # monotonic seconds, once output has ended
         self._reset_message()
 
@@ -246,8 +247,7 @@
         exchange.keep_alive = self._parser.should_keep_alive()
         self.server.requests_read += 1
         self.pending.append(exchange)
-        if len(self.pending) >= MAX_PIPELINED:
-            self._pause_reading()
+        self._update_reading()
         self._handle(exchange)
 
     def _handle(self, exchange: Exchange) -> None:
@@ -278,10 +278,7 @@
                 self._cancel_pending(ClosedBy.NODE)
                 self._close_after_response(transport, closed_by_caller=not exchange.keep_alive)
                 return
-        if self._reading_paused and len(self.pending) < MAX_PIPELINED:
-            self._reading_paused = False
-            if transport is not None:
-                transport.resume_reading()
+        self._update_reading()
 
     def _close_after_response(self, transport: asyncio.Transport, closed_by_caller: bool) -> None:
         """Close the connection so that the caller can read the response.
@@ -294,19 +291,17 @@
             return
         self._linger_until = self.server.clock.monotonic() + LINGER_TIME
         transport.write_eof()
-        if self._reading_paused:
-            self._reading_paused = False
-            transport.resume_reading()
+        self._update_reading()
 
     def pause_writing(self) -> None:
         """Stop reading requests from a caller that does not read its responses."""
-        self._pause_reading()
+        self._writing_paused = True
+        self._update_reading()
 
     def resume_writing(self) -> None:
         """Resume reading when the write buffer has drained."""
-        if self._reading_paused and self._transport is not None:
-            self._reading_paused = False
-            self._transport.resume_reading()
+        self._writing_paused = False
+        self._update_reading()
 
     def enforce_timeouts(self, now: float) -> None:
         """Reject a request that takes too long to arrive; close an idle connection."""
@@ -344,10 +339,23 @@
             if exchange.on_cancel is not None:
                 exchange.on_cancel()
 
-    def _pause_reading(self) -> None:
-        if not self._reading_paused and self._transport is not None:
-            self._reading_paused = True
-            self._transport.pause_reading()
+    def _update_reading(self) -> None:
+        """Read unless the caller has too many pending requests or does not read its responses.
+
+        Input that is only discarded takes no memory and is always read.
+        """
+        transport = self._transport
+        if transport is None or transport.is_closing():
+            return
+        limited = self._writing_paused or len(self.pending) >= MAX_PIPELINED
+        pause = limited and self._linger_until is None
+        if pause == self._reading_paused:
+            return
+        self._reading_paused = pause
+        if pause:
+            transport.pause_reading()
+        else:
+            transport.resume_reading()
 
     def _reset_message(self) -> None:
         self._target = b""
--- a/tests/test_http_server.py
+++ b/tests/test_http_server.py
@@ -6,6 +6,7 @@
 from standins.fleet import free_port
 from tests.mesh_builders import HOST
 from thorntray.internal.connection.http_server import (
+    MAX_PIPELINED,
     HttpServer,
     HttpServerConnection,
     RequestLimits,
@@ -108,3 +109,25 @@
 
     answer = asyncio.run(scenario())
     assert b"HTTP/1.1 200" in answer and b"HTTP/1.1 408" in answer
+
+
+def test_a_caller_that_does_not_read_its_answers_is_not_read_from():
+    waiting = []
+    connection, transport = connection_with(waiting.append)
+    connection.data_received(REQUEST % b"1" + REQUEST % b"2")
+    connection.pause_writing()
+    waiting[0].respond(200, b"", b"ok")
+    assert not transport.reading
+    connection.resume_writing()
+    assert transport.reading
+
+
+def test_a_caller_with_too_many_pending_requests_is_not_read_from():
+    waiting = []
+    connection, transport = connection_with(waiting.append)
+    connection.data_received((REQUEST % b"1") * MAX_PIPELINED)
+    connection.pause_writing()
+    connection.resume_writing()
+    assert not transport.reading
+    waiting[0].respond(200, b"", b"ok")
+    assert transport.reading
