explain names the node that stopped or closed without an answer

An on-call engineer could not tell from a request's id that a stop had ended it: its cause read 'refused with DRAINING by ' without a node, or 'UNKNOWN DRAINING'.

--- a/packages/thorntrayctl/src/thorntrayctl/request_trace.py
+++ b/packages/thorntrayctl/src/thorntrayctl/request_trace.py
@@ -11,7 +11,8 @@
 from typing import Any, NamedTuple
 
 # Numbers of log events, as in `thorntray.internal.telemetry.events`.
-REQUEST_ENDED, REQUEST_REPEATED = 510, 511
+REQUEST_ENDED, REQUEST_REPEATED, REQUEST_UNANSWERED = 510, 511, 512
+STOP_EVENTS = frozenset({101, 102, 103, 109})
 LINK_EVENTS = frozenset({410, 411})
 INSTANCE_EVENTS = frozenset({111, 112, 113})
 LOAD = 520
@@ -89,7 +90,9 @@
             continue
         if event.event in LINK_EVENTS and event.fields.get("peer") in nodes:
             context.append(event)
-        elif event.event == LOAD or (event.event in INSTANCE_EVENTS and event.node in nodes):
+        elif event.event in INSTANCE_EVENTS | STOP_EVENTS and event.node in nodes:
+            context.append(event)
+        elif event.event == LOAD:
             context.append(event)
     return context
 
@@ -99,7 +102,12 @@
     ended = [line for line in lines if line.event == REQUEST_ENDED]
     origins = [line for line in ended if line.fields["side"] == "origin"]
     origins.sort(key=lambda line: line.fields["id"] != request_id)
-    causes = []
+    causes = [
+        f"request: {line.node} ended its connection without an answer "
+        f"(closed_by {line.fields.get('closed_by')})"
+        for line in lines
+        if line.event == REQUEST_UNANSWERED
+    ]
     for line in origins:
         if line.fields["end"] == "ANSWERED" and line.fields["status"] < 500:
             continue
@@ -121,6 +129,10 @@
                 f"refused by {origin.node}: no instance of {_service_of_route(fields)} was "
                 f"available"
             )
+        case ("NOT_RUN", "DRAINING") if not fields.get("refusals"):
+            return f"refused by {origin.node}, which was stopping"
+        case ("UNKNOWN", "DRAINING"):
+            return f"{_stopped_node(origin, owners)} stopped before the answer came"
         case ("NOT_RUN", cause):
             return _refused_cause(fields, cause, owners)
         case ("UNKNOWN", "LOST" | "GARBLED"):
@@ -149,6 +161,12 @@
     )
 
 
+def _stopped_node(origin: LogLine, owners: list[LogLine]) -> str:
+    """Return the node that ended the request because it stopped: an owner, else the origin."""
+    stopped = [line.node for line in owners if line.fields["cause"] == "DRAINING"]
+    return stopped[0] if stopped else origin.node
+
+
 def _refused_cause(fields: dict[str, Any], cause: str, owners: list[LogLine]) -> str:
     text = f"refused with {cause} by {fields['member']}"
     for line in owners:
--- a/tests/test_explain.py
+++ b/tests/test_explain.py
@@ -143,6 +143,29 @@
     ]
 
 
+def test_a_request_that_a_stop_ended_is_explained_by_the_node_that_stopped():
+    ended = {"end": "UNKNOWN", "cause": "DRAINING", "member": "n2"}
+    by_owner = [
+        log_line(1.0, "n2", 103, "DRAIN_CUT", active=1),
+        request_ended_line(1.1, "n2", "owner", "id-1", **ended),
+        request_ended_line(1.2, "n1", "origin", "id-1", **ended),
+    ]
+    trace = trace_request(by_owner, "id-1")
+    assert trace.causes == ["request: n2 stopped before the answer came"]
+    assert [line.name for line in trace.context] == ["DRAIN_CUT"]
+    by_origin = trace_request(by_owner[2:], "id-1").causes
+    assert by_origin == ["request: n1 stopped before the answer came"]
+    refusal = request_ended_line(1.0, "n1", "origin", "id-2", end="NOT_RUN", cause="DRAINING")
+    assert trace_request([refusal], "id-2").causes == ["request: refused by n1, which was stopping"]
+
+
+def test_a_request_without_an_answer_is_explained_by_the_node_that_closed():
+    line = log_line(1.0, "n1", 512, "REQUEST_UNANSWERED", id="id-1", closed_by="exit")
+    assert trace_request([line], "id-1").causes == [
+        "request: n1 ended its connection without an answer (closed_by exit)"
+    ]
+
+
 def test_an_unknown_id_has_an_empty_explanation():
     assert trace_request([request_ended_line(1.0, "n1", "origin", "id-1")], "id-9").lines == []
 
