A stopping node removes its seed entry during the drain, not after it

What callers saw: a node that had drained refused them for up to two more seconds, the time limit of a call to a silent store, before it could be started again.

Cause: the seed entry was removed after the drain, and the exit waited for it.

Change: the removal runs beside the drain and is given up at its end; the entry expires with its lease. The test for late requests holds the exit at the store's close instead of at this removal; what it asks for is unchanged. Ruled out: a shorter time limit for the call, which would still be added to each stop.

--- a/packages/thorntray-node/src/thorntray_node/mesh_node.py
+++ b/packages/thorntray-node/src/thorntray_node/mesh_node.py
@@ -5,6 +5,8 @@
 from random import Random
 from typing import NamedTuple, Protocol
 
+from absl import logging
+
 from thorntray.internal.connection.frame import CallFrame, CancelFrame, FetchPolicy, Frame
 from thorntray.internal.connection.http_server import ClosedBy, Exchange, HttpServer
 from thorntray.internal.connection.instance_pool import InstancePool
@@ -373,6 +375,7 @@
         self.drain.begin()
         log_event(Event.DRAIN_BEGUN, active=self.callers.active, held=len(self.owner.requests))
         self.callers.closing = True
+        seed_removal = self._tasks.spawn(self.seeds.stop())
         read_before = self.callers.requests_read
         # Callers send requests until two readiness checks have failed, so this delay is always
         # waited out. The instance serves peers meanwhile, since other nodes may be stopping too.
@@ -388,16 +391,18 @@
             read=self.callers.requests_read - read_before,
             unsent=self.callers.unsent_bytes,
         )
-        await self._close(started)
+        await self._close(started, seed_removal)
 
-    async def _close(self, started: float) -> None:
+    async def _close(self, started: float, seed_removal: "asyncio.Task[None]") -> None:
         """Leave the fleet and close all sockets; callers are refused until the last step."""
         read_before = self.callers.requests_read
         self.membership.leave()
         self.metrics_server.close()
         self.listener.close()
         await asyncio.sleep(LEAVE_TIME)
-        await self.seeds.stop()
+        if not seed_removal.done():
+            logging.info("the store did not respond; the seed entry expires with its lease")
+            seed_removal.cancel()
         await self._store.close()
         self.callers.close()
         log_event(
--- a/tests/test_stop_answers.py
+++ b/tests/test_stop_answers.py
@@ -4,6 +4,7 @@
 """
 
 import asyncio
+import time
 from typing import NamedTuple
 
 from tests.mesh_builders import (
@@ -122,18 +123,18 @@
         node = await fleet.add("h1", "haul")
         await fleet.add("t1", "tariff", never_answer)
         await fleet.share_membership()
-        removing = asyncio.Event()
+        closing = asyncio.Event()
 
-        async def remove_seed_slowly():
-            removing.set()
+        async def close_slowly():
+            closing.set()
             await asyncio.sleep(0.5)
 
-        node.seeds.stop = remove_seed_slowly
+        fleet.store.close = close_slowly
         reader, writer = await asyncio.open_connection(*node.cfg.callers)
         request = kept(request_bytes(b"GET", "/prices/1", "late"))
         writer.write(request[:20])
         stopping = asyncio.ensure_future(stop_and_exit(node))
-        await removing.wait()
+        await closing.wait()
         writer.write(request[20:])
         answer = await read_until_closed(reader)
         writer.close()
@@ -144,6 +145,22 @@
     assert ran == [] and answer.startswith(b"HTTP/1.1 503")
 
 
+def test_a_silent_store_does_not_delay_the_end_of_a_stop():
+    async def scenario(fleet):
+        node = await fleet.add("t1", "tariff")
+        node.seeds._lease = 1
+
+        async def never_respond(lease):
+            await asyncio.sleep(60)
+
+        fleet.store.lease_revoke = never_respond
+        started = time.monotonic()
+        await node.stop()
+        return time.monotonic() - started
+
+    assert run_scenario(scenario) < READINESS_PROPAGATION_DELAY + 1.0
+
+
 def test_pipelined_requests_that_run_are_answered_when_the_node_stops():
     async def scenario(fleet):
         node = await fleet.add("t1", "tariff", answer_after_service_time)
