The link to a removed member is drained instead of aborted

What callers saw: 502, or for a lookup a retry, for a request that a member was running when it announced its leave, was suspected falsely, or restarted. Its answer was on the way or already received.

Cause: MeshNode._member_removed and Links.link_to (new session of the member) aborted the connection, which ended every call on it as LOST.

Change: the link gets no new calls and is closed when its last call has ended; unsent calls end as NO_INSTANCE at once. The watch goes on checking drained links, so a dead peer's calls still end within 0.8 s, and the origin's own timer ends the rest. The loss of a drained link no longer pauses the member's name, which a new process may have. Links.link_to now registers the new link before it ends the calls of the old one: a handler that called again during this got a link that was then replaced and never checked again.

Ruled out: a hang of unsent calls (they ended at once before, too); longer waits for a crashed member (liveness ends its calls long before membership declares it dead).

--- a/packages/thorntray-node/src/thorntray_node/mesh_node.py
+++ b/packages/thorntray-node/src/thorntray_node/mesh_node.py
@@ -285,7 +285,7 @@
         self.membership.announce(ready=registration.available)
 
     def _member_removed(self, name: str) -> None:
-        self.links.close_link(name)
+        self.links.drain_link(name)
         self.placement.forget(name)
         self.ejection.forget(name)
 
--- a/packages/thorntray/src/thorntray/internal/connection/link.py
+++ b/packages/thorntray/src/thorntray/internal/connection/link.py
@@ -3,6 +3,10 @@
 A node opens one link to each peer that it sends to. Concurrent requests share it, and the call
 number matches a result to its request. No frame is sent twice. While results are pending, a link
 is checked for a silent peer (see `connection.link_connection`).
+
+A peer that is believed dead may be alive, and one that leaves still sends the results that it
+owes. The link to a removed member is therefore drained: it gets no new calls, and is closed when
+its last call has ended.
 """
 
 import asyncio
@@ -52,6 +56,12 @@
         self._unsent: list[Frame] = []
         self._last_number = 0
         self._connecting: asyncio.Task[None] | None = None
+        self._draining = False
+
+    @property
+    def drained(self) -> bool:
+        """Return whether the link was drained and its last call has ended."""
+        return self._draining and self._connection is None
 
     def call(self, make_frame: Callable[[int], CallFrame], on_result: ResultHandler) -> int:
         """Send a call and return its number.
@@ -72,6 +82,8 @@
                 return False
         if notify_peer and self._connection is not None:
             self._connection.send(CancelFrame(number))
+        # The peer also cancels the call if the connection ends before it gets the frame.
+        self._close_if_drained()
         return True
 
     def send(self, frame: Frame) -> None:
@@ -88,6 +100,17 @@
         if self._connection is not None and self._pending_calls:
             self._connection.check_liveness(now)
 
+    def drain(self) -> None:
+        """Close the connection when its last call has ended; no call may follow.
+
+        Sent calls may still end with their results, unsent ones end as `Cause.NO_INSTANCE` now.
+        """
+        self._draining = True
+        if self._connecting is not None:
+            self._connecting.cancel()
+        self._fail_unsent()
+        self._close_if_drained()
+
     def close(self) -> None:
         """Close the connection; sent calls end as `Cause.LOST`, unsent ones as `NO_INSTANCE`."""
         if self._connecting is not None:
@@ -100,6 +123,7 @@
         """Pass a result to the handler of its call, and other frames to `on_non_result_frame`."""
         if isinstance(frame, ResultFrame):
             on_result = self._pending_calls.pop(frame.number, None)
+            self._close_if_drained()
             if on_result is not None:
                 on_result(frame)
         else:
@@ -111,7 +135,8 @@
             return
         self._connection = None
         log_event(Event.LINK_LOST, peer=self.member.name, waiting=len(self._pending_calls))
-        self._on_link_failure(self.member)
+        if not self._draining:  # a new process of the member may have replaced this one
+            self._on_link_failure(self.member)
         unsent = {f.number for f in self._unsent if isinstance(f, CallFrame)}
         for number in [n for n in self._pending_calls if n not in unsent]:
             self._pending_calls.pop(number)(Cause.LOST)
@@ -139,6 +164,11 @@
         for frame in frames:
             connection.send(frame)
 
+    def _close_if_drained(self) -> None:
+        if self._draining and not self._pending_calls and self._connection is not None:
+            connection, self._connection = self._connection, None
+            connection.abort()
+
     def _fail_unsent(self) -> None:
         frames, self._unsent = self._unsent, []
         for frame in frames:
@@ -157,16 +187,15 @@
         self._domain = domain
         self._clock = clock
         self._links: dict[str, Link] = {}
+        self._draining: list[Link] = []
         self.on_non_result_frame: MemberFrameHandler = lambda member, frame: None
         self.on_link_failure: LinkFailureHandler = lambda member: None
 
     def link_to(self, member: Member) -> Link:
-        """Return the link to a peer, replacing the link to an earlier session of it."""
-        link = self._links.get(member.name)
-        if link is not None and link.member.session == member.session:
-            return link
-        if link is not None:
-            link.close()
+        """Return the link to a peer; the link to an earlier session of it is drained."""
+        earlier = self._links.get(member.name)
+        if earlier is not None and earlier.member.session == member.session:
+            return earlier
         compressed = member.domain != self._domain
         hello = Hello(self._name, self._session)
         link = Link(
@@ -178,26 +207,36 @@
             lambda m: self.on_link_failure(m),
         )
         self._links[member.name] = link
+        if earlier is not None:
+            self._drain(earlier)
         return link
 
-    def close_link(self, name: str) -> None:
-        """Close the link to a peer that has left or died."""
+    def drain_link(self, name: str) -> None:
+        """Drain the link to a peer that has left, has restarted or is believed dead."""
         link = self._links.pop(name, None)
         if link is not None:
-            link.close()
+            self._drain(link)
 
     async def watch(self) -> None:
         """Check all links for silent peers until cancelled."""
         while True:
             await asyncio.sleep(LIVENESS_CHECK_PERIOD)
             now = self._clock.monotonic()
-            for link in list(self._links.values()):
+            self._draining = [link for link in self._draining if not link.drained]
+            for link in [*self._links.values(), *self._draining]:
                 link.check_liveness(now)
 
     def close(self) -> None:
-        """Close all links."""
-        for name in list(self._links):
-            self.close_link(name)
+        """Close all links at once, also those that are drained."""
+        links = [*self._links.values(), *self._draining]
+        self._links.clear()
+        self._draining.clear()
+        for link in links:
+            link.close()
+
+    def _drain(self, link: Link) -> None:
+        self._draining.append(link)
+        link.drain()
 
 
 class LinkListener:
--- a/tests/mesh_builders.py
+++ b/tests/mesh_builders.py
@@ -6,12 +6,17 @@
 
 from standins.fleet import free_port
 from tests.builders import make_member
-from thorntray.internal.connection.frame import CallFrame
+from thorntray.internal.connection.frame import CallFrame, Frame, ResultFrame
 from thorntray.internal.connection.header_names import HeaderNames
 from thorntray.internal.connection.http_server import RequestLimits
+from thorntray.internal.connection.link import Link, LinkListener, Links
+from thorntray.internal.connection.link_connection import LinkConnection
+from thorntray.internal.membership.member import Member
 from thorntray.internal.overload.retry_budget import RetryBudgetSettings
 from thorntray.internal.process.clock import SystemClock
 from thorntray.internal.process.registration import Announcement, Phase
+from thorntray.internal.request.result import Cause, Result, ResultKind
+from thorntray.internal.request.result_frames import frame_from_result
 from thorntray.internal.store.store_calls import StoreEntry, WatchBatch
 from thorntray.internal.store.store_epoch import StoreEpoch
 from thorntray.internal.version.policy import Policy, Route, ServicePolicy, Target
@@ -156,6 +161,52 @@
             writer.close()
 
 
+def make_result_frame(number: int = 1, **changes) -> ResultFrame:
+    """Return the frame of a result with status 200, with the result's fields in `changes`."""
+    return frame_from_result(number, Result(ResultKind.ANSWERED, status=200)._replace(**changes))
+
+
+class LinkPeer:
+    """The accepting end of links on loopback; it records what it receives.
+
+    `calls` lists the received calls with their connections, `lost` the connections that ended.
+    """
+
+    def __init__(self) -> None:
+        self.port = free_port()
+        self.calls: list[tuple[LinkConnection, CallFrame]] = []
+        self.lost: list[LinkConnection] = []
+        self.listener = LinkListener(HOST, self.port, self, SystemClock())
+
+    def member(self, session: bytes = b"session1") -> Member:
+        """Return the peer's record, to open links to it."""
+        return make_member("peer", address=HOST, peer_port=self.port, session=session)
+
+    def on_frame(self, link: LinkConnection, frame: Frame) -> None:
+        """Record a call; other frames are ignored."""
+        if isinstance(frame, CallFrame):
+            self.calls.append((link, frame))
+
+    def on_lost(self, link: LinkConnection) -> None:
+        """Record the end of a connection."""
+        self.lost.append(link)
+
+    def answer(self, index: int = 0, **changes) -> None:
+        """Send the result of a received call."""
+        link, call = self.calls[index]
+        link.send(make_result_frame(call.number, **changes))
+
+
+def make_links() -> Links:
+    """Return the links of a node in the domain of `LinkPeer`."""
+    return Links("origin", b"origin-1", "d1", SystemClock())
+
+
+def send_call(link: Link, results: list[ResultFrame | Cause]) -> int:
+    """Send a call whose result is appended to `results`; return its number."""
+    return link.call(lambda number: make_call(number=number), results.append)
+
+
 class MemoryStore:
     """In-memory stand-in for the platform's key-value service, shared by the nodes of a test."""
 
--- /dev/null
+++ b/tests/test_mesh_links.py
@@ -0,0 +1,150 @@
+"""Tests over loopback of the links between nodes: calls end with their results where possible."""
+
+import asyncio
+
+import pytest
+import uvloop
+
+from tests.mesh_builders import (
+    HOST,
+    LinkPeer,
+    answer_slowly,
+    make_call,
+    make_links,
+    run_scenario,
+    send_call,
+)
+from thorntray.internal.connection.frame import ResultFrame
+from thorntray.internal.membership.gossip import Address, Spread, encode_datagram
+from thorntray.internal.membership.member import Health
+from thorntray.internal.request.result import Cause
+
+
+def run_with_peer(scenario):
+    """Run a scenario with new links, their watch, and a listening peer."""
+
+    async def work():
+        peer, links = LinkPeer(), make_links()
+        await peer.listener.start()
+        watch = asyncio.ensure_future(links.watch())
+        try:
+            return await asyncio.wait_for(scenario(links, peer), 10)
+        finally:
+            watch.cancel()
+            links.close()
+            peer.listener.close()
+
+    with asyncio.Runner(loop_factory=uvloop.new_event_loop) as runner:
+        return runner.run(work())
+
+
+@pytest.mark.parametrize("removal", ["left or dead", "restarted"])
+def test_a_call_to_a_removed_member_still_ends_with_its_result(removal):
+    async def scenario(links, peer):
+        results = []
+        send_call(links.link_to(peer.member()), results)
+        await asyncio.sleep(0.1)
+        if removal == "restarted":
+            links.link_to(peer.member(b"session2"))
+        else:
+            links.drain_link("peer")
+        peer.answer(body=b"late")
+        await asyncio.sleep(0.1)
+        return results, len(peer.lost)
+
+    results, connections_closed = run_with_peer(scenario)
+    assert [type(r) for r in results] == [ResultFrame] and results[0].body == b"late"
+    assert connections_closed == 1
+
+
+def test_a_call_not_yet_sent_to_a_removed_member_ends_at_once():
+    async def scenario(links, peer):
+        results = []
+        send_call(links.link_to(peer.member()), results)
+        links.drain_link("peer")
+        at_once = list(results)
+        await asyncio.sleep(0.1)
+        return at_once, results, peer.calls
+
+    at_once, results, calls = run_with_peer(scenario)
+    assert at_once == results == [Cause.NO_INSTANCE] and calls == []
+
+
+def test_a_new_call_to_a_removed_member_does_not_use_its_draining_link():
+    async def scenario(links, peer):
+        results = []
+        send_call(links.link_to(peer.member()), results)
+        await asyncio.sleep(0.1)
+        links.drain_link("peer")
+        send_call(links.link_to(peer.member()), results)
+        await asyncio.sleep(0.1)
+        peer.answer(1)
+        await asyncio.sleep(0.05)
+        first_open = not peer.lost
+        peer.answer(0)
+        await asyncio.sleep(0.05)
+        (first, _), (second, _) = peer.calls
+        return len(results), first is not second, first_open, [c is first for c in peer.lost]
+
+    assert run_with_peer(scenario) == (2, True, True, [True])
+
+
+def test_a_call_on_a_draining_link_whose_peer_is_silent_ends_within_a_second():
+    async def scenario(links, peer):
+        results, failures = [], []
+        links.on_link_failure = failures.append
+        send_call(links.link_to(peer.member()), results)
+        await asyncio.sleep(0.1)
+        peer.calls[0][0]._transport.pause_reading()
+        links.drain_link("peer")
+        await asyncio.sleep(1.0)
+        return results, failures
+
+    # The failure says nothing about the process that may have replaced the member since.
+    assert run_with_peer(scenario) == ([Cause.LOST], [])
+
+
+def test_a_draining_link_is_closed_when_its_last_call_is_cancelled():
+    async def scenario(links, peer):
+        link = links.link_to(peer.member())
+        number = send_call(link, [])
+        await asyncio.sleep(0.1)
+        links.drain_link("peer")
+        link.cancel(number)
+        await asyncio.sleep(0.1)
+        return len(peer.lost)
+
+    assert run_with_peer(scenario) == 1
+
+
+def test_a_call_made_while_a_restarted_members_unsent_calls_end_is_watched():
+    """The handler of an ended call may send the next one to the same member."""
+
+    async def scenario(links, peer):
+        new = peer.member(b"session2")
+        made = []
+        link = links.link_to(peer.member())
+        link.call(lambda n: make_call(number=n), lambda cause: made.append(links.link_to(new)))
+        return links.link_to(new) is made[0]
+
+    assert run_with_peer(scenario)
+
+
+@pytest.mark.parametrize("health", [Health.DEAD, Health.LEFT])
+def test_a_caller_gets_the_answer_of_a_member_removed_while_its_instance_runs_the_request(health):
+    async def scenario(fleet):
+        owner = await fleet.add("t1", "tariff", answer_slowly)
+        origin = await fleet.add("h1", "haul")
+        await fleet.share_membership()
+        pending = asyncio.ensure_future(fleet.send("h1", b"POST", "/payouts/1", "id-1"))
+        await asyncio.sleep(0.15)
+        own = owner.membership.own
+        gone = own._replace(version=own.version + 1, health=health)
+        news = encode_datagram(Spread(own, {}, (gone,)))
+        origin.membership.on_datagram(news, Address(HOST, own.gossip_port))
+        removed = not origin.membership.members_of("tariff")
+        return removed, await pending
+
+    removed, answer = run_scenario(scenario)
+    assert removed
+    assert answer.startswith(b"HTTP/1.1 200") and answer.endswith(b"slow")
