A request whose new connection has already ended is not run

What callers saw: 502, or for a lookup a retry charged to the budget, if the instance closed a new connection as soon as it was open.

Cause: InstancePool wrote the request without looking at the connection. A closing transport discards what is written to it, so nothing was sent, but the result was LOST (may have run). If connection_lost had already been called, nothing ended the request before its expiry.

Change: such a connection is not written to, and the request ends as UNREACHABLE (not run). One check for each new connection.

Ruled out: the hang on a real connection.

--- a/packages/thorntray/src/thorntray/internal/connection/instance_pool.py
+++ b/packages/thorntray/src/thorntray/internal/connection/instance_pool.py
@@ -33,7 +33,7 @@
 class ResponseFault(Enum):
     """Why a request got no valid response."""
 
-    UNREACHABLE = auto()  # no connection could be opened; nothing was sent
+    UNREACHABLE = auto()  # no open connection could be obtained; nothing was sent
     LOST = auto()  # the connection ended after the request was sent
     GARBLED = auto()  # the received bytes are not a valid response to this request
 
@@ -69,6 +69,11 @@
         self.idle_timeout = DEFAULT_IDLE_TIMEOUT  # seconds
         self._reset_message()
 
+    @property
+    def usable(self) -> bool:
+        """Return whether a request can be written; a closing connection discards it silently."""
+        return not (self.closed or self._transport is None or self._transport.is_closing())
+
     def send(
         self, data: bytes, request_id: bytes, head_only: bool, on_response: ResponseHandler
     ) -> None:
@@ -324,5 +329,9 @@
         if pending_send.cancelled:
             connection.abort()
             return
+        if not connection.usable:
+            connection.abort()
+            on_response(ResponseFault.UNREACHABLE)
+            return
         pending_send.connection = connection
         connection.send(data, request_id, head_only, on_response)
--- a/tests/test_instance_pool.py
+++ b/tests/test_instance_pool.py
@@ -168,3 +168,25 @@
         pass
 
     assert run_scenario(never_answer, scenario) == 1
+
+
+@pytest.mark.parametrize("end", ["closing", "lost"])
+def test_a_request_is_not_run_if_its_new_connection_ended_before_it_was_sent(end):
+    """An instance that has its most connections closes a new one as soon as it is open."""
+
+    async def scenario(pool, instance):
+        loop = asyncio.get_running_loop()
+        create_connection = loop.create_connection
+
+        async def create_ended_connection(*args):
+            transport, protocol = await create_connection(*args)
+            transport.close()
+            if end == "lost":
+                await asyncio.sleep(0.01)
+            return transport, protocol
+
+        loop.create_connection = create_ended_connection
+        return await send_request(pool), instance.run_ids
+
+    result, run_ids = run_scenario(reply_with(COMPLETE_ANSWER), scenario)
+    assert (result, run_ids) == (ResponseFault.UNREACHABLE, [])
