No request is written to a connection that the instance is closing

What callers saw: 502, or for a lookup a retry charged to the budget, if the request came in the same iteration of the event loop in which the instance's FIN was read.

Cause: an idle connection left the pool only with connection_lost, which the loop calls in a later iteration. Until then it was handed out, and its transport, already closing, discarded the request. The result was LOST (may have run) though nothing was sent.

Change: eof_received closes an idle connection at once, and _acquire skips one whose transport is closing, as after a failed write.

Evidence, on the old code, under asyncio and uvloop: AssertionError: <ResponseFault.LOST: 2>, isinstance(<ResponseFault.LOST: 2>, InstanceResponse)

Ruled out: a FIN that arrives after the request was written; the instance may have run it, so it stays LOST.

--- a/packages/thorntray/src/thorntray/internal/connection/instance_pool.py
+++ b/packages/thorntray/src/thorntray/internal/connection/instance_pool.py
@@ -105,8 +105,13 @@
         self._deliver()
 
     def eof_received(self) -> bool:
-        """Complete a response without a length, which ends when its connection closes."""
-        if self._on_response is not None and self._ends_at_close and self._in_message:
+        """Complete a response without a length, which ends when its connection closes.
+
+        An idle connection is removed from the pool now; `connection_lost` follows later.
+        """
+        if self._on_response is None:
+            self._close()
+        elif self._ends_at_close and self._in_message:
             self._finish(reusable=False)
             self._deliver()
         return False
@@ -302,7 +307,7 @@
             if fresh_only and idle_time > FRESH_PERIOD:
                 return None
             self._idle.pop()
-            if idle_time <= connection.idle_timeout:
+            if idle_time <= connection.idle_timeout and connection.usable:
                 return connection
             connection.abort()
         return None
--- a/tests/test_instance_pool.py
+++ b/tests/test_instance_pool.py
@@ -5,6 +5,7 @@
 import struct
 
 import pytest
+import uvloop
 
 from tests.mesh_builders import HOST, FakeInstance, answer_bytes
 from thorntray.internal.connection.instance_pool import (
@@ -24,7 +25,7 @@
     return await asyncio.wait_for(done, timeout)
 
 
-def run_scenario(reply, scenario):
+def run_scenario(reply, scenario, loop_factory=None):
     async def work():
         instance = await FakeInstance(reply).start()
         pool = InstancePool(HOST, instance.port, ID_HEADER, SystemClock())
@@ -34,7 +35,8 @@
             pool.close()
             instance.close()
 
-    return asyncio.run(work())
+    with asyncio.Runner(loop_factory=loop_factory) as runner:
+        return runner.run(work())
 
 
 def reply_with(*parts, close=False):
@@ -190,3 +192,39 @@
 
     result, run_ids = run_scenario(reply_with(COMPLETE_ANSWER), scenario)
     assert (result, run_ids) == (ResponseFault.UNREACHABLE, [])
+
+
+@pytest.mark.parametrize("loop_factory", [asyncio.new_event_loop, uvloop.new_event_loop])
+def test_a_request_is_not_written_to_an_idle_connection_that_the_instance_is_closing(loop_factory):
+    async def answer_then_close(request_id, writer):
+        writer.write(answer_bytes(request_id))
+        await asyncio.sleep(0.05)
+        writer.close()
+
+    async def scenario(pool, instance):
+        await send_request(pool)
+        connection = pool._idle[0]
+        receive_eof = connection.eof_received
+        second = asyncio.get_running_loop().create_future()
+
+        def receive_eof_and_send():
+            keep_open = receive_eof()
+            data = b"GET /x HTTP/1.1\r\nThorntray-Request-Id: id-2\r\n\r\n"
+            pool.send(data, b"id-2", b"GET", False, second.set_result)
+            return keep_open
+
+        connection.eof_received = receive_eof_and_send
+        return await asyncio.wait_for(second, 1.0), instance.run_ids
+
+    answer, run_ids = run_scenario(answer_then_close, scenario, loop_factory)
+    assert isinstance(answer, InstanceResponse) and run_ids == [b"id-1", b"id-2"], answer
+
+
+def test_an_idle_connection_with_a_failed_transport_is_not_reused():
+    async def scenario(pool, instance):
+        await send_request(pool)
+        pool._idle[0]._transport.close()  # connection_lost follows in the next iteration
+        return await send_request(pool, b"id-2"), instance.connections
+
+    answer, connections = run_scenario(reply_with(COMPLETE_ANSWER), scenario)
+    assert isinstance(answer, InstanceResponse) and connections == 2, answer
