The listener counts the result bytes that an exit would drop

What callers saw: an answer that a stopping node had finished did not reach the origin if the process exited first: LinkConnection.send only queues a frame, and the transport may hold the bytes afterwards. Nothing told the stop to wait.

Change: LinkConnection.unsent_bytes counts queued frames and the transport's write buffer, LinkListener.unsent_bytes sums it over the accepted open connections. The set of these changes only when a connection opens or ends. stop() does not use it yet.

Evidence, on the old code: AttributeError: 'LinkListener' object has no attribute 'unsent_bytes' On the new code a result of 12 MB counts in full while queued, in part while the peer reads nothing, and 0 once the operating system has it all.

--- a/packages/thorntray/src/thorntray/internal/connection/link.py
+++ b/packages/thorntray/src/thorntray/internal/connection/link.py
@@ -248,12 +248,23 @@
         self._handler = handler
         self._clock = clock
         self._server: asyncio.Server | None = None
+        self._connections: set[LinkConnection] = set()
+
+    @property
+    def unsent_bytes(self) -> int:
+        """Return the bytes of frames to peers that the operating system has not yet taken.
+
+        An exit of the process drops them.
+        """
+        return sum(connection.unsent_bytes for connection in self._connections)
 
     async def start(self) -> None:
         """Start listening; raises `OSError` when the port is in use."""
         loop = asyncio.get_running_loop()
         self._server = await loop.create_server(
-            lambda: LinkConnection(self._handler, self._clock), self._address, self._port
+            lambda: LinkConnection(self._handler, self._clock, registry=self._connections),
+            self._address,
+            self._port,
         )
 
     def close(self) -> None:
--- a/packages/thorntray/src/thorntray/internal/connection/link_connection.py
+++ b/packages/thorntray/src/thorntray/internal/connection/link_connection.py
@@ -48,7 +48,7 @@
 
 
 class LinkConnection(asyncio.Protocol):
-    """One end of a TCP connection between two nodes."""
+    """One end of a TCP connection between two nodes; a member of `registry` while it is open."""
 
     def __init__(
         self,
@@ -56,11 +56,13 @@
         clock: Clock,
         hello: Hello | None = None,
         compressed: bool = False,
+        registry: set["LinkConnection"] | None = None,
     ) -> None:
         self._handler = handler
         self._clock = clock
         self._hello = hello  # None on the accepting side
         self._compressed = compressed
+        self._registry = registry
         self._mode_known = hello is not None  # whether the mode byte was sent or received
         self._transport: asyncio.Transport | None = None
         self._reader = FrameReader()
@@ -73,9 +75,18 @@
         self.lost = False
         self.last_received_at = clock.monotonic()
 
+    @property
+    def unsent_bytes(self) -> int:
+        """Return the bytes of frames that the operating system has not yet taken; 0 once lost."""
+        if self.lost or self._transport is None:
+            return 0
+        return sum(map(len, self._outgoing)) + self._transport.get_write_buffer_size()
+
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Send the mode byte and `Hello` if this node opened the connection."""
         self._transport = transport  # uvloop's transport is not a subclass of asyncio.Transport
+        if self._registry is not None:
+            self._registry.add(self)
         if self._hello is not None:
             transport.write(COMPRESSED_STREAM if self._compressed else PLAIN_STREAM)
             if self._compressed:
@@ -103,6 +114,8 @@
         """Notify the handler, once."""
         if not self.lost:
             self.lost = True
+            if self._registry is not None:
+                self._registry.discard(self)
             self._handler.on_lost(self)
 
     def send(self, frame: Frame) -> None:
--- a/tests/mesh_builders.py
+++ b/tests/mesh_builders.py
@@ -180,7 +180,7 @@
 
     def member(self, session: bytes = b"session1") -> Member:
         """Return the peer's record, to open links to it."""
-        return make_member("peer", address=HOST, peer_port=self.port, session=session)
+        return make_member("peer", domain="d1", address=HOST, peer_port=self.port, session=session)
 
     def on_frame(self, link: LinkConnection, frame: Frame) -> None:
         """Record a call; other frames are ignored."""
--- a/tests/test_mesh_links.py
+++ b/tests/test_mesh_links.py
@@ -19,6 +19,8 @@
 from thorntray.internal.membership.member import Health
 from thorntray.internal.request.result import Cause
 
+RESULT_BYTES = 12_000_000  # more than the socket buffers take
+
 
 def run_with_peer(scenario):
     """Run a scenario with new links, their watch, and a listening peer."""
@@ -148,3 +150,37 @@
     removed, answer = run_scenario(scenario)
     assert removed
     assert answer.startswith(b"HTTP/1.1 200") and answer.endswith(b"slow")
+
+
+def test_a_result_not_yet_taken_by_the_operating_system_is_reported_before_an_exit():
+    async def scenario(links, peer):
+        results = []
+        send_call(links.link_to(peer.member()), results)
+        await asyncio.sleep(0.1)
+        origin_end = links.link_to(peer.member())._connection._transport
+        idle = peer.listener.unsent_bytes
+        origin_end.pause_reading()
+        peer.answer(body=bytes(RESULT_BYTES))
+        queued = peer.listener.unsent_bytes
+        await asyncio.sleep(0.1)
+        unread = peer.listener.unsent_bytes
+        origin_end.resume_reading()
+        while not results:
+            await asyncio.sleep(0.01)
+        return idle, queued, unread, peer.listener.unsent_bytes, len(results)
+
+    idle, queued, unread, taken, results = run_with_peer(scenario)
+    assert idle == taken == 0 and results == 1
+    assert queued >= RESULT_BYTES and RESULT_BYTES > unread > 0
+
+
+def test_a_lost_connection_owes_no_bytes():
+    async def scenario(links, peer):
+        send_call(links.link_to(peer.member()), [])
+        await asyncio.sleep(0.1)
+        connection = peer.calls[0][0]
+        peer.answer()
+        connection.abort()
+        return connection.unsent_bytes, peer.listener.unsent_bytes, peer.listener._connections
+
+    assert run_with_peer(scenario) == (0, 0, set())
