A faulty handler of one frame or call fails only its own request

What callers saw: 502 or a retry for every request that waited on a link, when the handling of one frame raised an exception. A result with a cause that the node does not know, as from a newer version, is enough.

Cause: LinkConnection caught only BadMessage and zlib.error, and the event loop closes a transport whose data_received raises. When a link ended, the first handler that raised, or that cancelled another call of the link (KeyError), kept all later calls from ending before their timers.

Change: the exception is logged as HANDLER_FAILED with its innermost calls, and the call's handler gets Cause.GARBLED, so that its caller is answered at once. The other calls go on.

Ruled out: cost per call. try blocks without an exception cost nothing in 3.11, and no task or timer is added.

--- a/packages/thorntray/src/thorntray/internal/connection/link.py
+++ b/packages/thorntray/src/thorntray/internal/connection/link.py
@@ -23,7 +23,7 @@
 from thorntray.internal.membership.member import Member
 from thorntray.internal.process.clock import Clock
 from thorntray.internal.request.result import Cause
-from thorntray.internal.telemetry.events import Event, log_event
+from thorntray.internal.telemetry.events import Event, log_event, log_handler_failure
 
 CONNECT_TIMEOUT = 0.4  # seconds
 LIVENESS_CHECK_PERIOD = 0.1  # seconds
@@ -66,7 +66,8 @@
     def call(self, make_frame: Callable[[int], CallFrame], on_result: ResultHandler) -> int:
         """Send a call and return its number.
 
-        `on_result` is called with the result, or with a `Cause` if the call failed without one.
+        `on_result` is called with the result, or with a `Cause` if the call failed without one. If
+        it raises an exception, it is called once more with `Cause.GARBLED`.
         """
         self._last_number += 1
         self._pending_calls[self._last_number] = on_result
@@ -122,10 +123,7 @@
     def on_frame(self, link: LinkConnection, frame: Frame) -> None:
         """Pass a result to the handler of its call, and other frames to `on_non_result_frame`."""
         if isinstance(frame, ResultFrame):
-            on_result = self._pending_calls.pop(frame.number, None)
-            self._close_if_drained()
-            if on_result is not None:
-                on_result(frame)
+            self._end_call(frame.number, frame)
         else:
             self._on_non_result_frame(self.member, frame)
 
@@ -139,7 +137,7 @@
             self._on_link_failure(self.member)
         unsent = {f.number for f in self._unsent if isinstance(f, CallFrame)}
         for number in [n for n in self._pending_calls if n not in unsent]:
-            self._pending_calls.pop(number)(Cause.LOST)
+            self._end_call(number, Cause.LOST)
 
     async def _connect(self) -> None:
         member = self.member
@@ -164,6 +162,19 @@
         for frame in frames:
             connection.send(frame)
 
+    def _end_call(self, number: int, outcome: ResultFrame | Cause) -> None:
+        """Pass the outcome to the handler of a call; the handler of another may have ended it."""
+        on_result = self._pending_calls.pop(number, None)
+        self._close_if_drained()
+        if on_result is None:
+            return
+        for result in (outcome, Cause.GARBLED):
+            try:
+                on_result(result)
+                return
+            except Exception:  # the other calls are not affected
+                log_handler_failure(peer=self.member.name)
+
     def _close_if_drained(self) -> None:
         if self._draining and not self._pending_calls and self._connection is not None:
             connection, self._connection = self._connection, None
@@ -173,9 +184,7 @@
         frames, self._unsent = self._unsent, []
         for frame in frames:
             if isinstance(frame, CallFrame):
-                on_result = self._pending_calls.pop(frame.number, None)
-                if on_result is not None:
-                    on_result(Cause.NO_INSTANCE)
+                self._end_call(frame.number, Cause.NO_INSTANCE)
 
 
 class Links:
--- a/packages/thorntray/src/thorntray/internal/connection/link_connection.py
+++ b/packages/thorntray/src/thorntray/internal/connection/link_connection.py
@@ -23,7 +23,7 @@
     encode_frame,
 )
 from thorntray.internal.process.clock import Clock
-from thorntray.internal.telemetry.events import Event, log_event
+from thorntray.internal.telemetry.events import Event, log_event, log_handler_failure
 
 PING_AFTER_SILENCE = 0.2  # seconds
 SILENCE_TIMEOUT = 0.5  # seconds after the ping
@@ -150,7 +150,13 @@
                 case PongFrame():
                     pass
                 case _:
-                    self._handler.on_frame(self, frame)
+                    self._handle(frame)
+
+    def _handle(self, frame: Frame) -> None:
+        try:
+            self._handler.on_frame(self, frame)
+        except Exception:  # the other requests on this connection are not affected
+            log_handler_failure(peer=self.peer)
 
     def _enable_compression(self) -> None:
         self._compressor = zlib.compressobj(
--- a/packages/thorntray/src/thorntray/internal/telemetry/events.py
+++ b/packages/thorntray/src/thorntray/internal/telemetry/events.py
@@ -7,12 +7,14 @@
 
 import json
 import time
+import traceback
 from enum import Enum
 from typing import NamedTuple
 
 from absl import logging
 
 MAX_EVENTS_PER_SECOND = 5  # default limit for each kind of event
+TRACEBACK_DEPTH = 4  # innermost calls in a HANDLER_FAILED line
 MAX_REQUEST_LINES_PER_SECOND = 25  # limit for REQUEST_ENDED
 
 
@@ -149,6 +151,12 @@
     _log.write(event, fields)
 
 
+def log_handler_failure(**fields: object) -> None:
+    """Write the exception that is being handled as `HANDLER_FAILED`, with its innermost calls."""
+    detail = traceback.format_exc(limit=-TRACEBACK_DEPTH)
+    log_event(Event.HANDLER_FAILED, detail=detail, **fields)
+
+
 def remaining_events(event: Event) -> int:
     """Return how many more events of a kind may be written in this second."""
     return _log.remaining(event)
--- /dev/null
+++ b/tests/test_handler_failures.py
@@ -0,0 +1,119 @@
+"""An exception in the handling of one request fails no other request."""
+
+import asyncio
+
+import msgspec
+import pytest
+
+from tests.mesh_builders import (
+    LinkPeer,
+    answer_slowly,
+    make_call,
+    make_links,
+    run_scenario,
+    send_call,
+)
+from thorntray.internal.connection.frame import ResultFrame
+from thorntray.internal.request.result import Cause
+from thorntray_node import mesh_node
+
+UNKNOWN_CAUSE = 999  # number of a cause that only a newer version knows
+
+
+async def send_two(fleet, first="faulty", second="sound"):
+    """Send two requests at the same time and return their status lines."""
+    answers = await asyncio.gather(
+        fleet.send("h1", b"POST", "/payouts/1", first),
+        fleet.send("h1", b"POST", "/payouts/1", second),
+    )
+    return [answer.split(b"\r\n")[0] for answer in answers]
+
+
+async def add_nodes(fleet):
+    owner = await fleet.add("t1", "tariff", answer_slowly)
+    origin = await fleet.add("h1", "haul")
+    await fleet.share_membership()
+    return owner, origin
+
+
+ONLY_THE_FAULTY_ONE_FAILS = [b"HTTP/1.1 502 Bad Gateway", b"HTTP/1.1 200 OK"]
+
+
+def test_a_frame_whose_handler_fails_does_not_end_the_connection():
+    async def scenario():
+        peer, links = LinkPeer(), make_links()
+        await peer.listener.start()
+        record_frame = peer.on_frame
+
+        def fail_on_first_frame(connection, frame):
+            record_frame(connection, frame)
+            if len(peer.calls) == 1:
+                raise RuntimeError("fault")
+
+        peer.on_frame = fail_on_first_frame
+        results = []
+        send_call(links.link_to(peer.member()), results)
+        send_call(links.link_to(peer.member()), results)
+        await asyncio.sleep(0.1)
+        if len(peer.calls) == 2:
+            peer.answer(1)
+        await asyncio.sleep(0.1)
+        lost = len(peer.lost)
+        links.close()
+        peer.listener.close()
+        return results[:1], lost
+
+    results, lost = asyncio.run(scenario())
+    assert lost == 0 and isinstance(results[0], ResultFrame)
+
+
+@pytest.mark.parametrize("end", ["lost", "removed"])
+def test_all_calls_of_a_link_end_though_one_of_their_handlers_fails_or_cancels_another(end):
+    async def scenario():
+        peer, links = LinkPeer(), make_links()
+        await peer.listener.start()
+        results = []
+        link = links.link_to(peer.member())
+
+        def fail(outcome):
+            link.cancel(cancelled)
+            raise RuntimeError("fault")
+
+        link.call(lambda number: make_call(number=number), fail)
+        cancelled = send_call(link, [])
+        send_call(link, results)
+        if end == "lost":
+            await asyncio.sleep(0.1)
+            link._connection.abort()
+        else:
+            links.drain_link("peer")
+        peer.listener.close()
+        return results
+
+    expected = {"lost": [Cause.LOST], "removed": [Cause.NO_INSTANCE]}
+    assert asyncio.run(scenario()) == expected[end]
+
+
+def test_a_result_that_this_version_cannot_read_fails_only_its_own_request(monkeypatch):
+    encode_result = mesh_node.frame_from_result
+
+    async def scenario(fleet):
+        owner, _ = await add_nodes(fleet)
+
+        def encode(number, result):
+            frame = encode_result(number, result)
+            faulty = owner_ids[number] == b"faulty"
+            return msgspec.structs.replace(frame, reason=UNKNOWN_CAUSE) if faulty else frame
+
+        owner_ids = {}
+        submit = owner.owner.submit
+
+        def submit_and_record(call, on_result):
+            owner_ids[call.number] = call.request_id
+            return submit(call, on_result)
+
+        owner.owner.submit = submit_and_record
+        monkeypatch.setattr(mesh_node, "frame_from_result", encode)
+        return await send_two(fleet)
+
+    assert run_scenario(scenario) == ONLY_THE_FAULTY_ONE_FAILS
