A faulty request at the owner neither drops nor delays the answers of others

What callers saw: 504 after the whole timeout although the answer was ready, or 502 for another request.

Cause: a free slot starts the next waiting request before the answer of the last one is passed on. An exception in that start, or in the log or a metric, dropped the answer. The faulty request itself stayed in Owner.requests with its slot, so a later stop waited for it to the limit. An exception from a response handler made the event loop close the connection to the instance, which already carried the next request.

Change: each of these exceptions is logged as HANDLER_FAILED where it arises. The faulty request ends as unknown (GARBLED) at once and releases its slot.

Ruled out: an exception known to arise in these places in operation; none was found by reading. Timers need no such guard, since the event loop logs what they raise.

--- a/packages/thorntray/src/thorntray/internal/connection/instance_pool.py
+++ b/packages/thorntray/src/thorntray/internal/connection/instance_pool.py
@@ -20,6 +20,7 @@
 from thorntray.internal.connection.header_names import FieldClassifier, FieldKind
 from thorntray.internal.connection.http_server import Header
 from thorntray.internal.process.clock import Clock
+from thorntray.internal.telemetry.events import log_handler_failure
 
 CONNECT_TIMEOUT = 0.5  # seconds
 DEFAULT_IDLE_TIMEOUT = 4.0  # seconds, if the instance sends no Keep-Alive timeout
@@ -184,6 +185,7 @@
         on_response, response, fault = self._on_response, self._response, self._fault
         if response is None and fault is None:
             return
+        request_id = self._request_id
         self._on_response = None
         self._response = None
         self.last_used_at = self._pool.clock.monotonic()
@@ -191,8 +193,12 @@
             self._pool.release(self)
         else:
             self._close()
-        if on_response is not None:
+        if on_response is None:
+            return
+        try:
             on_response(response or fault or ResponseFault.LOST)
+        except Exception:  # this connection may already carry the next request
+            log_handler_failure(id=request_id.decode("latin-1"))
 
     def _close(self) -> None:
         if not self.closed:
--- a/packages/thorntray/src/thorntray/internal/request/owner.py
+++ b/packages/thorntray/src/thorntray/internal/request/owner.py
@@ -32,6 +32,7 @@
     not_run,
     unknown,
 )
+from thorntray.internal.telemetry.events import log_handler_failure
 
 MISDIRECTED = 421  # HTTP status; the request names another instance ID than the instance's own
 MAX_EXPIRY_STEPS = 15  # earlier expiries to try for one that no other running request has
@@ -123,6 +124,11 @@
         # Breaks the reference cycle with the ticket, so that no garbage collection is needed.
         self.ticket.start = _no_op
 
+    def finish_failed(self) -> None:
+        """Finish the request, after the exception that is being handled; it may have run."""
+        log_handler_failure(id=self.call.request_id.decode("latin-1"))
+        self.finish(unknown(Cause.GARBLED))
+
     def _on_queue_timeout(self) -> None:
         expired = self.owner.deps.clock.monotonic() >= self.expiry - 2 * MIN_BUDGET
         self.finish(not_run(Cause.EXPIRED if expired else Cause.FULL))
@@ -131,7 +137,10 @@
         if self.timer is not None:
             self.timer.cancel()
             self.timer = None
-        self.owner.start(self)
+        try:
+            self.owner.start(self)
+        except Exception:  # the request whose slot became free still gets its result
+            self.finish_failed()
 
 
 def _no_op() -> None:
@@ -159,16 +168,21 @@
         """Accept a request; `on_result` is called once, possibly before this method returns."""
         request = OwnerRequest(self, call, on_result)
         self.requests.add(request)
+        try:
+            self._start_or_queue(request)
+        except Exception:
+            request.finish_failed()
+        return request
+
+    def _start_or_queue(self, request: OwnerRequest) -> None:
         refusal = self._refusal_cause(request)
         if refusal is not None:
             request.finish(not_run(refusal))
-            return request
-        if not self.deps.queue.submit(request.ticket) and not request.finished:
-            if self._expected_wait(request.ticket) > call.max_wait:
+        elif not self.deps.queue.submit(request.ticket) and not request.finished:
+            if self._expected_wait(request.ticket) > request.call.max_wait:
                 request.finish(not_run(Cause.FULL))
             else:
                 request.start_queue_timer()
-        return request
 
     def start(self, request: OwnerRequest) -> None:
         """Send a request that holds a slot to the instance, or refuse it if it cannot run now."""
@@ -216,7 +230,10 @@
         if request.ticket.holds_slot:
             deps.queue.release(request.ticket)
         result = self._with_load_report(request, result, now)
-        deps.on_finish(request.call, result, now - request.arrived_at)
+        try:
+            deps.on_finish(request.call, result, now - request.arrived_at)
+        except Exception:  # the result is passed on even if it cannot be logged or counted
+            log_handler_failure(id=request.call.request_id.decode("latin-1"))
         request.on_result(result)
 
     def update_price(self, now: float) -> None:
--- a/tests/test_handler_failures.py
+++ b/tests/test_handler_failures.py
@@ -14,7 +14,7 @@
     send_call,
 )
 from thorntray.internal.connection.frame import ResultFrame
-from thorntray.internal.request.result import Cause
+from thorntray.internal.request.result import Cause, ResultKind
 from thorntray_node import mesh_node
 
 UNKNOWN_CAUSE = 999  # number of a cause that only a newer version knows
@@ -117,3 +117,73 @@
         return await send_two(fleet)
 
     assert run_scenario(scenario) == ONLY_THE_FAULTY_ONE_FAILS
+
+
+def test_an_answer_is_delivered_though_the_next_request_in_the_queue_fails_to_start():
+    async def scenario(fleet):
+        owner, _ = await add_nodes(fleet)
+        owner.queue.limit = 1
+        start = owner.owner.start
+
+        def fail_to_start(request):
+            if request.call.request_id == b"faulty":
+                raise RuntimeError("fault")
+            start(request)
+
+        owner.owner.start = fail_to_start
+        sound = asyncio.ensure_future(fleet.send("h1", b"POST", "/payouts/1", "sound"))
+        await asyncio.sleep(0.15)
+        faulty = asyncio.ensure_future(fleet.send("h1", b"POST", "/payouts/1", "faulty"))
+        answers = [await faulty, await sound]
+        await asyncio.sleep(0.05)
+        return [a.split(b"\r\n")[0] for a in answers], owner.queue.in_flight, owner.owner.requests
+
+    assert run_scenario(scenario) == (ONLY_THE_FAULTY_ONE_FAILS, 0, set())
+
+
+def test_an_answer_is_delivered_though_the_log_or_a_metric_of_it_fails():
+    async def scenario(fleet):
+        owner, _ = await add_nodes(fleet)
+
+        def fail(*args):
+            raise RuntimeError("fault")
+
+        owner.metrics.request_ended = fail
+        return await fleet.send("h1", b"POST", "/payouts/1", "id-1")
+
+    assert run_scenario(scenario).endswith(b"slow")
+
+
+def test_a_request_that_fails_on_submission_is_answered_and_leaves_nothing_behind():
+    async def scenario(fleet):
+        owner, _ = await add_nodes(fleet)
+        refusal_cause = owner.owner._refusal_cause
+
+        def fail(request):
+            if request.call.request_id == b"faulty":
+                raise RuntimeError("fault")
+            return refusal_cause(request)
+
+        owner.owner._refusal_cause = fail
+        return await send_two(fleet), owner.queue.in_flight, owner.owner.requests
+
+    assert run_scenario(scenario) == (ONLY_THE_FAULTY_ONE_FAILS, 0, set())
+
+
+def test_a_response_whose_handler_fails_does_not_end_the_next_request_on_its_connection():
+    """The slot goes to the next request, on the same connection, before the handler fails."""
+
+    async def scenario(fleet):
+        owner, _ = await add_nodes(fleet)
+        owner.queue.limit = 1
+
+        def fail(result):
+            raise RuntimeError("fault")
+
+        owner.owner.submit(make_call(), fail)
+        results = []
+        owner.owner.submit(make_call(max_wait=0.9), results.append)
+        await asyncio.sleep(0.8)
+        return [(r.kind, r.cause) for r in results], fleet.instances["t1"].connections
+
+    assert run_scenario(scenario) == ([(ResultKind.ANSWERED, Cause.NONE)], 1)
