A call whose frame was never written to its link is not run

What callers saw: 502 for a request that is not idempotent, or for a lookup a retry charged to the budget, when a peer that stopped closed its link in the iteration of the event loop in which the request was sent.

Cause: a frame is queued until the end of the iteration, and a closing transport discards what is written to it, but Link ended all its calls as LOST. After the peer's FIN the link took new calls until connection_lost, one or more iterations later.

Change: when a connection is lost, calls whose frames are still queued end as NO_INSTANCE. eof_received counts as the loss, so the next call opens a connection.

Why this is proof: nothing is written once the connection counts as lost, and a frame leaves the queue before its bytes are handed to the transport.

Evidence, on the old code: assert ([<Cause.LOST...OST: 6>], [1]) == ([<Cause.LOST...NCE: 3>], [1]) AssertionError: [<Cause.LOST: 6>], wanted [ResultFrame]

Ruled out: cost per call. Queued frames are decoded again only at a loss.

--- a/packages/thorntray/src/thorntray/internal/connection/link.py
+++ b/packages/thorntray/src/thorntray/internal/connection/link.py
@@ -113,7 +113,7 @@
         self._close_if_drained()
 
     def close(self) -> None:
-        """Close the connection; sent calls end as `Cause.LOST`, unsent ones as `NO_INSTANCE`."""
+        """Close the connection; sent calls end as `Cause.LOST`, others as `NO_INSTANCE`."""
         if self._connecting is not None:
             self._connecting.cancel()
         if self._connection is not None:
@@ -128,16 +128,17 @@
             self._on_non_result_frame(self.member, frame)
 
     def on_lost(self, link: LinkConnection) -> None:
-        """Fail every call that was sent on the connection."""
+        """End every call of the connection, as `NO_INSTANCE` if its frame was never written."""
         if link is not self._connection:
             return
         self._connection = None
         log_event(Event.LINK_LOST, peer=self.member.name, waiting=len(self._pending_calls))
         if not self._draining:  # a new process of the member may have replaced this one
             self._on_link_failure(self.member)
-        unsent = {f.number for f in self._unsent if isinstance(f, CallFrame)}
+        unsent = _call_numbers(self._unsent)
+        unwritten = _call_numbers(link.unwritten_frames())
         for number in [n for n in self._pending_calls if n not in unsent]:
-            self._end_call(number, Cause.LOST)
+            self._end_call(number, Cause.NO_INSTANCE if number in unwritten else Cause.LOST)
 
     async def _connect(self) -> None:
         member = self.member
@@ -187,6 +188,10 @@
                 self._end_call(frame.number, Cause.NO_INSTANCE)
 
 
+def _call_numbers(frames: list[Frame]) -> set[int]:
+    return {frame.number for frame in frames if isinstance(frame, CallFrame)}
+
+
 class Links:
     """The outgoing links of this node, by peer name."""
 
--- a/packages/thorntray/src/thorntray/internal/connection/link_connection.py
+++ b/packages/thorntray/src/thorntray/internal/connection/link_connection.py
@@ -15,11 +15,13 @@
 
 from thorntray.errors import BadMessage
 from thorntray.internal.connection.frame import (
+    LENGTH_BYTES,
     Frame,
     FrameReader,
     Hello,
     PingFrame,
     PongFrame,
+    decode_frame,
     encode_frame,
 )
 from thorntray.internal.process.clock import Clock
@@ -110,6 +112,11 @@
             log_event(Event.BAD_MESSAGE, detail=str(exc), peer=self.peer)
             self.abort()
 
+    def eof_received(self) -> bool:
+        """Notify the handler now; `connection_lost` is called in a later iteration of the loop."""
+        self.connection_lost(None)
+        return False
+
     def connection_lost(self, exc: Exception | None) -> None:
         """Notify the handler, once."""
         if not self.lost:
@@ -117,13 +124,20 @@
             if self._registry is not None:
                 self._registry.discard(self)
             self._handler.on_lost(self)
+            self._outgoing.clear()
 
     def send(self, frame: Frame) -> None:
         """Queue a frame; it is sent with the others of this iteration of the event loop."""
+        if self.lost:
+            return
         if not self._outgoing:
             self._loop.call_soon(self._flush)
         self._outgoing.append(encode_frame(frame))
 
+    def unwritten_frames(self) -> list[Frame]:
+        """Return the queued frames; when the connection is lost, they are certainly never sent."""
+        return [decode_frame(data[LENGTH_BYTES:]) for data in self._outgoing]
+
     def check_liveness(self, now: float) -> None:
         """Ping a silent peer, or close the connection if a ping got no response."""
         silence = now - self.last_received_at
@@ -165,10 +179,10 @@
         self._decompressor = zlib.decompressobj(RAW_DEFLATE_WBITS)
 
     def _flush(self) -> None:
-        data = b"".join(self._outgoing)
-        self._outgoing.clear()
         if self.lost or self._transport is None or self._transport.is_closing():
             return
+        data = b"".join(self._outgoing)
+        self._outgoing.clear()
         if self._compressor is not None:
             data = self._compressor.compress(data) + self._compressor.flush(zlib.Z_SYNC_FLUSH)
         self._transport.write(data)
--- a/tests/test_mesh_links.py
+++ b/tests/test_mesh_links.py
@@ -14,7 +14,7 @@
     run_scenario,
     send_call,
 )
-from thorntray.internal.connection.frame import ResultFrame
+from thorntray.internal.connection.frame import PingFrame, ResultFrame
 from thorntray.internal.membership.gossip import Address, Spread, encode_datagram
 from thorntray.internal.membership.member import Health
 from thorntray.internal.request.result import Cause
@@ -184,3 +184,43 @@
         return connection.unsent_bytes, peer.listener.unsent_bytes, peer.listener._connections
 
     assert run_with_peer(scenario) == (0, 0, set())
+
+
+def test_a_call_whose_frame_was_not_written_when_the_link_was_lost_is_not_run():
+    async def scenario(links, peer):
+        results = []
+        link = links.link_to(peer.member())
+        send_call(link, results)
+        await asyncio.sleep(0.1)
+        send_call(link, results)
+        link._connection.abort()
+        await asyncio.sleep(0.1)
+        return results, [call.number for _, call in peer.calls]
+
+    assert run_with_peer(scenario) == ([Cause.LOST, Cause.NO_INSTANCE], [1])
+
+
+def test_a_call_made_after_the_peer_has_closed_the_link_uses_a_new_connection():
+    async def scenario(links, peer):
+        results = []
+        link = links.link_to(peer.member())
+        link.send(PingFrame())
+        await asyncio.sleep(0.1)
+        (accepted,) = peer.listener._connections
+        connection = link._connection
+        receive_eof = connection.eof_received
+
+        def receive_eof_and_call():
+            receive_eof()
+            send_call(link, results)
+
+        connection.eof_received = receive_eof_and_call
+        accepted._transport.close()
+        await asyncio.sleep(0.1)
+        if peer.calls:
+            peer.answer()
+        await asyncio.sleep(0.1)
+        return results
+
+    results = run_with_peer(scenario)
+    assert [type(r) for r in results] == [ResultFrame], results
