A result larger than the write buffer limit no longer ends its link

What callers saw: 502 or a retry for every request that waited on a link, as soon as one result (or call) of more than 16 MB was sent on it, though the peer was reading. Bodies of up to 64 MB are allowed.

Cause: LinkConnection compared the write buffer with its limit right after it had written to it, so a single large frame, or many in one iteration, exceeded it at once.

Change: a connection is aborted only if its buffer stays over the limit for 0.5 s, or exceeds the limit by more than one frame of the greatest size (96 MiB in all). On the usual path there is still one comparison for each write.

Evidence, on the old code: AssertionError: [<Cause.LOST: 6>, <Cause.LOST: 6>], wanted [ResultFrame] * 2. Two tests show that unread results are still limited.

Ruled out: a member with an invalid port blocks its link; its calls end as NO_INSTANCE (test passes on the old code).

--- a/packages/thorntray/src/thorntray/internal/connection/link_connection.py
+++ b/packages/thorntray/src/thorntray/internal/connection/link_connection.py
@@ -16,6 +16,7 @@
 from thorntray.errors import BadMessage
 from thorntray.internal.connection.frame import (
     LENGTH_BYTES,
+    MAX_FRAME_BYTES,
     Frame,
     FrameReader,
     Hello,
@@ -29,7 +30,11 @@
 
 PING_AFTER_SILENCE = 0.2  # seconds
 SILENCE_TIMEOUT = 0.5  # seconds after the ping
-WRITE_BUFFER_LIMIT = 16 * 1024 * 1024  # unread bytes at which a connection is aborted
+# A connection is aborted that holds more than `WRITE_BUFFER_LIMIT` unread bytes for longer than
+# `FULL_BUFFER_TIMEOUT`, or more than `MAX_WRITE_BUFFER`; one frame may exceed the first limit.
+WRITE_BUFFER_LIMIT = 16 * 1024 * 1024  # bytes
+FULL_BUFFER_TIMEOUT = 0.5  # seconds
+MAX_WRITE_BUFFER = WRITE_BUFFER_LIMIT + MAX_FRAME_BYTES
 COMPRESSION_LEVEL = 1
 PLAIN_STREAM, COMPRESSED_STREAM = b"\x00", b"\x01"  # the first byte of a connection
 RAW_DEFLATE_WBITS = -15  # raw deflate stream without zlib header
@@ -72,6 +77,7 @@
         self._compressor: zlib._Compress | None = None
         self._decompressor: zlib._Decompress | None = None
         self._ping_pending = False
+        self._full_since = 0.0  # monotonic seconds; valid while the buffer exceeds its limit
         self._loop = asyncio.get_running_loop()
         self.peer = ""
         self.lost = False
@@ -186,5 +192,13 @@
         if self._compressor is not None:
             data = self._compressor.compress(data) + self._compressor.flush(zlib.Z_SYNC_FLUSH)
         self._transport.write(data)
-        if self._transport.get_write_buffer_size() > WRITE_BUFFER_LIMIT:
+        unread = self._transport.get_write_buffer_size()
+        if unread > WRITE_BUFFER_LIMIT:
+            self._limit_write_buffer(unread, unread - len(data))
+
+    def _limit_write_buffer(self, unread: int, unread_before: int) -> None:
+        now = self._clock.monotonic()
+        if unread_before <= WRITE_BUFFER_LIMIT:
+            self._full_since = now
+        elif unread > MAX_WRITE_BUFFER or now - self._full_since > FULL_BUFFER_TIMEOUT:
             self.abort()
--- a/tests/test_mesh_links.py
+++ b/tests/test_mesh_links.py
@@ -15,6 +15,11 @@
     send_call,
 )
 from thorntray.internal.connection.frame import PingFrame, ResultFrame
+from thorntray.internal.connection.link_connection import (
+    FULL_BUFFER_TIMEOUT,
+    MAX_WRITE_BUFFER,
+    WRITE_BUFFER_LIMIT,
+)
 from thorntray.internal.membership.gossip import Address, Spread, encode_datagram
 from thorntray.internal.membership.member import Health
 from thorntray.internal.request.result import Cause
@@ -224,3 +229,57 @@
 
     results = run_with_peer(scenario)
     assert [type(r) for r in results] == [ResultFrame], results
+
+
+def test_a_result_larger_than_the_write_buffer_limit_reaches_a_peer_that_reads_it():
+    async def scenario(links, peer):
+        results = []
+        for _ in range(2):
+            send_call(links.link_to(peer.member()), results)
+        await asyncio.sleep(0.1)
+        peer.answer(0, body=bytes(WRITE_BUFFER_LIMIT + RESULT_BYTES))
+        await asyncio.sleep(0)
+        peer.answer(1)
+        while len(results) < 2:
+            await asyncio.sleep(0.01)
+        return results
+
+    results = run_with_peer(scenario)
+    assert [type(r) for r in results] == [ResultFrame] * 2, results
+
+
+@pytest.mark.parametrize(
+    ("seconds", "sizes"),
+    [
+        (FULL_BUFFER_TIMEOUT + 0.1, (WRITE_BUFFER_LIMIT + RESULT_BYTES, 1)),
+        (0.0, (WRITE_BUFFER_LIMIT + RESULT_BYTES, MAX_WRITE_BUFFER)),
+    ],
+)
+def test_results_that_a_peer_does_not_read_are_not_held_without_limit(seconds, sizes):
+    async def scenario(links, peer):
+        link = links.link_to(peer.member())
+        for _ in sizes:
+            send_call(link, [])
+        await asyncio.sleep(0.1)
+        link._connection._transport.pause_reading()
+        # A receiver whose process is frozen does not check its links.
+        link.check_liveness = lambda now: None
+        for index, size in enumerate(sizes):
+            peer.answer(index, body=bytes(size))
+            await asyncio.sleep(seconds)
+        await asyncio.sleep(0.01)
+        return len(peer.lost)
+
+    assert run_with_peer(scenario) == 1
+
+
+def test_calls_to_a_member_with_an_invalid_address_end_at_once():
+    async def scenario(links, peer):
+        results = []
+        link = links.link_to(peer.member()._replace(peer_port=70_000))
+        for _ in range(2):
+            send_call(link, results)
+            await asyncio.sleep(0.1)
+        return results
+
+    assert run_with_peer(scenario) == [Cause.NO_INSTANCE] * 2
