A stall of the process does not turn a received result into a loss

What callers saw: 502 or a retry for every request that waited on a link, after the origin's process had got no processor time for more than half a second.

Cause: the liveness check compared the time of the last received bytes with a clock reading made after the stall, and could run before the loop had read what had arrived meanwhile. The link was aborted with the results in its receive buffer.

Change: the watch yields to the event loop once between its clock reading and the checks, so received data is read first. Costs one iteration of the loop every 0.1 s.

Ruled out: a process that is frozen while it waits for events; it reads them first.

--- a/packages/thorntray/src/thorntray/internal/connection/link.py
+++ b/packages/thorntray/src/thorntray/internal/connection/link.py
@@ -236,6 +236,7 @@
         while True:
             await asyncio.sleep(LIVENESS_CHECK_PERIOD)
             now = self._clock.monotonic()
+            await asyncio.sleep(0)  # lets the loop read what arrived if the process has stalled
             self._draining = [link for link in self._draining if not link.drained]
             for link in [*self._links.values(), *self._draining]:
                 link.check_liveness(now)
--- a/tests/test_mesh_links.py
+++ b/tests/test_mesh_links.py
@@ -1,6 +1,9 @@
 """Tests over loopback of the links between nodes: calls end with their results where possible."""
 
 import asyncio
+import socket
+import threading
+import time
 
 import pytest
 import uvloop
@@ -11,17 +14,22 @@
     answer_slowly,
     make_call,
     make_links,
+    make_result_frame,
     run_scenario,
     send_call,
 )
-from thorntray.internal.connection.frame import PingFrame, ResultFrame
+from thorntray.internal.connection.frame import PingFrame, ResultFrame, encode_frame
+from thorntray.internal.connection.link import LIVENESS_CHECK_PERIOD
 from thorntray.internal.connection.link_connection import (
     FULL_BUFFER_TIMEOUT,
     MAX_WRITE_BUFFER,
+    PING_AFTER_SILENCE,
+    SILENCE_TIMEOUT,
     WRITE_BUFFER_LIMIT,
 )
 from thorntray.internal.membership.gossip import Address, Spread, encode_datagram
 from thorntray.internal.membership.member import Health
+from thorntray.internal.process.clock import SystemClock
 from thorntray.internal.request.result import Cause
 
 RESULT_BYTES = 12_000_000  # more than the socket buffers take
@@ -283,3 +291,41 @@
         return results
 
     assert run_with_peer(scenario) == [Cause.NO_INSTANCE] * 2
+
+
+def test_a_result_received_while_this_process_stalled_is_not_replaced_by_a_loss():
+    """Load pattern: the process gets no processor time for a second, as on a busy machine."""
+
+    class StallingClock(SystemClock):
+        seconds = 0.0  # for which the process stalls at the next reading
+
+        def monotonic(self):
+            seconds, self.seconds = self.seconds, 0.0
+            time.sleep(seconds)
+            return super().monotonic()
+
+    def answer_during_the_stall(server):
+        connection, _ = server.accept()
+        connection.recv(65_536)
+        time.sleep(PING_AFTER_SILENCE + 0.5)
+        connection.sendall(encode_frame(make_result_frame(1)))
+        connection.recv(65_536)
+        connection.close()
+
+    async def scenario(links, peer):
+        results = []
+        links._clock = clock = StallingClock()
+        with socket.create_server((HOST, 0)) as server:
+            thread = threading.Thread(target=answer_during_the_stall, args=(server,))
+            thread.start()
+            port = server.getsockname()[1]
+            send_call(links.link_to(peer.member()._replace(peer_port=port)), results)
+            await asyncio.sleep(PING_AFTER_SILENCE + 2 * LIVENESS_CHECK_PERIOD)
+            clock.seconds = SILENCE_TIMEOUT + 0.5
+            await asyncio.sleep(2 * LIVENESS_CHECK_PERIOD)
+            links.close()
+            thread.join()
+        return results
+
+    results = run_with_peer(scenario)
+    assert [type(r) for r in results] == [ResultFrame], results
