A link that went silent while idle is closed before it gets a new call

What callers saw: 502 or a retry within 0.1 s for a request sent to a peer whose link had stopped carrying data earlier, when no other call was pending any more.

Cause: links are checked only while calls are pending. If the last call was cancelled while a ping was unanswered, the link stayed in use, and the next call was lost to that old ping at the next check.

Change: a link with an unanswered ping is checked also without pending calls, so it is closed in time, and the next call opens a new connection.

Evidence, on the old code, 3 of 3 runs: AssertionError: [<Cause.LOST: 6>], wanted [ResultFrame].

Ruled out: pings on idle links; they are still only sent while calls are pending.

--- a/packages/thorntray/src/thorntray/internal/connection/link.py
+++ b/packages/thorntray/src/thorntray/internal/connection/link.py
@@ -97,9 +97,10 @@
             self._connecting = asyncio.ensure_future(self._connect())
 
     def check_liveness(self, now: float) -> None:
-        """Check the connection if results are pending on it."""
-        if self._connection is not None and self._pending_calls:
-            self._connection.check_liveness(now)
+        """Check the connection if results are pending on it, or if it has not answered a ping."""
+        connection = self._connection
+        if connection is not None and (self._pending_calls or connection.ping_pending):
+            connection.check_liveness(now)
 
     def drain(self) -> None:
         """Close the connection when its last call has ended; no call may follow.
--- a/packages/thorntray/src/thorntray/internal/connection/link_connection.py
+++ b/packages/thorntray/src/thorntray/internal/connection/link_connection.py
@@ -76,11 +76,11 @@
         self._outgoing: list[bytes] = []
         self._compressor: zlib._Compress | None = None
         self._decompressor: zlib._Decompress | None = None
-        self._ping_pending = False
         self._full_since = 0.0  # monotonic seconds; valid while the buffer exceeds its limit
         self._loop = asyncio.get_running_loop()
         self.peer = ""
         self.lost = False
+        self.ping_pending = False  # whether nothing was received since the last ping
         self.last_received_at = clock.monotonic()
 
     @property
@@ -104,7 +104,7 @@
     def data_received(self, data: bytes) -> None:
         """Decode received frames; a malformed stream closes the connection."""
         self.last_received_at = self._clock.monotonic()
-        self._ping_pending = False
+        self.ping_pending = False
         try:
             if not self._mode_known:
                 self._mode_known = True
@@ -147,10 +147,10 @@
     def check_liveness(self, now: float) -> None:
         """Ping a silent peer, or close the connection if a ping got no response."""
         silence = now - self.last_received_at
-        if silence > SILENCE_TIMEOUT and self._ping_pending:
+        if silence > SILENCE_TIMEOUT and self.ping_pending:
             self.abort()
-        elif silence > PING_AFTER_SILENCE and not self._ping_pending:
-            self._ping_pending = True
+        elif silence > PING_AFTER_SILENCE and not self.ping_pending:
+            self.ping_pending = True
             self.last_received_at = now
             self.send(PingFrame())
 
--- a/tests/test_mesh_links.py
+++ b/tests/test_mesh_links.py
@@ -329,3 +329,26 @@
 
     results = run_with_peer(scenario)
     assert [type(r) for r in results] == [ResultFrame], results
+
+
+def test_a_call_is_not_sent_on_a_link_that_went_silent_before():
+    """The earlier call ended while the peer's response to a ping was awaited."""
+
+    async def scenario(links, peer):
+        results = []
+        link = links.link_to(peer.member())
+        number = send_call(link, [])
+        await asyncio.sleep(PING_AFTER_SILENCE / 2)
+        peer.calls[0][0]._transport.pause_reading()
+        await asyncio.sleep(PING_AFTER_SILENCE + 2 * LIVENESS_CHECK_PERIOD)
+        link.cancel(number)
+        await asyncio.sleep(SILENCE_TIMEOUT + 2 * LIVENESS_CHECK_PERIOD)
+        send_call(link, results)
+        await asyncio.sleep(0.2)
+        if len(peer.calls) == 2:
+            peer.answer(1)
+        await asyncio.sleep(0.1)
+        return results
+
+    results = run_with_peer(scenario)
+    assert [type(r) for r in results] == [ResultFrame], results
