Fewer function calls for each frame of a link

The handling of failures and of drained links had added three function calls to each call on a link. They are now made only when a handler has failed or a link is drained.

--- a/packages/thorntray/src/thorntray/internal/connection/link.py
+++ b/packages/thorntray/src/thorntray/internal/connection/link.py
@@ -83,8 +83,8 @@
                 return False
         if notify_peer and self._connection is not None:
             self._connection.send(CancelFrame(number))
-        # The peer also cancels the call if the connection ends before it gets the frame.
-        self._close_if_drained()
+        if self._draining:  # the peer cancels the call also if the connection ends first
+            self._close_if_drained()
         return True
 
     def send(self, frame: Frame) -> None:
@@ -167,18 +167,24 @@
     def _end_call(self, number: int, outcome: ResultFrame | Cause) -> None:
         """Pass the outcome to the handler of a call; the handler of another may have ended it."""
         on_result = self._pending_calls.pop(number, None)
-        self._close_if_drained()
+        if self._draining:
+            self._close_if_drained()
         if on_result is None:
             return
-        for result in (outcome, Cause.GARBLED):
-            try:
-                on_result(result)
-                return
-            except Exception:  # the other calls are not affected
-                log_handler_failure(peer=self.member.name)
+        try:
+            on_result(outcome)
+        except Exception:  # the other calls are not affected
+            self._end_as_garbled(on_result)
+
+    def _end_as_garbled(self, on_result: ResultHandler) -> None:
+        log_handler_failure(peer=self.member.name)
+        try:
+            on_result(Cause.GARBLED)
+        except Exception:  # the handler cannot be called at all
+            log_handler_failure(peer=self.member.name)
 
     def _close_if_drained(self) -> None:
-        if self._draining and not self._pending_calls and self._connection is not None:
+        if not self._pending_calls and self._connection is not None:
             connection, self._connection = self._connection, None
             connection.abort()
 
--- a/packages/thorntray/src/thorntray/internal/connection/link_connection.py
+++ b/packages/thorntray/src/thorntray/internal/connection/link_connection.py
@@ -170,13 +170,10 @@
                 case PongFrame():
                     pass
                 case _:
-                    self._handle(frame)
-
-    def _handle(self, frame: Frame) -> None:
-        try:
-            self._handler.on_frame(self, frame)
-        except Exception:  # the other requests on this connection are not affected
-            log_handler_failure(peer=self.peer)
+                    try:
+                        self._handler.on_frame(self, frame)
+                    except Exception:  # the other requests on this connection are not affected
+                        log_handler_failure(peer=self.peer)
 
     def _enable_compression(self) -> None:
         self._compressor = zlib.compressobj(
