--- a/packages/thorntray/src/thorntray/internal/connection/instance_pool.py
+++ b/packages/thorntray/src/thorntray/internal/connection/instance_pool.py
@@ -20,6 +20,7 @@
 from thorntray.internal.connection.header_names import FieldClassifier, FieldKind
 from thorntray.internal.connection.http_server import Header
 from thorntray.internal.process.clock import Clock
+from thorntray.internal.telemetry.events import log_handler_failure
 
 CONNECT_TIMEOUT = 0.5  # seconds
 DEFAULT_IDLE_TIMEOUT = 4.0  # seconds, if the instance sends no Keep-Alive timeout
@@ -33,7 +34,7 @@
 class ResponseFault(Enum):
     """Why a request got no valid response."""
 
-    UNREACHABLE = auto()  # no connection could be opened; nothing was sent
+    UNREACHABLE = auto()  # no open connection could be obtained; nothing was sent
     LOST = auto()  # the connection ended after the request was sent
     GARBLED = auto()  # the received bytes are not a valid response to this request
 
@@ -69,6 +70,11 @@
         self.idle_timeout = DEFAULT_IDLE_TIMEOUT  # seconds
         self._reset_message()
 
+    @property
+    def usable(self) -> bool:
+        """Return whether a request can be written; a closing connection discards it silently."""
+        return not (self.closed or self._transport is None or self._transport.is_closing())
+
     def send(
         self, data: bytes, request_id: bytes, head_only: bool, on_response: ResponseHandler
     ) -> None:
@@ -100,8 +106,13 @@
         self._deliver()
 
     def eof_received(self) -> bool:
-        """Complete a response without a length, which ends when its connection closes."""
-        if self._on_response is not None and self._ends_at_close and self._in_message:
+        """Complete a response without a length, which ends when its connection closes.
+
+        An idle connection is removed from the pool now; `connection_lost` follows later.
+        """
+        if self._on_response is None:
+            self._close()
+        elif self._ends_at_close and self._in_message:
             self._finish(reusable=False)
             self._deliver()
         return False
@@ -174,6 +185,7 @@
         on_response, response, fault = self._on_response, self._response, self._fault
         if response is None and fault is None:
             return
+        request_id = self._request_id
         self._on_response = None
         self._response = None
         self.last_used_at = self._pool.clock.monotonic()
@@ -181,8 +193,12 @@
             self._pool.release(self)
         else:
             self._close()
-        if on_response is not None:
+        if on_response is None:
+            return
+        try:
             on_response(response or fault or ResponseFault.LOST)
+        except Exception:  # this connection may already carry the next request
+            log_handler_failure(id=request_id.decode("latin-1"))
 
     def _close(self) -> None:
         if not self.closed:
@@ -297,7 +313,7 @@
             if fresh_only and idle_time > FRESH_PERIOD:
                 return None
             self._idle.pop()
-            if idle_time <= connection.idle_timeout:
+            if idle_time <= connection.idle_timeout and connection.usable:
                 return connection
             connection.abort()
         return None
@@ -324,5 +340,9 @@
         if pending_send.cancelled:
             connection.abort()
             return
+        if not connection.usable:
+            connection.abort()
+            on_response(ResponseFault.UNREACHABLE)
+            return
         pending_send.connection = connection
         connection.send(data, request_id, head_only, on_response)
--- a/packages/thorntray/src/thorntray/internal/connection/link.py
+++ b/packages/thorntray/src/thorntray/internal/connection/link.py
@@ -1,171 +1,32 @@
 """Links: TCP connections of a `MeshNode` to other nodes, for the frames of `connection.frame`.
 
 A node opens one link to each peer that it sends to. Concurrent requests share it, and the call
-number matches a result to its request. No frame is sent twice. Frames queued in one iteration of
-the event loop are sent in one write. Links into another failure domain are compressed as one
-stream, since bandwidth between domains is scarce and most bytes of a request repeat those of the
-previous one.
-
-A connection may stop carrying data without a reset. While results are pending, a link that has
-received nothing for `PING_AFTER_SILENCE` sends a ping; if it then receives nothing for
-`SILENCE_TIMEOUT`, it is closed as lost.
+number matches a result to its request. No frame is sent twice. While results are pending, a link
+is checked for a silent peer (see `connection.link_connection`).
+
+A peer that is believed dead may be alive, and one that leaves still sends the results that it
+owes. The link to a removed member is therefore drained: it gets no new calls, and is closed when
+its last call has ended.
 """
 
 import asyncio
-import zlib
 from collections.abc import Callable
-from typing import Protocol
 
-from thorntray.errors import BadMessage
 from thorntray.internal.connection.frame import (
     CallFrame,
     CancelFrame,
     Frame,
-    FrameReader,
     Hello,
-    PingFrame,
-    PongFrame,
     ResultFrame,
-    encode_frame,
 )
+from thorntray.internal.connection.link_connection import FrameHandler, LinkConnection
 from thorntray.internal.membership.member import Member
 from thorntray.internal.process.clock import Clock
 from thorntray.internal.request.result import Cause
-from thorntray.internal.telemetry.events import Event, log_event
+from thorntray.internal.telemetry.events import Event, log_event, log_handler_failure
 
 CONNECT_TIMEOUT = 0.4  # seconds
-PING_AFTER_SILENCE = 0.2  # seconds
-SILENCE_TIMEOUT = 0.5  # seconds after the ping
 LIVENESS_CHECK_PERIOD = 0.1  # seconds
-WRITE_BUFFER_LIMIT = 16 * 1024 * 1024  # unread bytes at which a connection is aborted
-COMPRESSION_LEVEL = 1
-PLAIN_STREAM, COMPRESSED_STREAM = b"\x00", b"\x01"  # the first byte of a connection
-RAW_DEFLATE_WBITS = -15  # raw deflate stream without zlib header
-COMPRESSION_WBITS = -12  # window of 4 KiB, a few frames
-COMPRESSION_MEMORY_LEVEL = 5  # 16 KiB of state for each link
-
-
-class FrameHandler(Protocol):
-    """Receives the frames of a link, and a notification when its connection ends."""
-
-    def on_frame(self, link: "LinkConnection", frame: Frame) -> None:
-        """Handle one received frame."""
-        ...
-
-    def on_lost(self, link: "LinkConnection") -> None:
-        """Handle the end of the connection; no further frames arrive on it."""
-        ...
-
-
-class LinkConnection(asyncio.Protocol):
-    """One end of a TCP connection between two nodes."""
-
-    def __init__(
-        self,
-        handler: FrameHandler,
-        clock: Clock,
-        hello: Hello | None = None,
-        compressed: bool = False,
-    ) -> None:
-        self._handler = handler
-        self._clock = clock
-        self._hello = hello  # None on the accepting side
-        self._compressed = compressed
-        self._mode_known = hello is not None  # whether the mode byte was sent or received
-        self._transport: asyncio.Transport | None = None
-        self._reader = FrameReader()
-        self._outgoing: list[bytes] = []
-        self._compressor: zlib._Compress | None = None
-        self._decompressor: zlib._Decompress | None = None
-        self._ping_pending = False
-        self._loop = asyncio.get_running_loop()
-        self.peer = ""
-        self.lost = False
-        self.last_received_at = clock.monotonic()
-
-    def connection_made(self, transport: asyncio.BaseTransport) -> None:
-        """Send the mode byte and `Hello` if this node opened the connection."""
-        self._transport = transport  # uvloop's transport is not a subclass of asyncio.Transport
-        if self._hello is not None:
-            transport.write(COMPRESSED_STREAM if self._compressed else PLAIN_STREAM)
-            if self._compressed:
-                self._enable_compression()
-            self.send(self._hello)
-
-    def data_received(self, data: bytes) -> None:
-        """Decode received frames; a malformed stream closes the connection."""
-        self.last_received_at = self._clock.monotonic()
-        self._ping_pending = False
-        try:
-            if not self._mode_known:
-                self._mode_known = True
-                if data[:1] == COMPRESSED_STREAM:
-                    self._enable_compression()
-                data = data[1:]
-            if self._decompressor is not None:
-                data = self._decompressor.decompress(data)
-            self._dispatch(data)
-        except (BadMessage, zlib.error) as exc:
-            log_event(Event.BAD_MESSAGE, detail=str(exc), peer=self.peer)
-            self.abort()
-
-    def connection_lost(self, exc: Exception | None) -> None:
-        """Notify the handler, once."""
-        if not self.lost:
-            self.lost = True
-            self._handler.on_lost(self)
-
-    def send(self, frame: Frame) -> None:
-        """Queue a frame; it is sent with the others of this iteration of the event loop."""
-        if not self._outgoing:
-            self._loop.call_soon(self._flush)
-        self._outgoing.append(encode_frame(frame))
-
-    def check_liveness(self, now: float) -> None:
-        """Ping a silent peer, or close the connection if a ping got no response."""
-        silence = now - self.last_received_at
-        if silence > SILENCE_TIMEOUT and self._ping_pending:
-            self.abort()
-        elif silence > PING_AFTER_SILENCE and not self._ping_pending:
-            self._ping_pending = True
-            self.last_received_at = now
-            self.send(PingFrame())
-
-    def abort(self) -> None:
-        """Close the connection at once."""
-        if self._transport is not None:
-            self._transport.abort()
-        self.connection_lost(None)
-
-    def _dispatch(self, data: bytes) -> None:
-        for frame in self._reader.feed(data):
-            match frame:
-                case Hello(sender):
-                    self.peer = sender
-                case PingFrame():
-                    self.send(PongFrame())
-                case PongFrame():
-                    pass
-                case _:
-                    self._handler.on_frame(self, frame)
-
-    def _enable_compression(self) -> None:
-        self._compressor = zlib.compressobj(
-            COMPRESSION_LEVEL, zlib.DEFLATED, COMPRESSION_WBITS, COMPRESSION_MEMORY_LEVEL
-        )
-        self._decompressor = zlib.decompressobj(RAW_DEFLATE_WBITS)
-
-    def _flush(self) -> None:
-        data = b"".join(self._outgoing)
-        self._outgoing.clear()
-        if self.lost or self._transport is None or self._transport.is_closing():
-            return
-        if self._compressor is not None:
-            data = self._compressor.compress(data) + self._compressor.flush(zlib.Z_SYNC_FLUSH)
-        self._transport.write(data)
-        if self._transport.get_write_buffer_size() > WRITE_BUFFER_LIMIT:
-            self.abort()
-
 
 ResultHandler = Callable[[ResultFrame | Cause], None]
 MemberFrameHandler = Callable[[Member, Frame], None]
@@ -195,11 +56,18 @@
         self._unsent: list[Frame] = []
         self._last_number = 0
         self._connecting: asyncio.Task[None] | None = None
+        self._draining = False
+
+    @property
+    def drained(self) -> bool:
+        """Return whether the link was drained and its last call has ended."""
+        return self._draining and self._connection is None
 
     def call(self, make_frame: Callable[[int], CallFrame], on_result: ResultHandler) -> int:
         """Send a call and return its number.
 
-        `on_result` is called with the result, or with a `Cause` if the call failed without one.
+        `on_result` is called with the result, or with a `Cause` if the call failed without one. If
+        it raises an exception, it is called once more with `Cause.GARBLED`.
         """
         self._last_number += 1
         self._pending_calls[self._last_number] = on_result
@@ -215,6 +83,8 @@
                 return False
         if notify_peer and self._connection is not None:
             self._connection.send(CancelFrame(number))
+        if self._draining:  # the peer cancels the call also if the connection ends first
+            self._close_if_drained()
         return True
 
     def send(self, frame: Frame) -> None:
@@ -227,12 +97,24 @@
             self._connecting = asyncio.ensure_future(self._connect())
 
     def check_liveness(self, now: float) -> None:
-        """Check the connection if results are pending on it."""
-        if self._connection is not None and self._pending_calls:
-            self._connection.check_liveness(now)
+        """Check the connection if results are pending on it, or if it has not answered a ping."""
+        connection = self._connection
+        if connection is not None and (self._pending_calls or connection.ping_pending):
+            connection.check_liveness(now)
+
+    def drain(self) -> None:
+        """Close the connection when its last call has ended; no call may follow.
+
+        Sent calls may still end with their results, unsent ones end as `Cause.NO_INSTANCE` now.
+        """
+        self._draining = True
+        if self._connecting is not None:
+            self._connecting.cancel()
+        self._fail_unsent()
+        self._close_if_drained()
 
     def close(self) -> None:
-        """Close the connection; sent calls end as `Cause.LOST`, unsent ones as `NO_INSTANCE`."""
+        """Close the connection; sent calls end as `Cause.LOST`, others as `NO_INSTANCE`."""
         if self._connecting is not None:
             self._connecting.cancel()
         if self._connection is not None:
@@ -242,22 +124,22 @@
     def on_frame(self, link: LinkConnection, frame: Frame) -> None:
         """Pass a result to the handler of its call, and other frames to `on_non_result_frame`."""
         if isinstance(frame, ResultFrame):
-            on_result = self._pending_calls.pop(frame.number, None)
-            if on_result is not None:
-                on_result(frame)
+            self._end_call(frame.number, frame)
         else:
             self._on_non_result_frame(self.member, frame)
 
     def on_lost(self, link: LinkConnection) -> None:
-        """Fail every call that was sent on the connection."""
+        """End every call of the connection, as `NO_INSTANCE` if its frame was never written."""
         if link is not self._connection:
             return
         self._connection = None
         log_event(Event.LINK_LOST, peer=self.member.name, waiting=len(self._pending_calls))
-        self._on_link_failure(self.member)
-        unsent = {f.number for f in self._unsent if isinstance(f, CallFrame)}
+        if not self._draining:  # a new process of the member may have replaced this one
+            self._on_link_failure(self.member)
+        unsent = _call_numbers(self._unsent)
+        unwritten = _call_numbers(link.unwritten_frames())
         for number in [n for n in self._pending_calls if n not in unsent]:
-            self._pending_calls.pop(number)(Cause.LOST)
+            self._end_call(number, Cause.NO_INSTANCE if number in unwritten else Cause.LOST)
 
     async def _connect(self) -> None:
         member = self.member
@@ -282,13 +164,39 @@
         for frame in frames:
             connection.send(frame)
 
+    def _end_call(self, number: int, outcome: ResultFrame | Cause) -> None:
+        """Pass the outcome to the handler of a call; the handler of another may have ended it."""
+        on_result = self._pending_calls.pop(number, None)
+        if self._draining:
+            self._close_if_drained()
+        if on_result is None:
+            return
+        try:
+            on_result(outcome)
+        except Exception:  # the other calls are not affected
+            self._end_as_garbled(on_result)
+
+    def _end_as_garbled(self, on_result: ResultHandler) -> None:
+        log_handler_failure(peer=self.member.name)
+        try:
+            on_result(Cause.GARBLED)
+        except Exception:  # the handler cannot be called at all
+            log_handler_failure(peer=self.member.name)
+
+    def _close_if_drained(self) -> None:
+        if not self._pending_calls and self._connection is not None:
+            connection, self._connection = self._connection, None
+            connection.abort()
+
     def _fail_unsent(self) -> None:
         frames, self._unsent = self._unsent, []
         for frame in frames:
             if isinstance(frame, CallFrame):
-                on_result = self._pending_calls.pop(frame.number, None)
-                if on_result is not None:
-                    on_result(Cause.NO_INSTANCE)
+                self._end_call(frame.number, Cause.NO_INSTANCE)
+
+
+def _call_numbers(frames: list[Frame]) -> set[int]:
+    return {frame.number for frame in frames if isinstance(frame, CallFrame)}
 
 
 class Links:
@@ -300,16 +208,15 @@
         self._domain = domain
         self._clock = clock
         self._links: dict[str, Link] = {}
+        self._draining: list[Link] = []
         self.on_non_result_frame: MemberFrameHandler = lambda member, frame: None
         self.on_link_failure: LinkFailureHandler = lambda member: None
 
     def link_to(self, member: Member) -> Link:
-        """Return the link to a peer, replacing the link to an earlier session of it."""
-        link = self._links.get(member.name)
-        if link is not None and link.member.session == member.session:
-            return link
-        if link is not None:
-            link.close()
+        """Return the link to a peer; the link to an earlier session of it is drained."""
+        earlier = self._links.get(member.name)
+        if earlier is not None and earlier.member.session == member.session:
+            return earlier
         compressed = member.domain != self._domain
         hello = Hello(self._name, self._session)
         link = Link(
@@ -321,26 +228,37 @@
             lambda m: self.on_link_failure(m),
         )
         self._links[member.name] = link
+        if earlier is not None:
+            self._drain(earlier)
         return link
 
-    def close_link(self, name: str) -> None:
-        """Close the link to a peer that has left or died."""
+    def drain_link(self, name: str) -> None:
+        """Drain the link to a peer that has left, has restarted or is believed dead."""
         link = self._links.pop(name, None)
         if link is not None:
-            link.close()
+            self._drain(link)
 
     async def watch(self) -> None:
         """Check all links for silent peers until cancelled."""
         while True:
             await asyncio.sleep(LIVENESS_CHECK_PERIOD)
             now = self._clock.monotonic()
-            for link in list(self._links.values()):
+            await asyncio.sleep(0)  # lets the loop read what arrived if the process has stalled
+            self._draining = [link for link in self._draining if not link.drained]
+            for link in [*self._links.values(), *self._draining]:
                 link.check_liveness(now)
 
     def close(self) -> None:
-        """Close all links."""
-        for name in list(self._links):
-            self.close_link(name)
+        """Close all links at once, also those that are drained."""
+        links = [*self._links.values(), *self._draining]
+        self._links.clear()
+        self._draining.clear()
+        for link in links:
+            link.close()
+
+    def _drain(self, link: Link) -> None:
+        self._draining.append(link)
+        link.drain()
 
 
 class LinkListener:
@@ -352,12 +270,32 @@
         self._handler = handler
         self._clock = clock
         self._server: asyncio.Server | None = None
+        self._connections: set[LinkConnection] = set()
+
+    @property
+    def unsent_bytes(self) -> int:
+        """Return the bytes of frames to peers that the operating system has not yet taken.
+
+        An exit of the process drops them.
+        """
+        return sum(connection.unsent_bytes for connection in self._connections)
+
+    @property
+    def open_connections(self) -> int:
+        """Return the number of open connections from peers.
+
+        A peer that learns that this node has left closes its connection when it has received the
+        results of all its calls.
+        """
+        return len(self._connections)
 
     async def start(self) -> None:
         """Start listening; raises `OSError` when the port is in use."""
         loop = asyncio.get_running_loop()
         self._server = await loop.create_server(
-            lambda: LinkConnection(self._handler, self._clock), self._address, self._port
+            lambda: LinkConnection(self._handler, self._clock, registry=self._connections),
+            self._address,
+            self._port,
         )
 
     def close(self) -> None:
