Taken back: LinkListener.open_connections

Nothing uses it. Waiting for peers to close their links would lengthen each stop; results are handed over at least LEAVE_TIME before the exit, and a reset by the exit does not discard what the peer's kernel has received.

--- a/packages/thorntray/src/thorntray/internal/connection/link.py
+++ b/packages/thorntray/src/thorntray/internal/connection/link.py
@@ -280,15 +280,6 @@
         """
         return sum(connection.unsent_bytes for connection in self._connections)
 
-    @property
-    def open_connections(self) -> int:
-        """Return the number of open connections from peers.
-
-        A peer that learns that this node has left closes its connection when it has received the
-        results of all its calls.
-        """
-        return len(self._connections)
-
     async def start(self) -> None:
         """Start listening; raises `OSError` when the port is in use."""
         loop = asyncio.get_running_loop()
