A stop also waits for results that peers have not taken

What callers saw (at another node): 502 instead of an answer that was ready.

Cause: a result for a peer counted as sent once its frame was queued; what the operating system had not taken ended with the process.

Evidence: with the wait left out, test_a_drain_lasts_until_... ends early for peers. Change: the drain also waits for LinkListener.unsent_bytes. Ruled out: waiting for an acknowledgement by the peer, which would need a new frame.

--- a/packages/thorntray-node/src/thorntray_node/mesh_node.py
+++ b/packages/thorntray-node/src/thorntray_node/mesh_node.py
@@ -381,7 +381,8 @@
         # waited out. The instance serves peers meanwhile, since other nodes may be stopping too.
         await asyncio.sleep(self.drain.accepting_for)
         self.registration.drain_node()
-        ended = await RequestDrain(self.drain, self.origin, self.owner, self.callers).run()
+        requests = RequestDrain(self.drain, self.origin, self.owner, self.callers, self.listener)
+        ended = await requests.run()
         if ended:
             log_event(Event.DRAIN_CUT, active=ended)
         log_event(
--- a/packages/thorntray-node/src/thorntray_node/request_drain.py
+++ b/packages/thorntray-node/src/thorntray_node/request_drain.py
@@ -8,6 +8,7 @@
 import asyncio
 
 from thorntray.internal.connection.http_server import HttpServer
+from thorntray.internal.connection.link import LinkListener
 from thorntray.internal.process.drain import Drain
 from thorntray.internal.request.origin import Origin
 from thorntray.internal.request.owner import Owner
@@ -19,11 +20,19 @@
 class RequestDrain:
     """Waits for the requests of a node and ends those that are left when answers are due."""
 
-    def __init__(self, drain: Drain, origin: Origin, owner: Owner, callers: HttpServer) -> None:
+    def __init__(
+        self,
+        drain: Drain,
+        origin: Origin,
+        owner: Owner,
+        callers: HttpServer,
+        peers: LinkListener,
+    ) -> None:
         self._drain = drain
         self._origin = origin
         self._owner = owner
         self._callers = callers
+        self._peers = peers
 
     async def run(self) -> int:
         """Return the number of requests that had to be ended, once all answers are sent."""
@@ -39,7 +48,7 @@
 
     @property
     def _unsent_bytes(self) -> int:
-        return self._callers.unsent_bytes
+        return self._callers.unsent_bytes + self._peers.unsent_bytes
 
     async def _flush(self) -> None:
         for _ in range(int(FINAL_FLUSH_TIME / POLL_PERIOD)):
--- a/tests/test_stop_answers.py
+++ b/tests/test_stop_answers.py
@@ -5,8 +5,11 @@
 
 import asyncio
 import time
+from types import SimpleNamespace
 from typing import NamedTuple
 
+import pytest
+
 from tests.mesh_builders import (
     answer_bytes,
     make_policy,
@@ -15,7 +18,9 @@
     request_bytes,
     run_scenario,
 )
-from thorntray.internal.process.drain import READINESS_PROPAGATION_DELAY
+from thorntray.internal.process.clock import SystemClock
+from thorntray.internal.process.drain import READINESS_PROPAGATION_DELAY, Drain
+from thorntray_node.request_drain import RequestDrain
 
 LONG_ROUTE_POLICY = make_policy(routes=[make_route(timeout=9.0, target_latency=8.0)])
 SERVICE_TIME = 0.5  # seconds
@@ -145,6 +150,24 @@
     assert ran == [] and answer.startswith(b"HTTP/1.1 503")
 
 
+@pytest.mark.parametrize("holder", ["callers", "peers"])
+def test_a_drain_lasts_until_the_operating_system_has_taken_all_answers(holder):
+    async def scenario():
+        servers = {name: SimpleNamespace(active=0, unsent_bytes=0) for name in ("callers", "peers")}
+        servers[holder].unsent_bytes = 1
+        drain = Drain(4.0, SystemClock())
+        drain.begin()
+        nothing = SimpleNamespace(requests=(), end_all=lambda: 0)
+        requests = RequestDrain(drain, nothing, nothing, **servers)
+        running = asyncio.ensure_future(requests.run())
+        await asyncio.sleep(0.2)
+        early = running.done()
+        servers[holder].unsent_bytes = 0
+        return early, await running
+
+    assert asyncio.run(scenario()) == (False, 0)
+
+
 def test_a_silent_store_does_not_delay_the_end_of_a_stop():
     async def scenario(fleet):
         node = await fleet.add("t1", "tariff")
