--- a/packages/thorntray-node/src/thorntray_node/mesh_node.py
+++ b/packages/thorntray-node/src/thorntray_node/mesh_node.py
@@ -7,10 +7,10 @@
 
 from absl import logging
 
-from thorntray.internal.connection.frame import CallFrame, CancelFrame, FetchPolicy, Frame
+from thorntray.internal.connection.frame import CallFrame, Frame
 from thorntray.internal.connection.http_server import ClosedBy, Exchange, HttpServer
 from thorntray.internal.connection.instance_pool import InstancePool
-from thorntray.internal.connection.link import LinkConnection, LinkListener, Links
+from thorntray.internal.connection.link import LinkListener, Links
 from thorntray.internal.membership.gossip import Address
 from thorntray.internal.membership.member import SESSION_BYTES, Member
 from thorntray.internal.membership.membership import Membership
@@ -29,10 +29,9 @@
 from thorntray.internal.request.origin import Origin
 from thorntray.internal.request.origin_context import OriginDependencies
 from thorntray.internal.request.origin_request import OriginRequest
-from thorntray.internal.request.owner import Owner, OwnerDependencies, OwnerRequest
+from thorntray.internal.request.owner import Owner, OwnerDependencies
 from thorntray.internal.request.request_log import RequestLog
 from thorntray.internal.request.result import Cause, Result
-from thorntray.internal.request.result_frames import frame_from_result
 from thorntray.internal.store.policy_watch import PolicyDecoder, PolicyStore, PolicyWatch
 from thorntray.internal.store.seeds import PlatformState, Seeds, SeedStore, SeedTiming
 from thorntray.internal.store.watch_duty import WatchDuty
@@ -41,6 +40,7 @@
 from thorntray.internal.version.policy import Policy, PolicyHolder
 from thorntray_node.mesh_config import MeshConfig
 from thorntray_node.mesh_gauges import register_gauges
+from thorntray_node.peer_requests import PeerRequests
 from thorntray_node.request_drain import RequestDrain
 
 PRICE_UPDATE_PERIOD = 0.1  # seconds between updates of the slot price
@@ -89,7 +89,6 @@
         self._decode_policy = decode_policy
         self._session = rng.randbytes(SESSION_BYTES)
         self._tasks = BackgroundTasks()
-        self._peer_requests: dict[tuple[LinkConnection, int], OwnerRequest] = {}
         self._create_owner_components()
         self._create_origin_components()
 
@@ -193,7 +192,8 @@
         await self.readiness.start(*cfg.readiness)
         await self.announcements.start(*cfg.announcements)
         await self._serve_metrics()
-        self.listener = LinkListener(cfg.bind_host, cfg.link_port, self, self.clock)
+        self.peer_requests = PeerRequests(self.owner, self.policy_watch)
+        self.listener = LinkListener(cfg.bind_host, cfg.link_port, self.peer_requests, self.clock)
         await self.listener.start()
         self.membership.start()
         self.seeds.start()
@@ -231,43 +231,6 @@
             region=cfg.region,
         )
 
-    # Frames from peers.
-
-    def on_frame(self, link: LinkConnection, frame: Frame) -> None:
-        """Handle a frame from a peer, received on a link that the peer opened."""
-        match frame:
-            case CallFrame(number):
-                self._submit_peer_request(link, number, frame)
-            case CancelFrame(number):
-                request = self._peer_requests.get((link, number))
-                if request is not None:
-                    request.cancel()
-            case FetchPolicy():
-                policy = self.policy_watch.reply_to_fetch(frame)
-                if policy is not None:
-                    link.send(policy)
-
-    def on_lost(self, link: LinkConnection) -> None:
-        """Cancel the requests of a lost peer, which can no longer receive the results."""
-        for key in [key for key in self._peer_requests if key[0] is link]:
-            request = self._peer_requests.get(key)
-            if request is not None:
-                request.cancel()
-
-    def _submit_peer_request(self, link: LinkConnection, number: int, call: CallFrame) -> None:
-        key = (link, number)
-        done = False
-
-        def on_result(result: Result) -> None:
-            nonlocal done
-            done = True
-            self._peer_requests.pop(key, None)
-            link.send(frame_from_result(number, result))
-
-        request = self.owner.submit(call, on_result)
-        if not done:
-            self._peer_requests[key] = request
-
     def _peer_frame_received(self, member: Member, frame: Frame) -> None:
         self.policy_watch.on_peer_frame(member, frame)
 
--- /dev/null
+++ b/packages/thorntray-node/src/thorntray_node/peer_requests.py
@@ -0,0 +1,52 @@
+"""Requests that peers have sent to the instance of this node, and the replies to them."""
+
+from thorntray.internal.connection.frame import CallFrame, CancelFrame, FetchPolicy, Frame
+from thorntray.internal.connection.link import LinkConnection
+from thorntray.internal.request.owner import Owner, OwnerRequest
+from thorntray.internal.request.result import Result
+from thorntray.internal.request.result_frames import frame_from_result
+from thorntray.internal.store.policy_watch import PolicyWatch
+
+
+class PeerRequests:
+    """Handles the frames of all links that peers have opened."""
+
+    def __init__(self, owner: Owner, policy_watch: PolicyWatch) -> None:
+        self._owner = owner
+        self._policy_watch = policy_watch
+        self._requests: dict[tuple[LinkConnection, int], OwnerRequest] = {}
+
+    def on_frame(self, link: LinkConnection, frame: Frame) -> None:
+        """Handle a frame from a peer, received on a link that the peer opened."""
+        match frame:
+            case CallFrame(number):
+                self._submit(link, number, frame)
+            case CancelFrame(number):
+                request = self._requests.get((link, number))
+                if request is not None:
+                    request.cancel()
+            case FetchPolicy():
+                policy = self._policy_watch.reply_to_fetch(frame)
+                if policy is not None:
+                    link.send(policy)
+
+    def on_lost(self, link: LinkConnection) -> None:
+        """Cancel the requests of a lost peer, which can no longer receive the results."""
+        for key in [key for key in self._requests if key[0] is link]:
+            request = self._requests.get(key)
+            if request is not None:
+                request.cancel()
+
+    def _submit(self, link: LinkConnection, number: int, call: CallFrame) -> None:
+        key = (link, number)
+        done = False
+
+        def on_result(result: Result) -> None:
+            nonlocal done
+            done = True
+            self._requests.pop(key, None)
+            link.send(frame_from_result(number, result))
+
+        request = self._owner.submit(call, on_result)
+        if not done:
+            self._requests[key] = request
--- a/tests/test_lean_path.py
+++ b/tests/test_lean_path.py
@@ -192,7 +192,7 @@
         started_at = time.monotonic()
         pending = asyncio.ensure_future(fleet.send("h1", b"POST", "/payouts/1", "id-1"))
         await asyncio.sleep(0.1)
-        for link, _ in list(owner._peer_requests):
+        for link, _ in list(owner.peer_requests._requests):
             link._transport.pause_reading()
         answer = await pending
         seconds = time.monotonic() - started_at
