Soak: the end of a fault leaves overlapping faults in place

The end of any temporary fault reset the proxies and the worker of its node and the store, so an overlapping fault ended early, and the rest of the run was judged as if it were still active. A second crash of a worker that overlapped the first would also have started it twice on one port.

Proxies, worker and store are now set from the faults that are active. A suspended node continues, and a crashed worker starts, when no fault of that kind is active any more.

--- /dev/null
+++ b/soak/faults.py
@@ -0,0 +1,142 @@
+"""Injects the faults of a plan into a running fleet. Faults may overlap."""
+
+import asyncio
+import signal
+import time
+from contextlib import suppress
+from random import Random
+
+from soak.checks import RouteChange
+from soak.clients import Callers
+from soak.plan import Fault, FaultKind
+from soak.routes import SERVICES, build_routes
+from standins.mesh_fleet import STOP_TIMEOUT, MeshFleet, NodeProcess
+
+PROXY_DELAY = 0.2  # seconds, of delayed links
+LOSS_RATE = 0.4  # share of lost datagrams and of dropped responses
+RESTORED_COPY_AGE = 5.0  # seconds, at the start of the fault
+SURGE_FACTOR = 4.0
+SLOW_FACTOR = 8.0
+EXIT_POLL_PERIOD = 0.05  # seconds
+
+
+class FaultInjector:
+    """Injects faults, and records changes of the route `moving`."""
+
+    def __init__(self, fleet: MeshFleet, callers: Callers, rng: Random) -> None:
+        self.changes = [RouteChange(time.monotonic(), SERVICES[0])]
+        self._fleet = fleet
+        self._callers = callers
+        self._rng = rng
+        self._active: list[Fault] = []
+
+    async def inject(self, fault: Fault) -> None:
+        """Start a fault now; returns after its end."""
+        node = self._fleet.nodes[fault.node]
+        match fault.kind:
+            case FaultKind.NODE_KILL | FaultKind.NODE_STOP:
+                await self._end_process(node, fault)
+            case FaultKind.NODE_HANGUP:
+                node.signal(signal.SIGHUP)
+            case FaultKind.WORKER_REPLACE:
+                await self._replace_worker(node)
+            case FaultKind.CHANGE:
+                await self._change_route()
+            case FaultKind.STORE_COMPACT:
+                await self._fleet.store.compact()
+            case FaultKind.STORE_LOSES:
+                self._fleet.store.responses_to_drop += 1
+            case _:
+                await self._inject_temporary(node, fault)
+
+    async def _end_process(self, node: NodeProcess, fault: Fault) -> None:
+        if not node.running:
+            return
+        kill = fault.kind is FaultKind.NODE_KILL
+        node.signal(signal.SIGKILL if kill else signal.SIGTERM)
+        await _wait_exit(node)
+        await asyncio.sleep(fault.duration)
+        if not node.running:
+            self._fleet.start_node(node)
+
+    async def _replace_worker(self, node: NodeProcess) -> None:
+        if node.worker.listening:
+            await node.worker.drain_and_restart()
+
+    async def _change_route(self) -> None:
+        others = [s for s in SERVICES if s != self.changes[-1].service]
+        service = self._rng.choice(others)
+        await self._fleet.publish(build_routes(service))
+        self.changes.append(RouteChange(time.monotonic(), service))
+
+    async def _inject_temporary(self, node: NodeProcess, fault: Fault) -> None:
+        self._active.append(fault)
+        match fault.kind:
+            case FaultKind.LINK_RESET:
+                node.link_proxy.reset()
+            case FaultKind.APP_RESET:
+                node.app_proxy.reset()
+            case FaultKind.NODE_FREEZE:
+                node.signal(signal.SIGSTOP)
+            case FaultKind.WORKER_CRASH:
+                await node.worker.crash()
+            case FaultKind.SURGE:
+                self._callers.rate *= SURGE_FACTOR
+        self._apply_active(node)
+        await asyncio.sleep(fault.duration)
+        if fault.kind is FaultKind.STORE_RESTORE:
+            await self._fleet.store.restore(fault.duration + RESTORED_COPY_AGE)
+            await self._fleet.publish_again()
+        self._active.remove(fault)
+        self._apply_active(node)
+        match fault.kind:
+            case FaultKind.NODE_FREEZE if not self._is_active(FaultKind.NODE_FREEZE, node):
+                node.signal(signal.SIGCONT)
+            case FaultKind.WORKER_CRASH if not self._is_active(FaultKind.WORKER_CRASH, node):
+                if not node.worker.listening:
+                    await node.worker.start()
+            case FaultKind.SURGE:
+                self._callers.rate /= SURGE_FACTOR
+
+    def _is_active(self, kind: FaultKind, node: NodeProcess | None = None) -> bool:
+        """Return whether a fault of a kind is active, at one node or at any."""
+        return any(
+            fault.kind is kind and (node is None or fault.node == node.name)
+            for fault in self._active
+        )
+
+    def _apply_active(self, node: NodeProcess) -> None:
+        """Set proxies, worker and store to the state that the active faults require."""
+        link, app, worker, store = node.link_proxy, node.app_proxy, node.worker, self._fleet.store
+        link.delay = PROXY_DELAY if self._is_active(FaultKind.LINK_DELAY, node) else 0.0
+        link.drop_responses = self._is_active(FaultKind.LINK_ONE_WAY, node)
+        link.blackhole = self._is_active(FaultKind.LINK_SILENT, node)
+        lossy = self._is_active(FaultKind.DATAGRAM_LOSS, node)
+        link.datagram_loss_rate = LOSS_RATE if lossy else 0.0
+        app.delay = PROXY_DELAY if self._is_active(FaultKind.APP_DELAY, node) else 0.0
+        worker.slowdown = SLOW_FACTOR if self._is_active(FaultKind.WORKER_SLOW, node) else 1.0
+        drops = self._is_active(FaultKind.WORKER_LOSES, node)
+        worker.response_loss_rate = LOSS_RATE if drops else 0.0
+        store.fault_mode = self._store_fault_mode()
+
+    def _store_fault_mode(self) -> str:
+        if self._is_active(FaultKind.STORE_SILENT):
+            return "silent"
+        if self._is_active(FaultKind.STORE_BUSY) or self._is_active(FaultKind.STORE_RESTORE):
+            return "busy"
+        return ""
+
+
+async def _wait_exit(node: NodeProcess) -> None:
+    """Wait until the current process of a node has ended, and kill it after `STOP_TIMEOUT`."""
+    process = node.process
+    if process is None:
+        return
+    with suppress(TimeoutError):
+        async with asyncio.timeout(STOP_TIMEOUT):
+            while process.poll() is None:
+                await asyncio.sleep(EXIT_POLL_PERIOD)
+    if process.poll() is None:
+        process.kill()
+    while process.poll() is None:
+        await asyncio.sleep(EXIT_POLL_PERIOD)
--- a/standins/fault_proxy.py
+++ b/standins/fault_proxy.py
@@ -37,15 +37,6 @@
                 lambda: _DatagramRelay(self), local_addr=tuple(self._listen)
             )
 
-    def heal(self) -> None:
-        """Clear all faults."""
-        self.delay, self.blackhole, self.drop_responses, self.datagram_loss_rate = (
-            0.0,
-            False,
-            False,
-            0.0,
-        )
-
     def reset(self) -> None:
         """Abort all open connections."""
         for writer in list(self._writers):
--- a/standins/worker.py
+++ b/standins/worker.py
@@ -108,6 +108,11 @@
         self._connections: set[asyncio.StreamWriter] = set()
         self._heartbeat_task: asyncio.Task[None] | None = None
 
+    @property
+    def listening(self) -> bool:
+        """Return whether the worker accepts connections."""
+        return self._server is not None
+
     async def start(self) -> None:
         """Listen and send heartbeats, as a new boot with the same instance name."""
         self.boot += 1
@@ -122,6 +127,7 @@
             self._heartbeat_task.cancel()
         if self._server is not None:
             self._server.close()
+            self._server = None
         for writer in list(self._connections):
             writer.transport.abort()
 
