Soak: callers that pipeline or read slowly, slow and large responses

15 % of the exchanges now send 2 to 4 idempotent requests before the first response, 10 % read their responses slowly, half of them large ones. A kept connection is used again in turn until its node closes it, by callers that send to a node whether it is ready or not. Two routes are added: half of the requests for `reports` take 1 to 3 s, responses of `exports` have 600 kB.

An attempt says how it ended, where it stood on its connection and for how long it may last behind others; HELD judges the latter, and for slow readers the arrival of the head.

--- a/soak/checks.py
+++ b/soak/checks.py
@@ -8,8 +8,8 @@
 from collections.abc import Iterator
 from typing import NamedTuple
 
-from soak.clients import Attempt
-from soak.plan import NODE_FAULTS, STORE_FAULTS, Fault, FaultKind
+from soak.clients import Attempt, AttemptEnd
+from soak.plan import NODE_FAULTS, STORE_FAULTS, Fault
 from standins.worker import CALL_ID_SUFFIX, Arrival, FleetRecord
 
 DRAIN_GRACE = 2.0  # seconds after a node acknowledges draining in which requests may arrive
@@ -139,8 +139,9 @@
 
 def _late_responses(observation: Observation) -> Iterator[str]:
     for attempt in observation.attempts:
-        duration = attempt.ended_at - attempt.sent_at
-        if duration <= attempt.route.timeout + TIMEOUT_TOLERANCE or attempt.unconnected:
+        duration = attempt.answered_at - attempt.sent_at
+        unconnected = attempt.end is AttemptEnd.NO_CONNECTION
+        if duration <= attempt.time_limit + TIMEOUT_TOLERANCE or unconnected:
             continue
         if observation.node_stable(attempt.node, attempt.sent_at, attempt.ended_at):
             yield f"HELD: {attempt.request_id} at {attempt.node} ended after {duration:.2f} s"
@@ -238,11 +239,9 @@
 
 
 def summary(observation: Observation) -> str:
-    """Return one line with the numbers of requests, statuses and faults."""
-    statuses = Counter(attempt.status for attempt in observation.attempts)
-    kinds = Counter(fault.kind for fault in observation.faults)
-    status_counts = " ".join(f"{status}:{count}" for status, count in sorted(statuses.items()))
-    return f"{len(observation.attempts)} requests ({status_counts}), {sum(kinds.values())} faults"
-
-
-__all__ = ["RouteChange", "FaultKind", "Observation", "safety_violations", "summary", "violations"]
+    """Return one line with the numbers of requests, statuses, ends without answer and faults."""
+    attempts = observation.attempts
+    statuses = Counter(a.status for a in attempts if a.end is AttemptEnd.ANSWERED)
+    ends = Counter(a.end.name for a in attempts if a.end is not AttemptEnd.ANSWERED)
+    counts = " ".join(f"{key}:{count}" for key, count in [*sorted(statuses.items()), *ends.items()])
+    return f"{len(attempts)} requests ({counts}), {len(observation.faults)} faults"
--- a/soak/clients.py
+++ b/soak/clients.py
@@ -1,31 +1,71 @@
 """Open-loop callers that send requests over reused and new connections and record every attempt.
 
 A connection is reused until the node closes it, so requests also arrive over connections that were
-opened before a fault.
+opened before a fault. Callers do not check whether a node is ready: they keep sending to a node
+that is stopping, until its process has ended.
 """
 
 import asyncio
+import socket
 import time
-from contextlib import suppress
+from collections import deque
+from enum import Enum
 from random import Random
 from typing import NamedTuple
 
+from soak.routes import NESTED_ONLY
 from standins.mesh_fleet import HOST_NAME, MeshFleet, NodeProcess, RouteConfig
-from standins.worker import read_message, response_body, response_signature
+from standins.worker import (
+    DEFAULT_BEHAVIOR,
+    Endpoint,
+    read_head,
+    response_body,
+    response_signature,
+)
 
-DEADLINE_MS = 3000
-NEW_CONNECTION_SHARE = 0.3  # minimum share of requests on a new connection
+DEADLINE_MS = 4500
+NEW_CONNECTION_SHARE = 0.3  # minimum share of exchanges on a new connection
 ATTEMPT_TIMEOUT = 6.0  # seconds
+MAX_IDLE_CONNECTIONS = 10  # to one node for one use; callers close those beyond
+PIPELINED_SHARE, SLOW_READER_SHARE = 0.15, 0.1  # of the exchanges
+MIN_PIPELINED, MAX_PIPELINED = 2, 4  # requests sent before the first response
+LARGE_RESPONSE_SHARE = 0.5  # of the requests of slow readers
+# Relative rates of the routes; 1 for those that are not listed.
+ROUTE_WEIGHTS = {"reports": 0.5, "exports": 0.3}
+RECEIVE_BUFFER_BYTES = 4 * 1024  # of slow readers, in the kernel
+SEGMENT_BYTES = 1400  # of slow readers; the loopback default would let kernels buffer over 1 MB
+SLOW_READ_BYTES, SLOW_READ_PAUSE = 8 * 1024, 0.03  # bytes, and seconds after reading them
+
+
+class ConnectionUse(Enum):
+    """How a caller uses a connection."""
+
+    SEQUENTIAL = "one request at a time"
+    PIPELINED = "several idempotent requests are sent before the first response"
+    SLOW_READER = "one request at a time; responses are read slowly"
+
+
+class AttemptEnd(Enum):
+    """How a request ended for its caller."""
+
+    ANSWERED = "complete response"
+    CLOSED = "connection ended before a complete response"
+    TIMED_OUT = "caller gave up"
+    NO_CONNECTION = "no connection could be opened"
 
 
 class Attempt(NamedTuple):
     """One request of a caller and its result; times are monotonic seconds.
 
-    `status` is 0 when the connection ended or no response arrived in time. `matches_request` is
-    true when the response has the signature, the body and the id that belong to this request.
+    `status` is 0 unless a complete response arrived. `matches_request` is true when the response
+    has the signature, the body and the id that belong to this request. `answered_at` is the end of
+    the attempt, for slow readers the arrival of the response's head. `position` is the
+    number of requests sent before it on its connection and not answered then. `time_limit` is in
+    seconds: the longest timeout of the routes of this request and of those before it.
     """
 
     sent_at: float
+    answered_at: float
     ended_at: float
     request_id: str
     route: RouteConfig
@@ -33,7 +73,38 @@
     boot: int
     status: int
     matches_request: bool
-    unconnected: bool  # no connection could be opened
+    end: AttemptEnd
+    reused: bool
+    position: int
+    time_limit: float
+
+
+class CallerRequest(NamedTuple):
+    """A request to send."""
+
+    request_id: str
+    route: RouteConfig
+
+
+class Answer(NamedTuple):
+    """A complete response; times are monotonic seconds, the fields as in `Attempt`."""
+
+    answered_at: float
+    ended_at: float
+    status: int
+    matches_request: bool
+
+
+class Connection(NamedTuple):
+    """An open connection to a node."""
+
+    reader: asyncio.StreamReader
+    writer: asyncio.StreamWriter
+
+    @property
+    def ended(self) -> bool:
+        """Return whether the node is known to have ended the connection."""
+        return self.reader.at_eof() or self.writer.is_closing()
 
 
 class Callers:
@@ -41,14 +112,12 @@
 
     def __init__(self, fleet: MeshFleet, rng: Random, run_id: str) -> None:
         self.attempts: list[Attempt] = []
-        self.rate = 60.0  # requests per second, over all nodes
+        self.rate = 60.0  # exchanges per second, over all nodes
         self._fleet = fleet
         self._rng = rng
         self._run_id = run_id
         self._request_count = 0
-        self._idle_connections: dict[
-            str, list[tuple[asyncio.StreamReader, asyncio.StreamWriter]]
-        ] = {}
+        self._idle_connections: dict[tuple[str, ConnectionUse], deque[Connection]] = {}
         self._tasks: set[asyncio.Task[None]] = set()
 
     async def run(self) -> None:
@@ -56,11 +125,9 @@
         while True:
             await asyncio.sleep(self._rng.expovariate(self.rate))
             node = self._rng.choice(list(self._fleet.nodes.values()))
-            route = self._rng.choice([r for r in self._fleet.routes if not r.name == "inner"])
-            self._request_count += 1
-            task = asyncio.create_task(
-                self._send(node, route, f"{self._run_id}-{self._request_count}")
-            )
+            use = self._draw_use()
+            reuse = self._rng.random() > NEW_CONNECTION_SHARE
+            task = asyncio.create_task(self._send(node, use, reuse, self._draw_requests(use)))
             self._tasks.add(task)
             task.add_done_callback(self._tasks.discard)
 
@@ -69,64 +136,161 @@
         if self._tasks:
             await asyncio.wait(self._tasks, timeout=ATTEMPT_TIMEOUT)
 
-    async def _send(self, node: NodeProcess, route: RouteConfig, request_id: str) -> None:
+    def _draw_use(self) -> ConnectionUse:
+        shares = (1.0 - PIPELINED_SHARE - SLOW_READER_SHARE, PIPELINED_SHARE, SLOW_READER_SHARE)
+        return self._rng.choices(list(ConnectionUse), shares)[0]
+
+    def _draw_requests(self, use: ConnectionUse) -> list[CallerRequest]:
+        routes = [r for r in self._fleet.routes if r.name not in NESTED_ONLY]
+        count = 1
+        match use:
+            case ConnectionUse.PIPELINED:
+                count = self._rng.randint(MIN_PIPELINED, MAX_PIPELINED)
+                routes = [r for r in routes if r.kind == "idempotent"]
+            case ConnectionUse.SLOW_READER if self._rng.random() < LARGE_RESPONSE_SHARE:
+                routes = [r for r in routes if r.name == "exports"]
+        weights = [ROUTE_WEIGHTS.get(route.name, 1.0) for route in routes]
+        return [self._next_request(r) for r in self._rng.choices(routes, weights, k=count)]
+
+    def _next_request(self, route: RouteConfig) -> CallerRequest:
+        self._request_count += 1
+        return CallerRequest(f"{self._run_id}-{self._request_count}", route)
+
+    async def _send(
+        self, node: NodeProcess, use: ConnectionUse, reuse: bool, requests: list[CallerRequest]
+    ) -> None:
+        """Send requests on one connection, and record an attempt for each."""
         sent_at, boot = time.monotonic(), node.boot
-        status, matches_request, unconnected = 0, False, True
-        with suppress(OSError, TimeoutError, asyncio.IncompleteReadError):
+        answers: list[Answer] = []
+        unanswered_end = AttemptEnd.NO_CONNECTION
+        idle = self._take_idle(node, use) if reuse else None
+        conn = idle
+        keep = False
+        try:
             async with asyncio.timeout(ATTEMPT_TIMEOUT):
-                connection = await self._connection(node)
-                unconnected = False
-                status, matches_request = await self._exchange(node, connection, route, request_id)
+                if conn is None:
+                    conn = await _connect(node.outbound, use)
+                unanswered_end = AttemptEnd.CLOSED
+                keep = await self._exchange(conn, use, requests, answers)
+        except TimeoutError:
+            if conn is not None:
+                unanswered_end = AttemptEnd.TIMED_OUT
+        except (OSError, asyncio.IncompleteReadError):
+            pass  # recorded as `unanswered_end`
+        self._release(node, use, conn, keep)
         ended_at = time.monotonic()
-        self.attempts.append(
-            Attempt(
-                sent_at,
-                ended_at,
-                request_id,
-                route,
-                node.name,
-                boot,
-                status,
-                matches_request,
-                unconnected,
+        time_limit = 0.0
+        for position, req in enumerate(requests):
+            time_limit = max(time_limit, req.route.timeout)
+            end, answer = unanswered_end, Answer(ended_at, ended_at, 0, False)
+            if position < len(answers):
+                end, answer = AttemptEnd.ANSWERED, answers[position]
+            self.attempts.append(
+                Attempt(
+                    sent_at,
+                    answer.answered_at,
+                    answer.ended_at,
+                    req.request_id,
+                    req.route,
+                    node.name,
+                    boot,
+                    answer.status,
+                    answer.matches_request,
+                    end,
+                    reused=idle is not None,
+                    position=position,
+                    time_limit=time_limit,
+                )
             )
-        )
 
-    async def _connection(
-        self, node: NodeProcess
-    ) -> tuple[asyncio.StreamReader, asyncio.StreamWriter]:
-        idle = self._idle_connections.get(node.name)
-        if idle and self._rng.random() > NEW_CONNECTION_SHARE:
-            return idle.pop()
-        return await asyncio.open_connection(*node.outbound)
+    def _take_idle(self, node: NodeProcess, use: ConnectionUse) -> Connection | None:
+        """Return the open connection that was idle longest, None if there is none."""
+        idle = self._idle_connections.get((node.name, use))
+        while idle:
+            conn = idle.popleft()
+            if not conn.ended:
+                return conn
+            conn.writer.close()
+        return None
+
+    def _release(
+        self, node: NodeProcess, use: ConnectionUse, conn: Connection | None, keep: bool
+    ) -> None:
+        idle = self._idle_connections.setdefault((node.name, use), deque())
+        if conn is not None and keep and len(idle) < MAX_IDLE_CONNECTIONS:
+            idle.append(conn)
+        elif conn is not None:
+            conn.writer.close()
 
     async def _exchange(
         self,
-        node: NodeProcess,
-        connection: tuple[asyncio.StreamReader, asyncio.StreamWriter],
-        route: RouteConfig,
-        request_id: str,
-    ) -> tuple[int, bool]:
-        reader, writer = connection
-        method = "GET" if route.kind == "idempotent" else "POST"
-        length = "Content-Length: 4\r\n" if method == "POST" else ""
-        head = (
-            f"{method} {route.path} HTTP/1.1\r\nHost: {HOST_NAME}\r\nX-Request-Id: {request_id}\r\n"
-            f"X-Request-Deadline: {DEADLINE_MS}\r\n{length}\r\n"
-        )
-        try:
-            writer.write(head.encode() + (b"body" if length else b""))
-            status_line, headers, body = await read_message(reader)
-        except BaseException:
-            writer.close()
-            raise
-        if headers.get("connection") == "close":
-            writer.close()
-        else:
-            self._idle_connections.setdefault(node.name, []).append(connection)
-        matches_request = (
-            body == response_body(request_id)
-            and headers.get("x-response-signature") == response_signature(request_id)
-            and headers.get("x-request-id") == request_id
+        conn: Connection,
+        use: ConnectionUse,
+        requests: list[CallerRequest],
+        answers: list[Answer],
+    ) -> bool:
+        """Send requests and append their answers; returns whether the connection stays open.
+
+        After a response with `Connection: close` no further one is read.
+        """
+        conn.writer.write(b"".join(_encode_request(req) for req in requests))
+        for req in requests:
+            status_line, headers = await read_head(conn.reader)
+            answered_at = time.monotonic()
+            size = int(headers.get("content-length", "0"))
+            if use is ConnectionUse.SLOW_READER:
+                body = await _read_slowly(conn.reader, size)
+            else:
+                body = await conn.reader.readexactly(size)
+                answered_at = time.monotonic()
+            status = int(status_line.split(" ")[1])
+            matches_request = self._matches(req, headers, body)
+            answers.append(Answer(answered_at, time.monotonic(), status, matches_request))
+            if headers.get("connection") == "close":
+                return False
+        return True
+
+    def _matches(self, req: CallerRequest, headers: dict[str, str], body: bytes) -> bool:
+        behavior = self._fleet.behaviors.get(req.route.path, DEFAULT_BEHAVIOR)
+        return (
+            body == response_body(req.request_id, behavior.body_bytes)
+            and headers.get("x-response-signature") == response_signature(req.request_id)
+            and headers.get("x-request-id") == req.request_id
         )
-        return int(status_line.split(" ")[1]), matches_request
+
+
+async def _connect(endpoint: Endpoint, use: ConnectionUse) -> Connection:
+    if use is not ConnectionUse.SLOW_READER:
+        return Connection(*await asyncio.open_connection(*endpoint))
+    sock = socket.socket()
+    try:
+        sock.setblocking(False)
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BUFFER_BYTES)
+        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_MAXSEG, SEGMENT_BYTES)
+        await asyncio.get_running_loop().sock_connect(sock, tuple(endpoint))
+        return Connection(*await asyncio.open_connection(sock=sock, limit=SLOW_READ_BYTES))
+    except BaseException:
+        sock.close()
+        raise
+
+
+async def _read_slowly(reader: asyncio.StreamReader, size: int) -> bytes:
+    body = b""
+    while len(body) < size:
+        chunk = await reader.read(min(SLOW_READ_BYTES, size - len(body)))
+        if not chunk:
+            raise asyncio.IncompleteReadError(body, size)
+        body += chunk
+        await asyncio.sleep(SLOW_READ_PAUSE)
+    return body
+
+
+def _encode_request(req: CallerRequest) -> bytes:
+    idempotent = req.route.kind == "idempotent"
+    method, body = ("GET", b"") if idempotent else ("POST", b"body")
+    length = f"Content-Length: {len(body)}\r\n" if body else ""
+    head = (
+        f"{method} {req.route.path} HTTP/1.1\r\nHost: {HOST_NAME}\r\n"
+        f"X-Request-Id: {req.request_id}\r\nX-Request-Deadline: {DEADLINE_MS}\r\n{length}\r\n"
+    )
+    return head.encode() + body
--- a/soak/run.py
+++ b/soak/run.py
@@ -18,7 +18,7 @@
 from soak.clients import Callers
 from soak.faults import FaultInjector
 from soak.plan import Fault, draw_plan
-from soak.routes import NESTED_CALLS, SERVICES, build_routes
+from soak.routes import BEHAVIORS, SERVICES, build_routes
 from standins.mesh_fleet import MeshFleet
 
 _SEED = flags.DEFINE_integer("seed", None, "First seed; by default taken from the clock.")
@@ -48,7 +48,7 @@
         self._node_count = nodes
         self._fault_seconds = seconds
         self.fleet = MeshFleet(
-            build_routes(SERVICES[0]), NESTED_CALLS, Random(self.rng.getrandbits(64))
+            build_routes(SERVICES[0]), BEHAVIORS, Random(self.rng.getrandbits(64))
         )
         self._callers = Callers(self.fleet, Random(self.rng.getrandbits(64)), f"s{seed}")
         self._injector = FaultInjector(self.fleet, self._callers, self.rng)
--- a/standins/mesh_fleet.py
+++ b/standins/mesh_fleet.py
@@ -18,7 +18,14 @@
 
 from standins.fault_proxy import FaultProxy
 from standins.kv_store import KvStoreStandIn
-from standins.worker import Endpoint, FleetRecord, WorkerEndpoints, WorkerStandIn, send_request
+from standins.worker import (
+    Endpoint,
+    FleetRecord,
+    PathBehavior,
+    WorkerEndpoints,
+    WorkerStandIn,
+    send_request,
+)
 
 ROOT = Path(__file__).resolve().parent.parent
 HOST_NAME = "calls.example"
@@ -76,17 +83,20 @@
 class MeshFleet:
     """The nodes, workers, proxies and store of one run.
 
-    Callers must call `close()` even if `start()` fails, since node processes may be running.
+    `behaviors` maps request paths to the way in which workers serve them. Callers must call
+    `close()` even if `start()` fails, since node processes may be running.
     """
 
-    def __init__(self, routes: list[RouteConfig], calls: dict[str, str], rng: Random) -> None:
+    def __init__(
+        self, routes: list[RouteConfig], behaviors: dict[str, PathBehavior], rng: Random
+    ) -> None:
         self.folder = Path(tempfile.mkdtemp(prefix="thorntray-mesh-"))
         self.routes = routes
         self.record = FleetRecord()
         self.store = KvStoreStandIn()
         self.nodes: dict[str, NodeProcess] = {}
         self.version = 0
-        self._calls = calls
+        self.behaviors = behaviors
         self._rng = rng
         self._network = f"127.{os.getpid() % 240 + 10}"
 
@@ -177,7 +187,7 @@
             node.outbound,
         )
         node.worker = WorkerStandIn(
-            name, service, endpoints, self.record, self._fork_rng(), self._calls
+            name, service, endpoints, self.record, self._fork_rng(), self.behaviors
         )
         self.nodes[name] = node
         await node.link_proxy.start(datagrams=True)
--- a/standins/worker.py
+++ b/standins/worker.py
@@ -19,6 +19,8 @@
 HEARTBEAT_TIMEOUT = 1.0  # seconds
 CALL_ID_SUFFIX = "-c"  # the id of a nested call is the id of its parent request plus this suffix
 DRAIN_DURATION = 4.0  # seconds from the draining heartbeat to the deregistration
+SMALL_BODY_BYTES = 256
+MIN_SLOW_TIME, MAX_SLOW_TIME = 1.0, 3.0  # seconds that a slow request takes
 
 
 class Endpoint(NamedTuple):
@@ -56,6 +58,21 @@
     draining_acknowledged: dict[tuple[str, int], float] = field(default_factory=dict)
 
 
+class PathBehavior(NamedTuple):
+    """How workers serve the requests of one path.
+
+    `call_path` is the path of the nested call that the request makes, if any. `slow_share` is the
+    share of the requests that take `MIN_SLOW_TIME` to `MAX_SLOW_TIME`.
+    """
+
+    call_path: str | None = None
+    slow_share: float = 0.0
+    body_bytes: int = SMALL_BODY_BYTES
+
+
+DEFAULT_BEHAVIOR = PathBehavior()
+
+
 class Response(NamedTuple):
     """A complete HTTP response, with header names in lower case."""
 
@@ -64,9 +81,10 @@
     body: bytes
 
 
-def response_body(request_id: str) -> bytes:
-    """Return the response body that callers expect for a request id."""
-    return hashlib.sha256(request_id.encode()).hexdigest().encode() * 4
+def response_body(request_id: str, size: int = SMALL_BODY_BYTES) -> bytes:
+    """Return the response body of `size` bytes that callers expect for a request id."""
+    digest = hashlib.sha256(request_id.encode()).hexdigest().encode()
+    return (digest * (size // len(digest) + 1))[:size]
 
 
 def response_signature(request_id: str) -> str:
@@ -77,7 +95,7 @@
 class WorkerStandIn:
     """A worker that is registered at one node.
 
-    `calls` maps the path of a request to the path of the nested call that the request makes.
+    `behaviors` maps the path of a request to the way in which it is served.
     """
 
     def __init__(
@@ -87,7 +105,7 @@
         endpoints: "WorkerEndpoints",
         record: FleetRecord,
         rng: Random,
-        calls: dict[str, str],
+        behaviors: dict[str, PathBehavior],
     ) -> None:
         self.name = name
         self.service = service
@@ -100,7 +118,7 @@
         self._endpoints = endpoints
         self._record = record
         self._rng = rng
-        self._calls = calls
+        self._behaviors = behaviors
         self._sequence = 0
         self._running = 0
         self._start_time_ms = 0
@@ -205,7 +223,11 @@
         if self._rng.random() < self.response_loss_rate:
             return None
         signature = f"X-Response-Signature: {response_signature(request_id)}\r\n"
-        return _encode_response(status, request_id, response_body(request_id), signature)
+        body = response_body(request_id, self._behavior(path).body_bytes)
+        return _encode_response(status, request_id, body, signature)
+
+    def _behavior(self, path: str) -> PathBehavior:
+        return self._behaviors.get(path, DEFAULT_BEHAVIOR)
 
     def _rejection_status(self, headers: dict[str, str]) -> int:
         if headers.get("x-target-instance") != self.name:
@@ -213,9 +235,12 @@
         return 503 if self._running >= self.slots else 0
 
     async def _execute(self, path: str, headers: dict[str, str], started_at: float) -> int:
-        await asyncio.sleep(self.service_time * self.slowdown * (0.5 + self._rng.random()))
-        call_path = self._calls.get(path)
-        if call_path is None:
+        behavior = self._behavior(path)
+        service_time = self.service_time * (0.5 + self._rng.random())
+        if self._rng.random() < behavior.slow_share:
+            service_time = self._rng.uniform(MIN_SLOW_TIME, MAX_SLOW_TIME)
+        await asyncio.sleep(service_time * self.slowdown)
+        if behavior.call_path is None:
             return 200
         remaining_ms = int(headers["x-request-deadline"]) - int(
             (time.monotonic() - started_at) * 1000
@@ -230,7 +255,7 @@
         try:
             async with asyncio.timeout(remaining_ms / 1000):
                 response = await send_request(
-                    self._endpoints.outbound, "GET", call_path, call_headers
+                    self._endpoints.outbound, "GET", behavior.call_path, call_headers
                 )
         except (OSError, TimeoutError, asyncio.IncompleteReadError):
             return 500
@@ -250,15 +275,24 @@
     outbound: Endpoint
 
 
-async def read_message(reader: asyncio.StreamReader) -> tuple[str, dict[str, str], bytes]:
-    """Read one HTTP message; return its start line, headers and body.
+async def read_head(reader: asyncio.StreamReader) -> tuple[str, dict[str, str]]:
+    """Read the head of one HTTP message; return its start line and headers.
 
-    Header names are in lower case. A message without Content-Length has no body. Raises
-    `asyncio.IncompleteReadError` if the connection closes first.
+    Header names are in lower case. Raises `asyncio.IncompleteReadError` if the connection closes
+    first.
     """
     head = (await reader.readuntil(b"\r\n\r\n")).decode("latin-1")
     start_line, *header_lines = head.strip().split("\r\n")
     headers = {n.lower(): v.strip() for n, _, v in (line.partition(":") for line in header_lines)}
+    return start_line, headers
+
+
+async def read_message(reader: asyncio.StreamReader) -> tuple[str, dict[str, str], bytes]:
+    """Read one HTTP message; return its start line, headers and body.
+
+    A message without Content-Length has no body. Otherwise as `read_head`.
+    """
+    start_line, headers = await read_head(reader)
     body = await reader.readexactly(int(headers.get("content-length", "0")))
     return start_line, headers, body
 
--- a/tests/test_explain.py
+++ b/tests/test_explain.py
@@ -13,7 +13,7 @@
 import pytest
 
 from standins.mesh_fleet import HOST_NAME, MeshFleet, RouteConfig
-from standins.worker import send_request
+from standins.worker import PathBehavior, send_request
 from thorntrayctl.request_trace import LogLine, trace_request
 
 ROUTES = [
@@ -81,7 +81,7 @@
 
 
 async def cause_three_failures():
-    fleet = MeshFleet(ROUTES, {"/prices/1": "/ledger/1"}, Random(1))
+    fleet = MeshFleet(ROUTES, {"/prices/1": PathBehavior(call_path="/ledger/1")}, Random(1))
     try:
         await fleet.start([("tariff", "a"), ("settle", "a")])
         await asyncio.sleep(JOIN_TIME)
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -14,7 +14,7 @@
     safety_violations,
     violations,
 )
-from soak.clients import Attempt
+from soak.clients import Attempt, AttemptEnd
 from soak.plan import Fault, FaultKind, draw_plan
 from soak.run import run_seed
 from standins.mesh_fleet import RouteConfig
@@ -27,9 +27,24 @@
 
 
 def attempt(request_id="r", route=LOOKUP, status=200, sent_at=1.0, duration=0.1, **changes):
-    fields = {"node": "n1", "boot": 1, "matches_request": True, "unconnected": False}
+    ended_at = sent_at + duration
+    fields = {
+        "answered_at": ended_at,
+        "node": "n1",
+        "boot": 1,
+        "matches_request": True,
+        "end": AttemptEnd.ANSWERED if status else AttemptEnd.CLOSED,
+        "reused": False,
+        "position": 0,
+        "time_limit": route.timeout,
+    }
     return Attempt(
-        sent_at, sent_at + duration, request_id, route, status=status, **{**fields, **changes}
+        sent_at=sent_at,
+        ended_at=ended_at,
+        request_id=request_id,
+        route=route,
+        status=status,
+        **{**fields, **changes},
     )
 
 
