Soak: check that no request at a worker ends without an answer

No check compared the requests that reached a worker with how their connections ended, so a node that closed them unanswered passed.

LOST finds requests that reached a worker and whose connection ended without a complete answer: around a planned stop of the node that took them, on any connection; otherwise on reused ones. The run records the moment of each SIGTERM and the workers record when they finish a request and whether they broke it off. Unplanned faults of the nodes and workers involved excuse, those of the store and planned work do not. A request that its worker still runs in the last sixth of the stop, sent no later than 3 s after SIGTERM, is not judged.

--- a/soak/checks.py
+++ b/soak/checks.py
@@ -6,18 +6,17 @@
 
 from collections import Counter, defaultdict
 from collections.abc import Iterator
-from typing import NamedTuple
 
 from soak.clients import Attempt, AttemptEnd
-from soak.plan import NODE_FAULTS, STORE_FAULTS, Fault
-from standins.worker import CALL_ID_SUFFIX, Arrival, FleetRecord
+from soak.lost_answers import lost_answers
+from soak.observation import Observation, RouteChange
+from standins.worker import CALL_ID_SUFFIX, Arrival
 
 DRAIN_GRACE = 2.0  # seconds after a node acknowledges draining in which requests may arrive
 CONFIG_APPLY_LIMIT = 2.0  # seconds from the confirmation of a change until it must be in force
 # A request sent within this many seconds after the first run under a new change may still be
 # routed by the previous one.
 ROLLBACK_TOLERANCE = 0.25
-STABILIZATION_TIME = 3.0  # seconds without a fault after which a node or the store is stable
 RECOVERY_TIME = 15.0  # seconds after the last fault until requests must be served again
 MIN_SERVED_SHARE = 0.9  # of the requests after recovery
 # In a window of this many seconds a service may get RETRY_RATIO retries per request of the callers
@@ -28,42 +27,6 @@
 REFUSAL_STATUSES = (429, 503)
 
 
-class RouteChange(NamedTuple):
-    """A change of the service of the route `moving`; confirmed at monotonic seconds."""
-
-    confirmed_at: float
-    service: str
-
-
-class Observation(NamedTuple):
-    """All observations of a run; `load_started_at` is the monotonic time when the load starts."""
-
-    load_started_at: float
-    attempts: list[Attempt]
-    record: FleetRecord
-    faults: list[Fault]
-    changes: list[RouteChange]
-
-    def node_stable(self, node: str, since: float, until: float) -> bool:
-        """Return whether no fault hit the node in a span or in `STABILIZATION_TIME` before it."""
-        return not any(
-            fault.node == node
-            and fault.kind in NODE_FAULTS
-            and self.load_started_at + fault.start < until
-            and self.load_started_at + fault.end > since - STABILIZATION_TIME
-            for fault in self.faults
-        )
-
-    def store_stable(self, since: float, until: float) -> bool:
-        """Return whether no fault hit the store in a span or in `STABILIZATION_TIME` before it."""
-        return not any(
-            fault.kind in STORE_FAULTS
-            and self.load_started_at + fault.start < until
-            and self.load_started_at + fault.end > since - STABILIZATION_TIME
-            for fault in self.faults
-        )
-
-
 def violations(observation: Observation) -> list[str]:
     """Return all violations of a completed run."""
     return [*safety_violations(observation), *_completed_run_violations(observation)]
@@ -85,6 +48,7 @@
     yield from _excess_retries(observation)
     yield from _settings_violations(observation)
     yield from _failed_recovery(observation)
+    yield from lost_answers(observation)
 
 
 def _run_counts(observation: Observation) -> Counter[str]:
@@ -244,4 +208,7 @@
     statuses = Counter(a.status for a in attempts if a.end is AttemptEnd.ANSWERED)
     ends = Counter(a.end.name for a in attempts if a.end is not AttemptEnd.ANSWERED)
     counts = " ".join(f"{key}:{count}" for key, count in [*sorted(statuses.items()), *ends.items()])
-    return f"{len(attempts)} requests ({counts}), {len(observation.faults)} faults"
+    return (
+        f"{len(attempts)} requests ({counts}), {len(observation.faults)} faults, "
+        f"{len(observation.stops)} stops"
+    )
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -6,8 +6,8 @@
 from contextlib import suppress
 from random import Random
 
-from soak.checks import RouteChange
 from soak.clients import Callers
+from soak.observation import NodeStop, RouteChange
 from soak.plan import Fault, FaultKind
 from soak.routes import SERVICES, build_routes
 from standins.mesh_fleet import STOP_TIMEOUT, MeshFleet, NodeProcess
@@ -21,9 +21,10 @@
 
 
 class FaultInjector:
-    """Injects faults, and records changes of the route `moving`."""
+    """Injects faults, and records planned stops and changes of the route `moving`."""
 
     def __init__(self, fleet: MeshFleet, callers: Callers, rng: Random) -> None:
+        self.stops: list[NodeStop] = []
         self.changes = [RouteChange(time.monotonic(), SERVICES[0])]
         self._fleet = fleet
         self._callers = callers
@@ -52,8 +53,11 @@
     async def _end_process(self, node: NodeProcess, fault: Fault) -> None:
         if not node.running:
             return
-        kill = fault.kind is FaultKind.NODE_KILL
-        node.signal(signal.SIGKILL if kill else signal.SIGTERM)
+        if fault.kind is FaultKind.NODE_STOP:
+            self.stops.append(NodeStop(node.name, node.boot, time.monotonic()))
+            node.signal(signal.SIGTERM)
+        else:
+            node.signal(signal.SIGKILL)
         await _wait_exit(node)
         await asyncio.sleep(fault.duration)
         if not node.running:
--- a/soak/plan.py
+++ b/soak/plan.py
@@ -53,6 +53,13 @@
         FaultKind.DATAGRAM_LOSS,
     }
 )
+UNPLANNED_FAULTS = (NODE_FAULTS - {FaultKind.NODE_STOP}) | {
+    FaultKind.APP_RESET,
+    FaultKind.APP_DELAY,
+    FaultKind.WORKER_CRASH,
+    FaultKind.WORKER_SLOW,
+    FaultKind.WORKER_LOSES,
+}
 MIN_DURATION, MAX_DURATION = 0.5, 4.0  # seconds
 FAULTS_PER_SECOND = 0.5  # average, at least two faults in a run
 
--- a/soak/run.py
+++ b/soak/run.py
@@ -14,9 +14,10 @@
 
 from absl import app, flags
 
-from soak.checks import RECOVERY_TIME, Observation, safety_violations, summary, violations
+from soak.checks import RECOVERY_TIME, safety_violations, summary, violations
 from soak.clients import Callers
 from soak.faults import FaultInjector
+from soak.observation import Observation
 from soak.plan import Fault, draw_plan
 from soak.routes import BEHAVIORS, SERVICES, build_routes
 from standins.mesh_fleet import MeshFleet
@@ -84,6 +85,7 @@
             self.fleet.record,
             self._faults,
             self._injector.changes,
+            self._injector.stops,
         )
 
     async def _check_safety(self) -> None:
--- a/standins/worker.py
+++ b/standins/worker.py
@@ -46,16 +46,28 @@
     executed: bool
 
 
+class RunEnd(NamedTuple):
+    """When a worker finished with a request, in monotonic seconds.
+
+    `broke_off` is true if the worker crashed meanwhile or dropped its response.
+    """
+
+    ended_at: float
+    broke_off: bool
+
+
 @dataclass
 class FleetRecord:
     """The requests that the workers of a fleet received.
 
     `draining_acknowledged` maps the name and boot of a worker to the monotonic time at which its
-    node first acknowledged a draining heartbeat.
+    node first acknowledged a draining heartbeat. `run_ends` maps the index of an arrival to its
+    end; an arrival that a worker is still running has none.
     """
 
     arrivals: list[Arrival] = field(default_factory=list)
     draining_acknowledged: dict[tuple[str, int], float] = field(default_factory=dict)
+    run_ends: dict[int, RunEnd] = field(default_factory=dict)
 
 
 class PathBehavior(NamedTuple):
@@ -207,20 +219,25 @@
             writer.close()
 
     async def _handle_request(self, path: str, headers: dict[str, str]) -> bytes | None:
-        request_id = headers["x-request-id"]
+        request_id, boot = headers["x-request-id"], self.boot
         rejection_status = self._rejection_status(headers)  # 0: accepted
         now = time.monotonic()
+        index = len(self._record.arrivals)
         self._record.arrivals.append(
-            Arrival(now, request_id, self.name, self.boot, self.service, path, not rejection_status)
+            Arrival(now, request_id, self.name, boot, self.service, path, not rejection_status)
         )
         if rejection_status:
+            self._record.run_ends[index] = RunEnd(now, broke_off=False)
             return _encode_response(rejection_status, request_id, b"", "X-Not-Executed: 1\r\n")
         self._running += 1
         try:
             status = await self._execute(path, headers, now)
         finally:
             self._running -= 1
-        if self._rng.random() < self.response_loss_rate:
+        dropped = self._rng.random() < self.response_loss_rate
+        crashed = boot != self.boot or not self.listening
+        self._record.run_ends[index] = RunEnd(time.monotonic(), dropped or crashed)
+        if dropped:
             return None
         signature = f"X-Response-Signature: {response_signature(request_id)}\r\n"
         body = response_body(request_id, self._behavior(path).body_bytes)
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -9,12 +9,11 @@
     CONFIG_APPLY_LIMIT,
     DRAIN_GRACE,
     RECOVERY_TIME,
-    Observation,
-    RouteChange,
     safety_violations,
     violations,
 )
 from soak.clients import Attempt, AttemptEnd
+from soak.observation import Observation, RouteChange
 from soak.plan import Fault, FaultKind, draw_plan
 from soak.run import run_seed
 from standins.mesh_fleet import RouteConfig
@@ -55,9 +54,9 @@
 INITIAL_CHANGES = (RouteChange(0.0, "tariff"),)
 
 
-def observe(attempts, arrivals, faults=(), changes=INITIAL_CHANGES, draining=None):
+def observe(attempts, arrivals, faults=(), changes=INITIAL_CHANGES, draining=None, stops=()):
     record = FleetRecord(list(arrivals), draining or {})
-    return Observation(0.0, list(attempts), record, list(faults), list(changes))
+    return Observation(0.0, list(attempts), record, list(faults), list(changes), list(stops))
 
 
 def violation_kinds(observation):
--- a/tests/test_soak_load.py
+++ b/tests/test_soak_load.py
@@ -1,6 +1,9 @@
 """The soak's callers use connections as intended, and its faults end independently."""
 
 import asyncio
+import signal
+import subprocess
+import time
 from contextlib import asynccontextmanager, suppress
 from random import Random
 from types import SimpleNamespace
@@ -118,6 +121,22 @@
     asyncio.run(work())
 
 
+def test_a_stop_is_recorded_when_sigterm_is_sent():
+    async def work():
+        node = idle_node()
+        node.process, node.boot = subprocess.Popen(["sleep", "60"]), 3
+        fleet = SimpleNamespace(nodes={"n1": node}, start_node=lambda node: None)
+        injector = FaultInjector(fleet, SimpleNamespace(rate=1.0), Random(1))
+        before = time.monotonic()
+        await injector.inject(Fault(0.0, FaultKind.NODE_STOP, "n1", 0.5))
+        (stop,) = injector.stops
+        assert (stop.node, stop.boot) == ("n1", 3)
+        assert before <= stop.sigterm_at < before + 0.3
+        assert node.process.returncode == -signal.SIGTERM
+
+    asyncio.run(work())
+
+
 def idle_node():
     node = NodeProcess("n1", "tariff", "a", 1)
     node.link_proxy = FaultProxy(UNUSED, UNUSED, Random(1))
--- /dev/null
+++ b/tests/test_soak_lost_answers.py
@@ -0,0 +1,135 @@
+"""The soak's check for lost answers detects each kind, and lets each allowed case pass."""
+
+import pytest
+
+from soak.checks import violations
+from soak.clients import Attempt, AttemptEnd
+from soak.lost_answers import STOP_END_TIME, STOP_SEND_TIME
+from soak.observation import STABILIZATION_TIME, NodeStop, Observation, RouteChange
+from soak.plan import Fault, FaultKind
+from standins.mesh_fleet import RouteConfig
+from standins.worker import Arrival, FleetRecord, RunEnd
+
+LOOKUP = RouteConfig("views", "stock")
+SIGTERM_AT = 10.0  # seconds, on the clock of the observation
+STOP = NodeStop("n1", 1, SIGTERM_AT)
+
+
+def closed_attempt(sent_at=SIGTERM_AT + 1.0, duration=0.1, **changes):
+    ended_at = sent_at + duration
+    attempt = Attempt(
+        sent_at=sent_at,
+        answered_at=ended_at,
+        ended_at=ended_at,
+        request_id="r",
+        route=LOOKUP,
+        node="n1",
+        boot=1,
+        status=0,
+        matches_request=False,
+        end=AttemptEnd.CLOSED,
+        reused=True,
+        position=0,
+        time_limit=LOOKUP.timeout,
+    )
+    return attempt._replace(**changes)
+
+
+def lost_lines(attempt, stops=(STOP,), faults=(), run_end=None, reached=True, running=False):
+    """Return the lines of the check for one request that the worker of n2 received."""
+    record = FleetRecord()
+    if reached:
+        arrived_at = attempt.sent_at + 0.01
+        record.arrivals.append(Arrival(arrived_at, "r", "n2", 1, "stock", "/views/1", True))
+        if not running:
+            record.run_ends[0] = run_end or RunEnd(arrived_at + 0.02, broke_off=False)
+    observation = Observation(
+        0.0, [attempt], record, list(faults), [RouteChange(0.0, "stock")], list(stops)
+    )
+    return [line for line in violations(observation) if line.startswith("LOST")]
+
+
+@pytest.mark.parametrize("reused", [True, False])
+def test_a_request_closed_by_a_stopping_node_is_detected(reused):
+    assert lost_lines(closed_attempt(reused=reused))
+
+
+def test_a_request_sent_before_the_stop_and_closed_in_it_is_detected():
+    assert lost_lines(closed_attempt(sent_at=SIGTERM_AT - 0.5, duration=0.6, reused=False))
+
+
+def test_a_request_on_a_kept_connection_is_detected_outside_a_stop():
+    assert lost_lines(closed_attempt(), stops=())
+    assert not lost_lines(closed_attempt(reused=False), stops=())
+
+
+def test_the_stop_of_an_earlier_process_of_the_node_does_not_count():
+    assert not lost_lines(closed_attempt(reused=False, boot=2))
+
+
+@pytest.mark.parametrize("kind", [FaultKind.STORE_BUSY, FaultKind.STORE_SILENT])
+def test_a_fault_of_the_store_does_not_excuse(kind):
+    assert lost_lines(closed_attempt(), faults=[Fault(8.0, kind, "n1", 9.0)])
+
+
+@pytest.mark.parametrize("kind", [FaultKind.NODE_STOP, FaultKind.NODE_HANGUP, FaultKind.SURGE])
+def test_planned_work_does_not_excuse(kind):
+    assert lost_lines(closed_attempt(), faults=[Fault(SIGTERM_AT, kind, "n1", 2.0)])
+
+
+@pytest.mark.parametrize("node", ["n1", "n2"])
+@pytest.mark.parametrize(
+    "kind",
+    [
+        FaultKind.NODE_KILL,
+        FaultKind.NODE_FREEZE,
+        FaultKind.LINK_RESET,
+        FaultKind.APP_RESET,
+        FaultKind.WORKER_CRASH,
+    ],
+)
+def test_an_unplanned_fault_at_either_node_excuses(kind, node):
+    attempt = closed_attempt()
+    assert not lost_lines(attempt, faults=[Fault(9.0, kind, node, 1.0)])
+    over = attempt.sent_at - STABILIZATION_TIME
+    assert lost_lines(attempt, faults=[Fault(over - 1.1, kind, node, 1.0)])
+    assert lost_lines(attempt, faults=[Fault(attempt.ended_at + 0.1, kind, node, 1.0)])
+    assert lost_lines(attempt, faults=[Fault(9.0, kind, "n3", 1.0)])
+
+
+@pytest.mark.parametrize("end", [AttemptEnd.TIMED_OUT, AttemptEnd.ANSWERED])
+def test_a_request_that_the_caller_gave_up_or_that_was_answered_passes(end):
+    assert not lost_lines(closed_attempt(end=end))
+
+
+def test_a_request_that_its_worker_broke_off_passes():
+    attempt = closed_attempt()
+    assert not lost_lines(attempt, run_end=RunEnd(attempt.sent_at + 0.05, broke_off=True))
+
+
+def test_a_pipelined_request_is_detected_only_if_a_worker_received_it():
+    assert lost_lines(closed_attempt(position=1))
+    assert not lost_lines(closed_attempt(position=1), reached=False)
+
+
+def test_a_request_that_its_worker_runs_until_the_end_of_the_stop_passes_if_sent_early():
+    run_end = RunEnd(SIGTERM_AT + STOP_END_TIME + 0.1, broke_off=False)
+    early = closed_attempt(sent_at=SIGTERM_AT + STOP_SEND_TIME - 0.1, duration=2.9)
+    assert not lost_lines(early, run_end=run_end)
+    assert not lost_lines(early, running=True)
+    late = closed_attempt(sent_at=SIGTERM_AT + STOP_SEND_TIME + 0.1, duration=2.7)
+    assert lost_lines(late, run_end=run_end)
+    assert lost_lines(late, running=True)
+    finished = RunEnd(SIGTERM_AT + STOP_END_TIME - 0.1, broke_off=False)
+    assert lost_lines(early, run_end=finished)
+
+
+def test_a_run_until_the_end_of_the_stop_does_not_excuse_outside_a_stop():
+    run_end = RunEnd(SIGTERM_AT + STOP_END_TIME + 0.1, broke_off=False)
+    assert lost_lines(closed_attempt(duration=2.9), stops=(), run_end=run_end)
+
+
+def test_the_line_names_the_times_from_the_recorded_sigterm():
+    planned = Fault(SIGTERM_AT - 0.4, FaultKind.NODE_STOP, "n1", 1.0)
+    (line,) = lost_lines(closed_attempt(), faults=[planned])
+    assert "sent +1.00 s, ended +1.10 s from SIGTERM" in line
