Soak: series of overlapping stops while the store refuses or is silent

60 % of the plans now contain a series: two nodes to half of them get SIGTERM 0.8 to 2 s apart, in an outage of the store (503 or no response) that starts up to 2 s before the first and lasts 3 to 7 s after the last.

--- a/soak/plan.py
+++ b/soak/plan.py
@@ -62,6 +62,10 @@
 }
 MIN_DURATION, MAX_DURATION = 0.5, 4.0  # seconds
 FAULTS_PER_SECOND = 0.5  # average, at least two faults in a run
+STOP_SERIES_SHARE = 0.6  # of the plans
+MIN_STOP_GAP, MAX_STOP_GAP = 0.8, 2.0  # seconds between the stops of a series
+MIN_OUTAGE_LEAD, MAX_OUTAGE_LEAD = 0.0, 2.0  # seconds from an outage of the store to the series
+MIN_OUTAGE_TAIL, MAX_OUTAGE_TAIL = 3.0, 7.0  # seconds that the outage lasts after the last SIGTERM
 
 
 class Fault(NamedTuple):
@@ -92,4 +96,26 @@
         )
         for _ in range(max(2, int(duration * FAULTS_PER_SECOND)))
     ]
+    if rng.random() < STOP_SERIES_SHARE:
+        faults += draw_stop_series(rng, nodes, duration)
     return sorted(faults, key=lambda fault: fault.start)
+
+
+def draw_stop_series(rng: Random, nodes: list[str], duration: float) -> list[Fault]:
+    """Return stops of two nodes to half of them, shortly one after the other, in a store outage.
+
+    The stops overlap, since each takes longer than `MAX_STOP_GAP`.
+    """
+    stopped = rng.sample(nodes, rng.randint(2, max(2, len(nodes) // 2)))
+    start = rng.uniform(1.0, max(1.0, duration - MAX_STOP_GAP * (len(stopped) - 1)))
+    stops: list[Fault] = []
+    for node in stopped:
+        restart_delay = round(rng.uniform(MIN_DURATION, MAX_DURATION), 2)
+        stops.append(Fault(round(start, 2), FaultKind.NODE_STOP, node, restart_delay))
+        start += rng.uniform(MIN_STOP_GAP, MAX_STOP_GAP)
+    outage_start = max(
+        0.0, round(stops[0].start - rng.uniform(MIN_OUTAGE_LEAD, MAX_OUTAGE_LEAD), 2)
+    )
+    outage_end = stops[-1].start + rng.uniform(MIN_OUTAGE_TAIL, MAX_OUTAGE_TAIL)
+    kind = rng.choice([FaultKind.STORE_BUSY, FaultKind.STORE_SILENT])
+    return [Fault(outage_start, kind, stopped[0], round(outage_end - outage_start, 2)), *stops]
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -1,6 +1,7 @@
 """The soak checks detect the violations that they are meant for, and one short seed runs."""
 
 import asyncio
+from itertools import pairwise
 from random import Random
 
 import pytest
@@ -14,7 +15,7 @@
 )
 from soak.clients import Attempt, AttemptEnd
 from soak.observation import Observation, RouteChange
-from soak.plan import Fault, FaultKind, draw_plan
+from soak.plan import MAX_STOP_GAP, Fault, FaultKind, draw_plan
 from soak.run import run_seed
 from standins.mesh_fleet import RouteConfig
 from standins.worker import Arrival, FleetRecord
@@ -144,6 +145,23 @@
     assert draw_plan(Random(5), nodes, 20.0) != draw_plan(Random(6), nodes, 20.0)
 
 
+def test_half_of_the_plans_have_overlapping_stops_in_an_outage_of_the_store():
+    nodes = [f"n{n}" for n in range(9)]
+    plans = [draw_plan(Random(seed), nodes, 12.0) for seed in range(100)]
+    assert sum(has_stops_in_an_outage(plan) for plan in plans) >= 50
+
+
+def has_stops_in_an_outage(plan):
+    outages = [f for f in plan if f.kind in (FaultKind.STORE_BUSY, FaultKind.STORE_SILENT)]
+    stops = [f for f in plan if f.kind is FaultKind.NODE_STOP]
+    return any(
+        outage.start <= first.start and second.start <= outage.end
+        for outage in outages
+        for first, second in pairwise(stops)
+        if second.start - first.start <= MAX_STOP_GAP
+    )
+
+
 @pytest.mark.process
 def test_a_short_run_has_no_violation():
     assert asyncio.run(run_seed(CI_SEED, CI_NODES, CI_DURATION)) == []
