Soak: callers that send a request in two parts

Every request was sent in one write, so no connection was in the middle of a request when a node closed its idle connections, for example while it waits for a silent store at the end of a stop.

10 % of the exchanges now send the second half 0.3 to 1.5 s after the first. Such a request counts as sent with its last part.

--- a/soak/clients.py
+++ b/soak/clients.py
@@ -9,6 +9,7 @@
 import socket
 import time
 from collections import deque
+from dataclasses import dataclass, field
 from enum import Enum
 from random import Random
 from typing import NamedTuple
@@ -27,13 +28,14 @@
 NEW_CONNECTION_SHARE = 0.3  # minimum share of exchanges on a new connection
 ATTEMPT_TIMEOUT = 6.0  # seconds
 MAX_IDLE_CONNECTIONS = 10  # to one node for one use; callers close those beyond
-PIPELINED_SHARE, SLOW_READER_SHARE = 0.15, 0.1  # of the exchanges
+PIPELINED_SHARE, SLOW_READER_SHARE, SLOW_SENDER_SHARE = 0.15, 0.1, 0.1  # of the exchanges
 MIN_PIPELINED, MAX_PIPELINED = 2, 4  # requests sent before the first response
 LARGE_RESPONSE_SHARE = 0.5  # of the requests of slow readers
 # Relative rates of the routes; 1 for those that are not listed.
 ROUTE_WEIGHTS = {"reports": 0.5, "exports": 0.3}
 RECEIVE_BUFFER_BYTES = 4 * 1024  # of slow readers, in the kernel
 SEGMENT_BYTES = 1400  # of slow readers; the loopback default would let kernels buffer over 1 MB
+MIN_SEND_PAUSE, MAX_SEND_PAUSE = 0.3, 1.5  # seconds between the parts of a slow sender's request
 SLOW_READ_BYTES, SLOW_READ_PAUSE = 8 * 1024, 0.03  # bytes, and seconds after reading them
 
 
@@ -43,6 +45,7 @@
     SEQUENTIAL = "one request at a time"
     PIPELINED = "several idempotent requests are sent before the first response"
     SLOW_READER = "one request at a time; responses are read slowly"
+    SLOW_SENDER = "one request at a time, sent in two parts with a pause between them"
 
 
 class AttemptEnd(Enum):
@@ -57,6 +60,7 @@
 class Attempt(NamedTuple):
     """One request of a caller and its result; times are monotonic seconds.
 
+    `sent_at` is the start of the attempt, for slow senders the moment when the last part was sent.
     `status` is 0 unless a complete response arrived. `matches_request` is true when the response
     has the signature, the body and the id that belong to this request. `answered_at` is the end of
     the attempt, for slow readers the arrival of the response's head. `position` is the
@@ -95,6 +99,21 @@
     matches_request: bool
 
 
+@dataclass
+class Exchange:
+    """Requests that are sent together on one connection, and the answers to the first of them.
+
+    `send_pause` is the time in seconds between the parts of a slow sender's request. `sent_at` is
+    as in `Attempt`; `keep` is whether the connection may be used again.
+    """
+
+    requests: list[CallerRequest]
+    send_pause: float
+    sent_at: float = 0.0
+    answers: list[Answer] = field(default_factory=list)
+    keep: bool = False
+
+
 class Connection(NamedTuple):
     """An open connection to a node."""
 
@@ -127,7 +146,9 @@
             node = self._rng.choice(list(self._fleet.nodes.values()))
             use = self._draw_use()
             reuse = self._rng.random() > NEW_CONNECTION_SHARE
-            task = asyncio.create_task(self._send(node, use, reuse, self._draw_requests(use)))
+            send_pause = self._rng.uniform(MIN_SEND_PAUSE, MAX_SEND_PAUSE)
+            exchange = Exchange(self._draw_requests(use), send_pause)
+            task = asyncio.create_task(self._send(node, use, reuse, exchange))
             self._tasks.add(task)
             task.add_done_callback(self._tasks.discard)
 
@@ -137,8 +158,13 @@
             await asyncio.wait(self._tasks, timeout=ATTEMPT_TIMEOUT)
 
     def _draw_use(self) -> ConnectionUse:
-        shares = (1.0 - PIPELINED_SHARE - SLOW_READER_SHARE, PIPELINED_SHARE, SLOW_READER_SHARE)
-        return self._rng.choices(list(ConnectionUse), shares)[0]
+        shares = {
+            ConnectionUse.PIPELINED: PIPELINED_SHARE,
+            ConnectionUse.SLOW_READER: SLOW_READER_SHARE,
+            ConnectionUse.SLOW_SENDER: SLOW_SENDER_SHARE,
+        }
+        shares[ConnectionUse.SEQUENTIAL] = 1.0 - sum(shares.values())
+        return self._rng.choices(list(shares), list(shares.values()))[0]
 
     def _draw_requests(self, use: ConnectionUse) -> list[CallerRequest]:
         routes = [r for r in self._fleet.routes if r.name not in NESTED_ONLY]
@@ -157,37 +183,35 @@
         return CallerRequest(f"{self._run_id}-{self._request_count}", route)
 
     async def _send(
-        self, node: NodeProcess, use: ConnectionUse, reuse: bool, requests: list[CallerRequest]
+        self, node: NodeProcess, use: ConnectionUse, reuse: bool, exchange: Exchange
     ) -> None:
         """Send requests on one connection, and record an attempt for each."""
-        sent_at, boot = time.monotonic(), node.boot
-        answers: list[Answer] = []
+        boot, exchange.sent_at = node.boot, time.monotonic()
         unanswered_end = AttemptEnd.NO_CONNECTION
         idle = self._take_idle(node, use) if reuse else None
         conn = idle
-        keep = False
         try:
             async with asyncio.timeout(ATTEMPT_TIMEOUT):
                 if conn is None:
                     conn = await _connect(node.outbound, use)
                 unanswered_end = AttemptEnd.CLOSED
-                keep = await self._exchange(conn, use, requests, answers)
+                await self._exchange(conn, use, exchange)
         except TimeoutError:
             if conn is not None:
                 unanswered_end = AttemptEnd.TIMED_OUT
         except (OSError, asyncio.IncompleteReadError):
             pass  # recorded as `unanswered_end`
-        self._release(node, use, conn, keep)
+        self._release(node, use, conn, exchange.keep)
         ended_at = time.monotonic()
         time_limit = 0.0
-        for position, req in enumerate(requests):
+        for position, req in enumerate(exchange.requests):
             time_limit = max(time_limit, req.route.timeout)
             end, answer = unanswered_end, Answer(ended_at, ended_at, 0, False)
-            if position < len(answers):
-                end, answer = AttemptEnd.ANSWERED, answers[position]
+            if position < len(exchange.answers):
+                end, answer = AttemptEnd.ANSWERED, exchange.answers[position]
             self.attempts.append(
                 Attempt(
-                    sent_at,
+                    exchange.sent_at,
                     answer.answered_at,
                     answer.ended_at,
                     req.request_id,
@@ -222,19 +246,19 @@
         elif conn is not None:
             conn.writer.close()
 
-    async def _exchange(
-        self,
-        conn: Connection,
-        use: ConnectionUse,
-        requests: list[CallerRequest],
-        answers: list[Answer],
-    ) -> bool:
-        """Send requests and append their answers; returns whether the connection stays open.
+    async def _exchange(self, conn: Connection, use: ConnectionUse, exchange: Exchange) -> None:
+        """Send the requests and read their answers.
 
         After a response with `Connection: close` no further one is read.
         """
-        conn.writer.write(b"".join(_encode_request(req) for req in requests))
-        for req in requests:
+        data = b"".join(_encode_request(req) for req in exchange.requests)
+        if use is ConnectionUse.SLOW_SENDER:
+            conn.writer.write(data[: len(data) // 2])
+            await asyncio.sleep(exchange.send_pause)
+            data = data[len(data) // 2 :]
+            exchange.sent_at = time.monotonic()
+        conn.writer.write(data)
+        for req in exchange.requests:
             status_line, headers = await read_head(conn.reader)
             answered_at = time.monotonic()
             size = int(headers.get("content-length", "0"))
@@ -245,10 +269,11 @@
                 answered_at = time.monotonic()
             status = int(status_line.split(" ")[1])
             matches_request = self._matches(req, headers, body)
-            answers.append(Answer(answered_at, time.monotonic(), status, matches_request))
+            answer = Answer(answered_at, time.monotonic(), status, matches_request)
+            exchange.answers.append(answer)
             if headers.get("connection") == "close":
-                return False
-        return True
+                return
+        exchange.keep = True
 
     def _matches(self, req: CallerRequest, headers: dict[str, str], body: bytes) -> bool:
         behavior = self._fleet.behaviors.get(req.route.path, DEFAULT_BEHAVIOR)
--- a/tests/test_soak_load.py
+++ b/tests/test_soak_load.py
@@ -95,6 +95,16 @@
     assert all(a.matches_request for a in attempts)
 
 
+def test_slow_senders_send_the_last_part_after_a_pause(monkeypatch):
+    began_at = time.monotonic()
+    attempts, connections = run_callers(monkeypatch, ConnectionUse.SLOW_SENDER, seconds=0.2)
+    assert attempts and all(a.matches_request for a in attempts)
+    assert all(a.sent_at > began_at + clients.MIN_SEND_PAUSE for a in attempts)
+    assert sorted(id_ for ids in connections for id_ in ids) == sorted(
+        a.request_id for a in attempts
+    )
+
+
 @pytest.mark.parametrize(
     "kind, value_of, active_value",
     [
