--- a/standins/worker.py
+++ b/standins/worker.py
@@ -19,6 +19,8 @@
 HEARTBEAT_TIMEOUT = 1.0  # seconds
 CALL_ID_SUFFIX = "-c"  # the id of a nested call is the id of its parent request plus this suffix
 DRAIN_DURATION = 4.0  # seconds from the draining heartbeat to the deregistration
+SMALL_BODY_BYTES = 256
+MIN_SLOW_TIME, MAX_SLOW_TIME = 1.0, 3.0  # seconds that a slow request takes
 
 
 class Endpoint(NamedTuple):
@@ -44,16 +46,43 @@
     executed: bool
 
 
+class RunEnd(NamedTuple):
+    """When a worker finished with a request, in monotonic seconds.
+
+    `broke_off` is true if the worker crashed meanwhile or dropped its response.
+    """
+
+    ended_at: float
+    broke_off: bool
+
+
 @dataclass
 class FleetRecord:
     """The requests that the workers of a fleet received.
 
     `draining_acknowledged` maps the name and boot of a worker to the monotonic time at which its
-    node first acknowledged a draining heartbeat.
+    node first acknowledged a draining heartbeat. `run_ends` maps the index of an arrival to its
+    end; an arrival that a worker is still running has none.
     """
 
     arrivals: list[Arrival] = field(default_factory=list)
     draining_acknowledged: dict[tuple[str, int], float] = field(default_factory=dict)
+    run_ends: dict[int, RunEnd] = field(default_factory=dict)
+
+
+class PathBehavior(NamedTuple):
+    """How workers serve the requests of one path.
+
+    `call_path` is the path of the nested call that the request makes, if any. `slow_share` is the
+    share of the requests that take `MIN_SLOW_TIME` to `MAX_SLOW_TIME`.
+    """
+
+    call_path: str | None = None
+    slow_share: float = 0.0
+    body_bytes: int = SMALL_BODY_BYTES
+
+
+DEFAULT_BEHAVIOR = PathBehavior()
 
 
 class Response(NamedTuple):
@@ -64,9 +93,10 @@
     body: bytes
 
 
-def response_body(request_id: str) -> bytes:
-    """Return the response body that callers expect for a request id."""
-    return hashlib.sha256(request_id.encode()).hexdigest().encode() * 4
+def response_body(request_id: str, size: int = SMALL_BODY_BYTES) -> bytes:
+    """Return the response body of `size` bytes that callers expect for a request id."""
+    digest = hashlib.sha256(request_id.encode()).hexdigest().encode()
+    return (digest * (size // len(digest) + 1))[:size]
 
 
 def response_signature(request_id: str) -> str:
@@ -77,7 +107,7 @@
 class WorkerStandIn:
     """A worker that is registered at one node.
 
-    `calls` maps the path of a request to the path of the nested call that the request makes.
+    `behaviors` maps the path of a request to the way in which it is served.
     """
 
     def __init__(
@@ -87,7 +117,7 @@
         endpoints: "WorkerEndpoints",
         record: FleetRecord,
         rng: Random,
-        calls: dict[str, str],
+        behaviors: dict[str, PathBehavior],
     ) -> None:
         self.name = name
         self.service = service
@@ -100,7 +130,7 @@
         self._endpoints = endpoints
         self._record = record
         self._rng = rng
-        self._calls = calls
+        self._behaviors = behaviors
         self._sequence = 0
         self._running = 0
         self._start_time_ms = 0
@@ -108,6 +138,11 @@
         self._connections: set[asyncio.StreamWriter] = set()
         self._heartbeat_task: asyncio.Task[None] | None = None
 
+    @property
+    def listening(self) -> bool:
+        """Return whether the worker accepts connections."""
+        return self._server is not None
+
     async def start(self) -> None:
         """Listen and send heartbeats, as a new boot with the same instance name."""
         self.boot += 1
@@ -122,6 +157,7 @@
             self._heartbeat_task.cancel()
         if self._server is not None:
             self._server.close()
+            self._server = None
         for writer in list(self._connections):
             writer.transport.abort()
 
@@ -183,23 +219,32 @@
             writer.close()
 
     async def _handle_request(self, path: str, headers: dict[str, str]) -> bytes | None:
-        request_id = headers["x-request-id"]
+        request_id, boot = headers["x-request-id"], self.boot
         rejection_status = self._rejection_status(headers)  # 0: accepted
         now = time.monotonic()
+        index = len(self._record.arrivals)
         self._record.arrivals.append(
-            Arrival(now, request_id, self.name, self.boot, self.service, path, not rejection_status)
+            Arrival(now, request_id, self.name, boot, self.service, path, not rejection_status)
         )
         if rejection_status:
+            self._record.run_ends[index] = RunEnd(now, broke_off=False)
             return _encode_response(rejection_status, request_id, b"", "X-Not-Executed: 1\r\n")
         self._running += 1
         try:
             status = await self._execute(path, headers, now)
         finally:
             self._running -= 1
-        if self._rng.random() < self.response_loss_rate:
+        dropped = self._rng.random() < self.response_loss_rate
+        crashed = boot != self.boot or not self.listening
+        self._record.run_ends[index] = RunEnd(time.monotonic(), dropped or crashed)
+        if dropped:
             return None
         signature = f"X-Response-Signature: {response_signature(request_id)}\r\n"
-        return _encode_response(status, request_id, response_body(request_id), signature)
+        body = response_body(request_id, self._behavior(path).body_bytes)
+        return _encode_response(status, request_id, body, signature)
+
+    def _behavior(self, path: str) -> PathBehavior:
+        return self._behaviors.get(path, DEFAULT_BEHAVIOR)
 
     def _rejection_status(self, headers: dict[str, str]) -> int:
         if headers.get("x-target-instance") != self.name:
@@ -207,9 +252,12 @@
         return 503 if self._running >= self.slots else 0
 
     async def _execute(self, path: str, headers: dict[str, str], started_at: float) -> int:
-        await asyncio.sleep(self.service_time * self.slowdown * (0.5 + self._rng.random()))
-        call_path = self._calls.get(path)
-        if call_path is None:
+        behavior = self._behavior(path)
+        service_time = self.service_time * (0.5 + self._rng.random())
+        if self._rng.random() < behavior.slow_share:
+            service_time = self._rng.uniform(MIN_SLOW_TIME, MAX_SLOW_TIME)
+        await asyncio.sleep(service_time * self.slowdown)
+        if behavior.call_path is None:
             return 200
         remaining_ms = int(headers["x-request-deadline"]) - int(
             (time.monotonic() - started_at) * 1000
@@ -224,7 +272,7 @@
         try:
             async with asyncio.timeout(remaining_ms / 1000):
                 response = await send_request(
-                    self._endpoints.outbound, "GET", call_path, call_headers
+                    self._endpoints.outbound, "GET", behavior.call_path, call_headers
                 )
         except (OSError, TimeoutError, asyncio.IncompleteReadError):
             return 500
@@ -244,15 +292,24 @@
     outbound: Endpoint
 
 
-async def read_message(reader: asyncio.StreamReader) -> tuple[str, dict[str, str], bytes]:
-    """Read one HTTP message; return its start line, headers and body.
+async def read_head(reader: asyncio.StreamReader) -> tuple[str, dict[str, str]]:
+    """Read the head of one HTTP message; return its start line and headers.
 
-    Header names are in lower case. A message without Content-Length has no body. Raises
-    `asyncio.IncompleteReadError` if the connection closes first.
+    Header names are in lower case. Raises `asyncio.IncompleteReadError` if the connection closes
+    first.
     """
     head = (await reader.readuntil(b"\r\n\r\n")).decode("latin-1")
     start_line, *header_lines = head.strip().split("\r\n")
     headers = {n.lower(): v.strip() for n, _, v in (line.partition(":") for line in header_lines)}
+    return start_line, headers
+
+
+async def read_message(reader: asyncio.StreamReader) -> tuple[str, dict[str, str], bytes]:
+    """Read one HTTP message; return its start line, headers and body.
+
+    A message without Content-Length has no body. Otherwise as `read_head`.
+    """
+    start_line, headers = await read_head(reader)
     body = await reader.readexactly(int(headers.get("content-length", "0")))
     return start_line, headers, body
 
