--- a/tests/test_handler_failures.py
+++ b/tests/test_handler_failures.py
@@ -15,7 +15,7 @@
 )
 from thorntray.internal.connection.frame import ResultFrame
 from thorntray.internal.request.result import Cause, ResultKind
-from thorntray_node import mesh_node
+from thorntray_node import peer_requests
 
 UNKNOWN_CAUSE = 999  # number of a cause that only a newer version knows
 
@@ -95,7 +95,7 @@
 
 
 def test_a_result_that_this_version_cannot_read_fails_only_its_own_request(monkeypatch):
-    encode_result = mesh_node.frame_from_result
+    encode_result = peer_requests.frame_from_result
 
     async def scenario(fleet):
         owner, _ = await add_nodes(fleet)
@@ -113,7 +113,7 @@
             return submit(call, on_result)
 
         owner.owner.submit = submit_and_record
-        monkeypatch.setattr(mesh_node, "frame_from_result", encode)
+        monkeypatch.setattr(peer_requests, "frame_from_result", encode)
         return await send_two(fleet)
 
     assert run_scenario(scenario) == ONLY_THE_FAULTY_ONE_FAILS
