After its drain a node accepts nothing, and before that no call that cannot be answered

What callers saw: the same closed connection as before, for requests on routes that are usually nested calls, when they came after the drain had ended and before the exit.

Cause: a nested call was accepted until a second before answers are due, also when the drain had ended long before; and what counts as nested was a statistic of its route, not a request that is running. A call accepted late could also outlast the drain.

Change: the drain has an end, after which nothing is accepted; while callers are refused only calls of running requests are accepted, and only if their usual time fits before answers are due.

DRAIN_CUT counts requests of callers and at the instance apart.

Ruled out: refusing all calls at once (fails accepted parents).

--- a/packages/thorntray-node/src/thorntray_node/mesh_node.py
+++ b/packages/thorntray-node/src/thorntray_node/mesh_node.py
@@ -323,7 +323,7 @@
 
     @property
     def ready(self) -> bool:
-        """Return whether the node accepts callers' requests."""
+        """Return whether callers should send requests to this node."""
         return not self.drain.begun and self.holder.policy is not None
 
     def _answer_readiness(self, exchange: Exchange) -> None:
@@ -346,8 +346,8 @@
         self.registration.drain_node()
         requests = RequestDrain(self.drain, self.origin, self.owner, self.callers, self.listener)
         ended = await requests.run()
-        if ended:
-            log_event(Event.DRAIN_CUT, active=ended)
+        if any(ended):
+            log_event(Event.DRAIN_CUT, **ended._asdict())
         log_event(
             Event.DRAIN_ENDED,
             seconds=round(self.clock.monotonic() - started, 3),
--- a/packages/thorntray-node/src/thorntray_node/request_drain.py
+++ b/packages/thorntray-node/src/thorntray_node/request_drain.py
@@ -6,6 +6,7 @@
 """
 
 import asyncio
+from typing import NamedTuple
 
 from thorntray.internal.connection.http_server import HttpServer
 from thorntray.internal.connection.link import LinkListener
@@ -17,6 +18,13 @@
 FINAL_FLUSH_TIME = 0.2  # seconds for sending the answers of the requests that were ended
 
 
+class EndedRequests(NamedTuple):
+    """Numbers of requests that were ended because answers were due."""
+
+    of_callers: int
+    at_instance: int  # requests of peers, and what the instance still runs for callers that left
+
+
 class RequestDrain:
     """Waits for the requests of a node and ends those that are left when answers are due."""
 
@@ -34,11 +42,13 @@
         self._callers = callers
         self._peers = peers
 
-    async def run(self) -> int:
-        """Return the number of requests that had to be ended, once all answers are sent."""
+    async def run(self) -> EndedRequests:
+        """Return when all requests have ended and their answers are sent."""
         while self._owes_answers and not self._drain.overdue:
             await asyncio.sleep(POLL_PERIOD)
-        ended = self._origin.end_all() + self._owner.end_all()
+        self._drain.end()
+        # Origins first: a request that its owner ends could be sent to another instance.
+        ended = EndedRequests(self._origin.end_all(), self._owner.end_all())
         await self._flush()
         return ended
 
--- a/packages/thorntray/src/thorntray/internal/process/drain.py
+++ b/packages/thorntray/src/thorntray/internal/process/drain.py
@@ -11,8 +11,6 @@
 READINESS_PROPAGATION_DELAY = 2.2
 # Seconds of the stop limit reserved for final answers and for closing the connections.
 CLOSE_TIME_RESERVE = 0.4
-# Seconds before answers are due in which no nested call is accepted: it could not finish.
-NESTED_CALL_RESERVE = 1.0
 NO_END = float("inf")
 
 
@@ -25,6 +23,7 @@
         self._refuse_at = NO_END
         self.answers_due = NO_END  # monotonic seconds
         self.begun = False
+        self._ended = False
 
     def begin(self) -> None:
         """Begin the stop now."""
@@ -33,24 +32,27 @@
         self.answers_due = now + self._limit - CLOSE_TIME_RESERVE
         self._refuse_at = min(now + READINESS_PROPAGATION_DELAY, self.answers_due)
 
+    def end(self) -> None:
+        """End the drain: nothing is owed, and nothing may be accepted from now on."""
+        self._ended = True
+
     @property
     def accepting_for(self) -> float:
         """Return the seconds for which callers' requests are still accepted, once begun."""
         return max(0.0, self._refuse_at - self._clock.monotonic())
 
-    @property
-    def refusing(self) -> bool:
-        """Return whether callers' requests are refused."""
-        return self.begun and self._clock.monotonic() >= self._refuse_at
-
-    def admits(self, nested: bool) -> bool:
-        """Return whether to accept a new request.
+    def admits(self, has_parent: bool, expected_seconds: float) -> bool:
+        """Return whether to accept a new request, which usually takes `expected_seconds`.
 
-        A nested call is accepted for longer, since refusing it fails a request that was accepted.
+        A call of a running request is accepted for longer, as long as it can be answered in time,
+        since refusing it fails its parent.
         """
-        if not self.refusing:
+        if not self.begun:
             return True
-        return nested and self._clock.monotonic() < self.answers_due - NESTED_CALL_RESERVE
+        now = self._clock.monotonic()
+        if self._ended or (now >= self._refuse_at and not has_parent):
+            return False
+        return now < self._refuse_at or now + expected_seconds < self.answers_due
 
     @property
     def overdue(self) -> bool:
--- a/packages/thorntray/src/thorntray/internal/request/origin.py
+++ b/packages/thorntray/src/thorntray/internal/request/origin.py
@@ -57,7 +57,12 @@
         if route is None:
             self._refuse(exchange, NOT_FOUND)
             return
-        OriginRequest(self._context, exchange, head, route).start()
+        request = OriginRequest(self._context, exchange, head, route)
+        try:
+            request.start()
+        except Exception:
+            self._context.active.discard(request)
+            raise
 
     def end_all(self) -> int:
         """End all requests now, as their node stops; returns their number."""
--- a/packages/thorntray/src/thorntray/internal/request/origin_request.py
+++ b/packages/thorntray/src/thorntray/internal/request/origin_request.py
@@ -103,7 +103,7 @@
         deps = self.context.deps
         self.context.active.add(self)
         self._find_parent()
-        if not deps.drain.admits(self.nested):
+        if not deps.drain.admits(self.parent is not None, self.route.target_latency):
             self.finish(not_run(Cause.DRAINING, STOPPING_RETRY_AFTER))
             return
         if not self.nested:
--- a/packages/thorntray/src/thorntray/internal/request/owner.py
+++ b/packages/thorntray/src/thorntray/internal/request/owner.py
@@ -220,7 +220,8 @@
 
     def end_all(self) -> int:
         """End all requests now, as their node stops; returns their number."""
-        requests = list(self.requests)
+        # Waiting ones first: the end of a running one would free its slot for them.
+        requests = sorted(self.requests, key=lambda request: request.instance_call is not None)
         for request in requests:
             if request.instance_call is None:
                 request.finish(not_run(Cause.DRAINING))
