Connections whose output has ended or stalls are closed by rule, not by accident

What callers saw: a reset instead of the end of a large last answer when they were still sending a second later; a second answer (400) behind that to a request with Upgrade. A caller that takes no output kept its connection, and its answers in memory, forever, and with it each stop of the node up to its limit.

Cause: input was discarded for one second whatever still came; Upgrade was treated as malformed after the request had been handled; nothing watched output.

Change: connection_end.py decides. The close waits for a second without input, 30 s at most; without progress for the idle timeout a connection is aborted; an Upgrade ends the connection with its answer. Answers that are ready behind an unanswered one are reported, too, when a connection ends.

--- a/packages/thorntray/src/thorntray/internal/connection/http_server.py
+++ b/packages/thorntray/src/thorntray/internal/connection/http_server.py
@@ -7,6 +7,9 @@
 Requests may be pipelined; responses are sent in the order of the requests. While the server is
 shutting down, a connection is closed with the response to the last request that was read from it,
 which carries `Connection: close`.
+
+A caller that ends its side of the connection has left: its requests are cancelled. It cannot be
+told from one that only has nothing more to send, and its work must not go on for nobody.
 """
 
 import asyncio
@@ -18,12 +21,12 @@
 
 import httptools
 
+from thorntray.internal.connection.connection_end import Linger, OutputProgress
 from thorntray.internal.process.clock import Clock
 from thorntray.internal.telemetry.events import Event, log_event
 
 MAX_PIPELINED = 32  # pending requests on one connection at which reading pauses
 TIMEOUT_CHECK_PERIOD = 0.5  # seconds between checks for slow and idle connections
-LINGER_TIME = 1.0  # seconds for which input is discarded before a connection is closed
 LISTEN_BACKLOG = 1024  # connections waiting to be accepted
 
 _REASON_PHRASES = {status.value: status.phrase.encode() for status in HTTPStatus}
@@ -135,8 +138,8 @@
         return sum(connection.unsent_bytes for connection in self.connections)
 
     def report_unanswered(self, closed_by: ClosedBy) -> int:
-        """Report every request that still has no response; returns their number."""
-        owed = [e for c in self.connections for e in c.pending if not e.responded]
+        """Report every request whose response has not been sent; returns their number."""
+        owed = [exchange for connection in self.connections for exchange in connection.pending]
         for exchange in owed:
             self.on_unanswered(exchange, closed_by)
         return len(owed)
@@ -167,10 +170,11 @@
         self._parser = httptools.HttpRequestParser(self)
         self._last_active_at = server.clock.monotonic()
         self._receiving_since: float | None = None  # arrival of the first byte of a request
-        self._last_request_read = False  # whether the next response closes the connection
+        self._last_request_read = False  # whether later requests on the connection are ignored
         self._reading_paused = False
         self._writing_paused = False
-        self._linger_until: float | None = None  # monotonic seconds, once output has ended
+        self._linger: Linger | None = None  # once the output has ended
+        self._output_progress = OutputProgress(server.clock.monotonic())
         self._reset_message()
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
@@ -180,12 +184,14 @@
 
     def data_received(self, data: bytes) -> None:
         """Parse received bytes; malformed input is rejected and closes the connection."""
+        if self._linger is not None:
+            self._linger.record_input(self.server.clock.monotonic())
         if self._last_request_read:
             return
         try:
             self._parser.feed_data(data)
         except httptools.HttpParserUpgrade:
-            self._reject(400)
+            self._end_after_last_request()
         except httptools.HttpParserError:
             if not self._last_request_read:
                 self._reject(400)
@@ -214,6 +220,8 @@
     def on_header(self, name: bytes, value: bytes) -> None:
         """Add one header field."""
         self._header_bytes += len(name) + len(value) + 4
+        if self._last_request_read:
+            return
         if self._header_bytes > self.server.limits.header_bytes:
             self._reject(431)
             return
@@ -221,7 +229,7 @@
 
     def on_headers_complete(self) -> None:
         """Send `100 Continue` to a caller that expects it."""
-        if self._parser.get_method() in _METHODS_WITHOUT_BODY:
+        if self._last_request_read or self._parser.get_method() in _METHODS_WITHOUT_BODY:
             return
         for name, value in self._headers:
             if name.lower() == b"expect" and value.lower() == b"100-continue":
@@ -289,7 +297,7 @@
         if closed_by_caller:
             transport.close()
             return
-        self._linger_until = self.server.clock.monotonic() + LINGER_TIME
+        self._linger = Linger(self.server.clock.monotonic())
         transport.write_eof()
         self._update_reading()
 
@@ -304,12 +312,17 @@
         self._update_reading()
 
     def enforce_timeouts(self, now: float) -> None:
-        """Reject a request that takes too long to arrive; close an idle connection."""
-        if self._linger_until is not None:
-            if now > self._linger_until and not self.unsent_bytes:
-                self._transport.close()
+        """Reject a request that takes too long to arrive; close an idle or stalled connection."""
+        limits, transport = self.server.limits, self._transport
+        if transport is None:
+            return
+        if self._output_progress.stalled_for(self.unsent_bytes, now) > limits.idle_timeout:
+            transport.abort()
+            return
+        if self._linger is not None:
+            if self._linger.is_over(now) and not self.unsent_bytes:
+                transport.close()
             return
-        limits = self.server.limits
         if self._receiving_since is not None and not self.pending:
             if now - self._receiving_since > limits.header_timeout and not self._last_request_read:
                 self._reject(408)
@@ -330,13 +343,19 @@
         self.pending.append(exchange)
         exchange.respond(status, b"", b"")
 
+    def _end_after_last_request(self) -> None:
+        """Read nothing more, and close the connection with the response to the last request."""
+        self._last_request_read = True
+        if self.pending:
+            self.pending[-1].last = True
+        elif self._transport is not None and not self._transport.is_closing():
+            self._close_after_response(self._transport, closed_by_caller=False)
+
     def _cancel_pending(self, closed_by: ClosedBy) -> None:
         pending, self.pending = self.pending, deque()
         for exchange in pending:
-            if exchange.responded:
-                continue
             self.server.on_unanswered(exchange, closed_by)
-            if exchange.on_cancel is not None:
+            if not exchange.responded and exchange.on_cancel is not None:
                 exchange.on_cancel()
 
     def _update_reading(self) -> None:
@@ -348,7 +367,7 @@
         if transport is None or transport.is_closing():
             return
         limited = self._writing_paused or len(self.pending) >= MAX_PIPELINED
-        pause = limited and self._linger_until is None
+        pause = limited and self._linger is None
         if pause == self._reading_paused:
             return
         self._reading_paused = pause
