--- /dev/null
+++ b/tests/test_process_signals.py
@@ -0,0 +1,27 @@
+"""Signals and failures at the start and the end of a real node process on the platform."""
+
+import signal
+
+import pytest
+
+from tests.process_builders import PlatformProcess
+
+pytestmark = pytest.mark.process
+
+
+def test_a_change_of_settings_during_the_imports_does_not_end_the_process(tmp_path):
+    with PlatformProcess(tmp_path, gated=True) as node:
+        node.send_while_importing(signal.SIGHUP)
+        node.connect().close()
+        node.wait_for_log("STARTED")
+        node.process.send_signal(signal.SIGHUP)
+        node.wait_for_log("SETTINGS_CHANGED")
+        node.process.terminate()
+        assert node.wait_ended() == 0
+
+
+def test_a_stop_during_the_imports_ends_the_process_at_once(tmp_path):
+    with PlatformProcess(tmp_path, gated=True) as node:
+        node.send_while_importing(signal.SIGTERM)
+        assert node.wait_ended() == -signal.SIGTERM
+        assert "DRAIN_BEGUN" not in node.log
