--- a/tests/test_process_signals.py
+++ b/tests/test_process_signals.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from tests.process_builders import PlatformProcess
+from tests.process_builders import REQUEST, PlatformProcess
 
 pytestmark = pytest.mark.process
 
@@ -25,3 +25,13 @@
         node.send_while_importing(signal.SIGTERM)
         assert node.wait_ended() == -signal.SIGTERM
         assert "DRAIN_BEGUN" not in node.log
+
+
+def test_a_stop_right_after_the_first_connection_answers_its_request(tmp_path):
+    with PlatformProcess(tmp_path) as node, node.connect() as caller:
+        node.process.terminate()
+        caller.sendall(REQUEST)
+        answer = caller.recv(1 << 16)
+        assert answer.startswith(b"HTTP/1.1 503"), node.log
+        assert node.wait_ended() == 0
+        assert "DRAIN_ENDED" in node.log
