An interrupt drains the node like SIGTERM

Callers saw: all connections closed at once, as the process ended without a drain. Cause: SIGINT had no handler of its own; the one of asyncio.Runner cancels the main task.

--- a/tests/process_builders.py
+++ b/tests/process_builders.py
@@ -30,19 +30,30 @@
 import {GATED_MODULE}
 """
 
+FAILURE = "RuntimeError('a fault of the test')"
+FAILING_STEP_SOURCE = f"""
+from thorntray_node.mesh_node import MeshNode
+async def fail(*_):
+    raise {FAILURE}
+MeshNode.{{step}} = fail
+"""
+
 
 class PlatformProcess:
     """A node process; use as a context manager, which kills the process at its end.
 
-    `patch` is Python source that runs before the node's modules are imported. With `gated`, the
-    process waits during its imports until `open_gate` is called.
+    With `gated`, the process waits during its imports for `send_while_importing`. With `piped`, its
+    stdout is a pipe. `failing_step` names a method of `MeshNode` that raises `FAILURE`.
     """
 
-    def __init__(self, folder: Path, gated: bool = False, patch: str = "") -> None:
+    def __init__(
+        self, folder: Path, gated: bool = False, piped: bool = False, failing_step: str = ""
+    ) -> None:
         fleet = MeshFleet([], {}, Random(0))
         self._node = NodeProcess("single-1", "single", "kalimati", 1)
         self._host = fleet._address(1, 1)
         self._folder = folder
+        self._piped = piped
         self._gate = folder / "gate"
         settings = folder / "boot.toml"
         settings.write_text(fleet._settings(self._node), "utf-8")
@@ -51,8 +62,9 @@
         if gated:
             os.mkfifo(self._gate)
             (modules / f"{GATED_MODULE}.py").write_text(GATE_SOURCE, "utf-8")
-        if patch:
-            (modules / "sitecustomize.py").write_text(patch, "utf-8")
+        if failing_step:
+            source = FAILING_STEP_SOURCE.format(step=failing_step)
+            (modules / "sitecustomize.py").write_text(source, "utf-8")
         paths = [str(modules), *(str(ROOT / path) for path in PACKAGES)]
         self._env = {
             **os.environ,
@@ -71,12 +83,12 @@
             self.process.kill()
         self.process.wait()
 
-    def start(self, stdout: int | None = None) -> None:
-        """Start the process; its output goes to a file, or its stdout to `stdout`."""
+    def start(self) -> None:
+        """Start the process; unless it is piped, its output goes to the log."""
         with (self._folder / "node.log").open("ab") as log:
             self.process = subprocess.Popen(
                 [sys.executable, str(ROOT / "platform/run.py")],
-                stdout=log if stdout is None else stdout,
+                stdout=subprocess.PIPE if self._piped else log,
                 stderr=log,
                 env=self._env,
                 cwd=ROOT,
--- a/tests/test_process_signals.py
+++ b/tests/test_process_signals.py
@@ -35,3 +35,13 @@
         assert answer.startswith(b"HTTP/1.1 503"), node.log
         assert node.wait_ended() == 0
         assert "DRAIN_ENDED" in node.log
+
+
+def test_an_interrupt_drains_like_a_stop(tmp_path):
+    with PlatformProcess(tmp_path) as node, node.connect() as caller:
+        node.wait_for_log("STARTED")
+        node.process.send_signal(signal.SIGINT)
+        caller.sendall(REQUEST)
+        assert caller.recv(1 << 16).startswith(b"HTTP/1.1 503")
+        assert node.wait_ended() == 0
+        assert "DRAIN_ENDED" in node.log
