Further signals until the exit do not change how a stop ends

Callers saw: nothing; the platform saw a stop that had ended in order as one ended by a signal. Cause: uvloop restores the default actions when the event loop closes. A SIGTERM or SIGHUP between that and the exit ended the process, before the rest of its log was written. Evidence: on the old code, test_further_signals_until_the_exit_do_not_shorten_a_stop failed with "assert -15 == 0" (the exit code). Ruled out: a second SIGTERM shortening the stop. It sets an event that is set already; the test sends one each millisecond and checks that the stop lasts READINESS_PROPAGATION_DELAY at least.

--- a/tests/test_process_signals.py
+++ b/tests/test_process_signals.py
@@ -1,10 +1,16 @@
 """Signals and failures at the start and the end of a real node process on the platform."""
 
+import json
+import logging
+import os
 import signal
+import time
 
 import pytest
 
-from tests.process_builders import REQUEST, PlatformProcess
+from tests.process_builders import FAILURE, POLL_PERIOD, REQUEST, STOP_TIMEOUT, PlatformProcess
+from thorntray.internal.telemetry.log_output import FLUSH_PERIOD, LogOutput
+from thorntray_node.mesh_node import READINESS_PROPAGATION_DELAY
 
 pytestmark = pytest.mark.process
 
@@ -45,3 +51,16 @@
         assert caller.recv(1 << 16).startswith(b"HTTP/1.1 503")
         assert node.wait_ended() == 0
         assert "DRAIN_ENDED" in node.log
+
+
+def test_further_signals_until_the_exit_do_not_shorten_a_stop(tmp_path):
+    with PlatformProcess(tmp_path) as node:
+        node.connect().close()
+        node.wait_for_log("STARTED")
+        began = time.monotonic()
+        while node.process.poll() is None and time.monotonic() - began < STOP_TIMEOUT:
+            node.process.terminate()
+            node.process.send_signal(signal.SIGHUP)
+            time.sleep(POLL_PERIOD)
+        assert node.wait_ended() == 0
+        assert time.monotonic() - began >= READINESS_PROPAGATION_DELAY
