A log that cannot be written ends neither the log for good nor the node's stop

Callers saw: nothing; the platform saw exit code 1 after a stop in order, and no log any more. Cause: the first failing os.write (EPIPE, a full disk) ended the task that writes the log, without a line, and was raised again by the last write before the exit. Evidence: on the old code, test_a_log_whose_reader_has_gone_ends_neither_the_node_nor_its_stop failed with "assert 1 == 0" (the exit code), and test_a_line_that_cannot_be_written_is_counted_as_dropped with "BrokenPipeError: [Errno 32]". Fix: the lines are counted as dropped, which LOG_LINES_DROPPED and the metric report, and the next write tries again. Ruled out: the failing write ending the node while it serves. The request after it was answered on the old code too.

--- a/packages/thorntray/src/thorntray/internal/telemetry/log_output.py
+++ b/packages/thorntray/src/thorntray/internal/telemetry/log_output.py
@@ -54,11 +54,19 @@
                 self._report_dropped()
 
     def flush_ready(self) -> None:
-        """Write as many buffered lines as possible without blocking."""
+        """Write as many buffered lines as possible without blocking.
+
+        Lines that cannot be written are counted as dropped.
+        """
         for _ in range(MAX_WRITES_PER_FLUSH):
             if not self._lines or not self._poll.poll(0):
                 return
-            os.write(self._descriptor, self._next_chunk())
+            chunk = self._next_chunk()
+            try:
+                os.write(self._descriptor, chunk)
+            except OSError:  # the reader has gone, or the disk is full
+                self.dropped += chunk.count(b"\n")
+                return
 
     def _next_chunk(self) -> bytes:
         chunk = [self._lines.popleft()]
--- a/tests/test_process_signals.py
+++ b/tests/test_process_signals.py
@@ -64,3 +64,24 @@
             time.sleep(POLL_PERIOD)
         assert node.wait_ended() == 0
         assert time.monotonic() - began >= READINESS_PROPAGATION_DELAY
+
+
+def test_a_log_whose_reader_has_gone_ends_neither_the_node_nor_its_stop(tmp_path):
+    with PlatformProcess(tmp_path, piped=True) as node, node.connect() as caller:
+        node.process.stdout.close()
+        node.process.send_signal(signal.SIGHUP)  # writes a line to the closed pipe
+        time.sleep(4 * FLUSH_PERIOD)
+        caller.sendall(REQUEST)
+        assert caller.recv(1 << 16).startswith(b"HTTP/1.1 503")
+        node.process.terminate()
+        assert node.wait_ended() == 0
+
+
+def test_a_line_that_cannot_be_written_is_counted_as_dropped():
+    reader, writer = os.pipe()
+    output = LogOutput(writer)
+    output.emit(logging.LogRecord("any", logging.INFO, "", 0, "a line", (), None))
+    os.close(reader)
+    output.flush_ready()
+    os.close(writer)
+    assert output.dropped == 1
