A failing start or stop of the node is logged, with all lines before it

Callers saw: nothing but the end of the node; the operators saw a log without its last lines. Cause: an exception of node.start() or node.stop() left the process with a traceback on stderr only, and the buffered log lines were not written. Fix: event 115 NODE_FAILED names the step and the exception, which still ends the process with its traceback and exit code 1; the log is written in any case. Ruled out: a process that hangs after it. Both cases end by themselves on the old code too.

--- a/packages/thorntray/src/thorntray/internal/telemetry/events.py
+++ b/packages/thorntray/src/thorntray/internal/telemetry/events.py
@@ -45,6 +45,7 @@
     METRICS_NOT_SERVED = EventKind(106, Level.WARNING, "metrics not served")
     LOG_LINES_DROPPED = EventKind(107, Level.WARNING, "log lines dropped")
     LIBRARY = EventKind(108, Level.WARNING, "library log message")
+    NODE_FAILED = EventKind(115, Level.ERROR, "node failed at its start or stop")
     DUMP_WRITTEN = EventKind(104, Level.INFO, "state dump")
     INSTANCE_REGISTERED = EventKind(110, Level.INFO, "upstream instance registered")
     INSTANCE_LEFT = EventKind(111, Level.INFO, "upstream instance left")
--- a/tests/test_process_signals.py
+++ b/tests/test_process_signals.py
@@ -85,3 +85,14 @@
     output.flush_ready()
     os.close(writer)
     assert output.dropped == 1
+
+
+@pytest.mark.parametrize("step", ["start", "stop"])
+def test_a_failing_start_or_stop_ends_the_process_with_a_log_line(tmp_path, step):
+    with PlatformProcess(tmp_path, failing_step=step) as node:
+        if step == "stop":
+            node.connect().close()
+            node.process.terminate()
+        assert node.wait_ended() == 1
+        failures = [json.loads(line) for line in node.log.splitlines() if "NODE_FAILED" in line]
+        assert [(row["step"], row["detail"]) for row in failures] == [(step, FAILURE)]
