The stand-in fleet runs the packages of its own working copy

Cause: the processes of a Fleet found thorntray only where it is installed. In a clone that shares an environment with another one they ran the other one's code, and the tests of this clone passed or failed by it. Fix: PYTHONPATH names the packages beside the stand-ins, as MeshFleet does.

--- a/standins/fleet.py
+++ b/standins/fleet.py
@@ -21,6 +21,7 @@
 from typing import Any, Self
 
 ROOT = Path(__file__).resolve().parent.parent
+PACKAGES = ("packages/thorntray/src", "packages/thorntray-node/src", "packages/thorntrayctl/src")
 START_TIMEOUT = 60.0  # seconds; default timeout of `wait_for`
 HOST = "127.0.0.1"
 
@@ -230,7 +231,8 @@
 
     def _start(self, name: str, *args: object) -> subprocess.Popen:
         log = (self.folder / f"{name}.log").open("ab")
-        env = {**os.environ, "PYTHONPATH": str(ROOT), "PYTHONUNBUFFERED": "1"}
+        paths = os.pathsep.join(str(ROOT / path) for path in (".", *PACKAGES))
+        env = {**os.environ, "PYTHONPATH": paths, "PYTHONUNBUFFERED": "1"}
         process = subprocess.Popen(
             [sys.executable, *map(str, args)], stdout=log, stderr=log, env=env, cwd=self.folder
         )
