A stop during a drain waits for the drain

Callers saw: a payout at a node that was drained by request and then stopped ended as unknown. Cause: a second call of Node.drain() returned at once, so SIGTERM after POST /thorntray/drain closed the connections of peers that were owed results, and the upstream connections under their requests. Evidence: on the old code, test_a_stop_during_a_drain_waits_for_the_payout_owed_to_a_peer failed with "assert (504, 'unknown') == (200, 'done')". Fix: later calls wait for the end of the first drain, which is bounded by drain_limit. Ruled out by tests that pass on the old code: a result owed to a peer at the limit leaves its caller waiting (it gets unknown); a slow reader loses its answer; a request on a kept connection between the end of the drain and the closing is not answered.

--- a/packages/thorntray-node/src/thorntray_node/node.py
+++ b/packages/thorntray-node/src/thorntray_node/node.py
@@ -42,13 +42,13 @@
         self.session = rng.randbytes(SESSION_BYTES)
         self.metrics = Metrics()
         self.started_at = clock.time()
-        self.draining = False
         self._was_shedding = False
         self._last_limit = 0
         self.holder = SettingsHolder(cfg.team_keys, self._settings_changed)
         self.instance = Instance(clock, self._instance_changed)
         self.links = PeerLinks(clock)
         self._tasks = BackgroundTasks()
+        self._drain: asyncio.Future[None] | None = None
 
     @classmethod
     def from_config(cls, cfg: NodeConfig) -> Self:
@@ -191,14 +191,21 @@
 
     # Drain and stop.
 
+    @property
+    def draining(self) -> bool:
+        """Return whether a drain has begun; it does not end before the process."""
+        return self._drain is not None
+
     async def drain(self) -> None:
         """Refuse new requests, announce the drain, and wait for the running requests.
 
-        The wait ends at `drain_limit`. Later calls return at once.
+        The wait ends at `drain_limit`. Later calls wait for the end of the first one.
         """
-        if self.draining:
-            return
-        self.draining = True
+        if self._drain is None:
+            self._drain = asyncio.ensure_future(self._run_drain())
+        await asyncio.shield(self._drain)
+
+    async def _run_drain(self) -> None:
         began = time.monotonic()
         log_event(Event.DRAIN_BEGUN, active=self.traffic.inbound.active)
         self.instance.drain_node()
--- /dev/null
+++ b/tests/test_node_stops.py
@@ -0,0 +1,90 @@
+"""Planned stops of a node with an INI file: every request that it has taken gets its answer."""
+
+import time
+from concurrent.futures import ThreadPoolExecutor
+
+import pytest
+
+from standins.fleet import http, wait_for
+from tests.stop_fleet import (
+    DRAIN_LIMIT,
+    LONG_DEADLINE,
+    LOOKUP_PATH,
+    StopFleet,
+    connect,
+    pay,
+    read_answer,
+    request_bytes,
+    request_grant,
+    running,
+)
+
+pytestmark = pytest.mark.process
+EXIT_TIMEOUT = 2 * DRAIN_LIMIT + 10  # seconds
+
+
+@pytest.fixture(scope="module")
+def fleet():
+    with StopFleet() as fleet:
+        fleet.start()
+        yield fleet
+
+
+@pytest.fixture(autouse=True)
+def restart_the_stopped_node(fleet):
+    yield
+    fleet.stopping.node.kill()
+    fleet.stopping.node.wait()
+    fleet.restart()
+
+
+def in_background(function, *args):
+    return ThreadPoolExecutor(1).submit(function, *args)
+
+
+def lookup(query="", **headers):
+    return request_bytes("GET", LOOKUP_PATH + query, {**LONG_DEADLINE, **headers})
+
+
+def test_a_stop_during_a_drain_waits_for_the_payout_owed_to_a_peer(fleet):
+    grant = request_grant(fleet.other, fleet.stopping)
+    payout = in_background(pay, fleet.other, grant, "?time=2")
+    wait_for("the payout to run", lambda: running(fleet.stopping))
+    http("POST", f"{fleet.stopping.url}/thorntray/drain")
+    fleet.stopping.node.terminate()
+    assert payout.result() == (200, "done")
+    assert fleet.stopping.node.wait(EXIT_TIMEOUT) == 0
+
+
+def test_a_caller_of_a_peer_gets_an_outcome_when_the_owner_stops_before_the_result(fleet):
+    grant = request_grant(fleet.other, fleet.stopping)
+    payout = in_background(pay, fleet.other, grant, "?time=60")
+    wait_for("the payout to run", lambda: running(fleet.stopping))
+    fleet.stopping.node.terminate()
+    assert payout.result() == (504, "unknown")
+    assert fleet.stopping.node.wait(EXIT_TIMEOUT) == 0
+
+
+def test_a_slow_reader_gets_its_whole_answer_from_a_stopping_node(fleet):
+    size = 4_000_000
+    with connect(fleet.stopping) as caller:
+        caller.sendall(lookup(f"?size={size}"))
+        time.sleep(0.5)
+        fleet.stopping.node.terminate()
+        time.sleep(DRAIN_LIMIT / 2 + 2)
+        status, _, body = read_answer(caller.makefile("rb"))
+        assert (status, len(body)) == (200, size)
+        assert fleet.stopping.node.wait(EXIT_TIMEOUT) == 0
+
+
+def test_a_request_on_a_kept_connection_after_the_drain_is_answered(fleet):
+    with connect(fleet.stopping) as caller:
+        caller.sendall(lookup())
+        assert read_answer(caller.makefile("rb"))[0] == 200
+        fleet.stopping.node.terminate()
+        log = fleet.log_file(fleet.stopping)
+        ended = log.read_text("utf-8").count("graceful stop ended")
+        wait_for("the drain", lambda: log.read_text("utf-8").count("graceful stop ended") > ended)
+        caller.sendall(lookup())
+        assert read_answer(caller.makefile("rb"))[0] == 200
+        assert fleet.stopping.node.wait(EXIT_TIMEOUT) == 0
