A request that outlasts the stop of a node is answered with its outcome

Callers saw: 500 "Internal Server Error" without an outcome, up to drain_limit after the drain had reached its limit, so a stop could last twice as long as drain_limit. Cause: uvicorn cancels the requests that are left at its own time limit, which began after the drain, and answers a cancelled request with 500. Evidence: on the old code, test_a_request_that_outlasts_the_stop_is_answered_as_unknown failed with "assert (500, '') == (504, 'unknown')", and test_a_request_whose_body_is_incomplete_at_the_end_of_a_stop_is_answered_as_not_run with "assert (500, '') == (503, 'not-run')". Fix: a cancelled request is answered with unknown, or with not-run if its body has not arrived; a caller that has gone is told apart by an exception of its own. uvicorn gets what is left of drain_limit, at least MIN_CLOSE_TIME.

--- a/packages/thorntray-node/src/thorntray_node/http.py
+++ b/packages/thorntray-node/src/thorntray_node/http.py
@@ -6,7 +6,7 @@
 
 import asyncio
 import contextlib
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Mapping
 from typing import Any
 
 import msgspec
@@ -16,9 +16,13 @@
 from starlette.responses import JSONResponse, Response
 from starlette.routing import Route
 
-from thorntray.internal.request.http_answer import HttpAnswer, http_answer
-from thorntray.internal.request.ingress import MAX_BODY_BYTES, IncomingRequest
-from thorntray.internal.request.outcome import NotRun, Reason
+from thorntray.internal.request.http_answer import REQUEST_ID_HEADER, HttpAnswer, http_answer
+from thorntray.internal.request.ingress import (
+    MAX_BODY_BYTES,
+    MAX_REQUEST_ID_LENGTH,
+    IncomingRequest,
+)
+from thorntray.internal.request.outcome import NotRun, Reason, Unknown
 from thorntray_node.dump import state_dump
 from thorntray_node.node import Node
 
@@ -28,12 +32,18 @@
 OVERLOAD_RETRY_AFTER = 0.5  # seconds
 MAX_HINT_BYTES = 4096
 CALL_PREFIX = "/call/"
+NOT_RECEIVED_DETAIL = "this node stops and has not received the whole request; use another node"
+NOT_FINISHED_DETAIL = "this node stops and the request has not ended; check before you repeat it"
 
 Receive = Callable[[], Awaitable[dict[str, Any]]]
 Send = Callable[[dict[str, Any]], Awaitable[None]]
 Scope = dict[str, Any]
 
 
+class CallerGone(Exception):
+    """Raised when the caller disconnects before it has sent its whole request."""
+
+
 class CallEndpoint:
     """ASGI endpoint for callers' requests: `/call/SERVICE/PATH` with any method."""
 
@@ -52,7 +62,14 @@
             if refusal is not None:
                 await self._send(send, self._refusal_answer(refusal, headers))
                 return
-            body = await _read_body(receive)
+            try:
+                body = await _read_body(receive)
+            except CallerGone:
+                return
+            except asyncio.CancelledError:  # the server's time limit for its stop
+                stopping = NotRun(Reason.DRAINING, OVERLOAD_RETRY_AFTER, NOT_RECEIVED_DETAIL)
+                await self._send(send, self._refusal_answer(stopping, headers))
+                return
             if body is None:
                 await self._send(send, self._refusal_answer(NotRun(Reason.BODY_TOO_LARGE), headers))
                 return
@@ -74,6 +91,9 @@
             if handler.cancelled():
                 return
             answer = handler.result()
+        except asyncio.CancelledError:  # the server's time limit for its stop
+            outcome = Unknown(NOT_FINISHED_DETAIL)
+            answer = http_answer(outcome, _request_id(req.headers), self._node.rng, False)
         finally:
             disconnect.cancel()
             handler.cancel()
@@ -93,8 +113,7 @@
 
     def _refusal_answer(self, refusal: NotRun, headers: dict[str, str]) -> HttpAnswer:
         not_run_proven = "thorntray-grant" not in headers
-        request_id = headers.get("thorntray-request-id", "")[:64]
-        return http_answer(refusal, request_id, self._node.rng, not_run_proven)
+        return http_answer(refusal, _request_id(headers), self._node.rng, not_run_proven)
 
     async def _send(self, send: Send, answer: HttpAnswer) -> None:
         headers = [(k.encode("latin-1"), v.encode("latin-1")) for k, v in answer.headers]
@@ -106,17 +125,21 @@
         await send({"type": "http.response.body", "body": answer.body})
 
 
+def _request_id(headers: Mapping[str, str]) -> str:
+    return headers.get(REQUEST_ID_HEADER, "")[:MAX_REQUEST_ID_LENGTH]
+
+
 async def _read_body(receive: Receive) -> bytes | None:
     """Return the body, or None if it is larger than `MAX_BODY_BYTES`.
 
-    Raises `CancelledError` if the caller disconnects first.
+    Raises `CallerGone` if the caller disconnects first.
     """
     chunks: list[bytes] = []
     size = 0
     while True:
         message = await receive()
         if message["type"] == "http.disconnect":
-            raise asyncio.CancelledError
+            raise CallerGone("the caller has disconnected; nobody waits for this request")
         chunk = message.get("body", b"")
         size += len(chunk)
         if size > MAX_BODY_BYTES:
@@ -252,6 +275,6 @@
         date_header=False,
         limit_concurrency=MAX_CONNECTIONS,
         timeout_keep_alive=75,
-        timeout_graceful_shutdown=int(node.cfg.drain_limit),
+        timeout_graceful_shutdown=None,  # set at the stop, to what is left of `drain_limit`
     )
     return _Server(config)
--- a/packages/thorntray-node/src/thorntray_node/main.py
+++ b/packages/thorntray-node/src/thorntray_node/main.py
@@ -28,6 +28,7 @@
 EXIT_CANNOT_BIND = 3
 HTTP_BACKLOG = 1024  # connections waiting to be accepted
 CONNECTION_CLOSE_DELAY = 0.5  # seconds that open connections are served during the stop
+MIN_CLOSE_TIME = 1.0  # seconds in which answers are sent after `drain_limit`
 
 _CONFIG = flags.DEFINE_string("config", None, "Settings file of this node (INI).", required=True)
 _CHECK = flags.DEFINE_bool("check", False, "Check the settings file and exit.")
@@ -84,8 +85,10 @@
     await asyncio.wait({serving, asyncio.create_task(stop.wait())}, return_when="FIRST_COMPLETED")
     if serving.done():
         return EXIT_CANNOT_BIND
+    stop_at = loop.time() + cfg.drain_limit
     await node.drain()
     await _stop_accepting_callers(server)
+    server.config.timeout_graceful_shutdown = max(MIN_CLOSE_TIME, stop_at - loop.time())
     server.should_exit = True
     await serving
     await node.stop()
--- a/tests/test_node_stops.py
+++ b/tests/test_node_stops.py
@@ -12,6 +12,7 @@
     LOOKUP_PATH,
     StopFleet,
     connect,
+    outcome,
     pay,
     read_answer,
     request_bytes,
@@ -56,6 +57,26 @@
     assert fleet.stopping.node.wait(EXIT_TIMEOUT) == 0
 
 
+def test_a_request_that_outlasts_the_stop_is_answered_as_unknown(fleet):
+    with connect(fleet.stopping) as caller:
+        caller.sendall(lookup("?time=60"))
+        wait_for("the lookup to run", lambda: running(fleet.haul))
+        began = time.monotonic()
+        fleet.stopping.node.terminate()
+        assert outcome(read_answer(caller.makefile("rb"))) == (504, "unknown")
+        assert fleet.stopping.node.wait(EXIT_TIMEOUT) == 0
+        assert time.monotonic() - began < DRAIN_LIMIT + 4
+
+
+def test_a_request_whose_body_is_incomplete_at_the_end_of_a_stop_is_answered_as_not_run(fleet):
+    with connect(fleet.stopping) as caller:
+        caller.sendall(lookup(**{"content-length": "10"}) + b"half")
+        time.sleep(0.2)
+        fleet.stopping.node.terminate()
+        assert outcome(read_answer(caller.makefile("rb"))) == (503, "not-run")
+        assert fleet.stopping.node.wait(EXIT_TIMEOUT) == 0
+
+
 def test_a_caller_of_a_peer_gets_an_outcome_when_the_owner_stops_before_the_result(fleet):
     grant = request_grant(fleet.other, fleet.stopping)
     payout = in_background(pay, fleet.other, grant, "?time=60")
