Requests that a caller pipelines at a stopping node are all answered

Callers saw: with two requests sent on one connection, the second got no answer during a drain. Cause: a stopping node sends "Connection: close" with each answer, and uvicorn closes the connection after it, with the requests that it has read and queued behind it. Evidence: on the old code, test_requests_pipelined_at_a_stopping_node_are_all_answered failed with "EOFError: the connection ended before an answer: b''". Fix: the protocol tells the application whether requests are queued on the connection, and only the last answer closes it. The requests run one after the other, as before. Ruled out: the answer before the closing being lost by a reset. The test reads 1 MB for each, late.

--- a/packages/thorntray-node/src/thorntray_node/http.py
+++ b/packages/thorntray-node/src/thorntray_node/http.py
@@ -15,6 +15,7 @@
 from starlette.requests import Request
 from starlette.responses import JSONResponse, Response
 from starlette.routing import Route
+from uvicorn.protocols.http.httptools_impl import HttpToolsProtocol
 
 from thorntray.internal.request.http_answer import REQUEST_ID_HEADER, HttpAnswer, http_answer
 from thorntray.internal.request.ingress import (
@@ -32,6 +33,7 @@
 OVERLOAD_RETRY_AFTER = 0.5  # seconds
 MAX_HINT_BYTES = 4096
 CALL_PREFIX = "/call/"
+PIPELINED = "thorntray.pipelined"  # ASGI extension
 NOT_RECEIVED_DETAIL = "this node stops and has not received the whole request; use another node"
 NOT_FINISHED_DETAIL = "this node stops and the request has not ended; check before you repeat it"
 
@@ -55,32 +57,35 @@
     async def __call__(self, scope: Scope, receive: Receive, send: Send) -> None:
         """Handle one request (ASGI)."""
         self._active += 1
-        buffered_bytes = 0
         try:
-            headers = {k.decode("latin-1"): v.decode("latin-1") for k, v in scope["headers"]}
-            refusal = self._refusal(headers)
-            if refusal is not None:
-                await self._send(send, self._refusal_answer(refusal, headers))
-                return
-            try:
-                body = await _read_body(receive)
-            except CallerGone:
-                return
-            except asyncio.CancelledError:  # the server's time limit for its stop
-                stopping = NotRun(Reason.DRAINING, OVERLOAD_RETRY_AFTER, NOT_RECEIVED_DETAIL)
-                await self._send(send, self._refusal_answer(stopping, headers))
-                return
-            if body is None:
-                await self._send(send, self._refusal_answer(NotRun(Reason.BODY_TOO_LARGE), headers))
-                return
-            buffered_bytes = len(body)
-            self._body_bytes += buffered_bytes
-            await self._handle(_incoming(scope, headers, body), receive, send)
+            answer = await self._answer(scope, receive)
+            if answer is not None:
+                await self._send(scope, send, answer)
         finally:
             self._active -= 1
-            self._body_bytes -= buffered_bytes
 
-    async def _handle(self, req: IncomingRequest, receive: Receive, send: Send) -> None:
+    async def _answer(self, scope: Scope, receive: Receive) -> HttpAnswer | None:
+        """Return the answer to a request, or None if its caller has disconnected."""
+        headers = {k.decode("latin-1"): v.decode("latin-1") for k, v in scope["headers"]}
+        refusal = self._refusal(headers)
+        if refusal is not None:
+            return self._refusal_answer(refusal, headers)
+        try:
+            body = await _read_body(receive)
+        except CallerGone:
+            return None
+        except asyncio.CancelledError:  # the server's time limit for its stop
+            stopping = NotRun(Reason.DRAINING, OVERLOAD_RETRY_AFTER, NOT_RECEIVED_DETAIL)
+            return self._refusal_answer(stopping, headers)
+        if body is None:
+            return self._refusal_answer(NotRun(Reason.BODY_TOO_LARGE), headers)
+        self._body_bytes += len(body)
+        try:
+            return await self._handle(_incoming(scope, headers, body), receive)
+        finally:
+            self._body_bytes -= len(body)
+
+    async def _handle(self, req: IncomingRequest, receive: Receive) -> HttpAnswer | None:
         handler = asyncio.ensure_future(self._node.traffic.ingress.handle(req))
         disconnect = asyncio.ensure_future(_disconnected(receive))
         try:
@@ -89,7 +94,7 @@
                 handler.cancel()  # the caller has disconnected
                 await asyncio.wait({handler})
             if handler.cancelled():
-                return
+                return None
             answer = handler.result()
         except asyncio.CancelledError:  # the server's time limit for its stop
             outcome = Unknown(NOT_FINISHED_DETAIL)
@@ -98,7 +103,7 @@
             disconnect.cancel()
             handler.cancel()
         self._node.metrics.count(f"ingress.{dict(answer.headers)['thorntray-outcome']}")
-        await self._send(send, answer)
+        return answer
 
     def _refusal(self, headers: dict[str, str]) -> NotRun | None:
         length = headers.get("content-length", "0")
@@ -115,10 +120,11 @@
         not_run_proven = "thorntray-grant" not in headers
         return http_answer(refusal, _request_id(headers), self._node.rng, not_run_proven)
 
-    async def _send(self, send: Send, answer: HttpAnswer) -> None:
+    async def _send(self, scope: Scope, send: Send, answer: HttpAnswer) -> None:
         headers = [(k.encode("latin-1"), v.encode("latin-1")) for k, v in answer.headers]
         headers.append((b"content-length", str(len(answer.body)).encode()))
-        if self._node.draining:
+        pipelined = scope["extensions"][PIPELINED]
+        if self._node.draining and not pipelined():  # closing would drop the pipelined requests
             headers.append((b"connection", b"close"))
         start = {"type": "http.response.start", "status": answer.status, "headers": headers}
         await send(start)
@@ -236,6 +242,15 @@
         return JSONResponse({"error": "not registered; register first"}, status_code=409)
 
 
+class _Protocol(HttpToolsProtocol):
+    """uvicorn's protocol; tells the application whether pipelined requests are waiting."""
+
+    def on_headers_complete(self) -> None:
+        """Add the function `thorntray.pipelined` to the scope of a request."""
+        self.scope["extensions"] = {PIPELINED: lambda: bool(self.pipeline)}
+        super().on_headers_complete()
+
+
 class _Server(uvicorn.Server):
     """A uvicorn server that leaves signal handling to the node."""
 
@@ -264,7 +279,7 @@
         make_app(node),
         host=node.cfg.address,
         port=node.cfg.http_port,
-        http="httptools",
+        http=_Protocol,
         loop="none",
         ws="none",
         lifespan="off",
--- a/tests/test_node_stops.py
+++ b/tests/test_node_stops.py
@@ -98,6 +98,19 @@
         assert fleet.stopping.node.wait(EXIT_TIMEOUT) == 0
 
 
+def test_requests_pipelined_at_a_stopping_node_are_all_answered(fleet):
+    size = 1_000_000
+    with connect(fleet.stopping) as caller:
+        fleet.stopping.node.terminate()
+        time.sleep(0.5)
+        caller.sendall(lookup(f"?size={size}&time=0.3") + lookup(f"?size={size}"))
+        time.sleep(1)
+        reader = caller.makefile("rb")
+        answers = [read_answer(reader) for _ in range(2)]
+        assert [(status, len(body)) for status, _, body in answers] == [(200, size)] * 2
+        assert fleet.stopping.node.wait(EXIT_TIMEOUT) == 0
+
+
 def test_a_request_on_a_kept_connection_after_the_drain_is_answered(fleet):
     with connect(fleet.stopping) as caller:
         caller.sendall(lookup())
