Several large bodies at once no longer end the connection between two nodes

Callers saw: requests that waited for a peer ended as unknown when three bodies of 4 MB, of requests or of answers, were to be sent to one peer at the same time. Cause: a connection with more than 8 MB of unsent bytes was aborted, even if its peer was reading. A request waits no longer than its own timeout.

--- a/packages/thorntray/src/thorntray/internal/connection/peer.py
+++ b/packages/thorntray/src/thorntray/internal/connection/peer.py
@@ -35,7 +35,8 @@
 IDLE_LIFETIME = 120.0  # seconds without a request after which a connection is closed
 MAX_CONNECTIONS = 2500  # accepted from peers
 MAX_REQUESTS_IN_FLIGHT = 4000  # from all peers together
-WRITE_BUFFER_LIMIT = 8 * 1024 * 1024  # bytes; beyond it the connection is aborted
+WRITE_BUFFER_LIMIT = 8 * 1024 * 1024  # unsent bytes of a connection; beyond it frames wait
+WRITE_TIMEOUT = 10.0  # seconds
 
 Handler = Callable[[Message], Awaitable[Message]]
 
@@ -52,15 +53,41 @@
     return int.from_bytes(frame[:NUMBER_BYTES], "big"), frame[NUMBER_BYTES:]
 
 
-def write_frame(writer: asyncio.StreamWriter, number: int, payload: bytes) -> None:
-    """Write a frame; aborts the connection if the peer does not read."""
-    if writer.is_closing():
-        return
-    length = NUMBER_BYTES + len(payload)
-    head = length.to_bytes(LENGTH_BYTES, "big") + number.to_bytes(NUMBER_BYTES, "big")
-    writer.write(head + payload)
-    if writer.transport.get_write_buffer_size() > WRITE_BUFFER_LIMIT:
-        writer.transport.abort()
+class FrameWriter:
+    """Writes the frames of one connection; a frame waits while many bytes are unsent.
+
+    A connection whose peer reads nothing for `WRITE_TIMEOUT` is aborted.
+    """
+
+    def __init__(self, writer: asyncio.StreamWriter) -> None:
+        self._writer = writer
+        self._lock = asyncio.Lock()
+        writer.transport.set_write_buffer_limits(WRITE_BUFFER_LIMIT)
+
+    async def write(self, number: int, payload: bytes) -> None:
+        """Write a frame; does nothing if the connection ends before."""
+        if self._lock.locked() or self.unsent_bytes > WRITE_BUFFER_LIMIT:
+            await self._wait_for_space()
+        if self._writer.is_closing():
+            return
+        length = NUMBER_BYTES + len(payload)
+        head = length.to_bytes(LENGTH_BYTES, "big") + number.to_bytes(NUMBER_BYTES, "big")
+        self._writer.write(head + payload)
+
+    @property
+    def unsent_bytes(self) -> int:
+        """Return how many written bytes the connection has not sent."""
+        return self._writer.transport.get_write_buffer_size()
+
+    async def _wait_for_space(self) -> None:
+        try:
+            async with self._lock, asyncio.timeout(WRITE_TIMEOUT):
+                await self._writer.drain()
+        except TimeoutError:
+            log_event(Event.LINK_LOST, detail=f"the peer read nothing for {WRITE_TIMEOUT} s")
+            self._writer.transport.abort()
+        except ConnectionError:
+            pass  # the reader of the connection reports its end
 
 
 def _disable_nagle(writer: asyncio.StreamWriter) -> None:
@@ -78,6 +105,7 @@
         self.session = session
         self._reader = reader
         self._writer = writer
+        self._frames = FrameWriter(writer)
         self._last_number = 0
         self._pending_replies: dict[int, asyncio.Future[bytes]] = {}
         self._lost = False
@@ -101,9 +129,9 @@
         number = self._last_number
         reply = asyncio.get_running_loop().create_future()
         self._pending_replies[number] = reply
-        write_frame(self._writer, number, payload)
         try:
             async with asyncio.timeout(timeout):
+                await self._frames.write(number, payload)
                 return await reply
         except TimeoutError:
             raise PeerLost(f"the peer did not answer in {timeout:.3f} s") from None
@@ -236,10 +264,11 @@
         _disable_nagle(writer)
         self._connections.add(writer)
         requests = BackgroundTasks()
+        frames = FrameWriter(writer)
         try:
             while True:
                 number, payload = await read_frame(reader)
-                requests.spawn(self._answer(writer, number, payload))
+                requests.spawn(self._answer(frames, number, payload))
         except BadMessage as exc:
             self._refuse_message(exc)
         except (OSError, EOFError):
@@ -250,8 +279,8 @@
             # The replies can no longer be delivered.
             await requests.stop()
 
-    async def _answer(self, writer: asyncio.StreamWriter, number: int, payload: bytes) -> None:
-        write_frame(writer, number, encode(await self._handle(payload)))
+    async def _answer(self, frames: FrameWriter, number: int, payload: bytes) -> None:
+        await frames.write(number, encode(await self._handle(payload)))
 
     async def _handle(self, payload: bytes) -> Message:
         if self._in_flight >= MAX_REQUESTS_IN_FLIGHT:
--- /dev/null
+++ b/tests/test_peer_frames.py
@@ -0,0 +1,42 @@
+"""Tests over real sockets that no reply between nodes is lost to its size."""
+
+import asyncio
+from random import Random
+
+from standins.fleet import HOST, free_port
+from tests.builders import make_member
+from thorntray.internal.connection.message import Call, body_digest
+from thorntray.internal.connection.peer import PeerLinks, PeerListener
+from thorntray.internal.connection.reply import reply_from_attempt
+from thorntray.internal.process.clock import SystemClock
+from thorntray.internal.request.ingress import MAX_BODY_BYTES
+from thorntray.internal.request.outcome import Answer, AttemptResult, Done
+
+BODY = Random(0).randbytes(MAX_BODY_BYTES)  # cannot be compressed
+REQUEST_TIMEOUT = 10.0  # seconds
+
+
+def make_call(body):
+    return Call(b"", b"a", b"", "s", "r", "PUT", "/", (), body, body_digest(body), 0, 0, 1, 0, 0)
+
+
+async def answer_with_the_largest_body(call):
+    return reply_from_attempt(call.attempt_id, AttemptResult(Done(Answer(200, (), BODY))))
+
+
+def test_concurrent_requests_with_the_largest_bodies_are_all_answered():
+    async def scenario():
+        port = free_port()
+        listener = PeerListener(HOST, port, answer_with_the_largest_body)
+        await listener.start()
+        links = PeerLinks(SystemClock())
+        member = make_member("m", address=HOST, peer_port=port)
+        await links.request(member, make_call(b""), REQUEST_TIMEOUT)  # opens the connection
+        calls = [links.request(member, make_call(BODY), REQUEST_TIMEOUT) for _ in range(12)]
+        replies = await asyncio.gather(*calls, return_exceptions=True)
+        await links.close()
+        await listener.close()
+        return replies
+
+    replies = asyncio.run(scenario())
+    assert [len(getattr(reply, "body", b"")) for reply in replies] == [len(BODY)] * 12
