Concurrent first requests to a peer share one connection

Callers saw: nothing; a node kept connections to a peer that nobody used or closed until its stop. Cause: opening a connection closes the former one, and that also forgot the lock that was held meanwhile, so each request that came during the opening opened a connection of its own. Evidence: on the old code, test_concurrent_first_requests_to_a_peer_share_one_connection failed with "assert 6 == 1" (the connections). Fix: the lock is forgotten only when the peer has left or died, or its connection was idle.

--- a/packages/thorntray/src/thorntray/internal/connection/peer.py
+++ b/packages/thorntray/src/thorntray/internal/connection/peer.py
@@ -199,9 +199,12 @@
 
     def close_link(self, name: str) -> None:
         """Close the connection to a peer that has left or died."""
+        self._connect_locks.pop(name, None)
+        self._close_connection(name)
+
+    def _close_connection(self, name: str) -> None:
         link = self._links.pop(name, None)
         self._last_used_at.pop(name, None)
-        self._connect_locks.pop(name, None)
         if link is not None:
             link.close()
 
@@ -225,7 +228,7 @@
             ) from None
 
     async def _open(self, member: Member) -> PeerConnection:
-        self.close_link(member.name)
+        self._close_connection(member.name)
         reader, writer = await asyncio.open_connection(member.address, member.peer_port)
         _disable_nagle(writer)
         link = PeerConnection(reader, writer, member.session)
--- a/tests/test_peer_frames.py
+++ b/tests/test_peer_frames.py
@@ -40,3 +40,20 @@
 
     replies = asyncio.run(scenario())
     assert [len(getattr(reply, "body", b"")) for reply in replies] == [len(BODY)] * 12
+
+
+def test_concurrent_first_requests_to_a_peer_share_one_connection():
+    async def scenario():
+        port = free_port()
+        listener = PeerListener(HOST, port, answer_with_the_largest_body)
+        await listener.start()
+        links = PeerLinks(SystemClock())
+        member = make_member("m", address=HOST, peer_port=port)
+        calls = [links.request(member, make_call(b""), REQUEST_TIMEOUT) for _ in range(6)]
+        await asyncio.gather(*calls)
+        connections = len(listener._connections)
+        await links.close()
+        await listener.close()
+        return connections
+
+    assert asyncio.run(scenario()) == 1
