A stop waits until the results owed to peers are sent, not only ready

Callers saw: unknown for payouts that had run, when their node was slow to read while the owner of the requests stopped. Cause: a drain ended when no request ran; results that were not sent yet were lost when the owner left, as its peers then close their connections, or at its exit. Fix: the drain also waits until all replies to peers are sent, within drain_limit.

--- a/packages/thorntray-node/src/thorntray_node/node.py
+++ b/packages/thorntray-node/src/thorntray_node/node.py
@@ -213,7 +213,7 @@
             async with asyncio.timeout(self.cfg.drain_limit):
                 await asyncio.sleep(LEAVE_PROPAGATION_DELAY)
                 await self.traffic.inbound.wait_drained()
-                while not self.traffic.idle:
+                while not (self.traffic.idle and self.listener.idle):
                     await asyncio.sleep(DRAIN_POLL_PERIOD)
         except TimeoutError:
             log_event(Event.DRAIN_CUT, active=self.traffic.inbound.active)
--- a/packages/thorntray/src/thorntray/internal/connection/peer.py
+++ b/packages/thorntray/src/thorntray/internal/connection/peer.py
@@ -247,8 +247,15 @@
         self._server: asyncio.Server | None = None
         self._connections: set[asyncio.StreamWriter] = set()
         self._in_flight = 0
+        self._unwritten = 0
         self.bad_messages = 0
 
+    @property
+    def idle(self) -> bool:
+        """Return whether all replies have been sent."""
+        unsent = any(w.transport.get_write_buffer_size() for w in self._connections)
+        return not (self._unwritten or unsent)
+
     async def start(self) -> None:
         """Start listening; raises `OSError` when the port is in use."""
         self._server = await asyncio.start_server(self._serve, self._address, self._port)
@@ -283,7 +290,11 @@
             await requests.stop()
 
     async def _answer(self, frames: FrameWriter, number: int, payload: bytes) -> None:
-        await frames.write(number, encode(await self._handle(payload)))
+        self._unwritten += 1
+        try:
+            await frames.write(number, encode(await self._handle(payload)))
+        finally:
+            self._unwritten -= 1
 
     async def _handle(self, payload: bytes) -> Message:
         if self._in_flight >= MAX_REQUESTS_IN_FLIGHT:
--- a/tests/test_node_stops.py
+++ b/tests/test_node_stops.py
@@ -1,5 +1,6 @@
 """Planned stops of a node with an INI file: every request that it has taken gets its answer."""
 
+import signal
 import time
 from concurrent.futures import ThreadPoolExecutor
 
@@ -122,3 +123,15 @@
         caller.sendall(lookup())
         assert read_answer(caller.makefile("rb"))[0] == 200
         assert fleet.stopping.node.wait(EXIT_TIMEOUT) == 0
+
+
+def test_a_peer_that_pauses_gets_its_large_results_from_a_stopping_node(fleet):
+    grants = [request_grant(fleet.other, fleet.stopping) for _ in range(6)]
+    payouts = [in_background(pay, fleet.other, g, "?time=1&size=4000000") for g in grants]
+    wait_for("the payouts to run", lambda: running(fleet.stopping) == len(grants))
+    fleet.other.node.send_signal(signal.SIGSTOP)
+    fleet.stopping.node.terminate()
+    time.sleep(DRAIN_LIMIT - 1.5)
+    fleet.other.node.send_signal(signal.SIGCONT)
+    assert [payout.result() for payout in payouts] == [(200, "done")] * len(grants)
+    assert fleet.stopping.node.wait(EXIT_TIMEOUT) == 0
