A stop right after the start of a node with an INI file answers its callers

Callers saw: a connection that was opened while the node started was reset when SIGTERM came then. Cause: the port is bound before the node starts, SIGTERM was handled only after it had started. Evidence: on the old code, test_a_stop_right_after_the_start_answers_the_connection_that_it_has_taken failed with "ConnectionResetError: [Errno 104] Connection reset by peer". Fix: the signals are handled before the port is bound; the event stays set until it is awaited.

--- a/packages/thorntray-node/src/thorntray_node/main.py
+++ b/packages/thorntray-node/src/thorntray_node/main.py
@@ -65,6 +65,11 @@
 
 async def _serve(cfg: NodeConfig) -> int:
     node = Node.from_config(cfg)
+    stop = asyncio.Event()
+    loop = asyncio.get_running_loop()
+    # Before the port is bound, since a caller's connection is open from then on.
+    loop.add_signal_handler(signal.SIGTERM, stop.set)
+    loop.add_signal_handler(signal.SIGINT, stop.set)
     try:
         # Bound here, because uvicorn exits the process when it cannot bind the port.
         listener = socket.create_server((cfg.address, cfg.http_port), backlog=HTTP_BACKLOG)
@@ -76,10 +81,6 @@
         return EXIT_CANNOT_BIND
     server = make_server(node)
     _freeze_startup_objects()
-    stop = asyncio.Event()
-    loop = asyncio.get_running_loop()
-    loop.add_signal_handler(signal.SIGTERM, stop.set)
-    loop.add_signal_handler(signal.SIGINT, stop.set)
     loop.add_signal_handler(signal.SIGUSR1, _write_dump, node)
     serving = asyncio.create_task(server.serve(sockets=[listener]))
     await asyncio.wait({serving, asyncio.create_task(stop.wait())}, return_when="FIRST_COMPLETED")
--- a/tests/stop_fleet.py
+++ b/tests/stop_fleet.py
@@ -1,6 +1,7 @@
 """Test fixture: three instances with nodes of their own, to stop one of the nodes."""
 
 import socket
+import time
 from email.message import Message
 from http.client import parse_headers
 from pathlib import Path
@@ -55,6 +56,17 @@
     return socket.create_connection((HOST, site.http_port), timeout=ANSWER_TIMEOUT)
 
 
+def connect_early(site: Site) -> socket.socket:
+    """Return a connection to a node that is starting, opened as soon as the node listens."""
+    while True:
+        try:
+            return connect(site)
+        except ConnectionRefusedError:
+            if site.node.poll() is not None:
+                raise
+            time.sleep(0.001)
+
+
 def request_bytes(method: str, path: str, headers: dict[str, str], body: bytes = b"") -> bytes:
     """Return a caller's request on a connection that is kept."""
     fields = {"host": "x", "content-length": str(len(body)), **headers}
--- a/tests/test_node_stops.py
+++ b/tests/test_node_stops.py
@@ -13,6 +13,7 @@
     LOOKUP_PATH,
     StopFleet,
     connect,
+    connect_early,
     outcome,
     pay,
     read_answer,
@@ -135,3 +136,14 @@
     fleet.other.node.send_signal(signal.SIGCONT)
     assert [payout.result() for payout in payouts] == [(200, "done")] * len(grants)
     assert fleet.stopping.node.wait(EXIT_TIMEOUT) == 0
+
+
+def test_a_stop_right_after_the_start_answers_the_connection_that_it_has_taken(fleet):
+    fleet.stopping.node.kill()
+    fleet.stopping.node.wait()
+    fleet.start_node(fleet.stopping)
+    with connect_early(fleet.stopping) as caller:
+        fleet.stopping.node.terminate()
+        caller.sendall(lookup())
+        assert read_answer(caller.makefile("rb"))[0] == 503
+        assert fleet.stopping.node.wait(EXIT_TIMEOUT) == 0
