--- a/packages/thorntray-node/src/thorntray_node/main.py
+++ b/packages/thorntray-node/src/thorntray_node/main.py
@@ -28,6 +28,7 @@
 EXIT_CANNOT_BIND = 3
 HTTP_BACKLOG = 1024  # connections waiting to be accepted
 CONNECTION_CLOSE_DELAY = 0.5  # seconds that open connections are served during the stop
+MIN_CLOSE_TIME = 1.0  # seconds in which answers are sent after `drain_limit`
 
 _CONFIG = flags.DEFINE_string("config", None, "Settings file of this node (INI).", required=True)
 _CHECK = flags.DEFINE_bool("check", False, "Check the settings file and exit.")
@@ -64,6 +65,11 @@
 
 async def _serve(cfg: NodeConfig) -> int:
     node = Node.from_config(cfg)
+    stop = asyncio.Event()
+    loop = asyncio.get_running_loop()
+    # Before the port is bound, since a caller's connection is open from then on.
+    loop.add_signal_handler(signal.SIGTERM, stop.set)
+    loop.add_signal_handler(signal.SIGINT, stop.set)
     try:
         # Bound here, because uvicorn exits the process when it cannot bind the port.
         listener = socket.create_server((cfg.address, cfg.http_port), backlog=HTTP_BACKLOG)
@@ -75,17 +81,15 @@
         return EXIT_CANNOT_BIND
     server = make_server(node)
     _freeze_startup_objects()
-    stop = asyncio.Event()
-    loop = asyncio.get_running_loop()
-    loop.add_signal_handler(signal.SIGTERM, stop.set)
-    loop.add_signal_handler(signal.SIGINT, stop.set)
     loop.add_signal_handler(signal.SIGUSR1, _write_dump, node)
     serving = asyncio.create_task(server.serve(sockets=[listener]))
     await asyncio.wait({serving, asyncio.create_task(stop.wait())}, return_when="FIRST_COMPLETED")
     if serving.done():
         return EXIT_CANNOT_BIND
+    stop_at = loop.time() + cfg.drain_limit
     await node.drain()
     await _stop_accepting_callers(server)
+    server.config.timeout_graceful_shutdown = max(MIN_CLOSE_TIME, stop_at - loop.time())
     server.should_exit = True
     await serving
     await node.stop()
