--- a/tests/test_process_signals.py
+++ b/tests/test_process_signals.py
@@ -9,8 +9,8 @@
 import pytest
 
 from tests.process_builders import FAILURE, POLL_PERIOD, REQUEST, STOP_TIMEOUT, PlatformProcess
+from thorntray.internal.process.drain import READINESS_PROPAGATION_DELAY
 from thorntray.internal.telemetry.log_output import FLUSH_PERIOD, LogOutput
-from thorntray_node.mesh_node import READINESS_PROPAGATION_DELAY
 
 pytestmark = pytest.mark.process
 
