--- a/tests/test_lean_stops.py
+++ b/tests/test_lean_stops.py
@@ -40,7 +40,7 @@
     """Load pattern of incident 3f10: two of three nodes of a service are restarted in turn.
 
     The other nodes of the service may be stopping too, so a stopping node keeps serving its peers
-    for `UNREADY_LINGER` seconds, in which callers notice that it is not ready.
+    for `READINESS_PROPAGATION_DELAY` seconds, in which callers notice that it is not ready.
     """
 
     async def scenario(fleet):
