A caller is answered though the log or a metric of its node fails

What callers saw: no answer, until they gave up; a stop then ran to its limit. Cause: the result was logged and counted before the response was set, and an exception there left neither. Found by a reader of the change. Evidence: TimeoutError on the old code, with a metric that raises. Change: such an exception is logged (HANDLER_FAILED) and the answer is given, as at the owner.

--- a/packages/thorntray/src/thorntray/internal/request/origin_request.py
+++ b/packages/thorntray/src/thorntray/internal/request/origin_request.py
@@ -26,6 +26,7 @@
     unknown,
 )
 from thorntray.internal.request.result_frames import result_from_frame
+from thorntray.internal.telemetry.events import log_handler_failure
 from thorntray.internal.version.policy import Route
 
 DEFAULT_DEADLINE = 10.0  # seconds, for requests without a deadline field
@@ -139,7 +140,7 @@
             self._mark_finished(unknown(Cause.CANCELLED))
 
     def end_for_stop(self) -> None:
-        """End the request because this node stops; it must not be said "not run" if it may run."""
+        """End the request because this node stops, as not run only if that is certain."""
         sent = self._cancel_attempt()
         if sent or self.maybe_ran:
             self.finish(unknown(Cause.DRAINING))
@@ -159,7 +160,10 @@
         self.exchange.on_cancel = None
         if self.timer is not None:
             self.timer.cancel()
-        self.context.deps.on_finish(self, result)
+        try:
+            self.context.deps.on_finish(self, result)
+        except Exception:  # the caller is answered even if the result cannot be logged or counted
+            log_handler_failure(id=self.head.request_id.decode("latin-1"))
 
     def _http_answer(self, result: Result) -> tuple[int, bytes, bytes]:
         match result.kind:
--- a/tests/test_handler_failures.py
+++ b/tests/test_handler_failures.py
@@ -154,6 +154,19 @@
     assert run_scenario(scenario).endswith(b"slow")
 
 
+def test_a_caller_is_answered_though_the_log_or_a_metric_of_its_node_fails():
+    async def scenario(fleet):
+        _, origin = await add_nodes(fleet)
+
+        def fail(*args):
+            raise RuntimeError("fault")
+
+        origin.metrics.request_ended = fail
+        return await fleet.send("h1", b"POST", "/payouts/1", "id-1")
+
+    assert run_scenario(scenario).endswith(b"slow")
+
+
 def test_a_request_that_fails_on_submission_is_answered_and_leaves_nothing_behind():
     async def scenario(fleet):
         owner, _ = await add_nodes(fleet)
