Chunks behind a refused body are not refused again

What was seen: lines REQUEST_UNANSWERED for requests that nobody sent, when a chunked body over the limit came in several chunks behind a pending request. Cause: each further chunk of the refused body appended another refusal. Change: on_body stops like on_header. A failed handler is logged like elsewhere, with the end of its traceback.

--- a/packages/thorntray/src/thorntray/internal/connection/http_server.py
+++ b/packages/thorntray/src/thorntray/internal/connection/http_server.py
@@ -23,7 +23,7 @@
 
 from thorntray.internal.connection.connection_end import Linger, OutputProgress
 from thorntray.internal.process.clock import Clock
-from thorntray.internal.telemetry.events import Event, log_event
+from thorntray.internal.telemetry.events import log_handler_failure
 
 MAX_PIPELINED = 32  # pending requests on one connection at which reading pauses
 TIMEOUT_CHECK_PERIOD = 0.5  # seconds between checks for slow and idle connections
@@ -39,7 +39,7 @@
 class ClosedBy(Enum):
     """Who ended a connection on which a response was still owed."""
 
-    CALLER = "caller"
+    CALLER = "caller"  # also one that was disconnected because it took no output
     NODE = "node"  # this node, while it continues running
     EXIT = "exit"  # the end of this process
 
@@ -238,6 +238,8 @@
 
     def on_body(self, body: bytes) -> None:
         """Append a part of the body."""
+        if self._last_request_read:
+            return
         self._body_bytes += len(body)
         if self._body_bytes > self.server.limits.body_bytes:
             self._reject(413)
@@ -262,8 +264,8 @@
         """Pass a request to the handler; if that fails, only this request fails."""
         try:
             self.server.handler(exchange)
-        except Exception as exc:  # the parser would take it for malformed input
-            log_event(Event.HANDLER_FAILED, detail=repr(exc))
+        except Exception:  # the parser would take it for malformed input
+            log_handler_failure()
             exchange.respond(HTTPStatus.INTERNAL_SERVER_ERROR, b"", b"")
 
     # Responses.
--- a/tests/test_http_server.py
+++ b/tests/test_http_server.py
@@ -40,6 +40,9 @@
     def write(self, data):
         self.written += data
 
+    def write_eof(self):
+        pass
+
     def get_write_buffer_size(self):
         return 0
 
@@ -129,6 +132,18 @@
     assert asyncio.run(scenario()).count(b"HTTP/1.1 ") == 1
 
 
+def test_further_chunks_of_a_body_over_the_limit_are_not_reported_as_unanswered():
+    waiting, unanswered = [], []
+    connection, _ = connection_with(waiting.append)
+    connection.server.limits = RequestLimits(body_bytes=10)
+    connection.server.on_unanswered = lambda exchange, closed_by: unanswered.append(closed_by)
+    chunk = b"14\r\n" + b"x" * 20 + b"\r\n"
+    head = b"POST /2 HTTP/1.1\r\nHost: a.example\r\nTransfer-Encoding: chunked\r\n\r\n"
+    connection.data_received(REQUEST % b"1" + head + chunk * 3)
+    waiting[0].respond(200, b"", b"ok")
+    assert unanswered == []
+
+
 def test_a_request_to_upgrade_gets_one_answer_and_the_connection_closes():
     async def scenario():
         async with serving(respond_ok) as (_, reader, writer):
