Closing a peer link while it is opened leaves no second connection

What was seen: a connection that nothing knows stays open. Cause: the lock of the connect was removed while it was held, so the next request opened another connection. Evidence: 'assert 1 == 0' open connections after the close, on the old code. Change: a lock that is held stays.

--- a/packages/thorntray/src/thorntray/internal/connection/peer.py
+++ b/packages/thorntray/src/thorntray/internal/connection/peer.py
@@ -56,7 +56,7 @@
 class FrameWriter:
     """Writes the frames of one connection; a frame waits while many bytes are unsent.
 
-    A connection whose peer reads nothing for `WRITE_TIMEOUT` is aborted.
+    A connection that stays full for `WRITE_TIMEOUT` is aborted.
     """
 
     def __init__(self, writer: asyncio.StreamWriter) -> None:
@@ -84,7 +84,7 @@
             async with self._lock, asyncio.timeout(WRITE_TIMEOUT):
                 await self._writer.drain()
         except TimeoutError:
-            log_event(Event.LINK_LOST, detail=f"the peer read nothing for {WRITE_TIMEOUT} s")
+            log_event(Event.LINK_LOST, detail=f"the peer read too slowly for {WRITE_TIMEOUT} s")
             self._writer.transport.abort()
         except ConnectionError:
             pass  # the reader of the connection reports its end
@@ -199,7 +199,9 @@
 
     def close_link(self, name: str) -> None:
         """Close the connection to a peer that has left or died."""
-        self._connect_locks.pop(name, None)
+        lock = self._connect_locks.get(name)
+        if lock is not None and not lock.locked():
+            del self._connect_locks[name]
         self._close_connection(name)
 
     def _close_connection(self, name: str) -> None:
--- a/tests/test_peer_frames.py
+++ b/tests/test_peer_frames.py
@@ -42,6 +42,28 @@
     assert [len(getattr(reply, "body", b"")) for reply in replies] == [len(BODY)] * 12
 
 
+def test_a_link_closed_while_it_is_opened_leaves_no_second_connection():
+    async def scenario():
+        port = free_port()
+        listener = PeerListener(HOST, port, answer_with_the_largest_body)
+        await listener.start()
+        links = PeerLinks(SystemClock())
+        member = make_member("m", address=HOST, peer_port=port)
+        calls = [asyncio.ensure_future(links.request(member, make_call(b""), REQUEST_TIMEOUT))]
+        await asyncio.sleep(0)
+        links.close_link("m")
+        calls.append(asyncio.ensure_future(links.request(member, make_call(b""), REQUEST_TIMEOUT)))
+        await asyncio.gather(*calls, return_exceptions=True)
+        links.close_link("m")
+        await asyncio.sleep(0.1)
+        connections = len(listener._connections)
+        await links.close()
+        await listener.close()
+        return connections
+
+    assert asyncio.run(scenario()) == 0
+
+
 def test_concurrent_first_requests_to_a_peer_share_one_connection():
     async def scenario():
         port = free_port()
