The write buffer of a link is bounded also within one loop iteration

Cause: the bound was checked only if the buffer had been over its soft limit before. Change: the hard bound always holds. last_received_at was also set by a ping: renamed.

--- a/packages/thorntray/src/thorntray/internal/connection/link_connection.py
+++ b/packages/thorntray/src/thorntray/internal/connection/link_connection.py
@@ -30,8 +30,8 @@
 
 PING_AFTER_SILENCE = 0.2  # seconds
 SILENCE_TIMEOUT = 0.5  # seconds after the ping
-# A connection is aborted that holds more than `WRITE_BUFFER_LIMIT` unread bytes for longer than
-# `FULL_BUFFER_TIMEOUT`, or more than `MAX_WRITE_BUFFER`; one frame may exceed the first limit.
+# A connection is aborted if its buffer exceeds `MAX_WRITE_BUFFER`, or if a frame is sent while the
+# buffer has exceeded `WRITE_BUFFER_LIMIT` for longer than `FULL_BUFFER_TIMEOUT`.
 WRITE_BUFFER_LIMIT = 16 * 1024 * 1024  # bytes
 FULL_BUFFER_TIMEOUT = 0.5  # seconds
 MAX_WRITE_BUFFER = WRITE_BUFFER_LIMIT + MAX_FRAME_BYTES
@@ -81,7 +81,7 @@
         self.peer = ""
         self.lost = False
         self.ping_pending = False  # whether nothing was received since the last ping
-        self.last_received_at = clock.monotonic()
+        self._silent_since = clock.monotonic()  # last receipt or ping
 
     @property
     def unsent_bytes(self) -> int:
@@ -103,7 +103,7 @@
 
     def data_received(self, data: bytes) -> None:
         """Decode received frames; a malformed stream closes the connection."""
-        self.last_received_at = self._clock.monotonic()
+        self._silent_since = self._clock.monotonic()
         self.ping_pending = False
         try:
             if not self._mode_known:
@@ -146,12 +146,12 @@
 
     def check_liveness(self, now: float) -> None:
         """Ping a silent peer, or close the connection if a ping got no response."""
-        silence = now - self.last_received_at
+        silence = now - self._silent_since
         if silence > SILENCE_TIMEOUT and self.ping_pending:
             self.abort()
         elif silence > PING_AFTER_SILENCE and not self.ping_pending:
             self.ping_pending = True
-            self.last_received_at = now
+            self._silent_since = now
             self.send(PingFrame())
 
     def abort(self) -> None:
@@ -189,13 +189,13 @@
         if self._compressor is not None:
             data = self._compressor.compress(data) + self._compressor.flush(zlib.Z_SYNC_FLUSH)
         self._transport.write(data)
-        unread = self._transport.get_write_buffer_size()
-        if unread > WRITE_BUFFER_LIMIT:
-            self._limit_write_buffer(unread, unread - len(data))
+        unsent = self._transport.get_write_buffer_size()
+        if unsent > WRITE_BUFFER_LIMIT:
+            self._limit_write_buffer(unsent, unsent - len(data))
 
-    def _limit_write_buffer(self, unread: int, unread_before: int) -> None:
+    def _limit_write_buffer(self, unsent: int, unsent_before: int) -> None:
         now = self._clock.monotonic()
-        if unread_before <= WRITE_BUFFER_LIMIT:
+        if unsent_before <= WRITE_BUFFER_LIMIT:
             self._full_since = now
-        elif unread > MAX_WRITE_BUFFER or now - self._full_since > FULL_BUFFER_TIMEOUT:
+        if unsent > MAX_WRITE_BUFFER or now - self._full_since > FULL_BUFFER_TIMEOUT:
             self.abort()
--- a/tests/test_mesh_links.py
+++ b/tests/test_mesh_links.py
@@ -281,6 +281,22 @@
     assert run_with_peer(scenario) == 1
 
 
+def test_results_of_one_loop_iteration_are_not_held_without_limit():
+    async def scenario(links, peer):
+        link = links.link_to(peer.member())
+        for _ in range(2):
+            send_call(link, [])
+        await asyncio.sleep(0.1)
+        link._connection._transport.pause_reading()
+        link.check_liveness = lambda now: None
+        for index in range(2):
+            peer.answer(index, body=bytes(MAX_WRITE_BUFFER * 2 // 3))
+        await asyncio.sleep(0.1)
+        return len(peer.lost)
+
+    assert run_with_peer(scenario) == 1
+
+
 def test_calls_to_a_member_with_an_invalid_address_end_at_once():
     async def scenario(links, peer):
         results = []
