Soak: a stopping node has to answer what its limit cuts

The check LOST excused a closed connection if the worker ran the request into the last sixth of the stop. A node now answers such a request before its exit, so the excuse would hide a regression; without it the check is stricter than before. The first change of the route is recorded at the start of the load again.

--- a/soak/faults.py
+++ b/soak/faults.py
@@ -25,7 +25,7 @@
 
     def __init__(self, fleet: MeshFleet, callers: Callers, rng: Random) -> None:
         self.stops: list[NodeStop] = []
-        self.changes = [RouteChange(time.monotonic(), SERVICES[0])]
+        self.changes: list[RouteChange] = []
         self._fleet = fleet
         self._callers = callers
         self._rng = rng
--- a/soak/lost_answers.py
+++ b/soak/lost_answers.py
@@ -6,12 +6,8 @@
 
 from soak.clients import Attempt, AttemptEnd
 from soak.observation import NodeStop, Observation
-from standins.mesh_fleet import STOP_TIMEOUT
 from standins.worker import Arrival, FleetRecord, RunEnd
 
-STOP_END_TIME = STOP_TIMEOUT * 5 / 6  # seconds after SIGTERM, start of the last sixth of the stop
-STOP_SEND_TIME = 3.0  # seconds after SIGTERM from which a request must end before the stop does
-
 
 class WorkerRun(NamedTuple):
     """A request at a worker; `end` is None if the worker was still running it."""
@@ -24,9 +20,10 @@
     """Find requests that reached a worker and whose connection ended without a complete answer.
 
     Around a planned stop of the node that took the request, all connections are judged; at other
-    times only reused ones. An unplanned fault of that node, of a node whose worker received the
-    request, or of one of their workers excuses; a fault of the store does not. Requests that were
-    sent behind others on their connection come last.
+    times only reused ones. A node that stops has to answer what its limit cuts, too. An unplanned
+    fault of that node, of a node whose worker received the request, or of one of their workers
+    excuses; a fault of the store does not. Requests that were sent behind others on their
+    connection come last.
     """
     runs_by_request = _runs_by_request(observation.record)
     for attempt in sorted(observation.attempts, key=lambda a: a.position):
@@ -38,8 +35,6 @@
             continue
         if _broke_off(runs) or not _undisturbed(observation, attempt, runs):
             continue
-        if stop is not None and _slow_until_stop_end(stop, attempt, runs):
-            continue
         yield _violation(attempt, runs, stop)
 
 
@@ -61,14 +56,6 @@
     return all(observation.undisturbed(node, attempt.sent_at, attempt.ended_at) for node in nodes)
 
 
-def _slow_until_stop_end(stop: NodeStop, attempt: Attempt, runs: list[WorkerRun]) -> bool:
-    """Return whether a worker still ran the request, sent early enough, near the stop's limit."""
-    sent_early = attempt.sent_at <= stop.sigterm_at + STOP_SEND_TIME
-    return sent_early and any(
-        run.end is None or run.end.ended_at >= stop.sigterm_at + STOP_END_TIME for run in runs
-    )
-
-
 def _violation(attempt: Attempt, runs: list[WorkerRun], stop: NodeStop | None) -> str:
     arrival, end = runs[-1]
     ran = "is still running" if end is None else f"took {end.ended_at - arrival.received_at:.2f} s"
--- a/soak/run.py
+++ b/soak/run.py
@@ -17,7 +17,7 @@
 from soak.checks import RECOVERY_TIME, safety_violations, summary, violations
 from soak.clients import Callers
 from soak.faults import FaultInjector
-from soak.observation import Observation
+from soak.observation import Observation, RouteChange
 from soak.plan import Fault, draw_plan
 from soak.routes import BEHAVIORS, SERVICES, build_routes
 from standins.mesh_fleet import MeshFleet
@@ -65,6 +65,7 @@
         await self.fleet.start(placements)
         await asyncio.sleep(MEMBERSHIP_SETTLE_TIME)
         self._load_started_at = time.monotonic()
+        self._injector.changes.append(RouteChange(self._load_started_at, SERVICES[0]))
         self._faults = draw_plan(self.rng, list(self.fleet.nodes), self._fault_seconds)
         load = asyncio.create_task(self._callers.run())
         checker = asyncio.create_task(self._check_safety())
--- a/tests/test_soak_lost_answers.py
+++ b/tests/test_soak_lost_answers.py
@@ -4,10 +4,9 @@
 
 from soak.checks import violations
 from soak.clients import Attempt, AttemptEnd
-from soak.lost_answers import STOP_END_TIME, STOP_SEND_TIME
 from soak.observation import STABILIZATION_TIME, NodeStop, Observation, RouteChange
 from soak.plan import Fault, FaultKind
-from standins.mesh_fleet import RouteConfig
+from standins.mesh_fleet import STOP_TIMEOUT, RouteConfig
 from standins.worker import Arrival, FleetRecord, RunEnd
 
 LOOKUP = RouteConfig("views", "stock")
@@ -112,20 +111,16 @@
     assert not lost_lines(closed_attempt(position=1), reached=False)
 
 
-def test_a_request_that_its_worker_runs_until_the_end_of_the_stop_passes_if_sent_early():
-    run_end = RunEnd(SIGTERM_AT + STOP_END_TIME + 0.1, broke_off=False)
-    early = closed_attempt(sent_at=SIGTERM_AT + STOP_SEND_TIME - 0.1, duration=2.9)
-    assert not lost_lines(early, run_end=run_end)
-    assert not lost_lines(early, running=True)
-    late = closed_attempt(sent_at=SIGTERM_AT + STOP_SEND_TIME + 0.1, duration=2.7)
-    assert lost_lines(late, run_end=run_end)
-    assert lost_lines(late, running=True)
-    finished = RunEnd(SIGTERM_AT + STOP_END_TIME - 0.1, broke_off=False)
-    assert lost_lines(early, run_end=finished)
+@pytest.mark.parametrize("sent_after", [1.0, 2.9, 3.1])
+def test_a_request_that_its_worker_runs_until_the_end_of_the_stop_is_detected(sent_after):
+    run_end = RunEnd(SIGTERM_AT + STOP_TIMEOUT - 0.1, broke_off=False)
+    attempt = closed_attempt(sent_at=SIGTERM_AT + sent_after, duration=5.7 - sent_after)
+    assert lost_lines(attempt, run_end=run_end)
+    assert lost_lines(attempt, running=True)
 
 
-def test_a_run_until_the_end_of_the_stop_does_not_excuse_outside_a_stop():
-    run_end = RunEnd(SIGTERM_AT + STOP_END_TIME + 0.1, broke_off=False)
+def test_a_long_run_is_detected_outside_a_stop_too():
+    run_end = RunEnd(SIGTERM_AT + STOP_TIMEOUT - 0.1, broke_off=False)
     assert lost_lines(closed_attempt(duration=2.9), stops=(), run_end=run_end)
 
 
