Reading of the change: docstrings, limits of loops in tests, explain at a lost line

explain names the member that was stopping also if its own line was not written; REQUEST_UNANSWERED has the limit of lines about single requests, since it names each; tests no longer wait without a limit; an unused builder is removed.

--- a/packages/thorntray-node/src/thorntray_node/mesh_node.py
+++ b/packages/thorntray-node/src/thorntray_node/mesh_node.py
@@ -333,7 +333,7 @@
         exchange.respond(OK, METRICS_CONTENT_TYPE, self.metrics.exposition())
 
     async def stop(self) -> None:
-        """Stop gracefully: accept new requests for a while, answer all, close all sockets."""
+        """Stop gracefully: serve until callers can have noticed, answer everything, leave."""
         started = self.clock.monotonic()
         self.drain.begin()
         log_event(Event.DRAIN_BEGUN, active=self.callers.active, held=len(self.owner.requests))
@@ -358,7 +358,7 @@
         await self._close(started, seed_removal)
 
     async def _close(self, started: float, seed_removal: "asyncio.Task[None]") -> None:
-        """Leave the fleet and close all sockets, those of callers last, who are refused."""
+        """Leave the fleet and close the listeners; callers are refused until the last step."""
         read_before = self.callers.requests_read
         self.membership.leave()
         self.metrics_server.close()
--- a/packages/thorntray-node/src/thorntray_node/peer_requests.py
+++ b/packages/thorntray-node/src/thorntray_node/peer_requests.py
@@ -1,7 +1,7 @@
 """Requests that peers have sent to the instance of this node, and the replies to them."""
 
 from thorntray.internal.connection.frame import CallFrame, CancelFrame, FetchPolicy, Frame
-from thorntray.internal.connection.link import LinkConnection
+from thorntray.internal.connection.link_connection import LinkConnection
 from thorntray.internal.request.owner import Owner, OwnerRequest
 from thorntray.internal.request.result import Result
 from thorntray.internal.request.result_frames import frame_from_result
--- a/packages/thorntray-node/src/thorntray_node/request_drain.py
+++ b/packages/thorntray-node/src/thorntray_node/request_drain.py
@@ -1,8 +1,9 @@
 """End of all requests of a stopping node, each with an answer.
 
 The kernel closes all sockets when the process ends, so whoever still waits then sees a closed
-connection and cannot tell whether the request ran. Therefore the process ends only when nothing is
-owed, and what is left when answers are due is ended with the answer that is true by then.
+connection and cannot tell whether the request ran. Therefore the process ends when nothing is owed.
+What is left when answers are due is ended with the answer that is true by then, and
+`FINAL_FLUSH_TIME` is allowed for sending it.
 """
 
 import asyncio
@@ -43,7 +44,7 @@
         self._peers = peers
 
     async def run(self) -> EndedRequests:
-        """Return when all requests have ended and their answers are sent."""
+        """Wait until nothing is owed or answers are due; end what is left, and send its answers."""
         while self._owes_answers and not self._drain.overdue:
             await asyncio.sleep(POLL_PERIOD)
         self._drain.end()
--- a/packages/thorntray/src/thorntray/internal/process/drain.py
+++ b/packages/thorntray/src/thorntray/internal/process/drain.py
@@ -7,7 +7,7 @@
 
 from thorntray.internal.process.clock import Clock
 
-# Seconds after the first "not ready" answer during which callers still send requests.
+# Seconds in which two readiness checks fail, so that callers have noticed the stop.
 READINESS_PROPAGATION_DELAY = 2.2
 # Seconds of the stop limit reserved for final answers and for closing the connections.
 CLOSE_TIME_RESERVE = 0.4
@@ -49,10 +49,12 @@
         """
         if not self.begun:
             return True
-        now = self._clock.monotonic()
-        if self._ended or (now >= self._refuse_at and not has_parent):
+        if self._ended:
             return False
-        return now < self._refuse_at or now + expected_seconds < self.answers_due
+        now = self._clock.monotonic()
+        if now < self._refuse_at:
+            return True
+        return has_parent and now + expected_seconds < self.answers_due
 
     @property
     def overdue(self) -> bool:
--- a/packages/thorntray/src/thorntray/internal/telemetry/events.py
+++ b/packages/thorntray/src/thorntray/internal/telemetry/events.py
@@ -15,7 +15,7 @@
 
 MAX_EVENTS_PER_SECOND = 5  # default limit for each kind of event
 TRACEBACK_DEPTH = 4  # innermost calls in a HANDLER_FAILED line
-MAX_REQUEST_LINES_PER_SECOND = 25  # limit for REQUEST_ENDED
+MAX_REQUEST_LINES_PER_SECOND = 25  # limit for each kind of line about the end of one request
 
 
 class Level(Enum):
@@ -79,7 +79,10 @@
     REQUEST_ENDED = EventKind(510, Level.INFO, "request ended", MAX_REQUEST_LINES_PER_SECOND)
     REQUEST_REPEATED = EventKind(511, Level.INFO, "request sent again")
     REQUEST_UNANSWERED = EventKind(
-        512, Level.WARNING, "connection ended by this node before the answer"
+        512,
+        Level.WARNING,
+        "connection ended by this node before the answer",
+        MAX_REQUEST_LINES_PER_SECOND,
     )
     LOAD = EventKind(520, Level.INFO, "load of the instance and prices received")
     LIMIT_LOWERED = EventKind(501, Level.WARNING, "concurrency limit lowered")
--- a/packages/thorntrayctl/src/thorntrayctl/request_trace.py
+++ b/packages/thorntrayctl/src/thorntrayctl/request_trace.py
@@ -132,7 +132,7 @@
         case ("NOT_RUN", "DRAINING") if not fields.get("refusals"):
             return f"refused by {origin.node}, which was stopping"
         case ("UNKNOWN", "DRAINING"):
-            return f"{_stopped_node(origin, owners)} stopped before the answer came"
+            return f"{_stopped_node(origin, owners, context)} stopped before the answer came"
         case ("NOT_RUN", cause):
             return _refused_cause(fields, cause, owners)
         case ("UNKNOWN", "LOST" | "GARBLED"):
@@ -161,10 +161,14 @@
     )
 
 
-def _stopped_node(origin: LogLine, owners: list[LogLine]) -> str:
+def _stopped_node(origin: LogLine, owners: list[LogLine], context: list[LogLine]) -> str:
     """Return the node that ended the request because it stopped: an owner, else the origin."""
-    stopped = [line.node for line in owners if line.fields["cause"] == "DRAINING"]
-    return stopped[0] if stopped else origin.node
+    for line in owners:
+        if line.fields["cause"] == "DRAINING":
+            return line.node
+    stopping = {line.node for line in context if line.event in STOP_EVENTS}
+    member = str(origin.fields.get("member", ""))
+    return member if member in stopping and origin.node not in stopping else origin.node
 
 
 def _refused_cause(fields: dict[str, Any], cause: str, owners: list[LogLine]) -> str:
--- a/tests/process_builders.py
+++ b/tests/process_builders.py
@@ -13,7 +13,7 @@
 from random import Random
 from typing import Self
 
-from standins.mesh_fleet import OUTBOUND_PORT, PACKAGES, READY_PORT, ROOT, MeshFleet, NodeProcess
+from standins.mesh_fleet import OUTBOUND_PORT, PACKAGES, ROOT, MeshFleet, NodeProcess
 
 START_TIMEOUT = 20.0  # seconds
 STOP_TIMEOUT = 15.0  # seconds; more than the stop limit in the settings of the node
@@ -106,17 +106,10 @@
 
     def connect(self) -> socket.socket:
         """Return a caller's connection, opened as soon as the process listens."""
-        return self._connect(OUTBOUND_PORT)
-
-    def wait_listening(self) -> None:
-        """Wait until the process listens for readiness checks."""
-        self._connect(READY_PORT).close()
-
-    def _connect(self, port: int) -> socket.socket:
         deadline = time.monotonic() + START_TIMEOUT
         while True:
             try:
-                return socket.create_connection((self._host, port), timeout=START_TIMEOUT)
+                return socket.create_connection((self._host, OUTBOUND_PORT), timeout=START_TIMEOUT)
             except ConnectionRefusedError:
                 if self.process.poll() is not None or time.monotonic() > deadline:
                     raise
--- a/tests/stop_fleet.py
+++ b/tests/stop_fleet.py
@@ -58,11 +58,12 @@
 
 def connect_early(site: Site) -> socket.socket:
     """Return a connection to a node that is starting, opened as soon as the node listens."""
+    deadline = time.monotonic() + ANSWER_TIMEOUT
     while True:
         try:
             return connect(site)
         except ConnectionRefusedError:
-            if site.node.poll() is not None:
+            if site.node.poll() is not None or time.monotonic() > deadline:
                 raise
             time.sleep(0.001)
 
@@ -89,13 +90,15 @@
 
 
 def request_grant(ingress: Site, owner: Site) -> str:
-    """Return a grant for a payout that was issued by the node of `owner`."""
-    while True:
+    """Return a grant issued by the node of `owner`; raises `TimeoutError` if there is none."""
+    deadline = time.monotonic() + ANSWER_TIMEOUT
+    while time.monotonic() < deadline:
         with connect(ingress) as sock:
             sock.sendall(request_bytes("POST", PAYOUT_PATH, {}, b"{}"))
             grant = read_answer(sock.makefile("rb"))[1]["thorntray-grant"]
         if read_claims(grant).ok.owner == owner.name:
             return grant
+    raise TimeoutError(f"no grant of {owner.name}")
 
 
 def pay(ingress: Site, grant: str, query: str = "") -> tuple[int, str]:
--- a/tests/test_stop_process.py
+++ b/tests/test_stop_process.py
@@ -9,6 +9,8 @@
 from standins.mesh_fleet import HOST_NAME, STOP_TIMEOUT, MeshFleet, RouteConfig
 from standins.worker import read_message
 
+pytestmark = pytest.mark.process
+
 ROUTES = [RouteConfig("prices", "tariff", timeout=3.0, target_latency=2.0)]
 JOIN_TIME = 3.0  # seconds until the nodes know each other
 SERVICE_TIME = 0.4  # seconds
@@ -49,7 +51,8 @@
         probe.close()
         tasks.append(asyncio.create_task(send_pipelined(node.outbound, request_ids, answers)))
         await asyncio.sleep(SEND_PERIOD)
-    await asyncio.gather(*tasks, return_exceptions=True)
+    results = await asyncio.gather(*tasks, return_exceptions=True)
+    assert all(result is None or isinstance(result, OSError) for result in results)
 
 
 async def run_scenario(store_fault):
