--- a/tests/test_handler_failures.py
+++ b/tests/test_handler_failures.py
@@ -141,27 +141,16 @@
     assert run_scenario(scenario) == (ONLY_THE_FAULTY_ONE_FAILS, 0, set())
 
 
-def test_an_answer_is_delivered_though_the_log_or_a_metric_of_it_fails():
+@pytest.mark.parametrize("side", ["owner", "origin"])
+def test_an_answer_is_delivered_though_the_log_or_a_metric_of_it_fails(side):
     async def scenario(fleet):
-        owner, _ = await add_nodes(fleet)
-
-        def fail(*args):
-            raise RuntimeError("fault")
-
-        owner.metrics.request_ended = fail
-        return await fleet.send("h1", b"POST", "/payouts/1", "id-1")
-
-    assert run_scenario(scenario).endswith(b"slow")
-
-
-def test_a_caller_is_answered_though_the_log_or_a_metric_of_its_node_fails():
-    async def scenario(fleet):
-        _, origin = await add_nodes(fleet)
+        owner, origin = await add_nodes(fleet)
 
         def fail(*args):
             raise RuntimeError("fault")
 
-        origin.metrics.request_ended = fail
+        failing = owner if side == "owner" else origin
+        failing.metrics.request_ended = fail
         return await fleet.send("h1", b"POST", "/payouts/1", "id-1")
 
     assert run_scenario(scenario).endswith(b"slow")
--- a/tests/test_peer_frames.py
+++ b/tests/test_peer_frames.py
@@ -1,6 +1,7 @@
 """Tests over real sockets that no reply between nodes is lost to its size."""
 
 import asyncio
+from contextlib import asynccontextmanager
 from random import Random
 
 from standins.fleet import HOST, free_port
@@ -24,19 +25,26 @@
     return reply_from_attempt(call.attempt_id, AttemptResult(Done(Answer(200, (), BODY))))
 
 
-def test_concurrent_requests_with_the_largest_bodies_are_all_answered():
-    async def scenario():
-        port = free_port()
-        listener = PeerListener(HOST, port, answer_with_the_largest_body)
-        await listener.start()
-        links = PeerLinks(SystemClock())
-        member = make_member("m", address=HOST, peer_port=port)
-        await links.request(member, make_call(b""), REQUEST_TIMEOUT)  # opens the connection
-        calls = [links.request(member, make_call(BODY), REQUEST_TIMEOUT) for _ in range(12)]
-        replies = await asyncio.gather(*calls, return_exceptions=True)
+@asynccontextmanager
+async def peer_links():
+    """Yield the links of a node, a member to link to, and the member's listener."""
+    port = free_port()
+    listener = PeerListener(HOST, port, answer_with_the_largest_body)
+    await listener.start()
+    links = PeerLinks(SystemClock())
+    try:
+        yield links, make_member("m", address=HOST, peer_port=port), listener
+    finally:
         await links.close()
         await listener.close()
-        return replies
+
+
+def test_concurrent_requests_with_the_largest_bodies_are_all_answered():
+    async def scenario():
+        async with peer_links() as (links, member, _):
+            await links.request(member, make_call(b""), REQUEST_TIMEOUT)  # opens the connection
+            calls = [links.request(member, make_call(BODY), REQUEST_TIMEOUT) for _ in range(12)]
+            return await asyncio.gather(*calls, return_exceptions=True)
 
     replies = asyncio.run(scenario())
     assert [len(getattr(reply, "body", b"")) for reply in replies] == [len(BODY)] * 12
@@ -44,38 +52,24 @@
 
 def test_a_link_closed_while_it_is_opened_leaves_no_second_connection():
     async def scenario():
-        port = free_port()
-        listener = PeerListener(HOST, port, answer_with_the_largest_body)
-        await listener.start()
-        links = PeerLinks(SystemClock())
-        member = make_member("m", address=HOST, peer_port=port)
-        calls = [asyncio.ensure_future(links.request(member, make_call(b""), REQUEST_TIMEOUT))]
-        await asyncio.sleep(0)
-        links.close_link("m")
-        calls.append(asyncio.ensure_future(links.request(member, make_call(b""), REQUEST_TIMEOUT)))
-        await asyncio.gather(*calls, return_exceptions=True)
-        links.close_link("m")
-        await asyncio.sleep(0.1)
-        connections = len(listener._connections)
-        await links.close()
-        await listener.close()
-        return connections
+        async with peer_links() as (links, member, listener):
+            first = asyncio.ensure_future(links.request(member, make_call(b""), REQUEST_TIMEOUT))
+            await asyncio.sleep(0)
+            links.close_link("m")
+            second = asyncio.ensure_future(links.request(member, make_call(b""), REQUEST_TIMEOUT))
+            await asyncio.gather(first, second, return_exceptions=True)
+            links.close_link("m")
+            await asyncio.sleep(0.1)
+            return len(listener._connections)
 
     assert asyncio.run(scenario()) == 0
 
 
 def test_concurrent_first_requests_to_a_peer_share_one_connection():
     async def scenario():
-        port = free_port()
-        listener = PeerListener(HOST, port, answer_with_the_largest_body)
-        await listener.start()
-        links = PeerLinks(SystemClock())
-        member = make_member("m", address=HOST, peer_port=port)
-        calls = [links.request(member, make_call(b""), REQUEST_TIMEOUT) for _ in range(6)]
-        await asyncio.gather(*calls)
-        connections = len(listener._connections)
-        await links.close()
-        await listener.close()
-        return connections
+        async with peer_links() as (links, member, listener):
+            calls = [links.request(member, make_call(b""), REQUEST_TIMEOUT) for _ in range(6)]
+            await asyncio.gather(*calls)
+            return len(listener._connections)
 
     assert asyncio.run(scenario()) == 1
--- a/tests/test_stop_answers.py
+++ b/tests/test_stop_answers.py
@@ -114,36 +114,30 @@
     assert ran == [] and answer.startswith(b"HTTP/1.1 503")
 
 
-def test_a_new_connection_after_the_drain_is_refused_and_not_reset():
-    async def scenario(fleet):
-        node = await fleet.add("h1", "haul")
-        await fleet.add("t1", "tariff", never_answer)
-        await fleet.share_membership()
-        closing = hold_exit(fleet)
-        stopping = asyncio.ensure_future(stop_and_exit(node))
-        await closing.wait()
-        seen = await call(node, "late")
-        await stopping
-        return seen, fleet.instances["t1"].run_ids
+async def call_after_drain(fleet, prepare):
+    """Return what a caller saw after the drain of a node, and the IDs that an instance ran."""
+    node = await fleet.add("h1", "haul")
+    await fleet.add("t1", "tariff", never_answer)
+    await fleet.share_membership()
+    prepare(node)
+    closing = hold_exit(fleet)
+    stopping = asyncio.ensure_future(stop_and_exit(node))
+    await closing.wait()
+    seen = await call(node, "late")
+    await stopping
+    return seen, fleet.instances["t1"].run_ids
+
 
-    seen, ran = run_scenario(scenario)
+def test_a_new_connection_after_the_drain_is_refused_and_not_reset():
+    seen, ran = run_scenario(lambda fleet: call_after_drain(fleet, lambda node: None))
     assert ran == [] and seen.status == b"503" and b"Retry-After: " in seen.answer
 
 
 def test_a_late_request_on_a_route_of_nested_calls_is_refused_and_not_run():
-    async def scenario(fleet):
-        node = await fleet.add("h1", "haul")
-        await fleet.add("t1", "tariff", never_answer)
-        await fleet.share_membership()
+    def make_route_nested(node):
         node.origin._context.nested_routes.is_nested = lambda route: True
-        closing = hold_exit(fleet)
-        stopping = asyncio.ensure_future(stop_and_exit(node))
-        await closing.wait()
-        seen = await call(node, "late")
-        await stopping
-        return seen, fleet.instances["t1"].run_ids
 
-    seen, ran = run_scenario(scenario)
+    seen, ran = run_scenario(lambda fleet: call_after_drain(fleet, make_route_nested))
     assert ran == [] and seen.status == b"503"
 
 
