Nodes log and count what their instance says of its limit, and what they send it

Event 116 INSTANCE_LIMIT is written when the limit changes or cannot be read, with the sends so far; the gauges thorntray_rate_limit and thorntray_instance_sends (root, nested) show both beside thorntray_repeats. The limit is read and not used yet, so what is sent does not change. The reading of answers moves out of owner.py.

A lower limit is learnt at once; a higher one or its end only from an answer to a request sent after the newest answer with the limit in force, as answers on several connections may be read in another order than they were written.

--- a/packages/thorntray-node/src/thorntray_node/mesh_gauges.py
+++ b/packages/thorntray-node/src/thorntray_node/mesh_gauges.py
@@ -7,12 +7,17 @@
     from thorntray_node.mesh_node import MeshNode
 
 
+def _or_minus_one(value: float | None) -> float:
+    return -1.0 if value is None else value
+
+
 def register_gauges(node: "MeshNode") -> None:
     """Register the gauges of a node; call once, after all its components are created."""
     gauges: dict[str, Callable[[], float]] = {
         "thorntray_in_flight": lambda: node.queue.in_flight,
         "thorntray_waiting": lambda: node.queue.waiting,
         "thorntray_limit": lambda: node.queue.limit,
+        "thorntray_rate_limit": lambda: _or_minus_one(node.rate_limit.rate),
         "thorntray_slot_price": lambda: node.owner.deps.price.price,
         "thorntray_failing_share": lambda: node.owner.failure_rate,
         "thorntray_members": lambda: len(node.membership.alive()),
@@ -24,4 +29,7 @@
     }
     for name, read_gauge in gauges.items():
         node.metrics.add_gauge(name, read_gauge)
+    node.metrics.add_labelled_gauge(
+        "thorntray_instance_sends", "kind", lambda: dict(node.owner.sends)
+    )
     node.metrics.add_labelled_gauge("thorntray_repeat_budget", "service", node.budget.remaining)
--- a/packages/thorntray-node/src/thorntray_node/mesh_node.py
+++ b/packages/thorntray-node/src/thorntray_node/mesh_node.py
@@ -18,6 +18,7 @@
 from thorntray.internal.overload.call_parents import RunningRequests
 from thorntray.internal.overload.ejection import Ejection
 from thorntray.internal.overload.placement import Placement
+from thorntray.internal.overload.rate_limit import RateLimit
 from thorntray.internal.overload.retry_budget import RetryBudget
 from thorntray.internal.overload.root_admission import RootAdmission
 from thorntray.internal.overload.slot_price import MIN_PRICE, SlotPrice
@@ -97,6 +98,7 @@
         address = f"{cfg.instance.host}:{cfg.instance.port}"
         self.registration = Registration(cfg.service, address, clock, self._instance_changed)
         self.queue = SlotQueue()
+        self.rate_limit = RateLimit()
         self.running = RunningRequests()
         names = cfg.header_names
         self.pool = InstancePool(*cfg.instance, names.request_id.lower(), clock)
@@ -109,6 +111,7 @@
                 registration=self.registration,
                 queue=self.queue,
                 price=SlotPrice(clock.monotonic()),
+                rate_limit=self.rate_limit,
                 running=self.running,
                 clock=clock,
                 on_finish=self._owner_finished,
--- a/packages/thorntray/src/thorntray/internal/connection/header_names.py
+++ b/packages/thorntray/src/thorntray/internal/connection/header_names.py
@@ -29,6 +29,8 @@
     not_run: bytes = b"Thorntray-Not-Run"
     caller_service: bytes = b"Thorntray-Caller"
     retry_after: bytes = b"Retry-After"
+    rate_limit: bytes = b"Thorntray-Rate-Limit"
+    leaving: bytes = b"Thorntray-Leaving"
 
 
 MAX_CACHED_SPELLINGS = 512  # bounds the memory that arbitrary field names can take
@@ -44,6 +46,8 @@
     REQUEST_ID = auto()
     DEADLINE = auto()
     NOT_RUN = auto()  # the instance did not run the request
+    RATE_LIMIT = auto()  # requests a second that the instance takes; passed on
+    LEAVING = auto()  # the instance will stop; passed on
     FRAMING = auto()  # determines where the body ends
     KEEP_ALIVE = auto()  # announces the instance's idle timeout
 
--- a/packages/thorntray/src/thorntray/internal/request/owner.py
+++ b/packages/thorntray/src/thorntray/internal/request/owner.py
@@ -11,7 +11,7 @@
 from typing import NamedTuple
 
 from thorntray.internal.connection.frame import CallFrame
-from thorntray.internal.connection.header_names import FieldClassifier, FieldKind, HeaderNames
+from thorntray.internal.connection.header_names import HeaderNames
 from thorntray.internal.connection.instance_pool import (
     InstancePool,
     InstanceResponse,
@@ -20,10 +20,12 @@
 )
 from thorntray.internal.overload.call_parents import RunningRequest, RunningRequests
 from thorntray.internal.overload.failing_share import FailingShare
+from thorntray.internal.overload.rate_limit import InstanceState, RateLimit
 from thorntray.internal.overload.slot_price import MIN_PRICE, SlotPrice
 from thorntray.internal.overload.slot_queue import SlotQueue, Ticket
 from thorntray.internal.process.clock import Clock
 from thorntray.internal.process.registration import Registration
+from thorntray.internal.request.instance_answers import AnswerReader
 from thorntray.internal.request.result import (
     Cause,
     LoadReport,
@@ -32,9 +34,8 @@
     not_run,
     unknown,
 )
-from thorntray.internal.telemetry.events import log_handler_failure
+from thorntray.internal.telemetry.events import Event, log_event, log_handler_failure
 
-MISDIRECTED = 421  # HTTP status; the request names another instance ID than the instance's own
 MAX_EXPIRY_STEPS = 15  # earlier expiries to try for one that no other running request has
 MOVING_AVERAGE_WEIGHT = 0.1  # weight of the newest sample of a service time or queue wait
 EXPIRY_GRACE = 0.15  # seconds after the expiry during which the instance may still respond
@@ -55,6 +56,7 @@
     registration: Registration
     queue: SlotQueue
     price: SlotPrice
+    rate_limit: RateLimit
     running: RunningRequests
     clock: Clock
     on_finish: Callable[[CallFrame, Result, float], None]  # with the seconds at this node
@@ -153,7 +155,8 @@
     def __init__(self, deps: OwnerDependencies) -> None:
         self.deps = deps
         self.requests: set[OwnerRequest] = set()
-        self._response_fields = FieldClassifier({deps.names.not_run: FieldKind.NOT_RUN})
+        self._answers = AnswerReader(deps.names)
+        self.sends = {"root": 0, "nested": 0}  # requests sent to the instance
         self._service_time = 0.0  # seconds, moving average
         self._queue_wait = 0.0  # seconds, moving average
         self._failing_share = FailingShare()
@@ -204,6 +207,7 @@
         request.timer = asyncio.get_running_loop().call_later(
             budget_ms / 1000 + EXPIRY_GRACE, self._on_expiry, request
         )
+        self.sends["nested" if call.nested else "root"] += 1
         request.instance_call = deps.pool.send(
             data, call.request_id, call.method, not call.idempotent, self._response_handler(request)
         )
@@ -302,11 +306,13 @@
         self, request: OwnerRequest
     ) -> Callable[[InstanceResponse | ResponseFault], None]:
         def on_response(response: InstanceResponse | ResponseFault) -> None:
-            request.finish(self._result_of(response))
+            request.finish(self._result_of(request, response))
 
         return on_response
 
-    def _result_of(self, response: InstanceResponse | ResponseFault) -> Result:
+    def _result_of(
+        self, request: OwnerRequest, response: InstanceResponse | ResponseFault
+    ) -> Result:
         match response:
             case ResponseFault.UNREACHABLE:
                 self._unreachable_until = self.deps.clock.monotonic() + UNREACHABLE_BACKOFF
@@ -315,24 +321,19 @@
                 return unknown(Cause.LOST)
             case ResponseFault.GARBLED:
                 return unknown(Cause.GARBLED)
-            case InstanceResponse(status, headers, body):
-                return self._result_of_response(status, headers, body)
+            case InstanceResponse():
+                answer = self._answers.read(response)
+                if answer.state is not None:
+                    self._record_state(request, answer.state)
+                return answer.result
         raise AssertionError(response)
 
-    def _result_of_response(
-        self, status: int, headers: list[tuple[bytes, bytes]], body: bytes
-    ) -> Result:
-        lines: list[bytes] = []
-        kinds = self._response_fields
-        for name, value in headers:
-            kind = kinds.classify(name)
-            if kind is FieldKind.PASSED:
-                lines.append(b"%b: %b\r\n" % (name, value))
-            elif kind is FieldKind.NOT_RUN:
-                return not_run(Cause.REJECTED)
-        if status == MISDIRECTED:
-            return not_run(Cause.NO_INSTANCE)
-        return Result(ResultKind.ANSWERED, status=status, header_lines=b"".join(lines), body=body)
+    def _record_state(self, request: OwnerRequest, state: InstanceState) -> None:
+        """Learn what the instance says of itself in its answer to a request."""
+        limit = self.deps.rate_limit
+        before = limit.rate
+        if limit.record_answer(state, request.started_at, self.deps.clock.monotonic()):
+            log_event(Event.INSTANCE_LIMIT, rate=limit.rate, before=before, sends=dict(self.sends))
 
     def _on_expiry(self, request: OwnerRequest) -> None:
         """Finish a request as unknown after its expiry and the grace period."""
--- a/packages/thorntray/src/thorntray/internal/telemetry/events.py
+++ b/packages/thorntray/src/thorntray/internal/telemetry/events.py
@@ -53,6 +53,7 @@
     INSTANCE_LAPSED = EventKind(112, Level.WARNING, "upstream instance stopped sending heartbeats")
     INSTANCE_ANNOUNCED = EventKind(113, Level.INFO, "upstream instance announced itself")
     ANNOUNCEMENT_REFUSED = EventKind(114, Level.WARNING, "announcement refused")
+    INSTANCE_LIMIT = EventKind(116, Level.WARNING, "rate limit of the upstream instance changed")
     NODE_FAILED = EventKind(115, Level.ERROR, "node failed at its start or stop")
     MEMBER_JOINED = EventKind(200, Level.INFO, "member joined")
     MEMBER_SUSPECT = EventKind(201, Level.WARNING, "member suspected")
--- a/packages/thorntray/src/thorntray/internal/telemetry/node_metrics.py
+++ b/packages/thorntray/src/thorntray/internal/telemetry/node_metrics.py
@@ -33,6 +33,14 @@
     "thorntray_in_flight": ("gauge", "requests in slots of the own instance"),
     "thorntray_waiting": ("gauge", "requests waiting for a slot of the own instance"),
     "thorntray_limit": ("gauge", "concurrency limit of the own instance, in slots"),
+    "thorntray_rate_limit": (
+        "gauge",
+        "requests a second that the own instance takes, -1: no limit",
+    ),
+    "thorntray_instance_sends": (
+        "gauge",
+        "requests sent to the own instance since the start, by kind",
+    ),
     "thorntray_slot_price": ("gauge", "price of a slot-second of the own instance"),
     "thorntray_failing_share": ("gauge", "share of its requests that the own instance fails"),
     "thorntray_repeat_budget": ("gauge", "retries left in the budget of this node, by service"),
