An instance gets no more requests than the rate limit that it names

Cause: the node knew no rate at all. Slots were the only bound in front of an instance, and what it said in its answers was passed on unread. Class: a capability that is missing, not a slip in one way to the instance.

The limit is kept where all ways meet, at the node in front of the instance (overload/rate_limit.py): a token bucket beside the slots, for first sends, retries and nested calls alike, in order of worth. A lower limit holds at once; a higher one or its end needs an answer to a request sent after the newest answer with the limit in force. An unreadable one changes nothing. With a limit of zero one request in five seconds still goes out, else its end would never be seen. What cannot start in time is refused at once, also when more valued work pushes it back, and told when the limit allows it. For the price a refused request counts as if it had waited, so entry nodes shed by worth.

Results carry the limit to the nodes of callers. Placement adds the wait that the limit means, which sends the rest elsewhere. After a restart of the node its peers tell it the limit in the first frame of their links, and it sends four requests before the first answer.

--- a/packages/thorntray-node/src/thorntray_node/mesh_node.py
+++ b/packages/thorntray-node/src/thorntray_node/mesh_node.py
@@ -12,7 +12,8 @@
 from thorntray.internal.connection.instance_pool import InstancePool
 from thorntray.internal.connection.link import LinkListener, Links
 from thorntray.internal.membership.gossip import Address
-from thorntray.internal.membership.member import SESSION_BYTES, Member
+from thorntray.internal.membership.instance_notices import InstanceNotices
+from thorntray.internal.membership.member import SESSION_BYTES, Health, Member
 from thorntray.internal.membership.membership import Membership
 from thorntray.internal.membership.udp import UdpTransport
 from thorntray.internal.overload.call_parents import RunningRequests
@@ -27,6 +28,7 @@
 from thorntray.internal.process.drain import Drain
 from thorntray.internal.process.registration import Registration
 from thorntray.internal.process.tasks import BackgroundTasks
+from thorntray.internal.request.instance_tracker import InstanceTracker
 from thorntray.internal.request.origin import Origin
 from thorntray.internal.request.origin_context import OriginDependencies
 from thorntray.internal.request.origin_request import OriginRequest
@@ -97,8 +99,9 @@
         cfg, clock = self.cfg, self.clock
         address = f"{cfg.instance.host}:{cfg.instance.port}"
         self.registration = Registration(cfg.service, address, clock, self._instance_changed)
-        self.queue = SlotQueue()
-        self.rate_limit = RateLimit()
+        self.rate_limit = RateLimit(clock)
+        self.tracker = InstanceTracker(self.registration, self.rate_limit)
+        self.queue = SlotQueue(self.rate_limit)
         self.running = RunningRequests()
         names = cfg.header_names
         self.pool = InstancePool(*cfg.instance, names.request_id.lower(), clock)
@@ -112,6 +115,7 @@
                 queue=self.queue,
                 price=SlotPrice(clock.monotonic()),
                 rate_limit=self.rate_limit,
+                tracker=self.tracker,
                 running=self.running,
                 clock=clock,
                 on_finish=self._owner_finished,
@@ -125,6 +129,8 @@
         self.links = Links(cfg.name, self._session, cfg.domain, clock)
         self.links.on_non_result_frame = self._peer_frame_received
         self.links.on_link_failure = self._link_failed
+        self.notices = InstanceNotices(clock)
+        self.links.notices_of = self.notices.of_member
         self.ejection = Ejection(clock)
         self.placement = Placement(cfg.domain, self.ejection, self.rng)
         self.admission = RootAdmission()
@@ -140,6 +146,7 @@
             directory=self.membership,
             owner=self.owner,
             links=self.links,
+            notices=self.notices,
             running=self.running,
             admission=self.admission,
             placement=self.placement,
@@ -245,6 +252,7 @@
 
     def _instance_changed(self) -> None:
         registration = self.registration
+        self.tracker.update_boot()
         current = registration.current
         if current is not None and current.slots > 0:
             self.queue.set_slots(current.slots)
@@ -256,6 +264,10 @@
         self.links.drain_link(name)
         self.placement.forget(name)
         self.ejection.forget(name)
+        member = self.membership.view.get(name)
+        restarted = member is not None and member.health is Health.ALIVE
+        if restarted and self.notices.of_member(name):
+            self.links.link_to(member).open()  # tells the new process what it has lost
 
     def _link_failed(self, member: Member) -> None:
         """Pause new requests to the member, and have the membership probe it now."""
@@ -317,6 +329,7 @@
             self._log_load()
             self.registration.check_timeout()
             self.pool.close_idle()
+            self.notices.remove_expired()
             self.budget.set_nodes(len(self.membership.alive()))
             policy = self.holder.policy
             if policy is not None:
--- a/packages/thorntray-node/src/thorntray_node/peer_requests.py
+++ b/packages/thorntray-node/src/thorntray_node/peer_requests.py
@@ -1,6 +1,6 @@
 """Requests that peers have sent to the instance of this node, and the replies to them."""
 
-from thorntray.internal.connection.frame import CallFrame, CancelFrame, FetchPolicy, Frame
+from thorntray.internal.connection.frame import CallFrame, CancelFrame, FetchPolicy, Frame, Hello
 from thorntray.internal.connection.link_connection import LinkConnection
 from thorntray.internal.request.owner import Owner, OwnerRequest
 from thorntray.internal.request.result import Result
@@ -19,6 +19,9 @@
     def on_frame(self, link: LinkConnection, frame: Frame) -> None:
         """Handle a frame from a peer, received on a link that the peer opened."""
         match frame:
+            case Hello(notices=notices):
+                for notice in notices:
+                    self._owner.deps.tracker.learn_from_peer(notice)
             case CallFrame(number):
                 self._submit(link, number, frame)
             case CancelFrame(number):
--- a/packages/thorntray/src/thorntray/internal/connection/frame.py
+++ b/packages/thorntray/src/thorntray/internal/connection/frame.py
@@ -9,16 +9,21 @@
 import msgspec
 
 from thorntray.errors import BadMessage
+from thorntray.internal.membership.instance_notices import InstanceNotice
 
 LENGTH_BYTES = 4
 MAX_FRAME_BYTES = 80 * 1024 * 1024
 
 
 class Hello(msgspec.Struct, tag=0, array_like=True, frozen=True):
-    """First frame of a connection: identifies the connecting node."""
+    """First frame of a connection: identifies the connecting node.
+
+    `notices` tells what the sender knows of the receiver's instance.
+    """
 
     sender: str
     session: bytes
+    notices: tuple[InstanceNotice, ...] = ()
 
 
 class CallFrame(msgspec.Struct, tag=1, array_like=True, frozen=True):
@@ -52,7 +57,8 @@
     `request.result` defines the values of `end` and `reason`. `retry_after`, `queue_wait` and
     `service_time` are in seconds. `costs` holds by service the slot-seconds and calls that the
     call tree used, `prices` by service the price of a slot-second. `in_flight` and `limit`
-    describe the load of the sender's instance, `failing` the share of its requests that fail.
+    describe the load of the sender's instance, `failing` the share of its requests that fail, and
+    `notice` what the instance has named in its answers.
     """
 
     number: int
@@ -69,6 +75,7 @@
     in_flight: int
     limit: int
     failing: float
+    notice: InstanceNotice | None = None
 
 
 class CancelFrame(msgspec.Struct, tag=3, array_like=True, frozen=True):
--- a/packages/thorntray/src/thorntray/internal/connection/link.py
+++ b/packages/thorntray/src/thorntray/internal/connection/link.py
@@ -20,6 +20,7 @@
     ResultFrame,
 )
 from thorntray.internal.connection.link_connection import FrameHandler, LinkConnection
+from thorntray.internal.membership.instance_notices import InstanceNotice
 from thorntray.internal.membership.member import Member
 from thorntray.internal.process.clock import Clock
 from thorntray.internal.request.result import Cause
@@ -31,6 +32,7 @@
 ResultHandler = Callable[[ResultFrame | Cause], None]
 MemberFrameHandler = Callable[[Member, Frame], None]
 LinkFailureHandler = Callable[[Member], None]
+NoticeSource = Callable[[str], tuple[InstanceNotice, ...]]  # by name of the member
 
 
 class Link:
@@ -39,14 +41,14 @@
     def __init__(
         self,
         member: Member,
-        hello: Hello,
+        make_hello: Callable[[], Hello],
         compressed: bool,
         clock: Clock,
         on_non_result_frame: MemberFrameHandler,
         on_link_failure: LinkFailureHandler,
     ) -> None:
         self.member = member
-        self._hello = hello
+        self._make_hello = make_hello
         self._compressed = compressed
         self._clock = clock
         self._on_non_result_frame = on_non_result_frame
@@ -93,7 +95,12 @@
             self._connection.send(frame)
             return
         self._unsent.append(frame)
-        if self._connecting is None:
+        self.open()
+
+    def open(self) -> None:
+        """Open the connection unless it is open; its first frame tells what this node knows."""
+        connected = self._connection is not None and not self._connection.lost
+        if not connected and self._connecting is None:
             self._connecting = asyncio.ensure_future(self._connect())
 
     def check_liveness(self, now: float) -> None:
@@ -143,7 +150,7 @@
 
     async def _connect(self) -> None:
         member = self.member
-        connection = LinkConnection(self, self._clock, self._hello, self._compressed)
+        connection = LinkConnection(self, self._clock, self._make_hello(), self._compressed)
         loop = asyncio.get_running_loop()
         try:
             async with asyncio.timeout(CONNECT_TIMEOUT):
@@ -211,6 +218,7 @@
         self._draining: list[Link] = []
         self.on_non_result_frame: MemberFrameHandler = lambda member, frame: None
         self.on_link_failure: LinkFailureHandler = lambda member: None
+        self.notices_of: NoticeSource = lambda name: ()
 
     def link_to(self, member: Member) -> Link:
         """Return the link to a peer; the link to an earlier session of it is drained."""
@@ -218,10 +226,9 @@
         if earlier is not None and earlier.member.session == member.session:
             return earlier
         compressed = member.domain != self._domain
-        hello = Hello(self._name, self._session)
         link = Link(
             member,
-            hello,
+            lambda: Hello(self._name, self._session, self.notices_of(member.name)),
             compressed,
             self._clock,
             lambda m, f: self.on_non_result_frame(m, f),
--- a/packages/thorntray/src/thorntray/internal/connection/link_connection.py
+++ b/packages/thorntray/src/thorntray/internal/connection/link_connection.py
@@ -165,15 +165,20 @@
             match frame:
                 case Hello(sender):
                     self.peer = sender
+                    if frame.notices:
+                        self._pass_on(frame)
                 case PingFrame():
                     self.send(PongFrame())
                 case PongFrame():
                     pass
                 case _:
-                    try:
-                        self._handler.on_frame(self, frame)
-                    except Exception:  # the other requests on this connection are not affected
-                        log_handler_failure(peer=self.peer)
+                    self._pass_on(frame)
+
+    def _pass_on(self, frame: Frame) -> None:
+        try:
+            self._handler.on_frame(self, frame)
+        except Exception:  # the other requests on this connection are not affected
+            log_handler_failure(peer=self.peer)
 
     def _enable_compression(self) -> None:
         self._compressor = zlib.compressobj(
--- a/packages/thorntray/src/thorntray/internal/overload/placement.py
+++ b/packages/thorntray/src/thorntray/internal/overload/placement.py
@@ -14,12 +14,17 @@
 A member whose node or instance has recently not accepted requests is paused for a while. If no
 member is routable, one whose node is about to stop is still tried: it serves requests until it
 stops, or refuses at once.
+
+An instance that names a rate limit has free slots and answers fast, and would attract all requests.
+Its expected time therefore includes the wait until the limit allows a further one.
 """
 
 from random import Random
 
+from thorntray.internal.membership.instance_notices import InstanceNotice
 from thorntray.internal.membership.member import Health, Member
 from thorntray.internal.overload.ejection import Ejection
+from thorntray.internal.overload.rate_limit import MIN_RATE
 from thorntray.internal.request.result import LoadReport
 
 CROSS_DOMAIN_PENALTY = 0.06  # seconds added for a member of another failure domain
@@ -43,6 +48,8 @@
         "sent_since_report",
         "paused_until",
         "own_in_flight",
+        "rate_limit",
+        "free_at",
     )
 
     def __init__(self) -> None:
@@ -52,6 +59,8 @@
         self.sent_since_report = 0
         self.paused_until = float("-inf")
         self.own_in_flight = 0  # requests of this node in flight at the member
+        self.rate_limit: float | None = None  # requests a second that its instance takes
+        self.free_at = float("-inf")  # monotonic seconds at which that limit allows another one
 
 
 class Placement:
@@ -69,6 +78,8 @@
         state = self._state(member)
         state.own_in_flight += 1
         state.sent_since_report += 1
+        if state.rate_limit is not None:
+            state.free_at += 1.0 / max(state.rate_limit, MIN_RATE)
 
     def record_result(self, member: str, route: str, report: LoadReport, now: float) -> None:
         """Record the end of a request, with the load report of its node."""
@@ -82,6 +93,13 @@
             known = state.service_times.get(route, report.service_time)
             state.service_times[route] = known + SERVICE_TIME_WEIGHT * (report.service_time - known)
 
+    def record_notice(self, member: str, notice: InstanceNotice | None, now: float) -> None:
+        """Record the rate limit of a member's instance that came with a result, None: no limit."""
+        state = self._state(member)
+        state.rate_limit = notice.rate_limit if notice is not None else None
+        if notice is not None:
+            state.free_at = now + notice.start_delay
+
     def pause(self, member: str, now: float, seconds: float = PAUSE_AFTER_REFUSAL) -> None:
         """Avoid a member for `seconds`; it is still chosen if all other members are paused too."""
         self._state(member).paused_until = now + seconds
@@ -149,6 +167,8 @@
         wait = _congestion_delay(load_share, seconds) if load_share > CONGESTION_THRESHOLD else 0.0
         if fresh:
             wait = max(wait, report.queue_wait)
+        if state.rate_limit is not None:
+            wait = max(wait, state.free_at - now)
         domain_penalty = 0.0 if member.domain == self._domain else CROSS_DOMAIN_PENALTY
         jitter = self._rng.random() * 0.002
         return seconds + wait + domain_penalty + jitter
--- a/packages/thorntray/src/thorntray/internal/overload/slot_price.py
+++ b/packages/thorntray/src/thorntray/internal/overload/slot_price.py
@@ -33,7 +33,7 @@
         self._integral = MIN_PRICE
         self._updated_at = now
 
-    def update(self, present: int, limit: int, now: float) -> float:
+    def update(self, present: float, limit: float, now: float) -> float:
         """Adjust the price to the requests present, running or waiting, and return it."""
         elapsed = min(now - self._updated_at, 0.5)
         self._updated_at = now
--- a/packages/thorntray/src/thorntray/internal/overload/slot_queue.py
+++ b/packages/thorntray/src/thorntray/internal/overload/slot_queue.py
@@ -16,6 +16,9 @@
 An instance with few slots keeps none of them unused: leaving one of three out would cost more
 than any slow-down that it avoids.
 
+An instance that names a rate limit gets no more than that allows (`rate_limit`). Requests then wait
+beside free slots, in the same order.
+
 An instance that has just started is slower but has all its slots; it gets fewer requests because
 placement observes its longer service times.
 """
@@ -24,6 +27,8 @@
 
 from sortedcontainers import SortedKeyList
 
+from thorntray.internal.overload.rate_limit import RateLimit
+
 UNUSED_SHARE = 0.07  # most of the slots of an instance that stay unused
 NESTED_SLOTS = 1  # slots that only nested calls get, while they are usual
 NESTED_WEIGHT = 0.1  # weight of the newest request in the share of nested calls
@@ -34,14 +39,20 @@
 class Ticket:
     """A request for a slot; `start` is called when it gets one."""
 
-    __slots__ = ("worth", "nested", "expiry", "sort_key", "start", "holds_slot")
+    __slots__ = ("worth", "nested", "expiry", "idempotent", "sort_key", "start", "holds_slot")
 
     def __init__(
-        self, worth: float, nested: bool, start: Callable[[], None], expiry: float = 0.0
+        self,
+        worth: float,
+        nested: bool,
+        start: Callable[[], None],
+        expiry: float = 0.0,
+        idempotent: bool = True,
     ) -> None:
         self.worth = worth
         self.nested = nested
         self.expiry = expiry  # monotonic seconds
+        self.idempotent = idempotent
         self.start = start
         self.sort_key = (0.0, 0.0, 0)
         self.holds_slot = False
@@ -54,7 +65,8 @@
 class SlotQueue:
     """The slots in use and the requests waiting for one, in order of worth."""
 
-    def __init__(self) -> None:
+    def __init__(self, rate_limit: RateLimit | None = None) -> None:
+        self._rate_limit = rate_limit
         self.limit = 0
         self.in_flight = 0
         self._sequence = 0
@@ -69,7 +81,7 @@
     def set_slots(self, slots: int) -> None:
         """Set the number of slots of the instance and start waiting requests that now fit."""
         self.limit = max(1, slots - int(slots * UNUSED_SHARE))
-        self._assign_free_slots()
+        self.start_waiting()
 
     def submit(self, ticket: Ticket) -> bool:
         """Start a request if a slot is free, else queue it; True if it was started."""
@@ -81,7 +93,7 @@
         rank = ticket.worth + (NESTED_BONUS if ticket.nested else 0.0)
         ticket.sort_key = (-rank, ticket.expiry, self._sequence)
         self._waiting.add(ticket)
-        self._assign_free_slots()
+        self.start_waiting()
         return ticket.holds_slot
 
     def count_ahead(self, ticket: Ticket) -> int:
@@ -100,7 +112,7 @@
         if ticket.holds_slot:
             ticket.holds_slot = False
             self.in_flight -= 1
-            self._assign_free_slots()
+            self.start_waiting()
 
     def drain(self) -> list[Ticket]:
         """Remove all waiting requests and return them."""
@@ -109,6 +121,8 @@
         return tickets
 
     def _may_start(self, ticket: Ticket) -> bool:
+        if self._rate_limit is not None and not self._rate_limit.may_send(ticket.idempotent):
+            return False
         reserved = 0
         if not ticket.nested and self._nested_share > USUAL_NESTED_SHARE:
             reserved = min(NESTED_SLOTS, self.limit - 1)
@@ -118,9 +132,12 @@
         """Return the first waiting request that may start now, None if there is none."""
         if self.in_flight >= self.limit:
             return None
+        if self._rate_limit is not None and not self._rate_limit.may_send(idempotent=True):
+            return None
         return next((ticket for ticket in self._waiting if self._may_start(ticket)), None)
 
-    def _assign_free_slots(self) -> None:
+    def start_waiting(self) -> None:
+        """Start the waiting requests that fit now, by slots and by the rate limit."""
         while (ticket := self._startable_waiting()) is not None:
             self._waiting.remove(ticket)
             self._assign_slot(ticket)
--- a/packages/thorntray/src/thorntray/internal/process/registration.py
+++ b/packages/thorntray/src/thorntray/internal/process/registration.py
@@ -25,8 +25,15 @@
     DRAINING = "draining"
 
 
+class Boot(NamedTuple):
+    """One run of an instance. `started_ms` is its start, in milliseconds since 1970."""
+
+    instance_id: str
+    started_ms: int
+
+
 class Announcement(NamedTuple):
-    """One announcement. `started_ms` is the start of the boot, in milliseconds since 1970."""
+    """One announcement; the first two fields identify the boot."""
 
     instance_id: str
     started_ms: int
@@ -37,10 +44,10 @@
     phase: Phase
     cold_remaining: float  # seconds of warm-up that remain
 
-
-class _Boot(NamedTuple):
-    instance_id: str
-    started_ms: int
+    @property
+    def boot(self) -> Boot:
+        """Return the boot that sent the announcement."""
+        return Boot(self.instance_id, self.started_ms)
 
 
 class Registration:
@@ -53,7 +60,7 @@
         self._address = address
         self._clock = clock
         self._on_change = on_change
-        self._left_boots: dict[_Boot, None] = {}
+        self._left_boots: dict[Boot, None] = {}
         self._left_at: dict[str, float] = {}  # ms since 1970, by instance id, for unknown boots
         self.current: Announcement | None = None
         self.accepting = False
@@ -79,8 +86,8 @@
         """Apply an announcement; return False if it is for another service or address."""
         if announcement.service != self._service or announcement.address != self._address:
             return False
-        boot = _Boot(announcement.instance_id, announcement.started_ms)
-        if self._has_left(boot) or not self._is_newer(announcement):
+        boot = announcement.boot
+        if self.has_left(boot) or not self._is_newer(announcement):
             return True
         changed = self.current is None or announcement[:2] != self.current[:2]
         changed = changed or announcement.phase is not self.current.phase
@@ -104,7 +111,7 @@
         current = self.current
         if current is not None and current.instance_id == instance_id:
             if started_ms is None or started_ms >= current.started_ms:
-                self._record_left(_Boot(instance_id, current.started_ms))
+                self._record_left(Boot(instance_id, current.started_ms))
                 log_event(Event.INSTANCE_LEFT, instance=instance_id)
                 self._set_accepting(False)
         elif started_ms is None:
@@ -112,7 +119,17 @@
             self._left_at[instance_id] = self._clock.time() * MS_PER_SECOND
             log_event(Event.INSTANCE_LEFT, instance=instance_id)
         if started_ms is not None:
-            self._record_left(_Boot(instance_id, started_ms))
+            self._record_left(Boot(instance_id, started_ms))
+
+    def leave(self, boot: Boot) -> None:
+        """Record that a boot leaves, because it or a peer says so."""
+        if not self.has_left(boot):
+            self.deregister(*boot)
+
+    def has_left(self, boot: Boot) -> bool:
+        """Return whether a boot is known to leave or to have left."""
+        left_at = self._left_at.get(boot.instance_id)
+        return boot in self._left_boots or (left_at is not None and boot.started_ms <= left_at)
 
     def check_timeout(self) -> None:
         """Stop new work to an instance without recent announcements; to be called periodically."""
@@ -125,10 +142,6 @@
         self.node_draining = True
         self._on_change()
 
-    def _has_left(self, boot: _Boot) -> bool:
-        left_at = self._left_at.get(boot.instance_id)
-        return boot in self._left_boots or (left_at is not None and boot.started_ms <= left_at)
-
     def _is_newer(self, announcement: Announcement) -> bool:
         current = self.current
         if current is None or announcement.started_ms > current.started_ms:
@@ -140,7 +153,7 @@
             return False
         return announcement.sequence > current.sequence
 
-    def _record_left(self, boot: _Boot) -> None:
+    def _record_left(self, boot: Boot) -> None:
         self._left_boots[boot] = None
         while len(self._left_boots) > MAX_LEFT_BOOTS:
             del self._left_boots[next(iter(self._left_boots))]
--- a/packages/thorntray/src/thorntray/internal/request/origin_context.py
+++ b/packages/thorntray/src/thorntray/internal/request/origin_context.py
@@ -6,6 +6,7 @@
 
 from thorntray.internal.connection.header_names import HeaderNames
 from thorntray.internal.connection.link import Links
+from thorntray.internal.membership.instance_notices import InstanceNotices
 from thorntray.internal.membership.member import Member
 from thorntray.internal.overload.call_parents import NestedRoutes, RunningRequests
 from thorntray.internal.overload.ejection import Ejection
@@ -42,6 +43,7 @@
     directory: Directory
     owner: Owner
     links: Links
+    notices: InstanceNotices
     running: RunningRequests
     admission: RootAdmission
     placement: Placement
--- a/packages/thorntray/src/thorntray/internal/request/origin_request.py
+++ b/packages/thorntray/src/thorntray/internal/request/origin_request.py
@@ -67,6 +67,7 @@
         "sent_at",
         "nested",
         "saw_overload",
+        "return_after",
     )
 
     def __init__(
@@ -91,6 +92,7 @@
         self.arrivals = 0  # attempts that reached an instance, or may have
         self.attempt = 0  # number of the current attempt; results of earlier ones are ignored
         self.maybe_ran = False  # whether an attempt may have run at an instance
+        self.return_after: float | None = None  # seconds, least of the refusing instances
         self.saw_overload = False  # whether an instance refused it because of overload
         self.member: Member | None = None
         self.owner_request: OwnerRequest | None = None
@@ -271,6 +273,9 @@
         deps = self.context.deps
         now = deps.clock.monotonic()
         deps.placement.record_result(member.name, self.route_key, result.report, now)
+        if result.report.limit:
+            deps.placement.record_notice(member.name, result.notice, now)
+            deps.notices.record(member.name, result.notice)
         if self.finished or attempt != self.attempt:
             return
         self.owner_request = self.link = None
@@ -318,6 +323,8 @@
         if result.cause is Cause.FULL and self.member is not None:
             self.tried.discard(self.member.name)
             self.full.add(self.member.name)
+            self._record_return_time(result.retry_after)
+            result = result._replace(retry_after=0.0)
         self.saw_overload = self.saw_overload or result.cause in _OVERLOAD_CAUSES
         if now >= self.expiry or result.cause is Cause.EXPIRED:
             self._give_up(result)
@@ -343,10 +350,16 @@
     def _give_up(self, result: Result) -> None:
         if result.kind is ResultKind.NOT_RUN and self.maybe_ran:
             result = unknown(result.cause)
-        elif result.kind is ResultKind.NOT_RUN and not result.retry_after:
-            result = result._replace(retry_after=self.route.target_latency / 4)
+        elif result.kind is ResultKind.NOT_RUN:
+            usual = result.retry_after or self.route.target_latency / 4
+            result = result._replace(retry_after=max(usual, self.return_after or 0.0))
         self.finish(result)
 
+    def _record_return_time(self, seconds: float) -> None:
+        """Keep the least time after which a full instance takes a further request; 0: any time."""
+        known = self.return_after
+        self.return_after = seconds if known is None else min(known, seconds)
+
     def _on_timeout(self) -> None:
         self.timer = None
         sent = self._cancel_attempt()
--- a/packages/thorntray/src/thorntray/internal/request/owner.py
+++ b/packages/thorntray/src/thorntray/internal/request/owner.py
@@ -24,8 +24,9 @@
 from thorntray.internal.overload.slot_price import MIN_PRICE, SlotPrice
 from thorntray.internal.overload.slot_queue import SlotQueue, Ticket
 from thorntray.internal.process.clock import Clock
-from thorntray.internal.process.registration import Registration
+from thorntray.internal.process.registration import Boot, Registration
 from thorntray.internal.request.instance_answers import AnswerReader
+from thorntray.internal.request.instance_tracker import InstanceTracker
 from thorntray.internal.request.result import (
     Cause,
     LoadReport,
@@ -34,7 +35,7 @@
     not_run,
     unknown,
 )
-from thorntray.internal.telemetry.events import Event, log_event, log_handler_failure
+from thorntray.internal.telemetry.events import log_handler_failure
 
 MAX_EXPIRY_STEPS = 15  # earlier expiries to try for one that no other running request has
 MOVING_AVERAGE_WEIGHT = 0.1  # weight of the newest sample of a service time or queue wait
@@ -42,6 +43,8 @@
 DETACHED_TIMEOUT = 0.25  # seconds that a cancelled nested call may still run at the instance
 MIN_BUDGET = 0.002  # seconds; a request with less time left is not sent to the instance
 UNREACHABLE_BACKOFF = 0.3  # seconds without new requests after a failed connection attempt
+MIN_CAPACITY = 0.05  # requests in flight, for an instance with a small rate limit
+RATE_TIMER_MARGIN = 0.001  # seconds; timers fire at times slightly early
 _BODY_METHODS = frozenset({b"POST", b"PUT", b"PATCH"})
 
 ResultCallback = Callable[[Result], None]
@@ -57,6 +60,7 @@
     queue: SlotQueue
     price: SlotPrice
     rate_limit: RateLimit
+    tracker: InstanceTracker
     running: RunningRequests
     clock: Clock
     on_finish: Callable[[CallFrame, Result, float], None]  # with the seconds at this node
@@ -67,7 +71,7 @@
     """One request at its owner, from its arrival to its result."""
 
     __slots__ = ("owner", "call", "on_result", "expiry", "ticket", "run", "instance_call", "timer")
-    __slots__ += ("arrived_at", "started_at", "finished", "detached")
+    __slots__ += ("arrived_at", "started_at", "boot", "finished", "detached")
 
     def __init__(self, owner: "Owner", call: CallFrame, on_result: ResultCallback) -> None:
         self.owner = owner
@@ -75,11 +79,14 @@
         self.on_result = on_result
         self.arrived_at = owner.deps.clock.monotonic()
         self.expiry = self.arrived_at + call.budget
-        self.ticket = Ticket(call.worth, call.nested, self._on_slot_granted, self.expiry)
+        self.ticket = Ticket(
+            call.worth, call.nested, self._on_slot_granted, self.expiry, call.idempotent
+        )
         self.run: RunningRequest | None = None
         self.instance_call: PendingSend | None = None
         self.timer: asyncio.TimerHandle | None = None
         self.started_at = 0.0
+        self.boot: Boot | None = None  # the boot of the instance that it was sent to
         self.finished = False
         self.detached = False  # whether it was cancelled while the instance ran it
 
@@ -109,11 +116,20 @@
             self.instance_call.cancel()
         self.finish(unknown(Cause.CANCELLED))
 
+    @property
+    def waiting(self) -> bool:
+        """Return whether it waits for a slot."""
+        return not (self.finished or self.ticket.holds_slot)
+
+    @property
+    def longest_wait(self) -> float:
+        """Return the seconds after its arrival for which it may wait for a slot."""
+        return max(0.0, min(self.call.max_wait, self.call.budget - MIN_BUDGET))
+
     def start_queue_timer(self) -> None:
         """Limit the wait for a slot."""
-        longest = min(self.call.max_wait, self.call.budget - MIN_BUDGET)
         loop = asyncio.get_running_loop()
-        self.timer = loop.call_later(max(0.0, longest), self._on_queue_timeout)
+        self.timer = loop.call_later(self.longest_wait, self._on_queue_timeout)
 
     def finish(self, result: Result) -> None:
         """Deliver the result and release the slot; only the first call has an effect."""
@@ -133,7 +149,7 @@
 
     def _on_queue_timeout(self) -> None:
         expired = self.owner.deps.clock.monotonic() >= self.expiry - 2 * MIN_BUDGET
-        self.finish(not_run(Cause.EXPIRED if expired else Cause.FULL))
+        self.finish(not_run(Cause.EXPIRED) if expired else self.owner.full(self))
 
     def _on_slot_granted(self) -> None:
         if self.timer is not None:
@@ -161,6 +177,9 @@
         self._queue_wait = 0.0  # seconds, moving average
         self._failing_share = FailingShare()
         self._unreachable_until = float("-inf")
+        self._refused_wait = 0.0  # seconds that refused requests could have waited, since an update
+        self._price_updated_at = deps.clock.monotonic()
+        self._rate_timer: asyncio.TimerHandle | None = None
 
     @property
     def running(self) -> int:
@@ -182,10 +201,12 @@
         if refusal is not None:
             request.finish(not_run(refusal))
         elif not self.deps.queue.submit(request.ticket) and not request.finished:
-            if self._expected_wait(request.ticket) > request.call.max_wait:
-                request.finish(not_run(Cause.FULL))
+            if self._expected_wait(request) > request.longest_wait:
+                request.finish(self.full(request))
             else:
                 request.start_queue_timer()
+                self._refuse_displaced()
+                self._wake_when_rate_allows()
 
     def start(self, request: OwnerRequest) -> None:
         """Send a request that holds a slot to the instance, or refuse it if it cannot run now."""
@@ -198,6 +219,7 @@
             request.finish(not_run(refusal))
             return
         request.started_at = now
+        request.boot = deps.tracker.boot
         waited = now - request.arrived_at
         self._queue_wait += MOVING_AVERAGE_WEIGHT * (waited - self._queue_wait)
         deps.on_slot_wait(waited)
@@ -208,6 +230,7 @@
             budget_ms / 1000 + EXPIRY_GRACE, self._on_expiry, request
         )
         self.sends["nested" if call.nested else "root"] += 1
+        deps.rate_limit.record_send()
         request.instance_call = deps.pool.send(
             data, call.request_id, call.method, not call.idempotent, self._response_handler(request)
         )
@@ -258,10 +281,59 @@
         `now` is in monotonic seconds.
         """
         queue = self.deps.queue
-        self.deps.price.update(queue.in_flight + queue.waiting, queue.limit, now)
+        elapsed = now - self._price_updated_at
+        refused = self._refused_wait / elapsed if elapsed > 0 else 0.0
+        self._refused_wait = 0.0
+        self._price_updated_at = now
+        self.deps.price.update(queue.in_flight + queue.waiting + refused, self._capacity(), now)
+        queue.start_waiting()
         if not queue.waiting:
             self._queue_wait *= 0.8
 
+    def full(self, request: OwnerRequest) -> Result:
+        """Return the refusal of a request that cannot run here in time, with a retry time.
+
+        For the price it counts as if it had waited its time: while a rate limit is in force,
+        requests are refused before they have waited.
+        """
+        rate_limit = self.deps.rate_limit
+        if rate_limit.rate is None:
+            return not_run(Cause.FULL)
+        waited = self.deps.clock.monotonic() - request.arrived_at
+        self._refused_wait += max(0.0, request.longest_wait - waited)
+        ahead = self.deps.queue.count_ahead(request.ticket)
+        return not_run(Cause.FULL, rate_limit.delay(ahead))
+
+    def _capacity(self) -> float:
+        """Return the requests that can be in flight at once, by slots and by the rate limit."""
+        slots, rate = self.deps.queue.limit, self.deps.rate_limit.rate
+        if rate is None or not slots:
+            return slots
+        return min(slots, max(MIN_CAPACITY, rate * self._service_time))
+
+    def _refuse_displaced(self) -> None:
+        """Refuse the requests that cannot start in time any more, as others go before them."""
+        if self.deps.rate_limit.rate is None:
+            return
+        now = self.deps.clock.monotonic()
+        for request in [r for r in self.requests if r.waiting]:
+            waited = now - request.arrived_at
+            if waited + self._expected_wait(request) > request.longest_wait:
+                request.finish(self.full(request))
+
+    def _wake_when_rate_allows(self) -> None:
+        """Start waiting requests when the rate limit allows the next one."""
+        if self.deps.rate_limit.rate is None or self._rate_timer is not None:
+            return
+        delay = self.deps.rate_limit.delay() + RATE_TIMER_MARGIN
+        self._rate_timer = asyncio.get_running_loop().call_later(delay, self._on_rate_timer)
+
+    def _on_rate_timer(self) -> None:
+        self._rate_timer = None
+        self.deps.queue.start_waiting()
+        if self.deps.queue.waiting:
+            self._wake_when_rate_allows()
+
     def _refusal_cause(self, request: OwnerRequest) -> Cause | None:
         deps = self.deps
         if request.call.service != deps.service or deps.registration.current is None:
@@ -272,10 +344,17 @@
             return Cause.NO_INSTANCE
         return None
 
-    def _expected_wait(self, ticket: Ticket) -> float:
-        queue = self.deps.queue
-        ahead = queue.count_ahead(ticket)
-        return self._service_time * ahead / max(1, queue.limit)
+    def _expected_wait(self, request: OwnerRequest) -> float:
+        """Return the seconds until a waiting request starts; infinite if it cannot run in time."""
+        queue, rate_limit = self.deps.queue, self.deps.rate_limit
+        ahead = queue.count_ahead(request.ticket)
+        for_slot = self._service_time * ahead / max(1, queue.limit)
+        if rate_limit.rate is None:
+            return for_slot
+        for_rate = rate_limit.delay(ahead)
+        if for_rate + self._service_time > request.call.budget:
+            return float("inf")
+        return max(for_slot, for_rate)
 
     def _distinct_budget(self, expiry: float, now: float) -> int:
         """Return a budget in milliseconds; if possible, no other running request has its expiry.
@@ -324,16 +403,16 @@
             case InstanceResponse():
                 answer = self._answers.read(response)
                 if answer.state is not None:
-                    self._record_state(request, answer.state)
+                    self._learn(request, answer.state)
                 return answer.result
         raise AssertionError(response)
 
-    def _record_state(self, request: OwnerRequest, state: InstanceState) -> None:
+    def _learn(self, request: OwnerRequest, state: InstanceState) -> None:
         """Learn what the instance says of itself in its answer to a request."""
-        limit = self.deps.rate_limit
-        before = limit.rate
-        if limit.record_answer(state, request.started_at, self.deps.clock.monotonic()):
-            log_event(Event.INSTANCE_LIMIT, rate=limit.rate, before=before, sends=dict(self.sends))
+        rate_before = self.deps.rate_limit.rate
+        self.deps.tracker.record_answer(request.boot, state, request.started_at)
+        if self.deps.rate_limit.rate != rate_before:
+            self._refuse_displaced()
 
     def _on_expiry(self, request: OwnerRequest) -> None:
         """Finish a request as unknown after its expiry and the grace period."""
@@ -365,4 +444,5 @@
             queue.limit,
             self._failing_share.share,
         )
-        return result._replace(costs=costs, prices=prices, report=report)
+        notice = deps.tracker.notice(queue.waiting)
+        return result._replace(costs=costs, prices=prices, report=report, notice=notice)
--- a/packages/thorntray/src/thorntray/internal/request/result.py
+++ b/packages/thorntray/src/thorntray/internal/request/result.py
@@ -8,6 +8,8 @@
 from enum import IntEnum
 from typing import NamedTuple
 
+from thorntray.internal.membership.instance_notices import InstanceNotice
+
 
 class ResultKind(IntEnum):
     """Whether an instance ran the request; the member names appear in logs and metrics."""
@@ -74,6 +76,7 @@
     costs: Costs = {}
     prices: dict[str, float] = {}
     report: LoadReport = NO_REPORT
+    notice: InstanceNotice | None = None  # what the instance has named, if anything
 
 
 def not_run(cause: Cause, retry_after: float = 0.0) -> Result:
--- a/packages/thorntray/src/thorntray/internal/request/result_frames.py
+++ b/packages/thorntray/src/thorntray/internal/request/result_frames.py
@@ -19,6 +19,7 @@
         frame.costs,
         frame.prices,
         report,
+        frame.notice,
     )
 
 
@@ -40,4 +41,5 @@
         report.in_flight,
         report.limit,
         report.failure_rate,
+        result.notice,
     )
--- a/tests/test_instance_limits.py
+++ b/tests/test_instance_limits.py
@@ -178,6 +178,7 @@
         await send_steadily(fleet, ["h1", "h2"], 3.0)
         stopped = len(fleet.instances["t1"].arrivals)
         reply.header_lines = b""
+        fleet.announce("t1", sequence=2)
         await send_steadily(fleet, ["h1", "h2"], 3.5, run="probing")
         answers = await send_steadily(fleet, ["h1", "h2"], 0.5, run="free")
         return stopped, answers
