An instance that says it leaves gets no further request

Cause: only announcements closed an instance, and a restart forgets them. Now the first answer that says so closes the boot that the request was sent to, and no later announcement opens it. A late answer of an earlier boot does not touch the one that replaced it.

The one with the restart failed once in its first runs: the builder put members into the view directly, past the code that notices a new process of a member, and only later gossip made the peers tell it.

--- a/packages/thorntray/src/thorntray/internal/request/instance_tracker.py
+++ b/packages/thorntray/src/thorntray/internal/request/instance_tracker.py
@@ -43,6 +43,8 @@
 
         `sent_at` is in monotonic seconds.
         """
+        if state.leaving and boot is not None:
+            self._registration.leave(boot)
         if boot != self._boot:
             return
         before = self._rate_limit.rate
@@ -52,6 +54,8 @@
     def learn_from_peer(self, notice: InstanceNotice) -> None:
         """Learn what a peer knows of a boot of the instance."""
         boot = Boot(notice.instance_id, notice.started_ms)
+        if notice.leaving:
+            self._registration.leave(boot)
         if notice.rate_limit is None:
             return
         self._peer_limits[boot] = notice.rate_limit
--- a/tests/mesh_builders.py
+++ b/tests/mesh_builders.py
@@ -344,7 +344,7 @@
         await asyncio.sleep(0.1)
         for node in self.nodes.values():
             for other in self.nodes.values():
-                node.membership.view.apply(other.membership.own)
+                node.membership._apply(other.membership.own)
 
     async def get(self, name: str, path: str, request_id: str, **options) -> bytes:
         """Send a GET request to a node and return the whole answer."""
