An answer without end is cut after bounded bytes

An instance in trouble may send a head, a body or answers that nobody asked for without end. The node took all of it: the parser completes nothing, so nothing was checked, and a body was bounded for each connection only, 64 MiB on each of dozens.

Now what is received beside the body is bounded for each awaited answer (fields, a single field, the start line, interim answers, answers to others, trailers, chunk framing), and the bodies of all connections together; beyond that the answer with the largest body ends. The connection is closed, the caller is told 502, and sound answers beside it are delivered.

The test of bodies measured the bytes that the kernel takes, which grow with the answers that are cut one after the other; it measures what the node holds now, at most 80 MiB, and bodies of 100 MiB.

--- a/packages/thorntray/src/thorntray/internal/connection/instance_pool.py
+++ b/packages/thorntray/src/thorntray/internal/connection/instance_pool.py
@@ -3,7 +3,8 @@
 An instance may truncate a response, send bytes that are not HTTP, or send a second response in
 place of the next one. Therefore a response is accepted only if it echoes the request's ID and is
 complete, and bytes received while no request is pending close the connection. A response with
-another ID belongs to an earlier request and is skipped.
+another ID belongs to an earlier request and is skipped. A response without end closes its
+connection (`connection.response_bounds`).
 
 The instance may close an idle connection at the moment at which it is reused. The outcome of a
 request that must not run twice would then remain unknown. Such a request uses a connection that
@@ -19,6 +20,7 @@
 
 from thorntray.internal.connection.header_names import FieldClassifier, FieldKind
 from thorntray.internal.connection.http_server import Header
+from thorntray.internal.connection.response_bounds import HeldBodies, ResponseBounds
 from thorntray.internal.process.clock import Clock
 from thorntray.internal.telemetry.events import log_handler_failure
 
@@ -28,7 +30,6 @@
 # the timeout that the instance announces.
 KEEP_ALIVE_MARGIN = 2.0
 FRESH_PERIOD = 0.5  # seconds after use in which non-idempotent requests may reuse a connection
-MAX_RESPONSE_BYTES = 64 * 1024 * 1024
 
 
 class ResponseFault(Enum):
@@ -65,6 +66,7 @@
         self._response: InstanceResponse | None = None
         self._fault: ResponseFault | None = None
         self._reusable = False
+        self._bounds = ResponseBounds(pool.held, self._end_as_garbled)
         self.closed = False
         self.last_used_at = pool.clock.monotonic()
         self.idle_timeout = DEFAULT_IDLE_TIMEOUT  # seconds
@@ -83,6 +85,7 @@
         self._on_response = on_response
         self._request_id = request_id
         self._head_only = head_only
+        self._bounds.begin()
         self._transport.write(data)
 
     def abort(self) -> None:
@@ -99,10 +102,13 @@
         if self._on_response is None:
             self._close()
             return
+        self._bounds.add_received(len(data))
         try:
             self._parser.feed_data(data)
         except (httptools.HttpParserError, httptools.HttpParserUpgrade):
             self._fault = ResponseFault.GARBLED
+        if self._response is None and self._bounds.exceeded:
+            self._fault = ResponseFault.GARBLED
         self._deliver()
 
     def eof_received(self) -> bool:
@@ -120,6 +126,7 @@
     def connection_lost(self, exc: Exception | None) -> None:
         """Fail the pending request."""
         self.closed = True
+        self._bounds.release()
         self._pool.discard(self)
         self._fault = self._fault or ResponseFault.LOST
         self._deliver()
@@ -153,11 +160,8 @@
 
     def on_body(self, body: bytes) -> None:
         """Append a part of the body."""
-        self._body_bytes += len(body)
-        if self._body_bytes > MAX_RESPONSE_BYTES:
-            self._fault = ResponseFault.GARBLED
-            return
         self._body.append(body)
+        self._bounds.add_body(len(body))
 
     def on_message_complete(self) -> None:
         """Accept the response unless it is interim (1xx) or belongs to another request."""
@@ -190,6 +194,7 @@
         self._response = None
         self.last_used_at = self._pool.clock.monotonic()
         if response is not None and fault is None and self._reusable and not self.closed:
+            self._bounds.release()
             self._pool.release(self)
         else:
             self._close()
@@ -200,7 +205,15 @@
         except Exception:  # this connection may already carry the next request
             log_handler_failure(id=request_id.decode("latin-1"))
 
+    def _end_as_garbled(self) -> None:
+        """End the pending request in the next iteration of the event loop."""
+        self._fault = ResponseFault.GARBLED
+        self._bounds.release()
+        self._body = []
+        asyncio.get_running_loop().call_soon(self._deliver)
+
     def _close(self) -> None:
+        self._bounds.release()
         if not self.closed:
             self.closed = True
             self._pool.discard(self)
@@ -213,7 +226,6 @@
         self._has_framing = False
         self._keep_alive: bytes | None = None
         self._body: list[bytes] = []
-        self._body_bytes = 0
 
 
 def _idle_timeout_from(value: bytes) -> float:
@@ -260,6 +272,7 @@
         self._host = host
         self._port = port
         self._idle: list[InstanceConnection] = []
+        self.held = HeldBodies()
         self.connections_opened = 0
 
     def send(
--- a/tests/test_endless_answers.py
+++ b/tests/test_endless_answers.py
@@ -1,11 +1,13 @@
 """An instance that sends bytes without end, in a head or a body, until its caller closes."""
 
 import asyncio
+import gc
 
 import pytest
 
 from tests.mesh_builders import HOST, FakeInstance, answer_bytes, run_scenario
 from thorntray.internal.connection.instance_pool import (
+    InstanceConnection,
     InstancePool,
     InstanceResponse,
     ResponseFault,
@@ -14,7 +16,7 @@
 
 KIB, MIB = 1024, 1024 * 1024
 MAX_HEAD_TAKEN = 1 * MIB  # bytes that a node takes of a head, buffers of the kernel included
-MAX_BODIES_TAKEN = 96 * MIB  # bytes that a node takes of all bodies together
+MAX_BODIES_HELD = 80 * MIB  # bytes that a node holds of all bodies together
 START_LINE = b"HTTP/1.1 200 X\r\nThorntray-Request-Id: ID\r\n"
 CHUNKED_HEAD = START_LINE + b"Transfer-Encoding: chunked\r\n\r\n"
 
@@ -45,7 +47,7 @@
             raise
 
 
-def play(reply, requests=1, timeout=5.0):
+def play(reply, requests=1, timeout=5.0, watch=None):
     """Send requests over separate connections; return how they ended."""
 
     async def work():
@@ -57,9 +59,12 @@
             request_id = b"id-%d" % number
             data = b"GET /x HTTP/1.1\r\nThorntray-Request-Id: %b\r\n\r\n" % request_id
             pool.send(data, request_id, b"GET", False, end.set_result)
+        watching = asyncio.ensure_future(watch()) if watch else None
         try:
             return await asyncio.wait_for(asyncio.gather(*ends), timeout)
         finally:
+            if watching is not None:
+                watching.cancel()
             pool.close()
             instance.close()
 
@@ -95,10 +100,23 @@
     head, part = CHUNKED_HEAD, b"10000\r\n" + b"z" * (64 * KIB) + b"\r\n"
     if framing == "by close":
         head, part = START_LINE + b"\r\n", b"z" * (64 * KIB)
-    reply = EndlessReply(head, part, most=40 * MIB)
-    ends = play(reply, requests=8)
+    reply = EndlessReply(head, part, most=100 * MIB)
+    most_held = 0
+
+    async def watch():
+        nonlocal most_held
+        while True:
+            held = (
+                sum(map(len, c._body))
+                for c in gc.get_objects()
+                if isinstance(c, InstanceConnection)
+            )
+            most_held = max(most_held, sum(held))
+            await asyncio.sleep(0.02)
+
+    ends = play(reply, requests=8, watch=watch)
     assert ends == [ResponseFault.GARBLED] * 8
-    assert reply.taken <= MAX_BODIES_TAKEN * 2
+    assert most_held <= MAX_BODIES_HELD
 
 
 def test_a_sound_answer_is_delivered_beside_endless_ones():
