Stand-in worker and soak speak rate limits, leaving, and bodies without end

The stand-in worker names a rate limit or its leaving in its answers, and can send bodies without end. The soak draws three more faults: a worker that names a limit of 0, 0.5 or 2 requests a second for 7 s, one that names its leaving in answers only and is replaced, one with bodies without end in a tenth of its answers. Three more checks from what workers and callers see: LIMIT (without excuses), DRAIN after a named leaving, and ENDED for a node whose process does not run at the end.

--- a/soak/checks.py
+++ b/soak/checks.py
@@ -9,6 +9,7 @@
 
 from soak.clients import Attempt, AttemptEnd
 from soak.lost_answers import lost_answers
+from soak.named_states import beyond_named_limits, runs_after_named_leaving
 from soak.observation import Observation, RouteChange
 from standins.worker import CALL_ID_SUFFIX, Arrival
 
@@ -49,6 +50,9 @@
     yield from _settings_violations(observation)
     yield from _failed_recovery(observation)
     yield from lost_answers(observation)
+    yield from beyond_named_limits(observation)
+    yield from runs_after_named_leaving(observation)
+    yield from (f"ENDED: the process of {name} is not running" for name in observation.ended_nodes)
 
 
 def _run_counts(observation: Observation) -> Counter[str]:
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -17,6 +17,9 @@
 RESTORED_COPY_AGE = 5.0  # seconds, at the start of the fault
 SURGE_FACTOR = 4.0
 SLOW_FACTOR = 8.0
+ENDLESS_RATE = 0.1  # share of the responses
+RATE_LIMITS = (0.0, 0.5, 2.0)  # requests a second that a worker names
+LIMIT_DURATION = 7.0  # seconds; longer than the window of the check
 EXIT_POLL_PERIOD = 0.05  # seconds
 
 
@@ -40,7 +43,11 @@
             case FaultKind.NODE_HANGUP:
                 node.signal(signal.SIGHUP)
             case FaultKind.WORKER_REPLACE:
-                await self._replace_worker(node)
+                await self._replace_worker(node, announced=True)
+            case FaultKind.WORKER_LEAVES:
+                await self._replace_worker(node, announced=False)
+            case FaultKind.WORKER_LIMITS:
+                await self._limit_worker(node)
             case FaultKind.CHANGE:
                 await self._change_route()
             case FaultKind.STORE_COMPACT:
@@ -63,9 +70,16 @@
         if not node.running:
             self._fleet.start_node(node)
 
-    async def _replace_worker(self, node: NodeProcess) -> None:
+    async def _replace_worker(self, node: NodeProcess, announced: bool) -> None:
         if node.worker.listening:
-            await node.worker.drain_and_restart()
+            await node.worker.drain_and_restart(announced)
+
+    async def _limit_worker(self, node: NodeProcess) -> None:
+        if node.worker.rate_limit is not None:
+            return
+        node.worker.rate_limit = self._rng.choice(RATE_LIMITS)
+        await asyncio.sleep(LIMIT_DURATION)
+        node.worker.rate_limit = None
 
     async def _change_route(self) -> None:
         others = [s for s in SERVICES if s != self.changes[-1].service]
@@ -121,6 +135,8 @@
         worker.slowdown = SLOW_FACTOR if self._is_active(FaultKind.WORKER_SLOW, node) else 1.0
         drops = self._is_active(FaultKind.WORKER_LOSES, node)
         worker.response_loss_rate = LOSS_RATE if drops else 0.0
+        endless = self._is_active(FaultKind.WORKER_ENDLESS, node)
+        worker.endless_rate = ENDLESS_RATE if endless else 0.0
         store.fault_mode = self._store_fault_mode()
 
     def _store_fault_mode(self) -> str:
--- a/soak/observation.py
+++ b/soak/observation.py
@@ -33,6 +33,7 @@
     faults: list[Fault]
     changes: list[RouteChange]
     stops: list[NodeStop]
+    ended_nodes: tuple[str, ...] = ()  # names of the nodes whose process is not running at the end
 
     def node_stable(self, node: str, since: float, until: float) -> bool:
         """Return whether no fault hit the node in a span or in `STABILIZATION_TIME` before it."""
--- a/soak/plan.py
+++ b/soak/plan.py
@@ -23,6 +23,9 @@
     WORKER_REPLACE = "worker drains, deregisters and restarts"
     WORKER_SLOW = "worker takes eight times as long for each request"
     WORKER_LOSES = "worker drops 40 % of its responses"
+    WORKER_LIMITS = "worker names a rate limit in its answers"
+    WORKER_LEAVES = "worker names its leaving in its answers only, deregisters and restarts"
+    WORKER_ENDLESS = "10 % of the worker's responses have a body without end"
     STORE_BUSY = "store responds 503"
     STORE_SILENT = "store does not respond"
     STORE_LOSES = "store applies a write but its response is lost"
@@ -59,6 +62,7 @@
     FaultKind.WORKER_CRASH,
     FaultKind.WORKER_SLOW,
     FaultKind.WORKER_LOSES,
+    FaultKind.WORKER_ENDLESS,
 }
 MIN_DURATION, MAX_DURATION = 0.5, 4.0  # seconds
 FAULTS_PER_SECOND = 0.5  # average, at least two faults in a run
--- a/soak/run.py
+++ b/soak/run.py
@@ -87,6 +87,7 @@
             self._faults,
             self._injector.changes,
             self._injector.stops,
+            tuple(node.name for node in self.fleet.nodes.values() if not node.running),
         )
 
     async def _check_safety(self) -> None:
--- a/standins/worker.py
+++ b/standins/worker.py
@@ -2,8 +2,9 @@
 
 A worker sends heartbeats to its node, runs requests and makes calls through the node. All workers
 of a fleet append the requests that they receive to one shared `FleetRecord`. To inject faults, set
-`slowdown` (factor on the service time) or `response_loss_rate` (share of the responses for which
-the worker closes the connection instead).
+`slowdown` (factor on the service time), `response_loss_rate` (share of the responses for which
+the worker closes the connection instead), `endless_rate` (share of the responses whose body
+does not end), or `rate_limit` (requests a second that its answers name).
 """
 
 import asyncio
@@ -20,6 +21,8 @@
 CALL_ID_SUFFIX = "-c"  # the id of a nested call is the id of its parent request plus this suffix
 DRAIN_DURATION = 4.0  # seconds from the draining heartbeat to the deregistration
 SMALL_BODY_BYTES = 256
+MAX_HEAD_BYTES = 512  # of a response
+ENDLESS_CHUNK = b"4000\r\n" + b"e" * 0x4000 + b"\r\n"  # of a chunked body
 MIN_SLOW_TIME, MAX_SLOW_TIME = 1.0, 3.0  # seconds that a slow request takes
 
 
@@ -56,18 +59,30 @@
     broke_off: bool
 
 
+class NamedState(NamedTuple):
+    """What a worker named in its answer to a request; `boot` counts its starts."""
+
+    request_id: str
+    node: str
+    boot: int
+    rate_limit: float | None
+    leaving: bool
+
+
 @dataclass
 class FleetRecord:
     """The requests that the workers of a fleet received.
 
     `draining_acknowledged` maps the name and boot of a worker to the monotonic time at which its
     node first acknowledged a draining heartbeat. `run_ends` maps the index of an arrival to its
-    end; an arrival that a worker is still running has none.
+    end; an arrival that a worker is still running has none. `named` lists the answers in which
+    workers have named a rate limit or their leaving.
     """
 
     arrivals: list[Arrival] = field(default_factory=list)
     draining_acknowledged: dict[tuple[str, int], float] = field(default_factory=dict)
     run_ends: dict[int, RunEnd] = field(default_factory=dict)
+    named: list[NamedState] = field(default_factory=list)
 
 
 class PathBehavior(NamedTuple):
@@ -125,6 +140,9 @@
         self.service_time = 0.02  # seconds
         self.slowdown = 1.0
         self.response_loss_rate = 0.0
+        self.endless_rate = 0.0
+        self.rate_limit: float | None = None
+        self.leaving = False
         self.phase = "ready"
         self.boot = 0
         self._endpoints = endpoints
@@ -147,7 +165,7 @@
         """Listen and send heartbeats, as a new boot with the same instance name."""
         self.boot += 1
         self._start_time_ms = int(time.time() * 1000)
-        self._sequence, self.phase = 0, "ready"
+        self._sequence, self.phase, self.leaving = 0, "ready", False
         self._server = await asyncio.start_server(self._serve_connection, *self._endpoints.listen)
         self._heartbeat_task = asyncio.create_task(self._heartbeat_loop())
 
@@ -161,10 +179,15 @@
         for writer in list(self._connections):
             writer.transport.abort()
 
-    async def drain_and_restart(self) -> None:
-        """Drain for `DRAIN_DURATION`, deregister, stop, and start again."""
-        self.phase = "draining"
-        await self._send_heartbeat()
+    async def drain_and_restart(self, announced: bool = True) -> None:
+        """Drain for `DRAIN_DURATION`, deregister, stop, and start again.
+
+        All answers name the leaving meanwhile; the heartbeats do so only if it is `announced`.
+        """
+        self.leaving = True
+        if announced:
+            self.phase = "draining"
+            await self._send_heartbeat()
         await asyncio.sleep(DRAIN_DURATION)
         with suppress(OSError, TimeoutError, asyncio.IncompleteReadError):
             await self._post(f"/Instances.Deregister/{self.name}", {"born": self._start_time_ms})
@@ -212,6 +235,8 @@
                     return
                 writer.write(response)
                 await writer.drain()
+                if b"Transfer-Encoding" in response[:MAX_HEAD_BYTES]:
+                    await _send_endlessly(writer)
         except (OSError, asyncio.IncompleteReadError):
             pass  # the node has closed its connection
         finally:
@@ -228,7 +253,8 @@
         )
         if rejection_status:
             self._record.run_ends[index] = RunEnd(now, broke_off=False)
-            return _encode_response(rejection_status, request_id, b"", "X-Not-Executed: 1\r\n")
+            fields = "X-Not-Executed: 1\r\n" + self._state_fields(request_id)
+            return _encode_response(rejection_status, request_id, b"", fields)
         self._running += 1
         try:
             status = await self._execute(path, headers, now)
@@ -236,12 +262,27 @@
             self._running -= 1
         dropped = self._rng.random() < self.response_loss_rate
         crashed = boot != self.boot or not self.listening
-        self._record.run_ends[index] = RunEnd(time.monotonic(), dropped or crashed)
+        endless = self._rng.random() < self.endless_rate
+        broke_off = dropped or crashed or endless
+        self._record.run_ends[index] = RunEnd(time.monotonic(), broke_off)
         if dropped:
             return None
-        signature = f"X-Response-Signature: {response_signature(request_id)}\r\n"
+        fields = f"X-Response-Signature: {response_signature(request_id)}\r\n"
+        if endless:
+            fields += "Transfer-Encoding: chunked\r\n"
+            return f"HTTP/1.1 200 X\r\nX-Request-Id: {request_id}\r\n{fields}\r\n".encode()
+        fields += self._state_fields(request_id)
         body = response_body(request_id, self._behavior(path).body_bytes)
-        return _encode_response(status, request_id, body, signature)
+        return _encode_response(status, request_id, body, fields)
+
+    def _state_fields(self, request_id: str) -> str:
+        """Return the header lines by which an answer names the limit and the leaving."""
+        if self.rate_limit is None and not self.leaving:
+            return ""
+        named = NamedState(request_id, self.name, self.boot, self.rate_limit, self.leaving)
+        self._record.named.append(named)
+        limit = "" if self.rate_limit is None else f"Server-Limit: {self.rate_limit}\r\n"
+        return limit + ("Server-Leaving: 1\r\n" if self.leaving else "")
 
     def _behavior(self, path: str) -> PathBehavior:
         return self._behaviors.get(path, DEFAULT_BEHAVIOR)
@@ -330,6 +371,13 @@
         writer.close()
 
 
+async def _send_endlessly(writer: asyncio.StreamWriter) -> None:
+    """Send chunks of a body until the other side closes the connection."""
+    while True:
+        writer.write(ENDLESS_CHUNK)
+        await writer.drain()
+
+
 def _encode_response(status: int, request_id: str, body: bytes, header_lines: str) -> bytes:
     head = f"HTTP/1.1 {status} X\r\nX-Request-Id: {request_id}\r\n{header_lines}"
     return f"{head}Content-Length: {len(body)}\r\n\r\n".encode() + body
