A node that was paused does not run what came during the pause

process/pauses.py notices gaps of over a second between observations, by the monotonic clock and by the time of day (the first stands still while a machine is suspended). For the 0.1 s in which the backlog is read, calls are refused as not run, so that their callers try elsewhere.

--- a/packages/thorntray-node/src/thorntray_node/mesh_node.py
+++ b/packages/thorntray-node/src/thorntray_node/mesh_node.py
@@ -26,6 +26,7 @@
 from thorntray.internal.overload.slot_queue import SlotQueue
 from thorntray.internal.process.clock import Clock
 from thorntray.internal.process.drain import Drain
+from thorntray.internal.process.pauses import Pauses
 from thorntray.internal.process.registration import Registration
 from thorntray.internal.process.tasks import BackgroundTasks
 from thorntray.internal.request.instance_tracker import InstanceTracker
@@ -103,6 +104,7 @@
         self.tracker = InstanceTracker(self.registration, self.rate_limit)
         self.queue = SlotQueue(self.rate_limit)
         self.running = RunningRequests()
+        self.pauses = Pauses(clock)
         names = cfg.header_names
         self.pool = InstancePool(*cfg.instance, names.request_id.lower(), clock)
         self.log = RequestLog(clock)
@@ -117,6 +119,7 @@
                 rate_limit=self.rate_limit,
                 tracker=self.tracker,
                 running=self.running,
+                pauses=self.pauses,
                 clock=clock,
                 on_finish=self._owner_finished,
                 on_slot_wait=self.metrics.observe_queue_wait,
@@ -304,6 +307,7 @@
         while True:
             began = self.clock.monotonic()
             await asyncio.sleep(PRICE_UPDATE_PERIOD)
+            self.pauses.observe()
             now = self.clock.monotonic()
             self.metrics.observe_loop_lag(now - began - PRICE_UPDATE_PERIOD)
             self.owner.update_price(now)
--- a/packages/thorntray/src/thorntray/internal/overload/rate_limit.py
+++ b/packages/thorntray/src/thorntray/internal/overload/rate_limit.py
@@ -140,11 +140,11 @@
     def _max_tokens(self) -> float:
         return max(1.0, self._effective_rate * BURST_TIME)
 
-    def _allowed_unanswered(self) -> float:
+    def _allowed_unanswered(self) -> int:
         if self._first_sent_at is None:
             return FIRST_SENDS
         waited = self._clock.monotonic() - self._first_sent_at
-        return FIRST_SENDS * (1.0 + waited)
+        return int(FIRST_SENDS * (1.0 + waited))
 
     def _probe_overdue(self) -> bool:
         return self._clock.monotonic() - self._last_sent_at >= MAX_PROBE_DELAY
--- a/packages/thorntray/src/thorntray/internal/request/owner.py
+++ b/packages/thorntray/src/thorntray/internal/request/owner.py
@@ -24,6 +24,7 @@
 from thorntray.internal.overload.slot_price import MIN_PRICE, SlotPrice
 from thorntray.internal.overload.slot_queue import SlotQueue, Ticket
 from thorntray.internal.process.clock import Clock
+from thorntray.internal.process.pauses import Pauses
 from thorntray.internal.process.registration import Boot, Registration
 from thorntray.internal.request.instance_answers import AnswerReader
 from thorntray.internal.request.instance_tracker import InstanceTracker
@@ -62,6 +63,7 @@
     rate_limit: RateLimit
     tracker: InstanceTracker
     running: RunningRequests
+    pauses: Pauses
     clock: Clock
     on_finish: Callable[[CallFrame, Result, float], None]  # with the seconds at this node
     on_slot_wait: Callable[[float], None]  # with the seconds waited
@@ -340,6 +342,8 @@
             return Cause.NO_INSTANCE
         if not deps.registration.available:
             return Cause.DRAINING
+        if deps.pauses.has_backlog:
+            return Cause.FULL
         if deps.clock.monotonic() < self._unreachable_until:
             return Cause.NO_INSTANCE
         return None
