--- a/packages/thorntray/src/thorntray/internal/store/platform.py
+++ b/packages/thorntray/src/thorntray/internal/store/platform.py
@@ -50,6 +50,15 @@
     )
 
 
+_NO_VALID_BATCH = (
+    aiohttp.ClientError,
+    OSError,
+    ValueError,
+    RecursionError,
+    msgspec.MsgspecError,
+)
+
+
 class PlatformClient:
     """Typed calls to the key-value service. `endpoints` are base URLs."""
 
@@ -155,7 +164,7 @@
             ) as resp:
                 async for line in resp.content:
                     yield _watch_batch(line)
-        except (aiohttp.ClientError, OSError, ValueError, msgspec.MsgspecError) as exc:
+        except _NO_VALID_BATCH as exc:
             raise PlatformUnavailable(f"watch ended: {exc}; it will be reopened") from exc
         raise PlatformUnavailable("the service closed the watch; it will be reopened")
 
--- a/packages/thorntray/src/thorntray/internal/store/seeds.py
+++ b/packages/thorntray/src/thorntray/internal/store/seeds.py
@@ -7,6 +7,7 @@
 """
 
 import asyncio
+from ipaddress import ip_address
 from random import Random
 from typing import NamedTuple, Protocol
 
@@ -28,6 +29,7 @@
 MAX_JOIN_SEEDS = 5  # seeds that one join is sent to
 CATCH_UP_PERIOD = 0.5  # seconds between requests for all members after the start, jittered
 CATCH_UP_REQUESTS = 8  # most such requests
+MAX_PORT = 65535
 REJOIN_PERIOD = 30.0  # seconds between the joins of a node that holds a seed entry
 
 
@@ -247,5 +249,10 @@
 
 
 def _parse_address(value: bytes) -> Address | None:
+    """Return the address in a seed entry, None if another writer left something else."""
     host, _, port = value.decode("ascii", "replace").rpartition(":")
-    return Address(host, int(port)) if host and port.isdigit() else None
+    try:
+        ip_address(host)
+        return Address(host, int(port)) if 0 < int(port) <= MAX_PORT else None
+    except ValueError:
+        return None
--- a/packages/thorntray/src/thorntray/internal/store/store_calls.py
+++ b/packages/thorntray/src/thorntray/internal/store/store_calls.py
@@ -44,6 +44,16 @@
     compacted: bool = False
 
 
+# A body that is not JSON, or nested too deeply, is no answer.
+_NO_VALID_ANSWER = (
+    aiohttp.ClientError,
+    OSError,
+    TimeoutError,
+    msgspec.MsgspecError,
+    RecursionError,
+)
+
+
 class StoreReply(NamedTuple):
     """HTTP status and decoded JSON body of a call; the body is empty unless the status is 200."""
 
@@ -133,7 +143,7 @@
         except (aiohttp.ClientConnectorError, aiohttp.ServerTimeoutError) as exc:
             self._on_call(method, "no connection")
             raise PlatformUnavailable(f"no connection to {url}; is the service up?") from exc
-        except (aiohttp.ClientError, OSError, TimeoutError, msgspec.MsgspecError) as exc:
+        except _NO_VALID_ANSWER as exc:
             self._on_call(method, "no answer")
             raise WriteUndetermined(
                 f"{path}: no answer ({exc!r}); read the key to see whether it took effect"
--- a/tests/test_instance_limits.py
+++ b/tests/test_instance_limits.py
@@ -7,11 +7,13 @@
     LEAVING_LINE,
     StateReply,
     header_of,
+    make_call,
     make_policy,
     make_route,
     rate_limit_line,
     run_scenario,
 )
+from thorntray.internal.request.result import ResultKind
 from thorntray.internal.version.policy import Target
 
 WINDOW = 4.0  # seconds
@@ -274,3 +276,26 @@
 
     arrivals = run_scenario(scenario, make_policy(routes=routes))
     assert most_in_window(arrivals, arrivals[0] + NOTICE_TIME) <= allowed()
+
+
+def test_no_request_waits_at_a_limited_instance_that_cannot_start_in_time():
+    async def scenario(fleet):
+        await add_service(fleet, StateReply(rate_limit_line(4.0)))
+        await fleet.get("h1", "/prices/1", "first")
+        owner, ends = fleet.nodes["t1"].owner, {}
+
+        def submit(name, worth):
+            call = make_call(request_id=name.encode(), max_wait=0.6, worth=worth)
+            owner.submit(call, lambda result: ends.setdefault(name, result))
+
+        for number in range(4):  # they could start after 0.25, 0.5, 0.75 and 1.0 seconds
+            submit(f"view-{number}", worth=1.0)
+        refused_at_once = sorted(ends)
+        submit("payout", worth=8.0)
+        return refused_at_once, sorted(ends), ends["view-1"]
+
+    refused_at_once, refused, displaced = run_scenario(scenario)
+    assert refused_at_once == ["view-2", "view-3"]
+    assert refused == ["view-1", "view-2", "view-3"]
+    assert displaced.kind is ResultKind.NOT_RUN
+    assert 0.6 <= displaced.retry_after <= 0.8
