The product's own interface keeps a named rate limit and leaving too

They use the same rate limit; there is no queue by time there, so a request beyond it is refused as upstream-shed with the time after which one fits, and is not taken for a sign to lower the concurrency limit.

Not built there: what a restarted node is told by its peers, and the boots of an instance.

--- a/packages/thorntray-node/src/thorntray_node/node.py
+++ b/packages/thorntray-node/src/thorntray_node/node.py
@@ -61,7 +61,9 @@
         Raises `OSError` or `pynng.NNGException` if a port is taken.
         """
         cfg = self.cfg
-        self.upstream = UpstreamConnections(cfg.upstream)
+        self.upstream = UpstreamConnections(
+            cfg.upstream, clock=self.clock, on_leaving=self.instance.leave
+        )
         self._udp = await UdpTransport.open(Address(cfg.address, cfg.gossip_port))
         self.sync = SettingsSync(self.holder, DocumentClient())
         self.membership = Membership(
--- a/packages/thorntray/src/thorntray/internal/connection/upstream.py
+++ b/packages/thorntray/src/thorntray/internal/connection/upstream.py
@@ -4,13 +4,19 @@
 `connection.instance_pool`), so it disables hidden retries: by default, aiohttp's client resends
 GET, PUT and DELETE when a reused connection closes before the response. Such a retry may run the
 request twice and is not counted against any retry limit.
+
+Each answer may name a rate limit or the leaving of the instance, like on the users' platform. There
+is no queue here: a request beyond the limit is refused, with the time after which one fits.
 """
 
 import asyncio
+from collections.abc import Callable
 
 import aiohttp
 
 from thorntray.internal.connection.message import Call
+from thorntray.internal.overload.rate_limit import InstanceState, RateLimit, parse_rate_limit
+from thorntray.internal.process.clock import Clock, SystemClock
 from thorntray.internal.request.http_answer import CONTEXT_HEADER, DEADLINE_HEADER
 from thorntray.internal.request.outcome import (
     Answer,
@@ -27,7 +33,9 @@
 MAX_CONNECTIONS = 2000
 MAX_ANSWER_BYTES = 4 * 1024 * 1024
 MIN_FAILURE_STATUS = 500
+MIN_RATE_DELAY = 0.05  # seconds
 SHED_RETRY_AFTER = 0.2  # seconds
+RATE_LIMIT_HEADER, LEAVING_HEADER = "Thorntray-Rate-Limit", "Thorntray-Leaving"
 
 _DROPPED_HEADERS = frozenset(
     {"connection", "keep-alive", "transfer-encoding", "content-length", "date", "server"}
@@ -37,8 +45,17 @@
 class UpstreamConnections:
     """Connection pool to one upstream instance."""
 
-    def __init__(self, base_url: str, allow_hidden_retry: bool = False) -> None:
+    def __init__(
+        self,
+        base_url: str,
+        allow_hidden_retry: bool = False,
+        clock: Clock | None = None,
+        on_leaving: Callable[[], None] = lambda: None,
+    ) -> None:
         self._base_url = base_url
+        self._clock = clock or SystemClock()
+        self._on_leaving = on_leaving
+        self.rate_limit = RateLimit(self._clock)
         # The slots limit the requests in flight, and the validation of the settings keeps the
         # slots within the instance's connections; this limit only guards against a bug here.
         connector = aiohttp.TCPConnector(
@@ -53,6 +70,13 @@
         # aiohttp has no public option to disable its retry; a test verifies this attribute.
         self._session._retry_connection = allow_hidden_retry
 
+    def delay(self, idempotent: bool) -> float:
+        """Return the seconds until the instance's rate limit allows a request, 0 if it does now."""
+        limit = self.rate_limit
+        if limit.rate is None or limit.may_send(idempotent):
+            return 0.0
+        return max(limit.delay(), MIN_RATE_DELAY)
+
     async def send(self, call: Call, token: str, timeout: float, shed_header: str) -> Outcome:
         """Send a request and return its outcome; `timeout` is in seconds.
 
@@ -78,6 +102,8 @@
 
     async def _exchange(self, call: Call, headers: dict[str, str], shed_header: str) -> Outcome:
         url = self._base_url + call.path
+        sent_at = self._clock.monotonic()
+        self.rate_limit.record_send()
         async with self._session.request(
             call.method,
             url,
@@ -86,10 +112,23 @@
             allow_redirects=False,
             timeout=aiohttp.ClientTimeout(total=None, sock_connect=CONNECT_TIMEOUT),
         ) as resp:
+            self._learn(resp, sent_at)
             if shed_header and shed_header in resp.headers:
                 return NotRun(Reason.UPSTREAM_SHED, SHED_RETRY_AFTER)
             return await self._read_response(resp)
 
+    def _learn(self, resp: aiohttp.ClientResponse, sent_at: float) -> None:
+        """Learn what the instance says of itself in an answer."""
+        limits = resp.headers.getall(RATE_LIMIT_HEADER, [])
+        rates = [parse_rate_limit(value.encode()) for value in limits]
+        readable = [rate for rate in rates if rate is not None]
+        leaving = resp.headers.get(LEAVING_HEADER, "").strip() == "1"
+        unreadable = bool(limits) and not readable
+        state = InstanceState(min(readable, default=None), not unreadable, leaving)
+        self.rate_limit.record_answer(state, sent_at)
+        if leaving:
+            self._on_leaving()
+
     async def _read_response(self, resp: aiohttp.ClientResponse) -> Outcome:
         if not _has_framing(resp):
             return Failed("the instance's answer has no length; it cannot be told whole")
--- a/packages/thorntray/src/thorntray/internal/process/instance.py
+++ b/packages/thorntray/src/thorntray/internal/process/instance.py
@@ -56,7 +56,9 @@
         self._set_state(InstanceState.DRAINING, Event.INSTANCE_LEFT)
 
     def leave(self) -> None:
-        """Refuse new work, because the instance is leaving."""
+        """Refuse new work, because the instance is leaving; it may say so in many answers."""
+        if self.state is InstanceState.LEFT:
+            return
         self._set_state(InstanceState.LEFT, Event.INSTANCE_LEFT)
 
     def drain_node(self) -> None:
--- a/packages/thorntray/src/thorntray/internal/request/inbound.py
+++ b/packages/thorntray/src/thorntray/internal/request/inbound.py
@@ -51,6 +51,10 @@
 class Upstream(Protocol):
     """The upstream instance that this node sends requests to."""
 
+    def delay(self, idempotent: bool) -> float:
+        """Return the seconds until the instance's rate limit allows a request, 0 if it does now."""
+        ...
+
     async def send(self, call: Call, token: str, timeout: float, shed_header: str) -> Outcome:
         """Send the request and return its outcome; raises nothing except on cancellation.
 
@@ -324,6 +328,9 @@
         remaining = deadline.remaining(parts.clock)
         if remaining <= 0:
             return self._not_run(Reason.DEADLINE_PASSED)
+        delay = parts.upstream.delay(route.idempotent)
+        if delay > 0:
+            return NotRun(Reason.UPSTREAM_SHED, delay, "the instance names a rate limit")
         if not parts.attempts.mark_dispatched(call.attempt_id):
             return self._not_run(Reason.REVOKED)
         execution = parts.executions.open(
--- a/tests/builders.py
+++ b/tests/builders.py
@@ -116,6 +116,9 @@
         self.handler: Callable[[Call, str], Awaitable[Outcome]] = self._echo_request_id
         self.make_refusal: Callable[[], Outcome | None] = lambda: None
 
+    def delay(self, idempotent: bool) -> float:
+        return 0.0
+
     async def send(self, call: Call, token: str, timeout: float, shed_header: str) -> Outcome:
         refusal = self.make_refusal()
         if refusal is not None:
