--- a/packages/thorntray-node/src/thorntray_node/mesh_node.py
+++ b/packages/thorntray-node/src/thorntray_node/mesh_node.py
@@ -3,7 +3,6 @@
 import asyncio
 from collections.abc import Callable
 from random import Random
-from typing import NamedTuple, Protocol
 
 from absl import logging
 
@@ -36,8 +35,8 @@
 from thorntray.internal.request.owner import Owner, OwnerDependencies
 from thorntray.internal.request.request_log import RequestLog
 from thorntray.internal.request.result import Cause, Result
-from thorntray.internal.store.policy_watch import PolicyDecoder, PolicyStore, PolicyWatch
-from thorntray.internal.store.seeds import PlatformState, Seeds, SeedStore, SeedTiming
+from thorntray.internal.store.policy_watch import PolicyDecoder, PolicyWatch
+from thorntray.internal.store.seeds import PlatformState, Seeds, SeedTiming
 from thorntray.internal.store.watch_duty import WatchDuty
 from thorntray.internal.telemetry.events import Event, log_event
 from thorntray.internal.telemetry.node_metrics import NodeMetrics
@@ -45,6 +44,7 @@
 from thorntray_node.mesh_config import MeshConfig
 from thorntray_node.mesh_gauges import register_gauges
 from thorntray_node.peer_requests import PeerRequests
+from thorntray_node.platform_store import PlatformStore, StoreKeys
 from thorntray_node.request_drain import RequestDrain
 
 PRICE_UPDATE_PERIOD = 0.1  # seconds between updates of the slot price
@@ -55,21 +55,6 @@
 METRICS_CONTENT_TYPE = b"Content-Type: text/plain; version=0.0.4\r\n"
 
 
-class PlatformStore(SeedStore, PolicyStore, Protocol):
-    """The operations of the platform's key-value store that the node needs."""
-
-    async def close(self) -> None:
-        """Close all connections."""
-        ...
-
-
-class StoreKeys(NamedTuple):
-    """Key prefix of the seeds, and key of the policy, in the platform's key-value store."""
-
-    seeds_prefix: str
-    policy_key: str
-
-
 class MeshNode:
     """A node on the users' platform, with its components."""
 
@@ -307,7 +292,8 @@
         while True:
             began = self.clock.monotonic()
             await asyncio.sleep(PRICE_UPDATE_PERIOD)
-            self.pauses.observe()
+            if self.pauses.has_backlog:
+                self.owner.reject_queued(Cause.FULL)
             now = self.clock.monotonic()
             self.metrics.observe_loop_lag(now - began - PRICE_UPDATE_PERIOD)
             self.owner.update_price(now)
--- a/packages/thorntray/src/thorntray/internal/request/owner.py
+++ b/packages/thorntray/src/thorntray/internal/request/owner.py
@@ -36,16 +36,15 @@
     not_run,
     unknown,
 )
+from thorntray.internal.request.waiting_requests import WaitingRequests
 from thorntray.internal.telemetry.events import log_handler_failure
 
 MAX_EXPIRY_STEPS = 15  # earlier expiries to try for one that no other running request has
-MOVING_AVERAGE_WEIGHT = 0.1  # weight of the newest sample of a service time or queue wait
+MOVING_AVERAGE_WEIGHT = 0.1  # weight of the newest queue wait
 EXPIRY_GRACE = 0.15  # seconds after the expiry during which the instance may still respond
 DETACHED_TIMEOUT = 0.25  # seconds that a cancelled nested call may still run at the instance
 MIN_BUDGET = 0.002  # seconds; a request with less time left is not sent to the instance
 UNREACHABLE_BACKOFF = 0.3  # seconds without new requests after a failed connection attempt
-MIN_CAPACITY = 0.05  # requests in flight, for an instance with a small rate limit
-RATE_TIMER_MARGIN = 0.001  # seconds; timers fire at times slightly early
 _BODY_METHODS = frozenset({b"POST", b"PUT", b"PATCH"})
 
 ResultCallback = Callable[[Result], None]
@@ -151,7 +150,7 @@
 
     def _on_queue_timeout(self) -> None:
         expired = self.owner.deps.clock.monotonic() >= self.expiry - 2 * MIN_BUDGET
-        self.finish(not_run(Cause.EXPIRED) if expired else self.owner.full(self))
+        self.finish(not_run(Cause.EXPIRED) if expired else self.owner.waiting.full(self))
 
     def _on_slot_granted(self) -> None:
         if self.timer is not None:
@@ -175,13 +174,10 @@
         self.requests: set[OwnerRequest] = set()
         self._answers = AnswerReader(deps.names)
         self.sends = {"root": 0, "nested": 0}  # requests sent to the instance
-        self._service_time = 0.0  # seconds, moving average
         self._queue_wait = 0.0  # seconds, moving average
+        self.waiting = WaitingRequests(deps.queue, deps.rate_limit, deps.clock)
         self._failing_share = FailingShare()
         self._unreachable_until = float("-inf")
-        self._refused_wait = 0.0  # seconds that refused requests could have waited, since an update
-        self._price_updated_at = deps.clock.monotonic()
-        self._rate_timer: asyncio.TimerHandle | None = None
 
     @property
     def running(self) -> int:
@@ -200,15 +196,15 @@
 
     def _start_or_queue(self, request: OwnerRequest) -> None:
         refusal = self._refusal_cause(request)
+        if refusal is None and self.deps.pauses.has_backlog:
+            refusal = Cause.FULL
         if refusal is not None:
             request.finish(not_run(refusal))
         elif not self.deps.queue.submit(request.ticket) and not request.finished:
-            if self._expected_wait(request) > request.longest_wait:
-                request.finish(self.full(request))
-            else:
+            if self.waiting.admit(request, self.requests):
                 request.start_queue_timer()
-                self._refuse_displaced()
-                self._wake_when_rate_allows()
+            else:
+                request.finish(self.waiting.full(request))
 
     def start(self, request: OwnerRequest) -> None:
         """Send a request that holds a slot to the instance, or refuse it if it cannot run now."""
@@ -283,83 +279,22 @@
         `now` is in monotonic seconds.
         """
         queue = self.deps.queue
-        elapsed = now - self._price_updated_at
-        refused = self._refused_wait / elapsed if elapsed > 0 else 0.0
-        self._refused_wait = 0.0
-        self._price_updated_at = now
-        self.deps.price.update(queue.in_flight + queue.waiting + refused, self._capacity(), now)
+        present = queue.in_flight + queue.waiting + self.waiting.take_refused()
+        self.deps.price.update(present, self.waiting.capacity, now)
         queue.start_waiting()
         if not queue.waiting:
             self._queue_wait *= 0.8
 
-    def full(self, request: OwnerRequest) -> Result:
-        """Return the refusal of a request that cannot run here in time, with a retry time.
-
-        For the price it counts as if it had waited its time: while a rate limit is in force,
-        requests are refused before they have waited.
-        """
-        rate_limit = self.deps.rate_limit
-        if rate_limit.rate is None:
-            return not_run(Cause.FULL)
-        waited = self.deps.clock.monotonic() - request.arrived_at
-        self._refused_wait += max(0.0, request.longest_wait - waited)
-        ahead = self.deps.queue.count_ahead(request.ticket)
-        return not_run(Cause.FULL, rate_limit.delay(ahead))
-
-    def _capacity(self) -> float:
-        """Return the requests that can be in flight at once, by slots and by the rate limit."""
-        slots, rate = self.deps.queue.limit, self.deps.rate_limit.rate
-        if rate is None or not slots:
-            return slots
-        return min(slots, max(MIN_CAPACITY, rate * self._service_time))
-
-    def _refuse_displaced(self) -> None:
-        """Refuse the requests that cannot start in time any more, as others go before them."""
-        if self.deps.rate_limit.rate is None:
-            return
-        now = self.deps.clock.monotonic()
-        for request in [r for r in self.requests if r.waiting]:
-            waited = now - request.arrived_at
-            if waited + self._expected_wait(request) > request.longest_wait:
-                request.finish(self.full(request))
-
-    def _wake_when_rate_allows(self) -> None:
-        """Start waiting requests when the rate limit allows the next one."""
-        if self.deps.rate_limit.rate is None or self._rate_timer is not None:
-            return
-        delay = self.deps.rate_limit.delay() + RATE_TIMER_MARGIN
-        self._rate_timer = asyncio.get_running_loop().call_later(delay, self._on_rate_timer)
-
-    def _on_rate_timer(self) -> None:
-        self._rate_timer = None
-        self.deps.queue.start_waiting()
-        if self.deps.queue.waiting:
-            self._wake_when_rate_allows()
-
     def _refusal_cause(self, request: OwnerRequest) -> Cause | None:
         deps = self.deps
         if request.call.service != deps.service or deps.registration.current is None:
             return Cause.NO_INSTANCE
         if not deps.registration.available:
             return Cause.DRAINING
-        if deps.pauses.has_backlog:
-            return Cause.FULL
         if deps.clock.monotonic() < self._unreachable_until:
             return Cause.NO_INSTANCE
         return None
 
-    def _expected_wait(self, request: OwnerRequest) -> float:
-        """Return the seconds until a waiting request starts; infinite if it cannot run in time."""
-        queue, rate_limit = self.deps.queue, self.deps.rate_limit
-        ahead = queue.count_ahead(request.ticket)
-        for_slot = self._service_time * ahead / max(1, queue.limit)
-        if rate_limit.rate is None:
-            return for_slot
-        for_rate = rate_limit.delay(ahead)
-        if for_rate + self._service_time > request.call.budget:
-            return float("inf")
-        return max(for_slot, for_rate)
-
     def _distinct_budget(self, expiry: float, now: float) -> int:
         """Return a budget in milliseconds; if possible, no other running request has its expiry.
 
@@ -416,7 +351,7 @@
         rate_before = self.deps.rate_limit.rate
         self.deps.tracker.record_answer(request.boot, state, request.started_at)
         if self.deps.rate_limit.rate != rate_before:
-            self._refuse_displaced()
+            self.waiting.refuse_displaced(self.requests)
 
     def _on_expiry(self, request: OwnerRequest) -> None:
         """Finish a request as unknown after its expiry and the grace period."""
@@ -435,7 +370,7 @@
             slot_seconds = now - request.started_at
             if result.kind is ResultKind.ANSWERED and result.status < 500:
                 service_time = slot_seconds
-                self._service_time += MOVING_AVERAGE_WEIGHT * (slot_seconds - self._service_time)
+                self.waiting.record_service_time(slot_seconds)
             run.add_costs({deps.service: (slot_seconds, 1.0)}, {})
             costs = run.costs
             if run.prices:
--- a/tests/mesh_builders.py
+++ b/tests/mesh_builders.py
@@ -7,6 +7,7 @@
 
 from standins.fleet import free_port
 from tests.builders import make_member
+from tests.instance_replies import answer_bytes
 from thorntray.internal.connection.frame import CallFrame, Frame, ResultFrame
 from thorntray.internal.connection.header_names import HeaderNames
 from thorntray.internal.connection.http_server import RequestLimits
@@ -22,7 +23,8 @@
 from thorntray.internal.store.store_epoch import StoreEpoch
 from thorntray.internal.version.policy import Policy, Route, ServicePolicy, Target
 from thorntray_node.mesh_config import Endpoint, MeshConfig
-from thorntray_node.mesh_node import MeshNode, StoreKeys
+from thorntray_node.mesh_node import MeshNode
+from thorntray_node.platform_store import StoreKeys
 
 HOST = "127.0.0.1"
 HEADER_NAMES = HeaderNames()
@@ -108,36 +110,6 @@
     return b""
 
 
-def answer_bytes(
-    request_id: bytes, body: bytes = b"ok", status: int = 200, header_lines: bytes = b""
-) -> bytes:
-    """Return the bytes of a complete answer of an instance."""
-    head = b"HTTP/1.1 %d X\r\nThorntray-Request-Id: %b\r\n%b" % (status, request_id, header_lines)
-    return b"%bContent-Length: %d\r\n\r\n%b" % (head, len(body), body)
-
-
-def rate_limit_line(rate: float | str) -> bytes:
-    """Return the header line by which an instance names its rate limit."""
-    return b"Thorntray-Rate-Limit: %b\r\n" % str(rate).encode()
-
-
-LEAVING_LINE = b"Thorntray-Leaving: 1\r\n"
-
-
-class StateReply:
-    """Replies of an instance whose answers carry `header_lines`, after `delay` seconds."""
-
-    def __init__(self, header_lines: bytes = b"", delay: float = 0.0) -> None:
-        self.header_lines = header_lines
-        self.delay = delay
-
-    async def __call__(self, request_id: bytes, writer: asyncio.StreamWriter) -> None:
-        """Answer a request."""
-        if self.delay:
-            await asyncio.sleep(self.delay)
-        writer.write(answer_bytes(request_id, header_lines=self.header_lines))
-
-
 class FakeInstance:
     """An instance on loopback that answers through `reply` and records the requests it ran.
 
@@ -413,19 +385,4 @@
 )
 
 
-async def close_without_answer(request_id, writer):
-    """Close the connection instead of answering a request."""
-    writer.close()
-
-
-async def never_answer(request_id, writer):
-    """Leave a request unanswered and its connection open."""
-
-
-async def answer_slowly(request_id, writer):
-    """Answer a request after 0.3 seconds."""
-    await asyncio.sleep(0.3)
-    writer.write(answer_bytes(request_id, b"slow"))
-
-
 __all__ = ["make_member"]
--- a/tests/test_endless_answers.py
+++ b/tests/test_endless_answers.py
@@ -5,7 +5,8 @@
 
 import pytest
 
-from tests.mesh_builders import HOST, FakeInstance, answer_bytes, run_scenario
+from tests.instance_replies import answer_bytes
+from tests.mesh_builders import HOST, FakeInstance, run_scenario
 from thorntray.internal.connection.instance_pool import (
     InstanceConnection,
     InstancePool,
--- a/tests/test_handler_failures.py
+++ b/tests/test_handler_failures.py
@@ -5,14 +5,8 @@
 import msgspec
 import pytest
 
-from tests.mesh_builders import (
-    LinkPeer,
-    answer_slowly,
-    make_call,
-    make_links,
-    run_scenario,
-    send_call,
-)
+from tests.instance_replies import answer_slowly
+from tests.mesh_builders import LinkPeer, make_call, make_links, run_scenario, send_call
 from thorntray.internal.connection.frame import ResultFrame
 from thorntray.internal.request.result import Cause, ResultKind
 from thorntray_node import peer_requests
--- a/tests/test_instance_limits.py
+++ b/tests/test_instance_limits.py
@@ -3,16 +3,8 @@
 import asyncio
 import time
 
-from tests.mesh_builders import (
-    LEAVING_LINE,
-    StateReply,
-    header_of,
-    make_call,
-    make_policy,
-    make_route,
-    rate_limit_line,
-    run_scenario,
-)
+from tests.instance_replies import LEAVING_LINE, StateReply, rate_limit_line
+from tests.mesh_builders import header_of, make_call, make_policy, make_route, run_scenario
 from thorntray.internal.request.result import ResultKind
 from thorntray.internal.version.policy import Target
 
--- a/tests/test_instance_pool.py
+++ b/tests/test_instance_pool.py
@@ -7,7 +7,8 @@
 import pytest
 import uvloop
 
-from tests.mesh_builders import HOST, FakeInstance, answer_bytes
+from tests.instance_replies import answer_bytes
+from tests.mesh_builders import HOST, FakeInstance
 from thorntray.internal.connection.instance_pool import (
     InstancePool,
     InstanceResponse,
--- a/tests/test_lean_callers.py
+++ b/tests/test_lean_callers.py
@@ -4,11 +4,8 @@
 
 import pytest
 
-from tests.mesh_builders import (
-    answer_bytes,
-    request_bytes,
-    run_scenario,
-)
+from tests.instance_replies import answer_bytes
+from tests.mesh_builders import request_bytes, run_scenario
 from thorntray.internal.connection.http_server import RequestLimits
 
 
--- a/tests/test_lean_path.py
+++ b/tests/test_lean_path.py
@@ -5,14 +5,12 @@
 
 import pytest
 
+from tests.instance_replies import answer_slowly, close_without_answer, never_answer
 from tests.mesh_builders import (
     PAYOUT_ROUTE_5S_TIMEOUT,
-    answer_slowly,
-    close_without_answer,
     header_of,
     make_policy,
     make_route,
-    never_answer,
     run_scenario,
 )
 from thorntray.internal.overload.root_admission import CLOSED_PRICE
--- a/tests/test_lean_stops.py
+++ b/tests/test_lean_stops.py
@@ -2,14 +2,8 @@
 
 import asyncio
 
-from tests.mesh_builders import (
-    HOST,
-    answer_slowly,
-    make_announcement,
-    make_policy,
-    request_bytes,
-    run_scenario,
-)
+from tests.instance_replies import answer_slowly
+from tests.mesh_builders import HOST, make_announcement, make_policy, request_bytes, run_scenario
 from thorntray.internal.process.drain import READINESS_PROPAGATION_DELAY
 from thorntray.internal.process.registration import Phase
 
--- a/tests/test_lean_time.py
+++ b/tests/test_lean_time.py
@@ -3,15 +3,8 @@
 import asyncio
 import time
 
-from tests.mesh_builders import (
-    answer_bytes,
-    make_call,
-    make_policy,
-    make_route,
-    never_answer,
-    request_bytes,
-    run_scenario,
-)
+from tests.instance_replies import answer_bytes, never_answer
+from tests.mesh_builders import make_call, make_policy, make_route, request_bytes, run_scenario
 
 
 def test_work_for_a_disconnected_caller_is_cancelled_at_once():
--- a/tests/test_mesh_links.py
+++ b/tests/test_mesh_links.py
@@ -8,10 +8,10 @@
 import pytest
 import uvloop
 
+from tests.instance_replies import answer_slowly
 from tests.mesh_builders import (
     HOST,
     LinkPeer,
-    answer_slowly,
     make_call,
     make_links,
     make_result_frame,
--- a/tests/test_request_drain.py
+++ b/tests/test_request_drain.py
@@ -7,14 +7,8 @@
 
 from tests.builders import ManualClock
 from tests.callers import call
-from tests.mesh_builders import (
-    close_without_answer,
-    make_call,
-    make_policy,
-    make_route,
-    never_answer,
-    run_scenario,
-)
+from tests.instance_replies import close_without_answer, never_answer
+from tests.mesh_builders import make_call, make_policy, make_route, run_scenario
 from thorntray.internal.process.clock import SystemClock
 from thorntray.internal.process.drain import Drain
 from thorntray.internal.request.result import Cause, ResultKind
--- a/tests/test_slot_wait.py
+++ b/tests/test_slot_wait.py
@@ -5,7 +5,8 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from tests.mesh_builders import answer_bytes, run_scenario
+from tests.instance_replies import answer_bytes
+from tests.mesh_builders import run_scenario
 from thorntray.internal.overload.slot_wait import SHORT_OFFERS, SHORT_WAIT, longest_wait
 
 LONG_RUN = 0.6  # seconds that a request keeps the only slot of an instance
--- a/tests/test_stop_answers.py
+++ b/tests/test_stop_answers.py
@@ -7,14 +7,8 @@
 import time
 
 from tests.callers import call, call_over, kept, read_until_closed
-from tests.mesh_builders import (
-    answer_bytes,
-    make_policy,
-    make_route,
-    never_answer,
-    request_bytes,
-    run_scenario,
-)
+from tests.instance_replies import answer_bytes, never_answer
+from tests.mesh_builders import make_policy, make_route, request_bytes, run_scenario
 from thorntray.internal.process.drain import READINESS_PROPAGATION_DELAY
 
 LONG_ROUTE_POLICY = make_policy(routes=[make_route(timeout=9.0, target_latency=8.0)])
