--- a/packages/thorntray/src/thorntray/internal/connection/upstream.py
+++ b/packages/thorntray/src/thorntray/internal/connection/upstream.py
@@ -15,7 +15,7 @@
 import aiohttp
 
 from thorntray.internal.connection.message import Call
-from thorntray.internal.overload.rate_limit import InstanceState, RateLimit, parse_rate_limit
+from thorntray.internal.overload.rate_limit import InstanceState, RateLimit
 from thorntray.internal.process.clock import Clock, SystemClock
 from thorntray.internal.request.http_answer import CONTEXT_HEADER, DEADLINE_HEADER
 from thorntray.internal.request.outcome import (
@@ -119,14 +119,11 @@
 
     def _learn(self, resp: aiohttp.ClientResponse, sent_at: float) -> None:
         """Learn what the instance says of itself in an answer."""
-        limits = resp.headers.getall(RATE_LIMIT_HEADER, [])
-        rates = [parse_rate_limit(value.encode()) for value in limits]
-        readable = [rate for rate in rates if rate is not None]
-        leaving = resp.headers.get(LEAVING_HEADER, "").strip() == "1"
-        unreadable = bool(limits) and not readable
-        state = InstanceState(min(readable, default=None), not unreadable, leaving)
+        state = InstanceState.from_fields(
+            _header_values(resp, RATE_LIMIT_HEADER), _header_values(resp, LEAVING_HEADER)
+        )
         self.rate_limit.record_answer(state, sent_at)
-        if leaving:
+        if state.leaving:
             self._on_leaving()
 
     async def _read_response(self, resp: aiohttp.ClientResponse) -> Outcome:
@@ -145,6 +142,10 @@
         return Done(answer)
 
 
+def _header_values(resp: aiohttp.ClientResponse, name: str) -> list[bytes]:
+    return [value.encode("utf-8", "surrogateescape") for value in resp.headers.getall(name, [])]
+
+
 def _has_framing(resp: aiohttp.ClientResponse) -> bool:
     chunked = "chunked" in resp.headers.get("transfer-encoding", "").lower()
     bodiless = resp.method == "HEAD" or resp.status in (204, 304)
--- a/packages/thorntray/src/thorntray/internal/overload/rate_limit.py
+++ b/packages/thorntray/src/thorntray/internal/overload/rate_limit.py
@@ -29,9 +29,16 @@
 MIN_RATE = 1 / PROBE_PERIOD  # requests a second
 # Requests that may be sent before the first answer, at once and for each second of waiting.
 FIRST_SENDS = 4
+LEAVING_VALUE = b"1"
 _DECIMAL_NUMBER = re.compile(rb"\d{1,18}(\.\d{0,18})?|\.\d{1,18}")
 
 
+def parse_rate_limit(value: bytes) -> float | None:
+    """Return the requests a second that a header value names, None if it is no decimal number."""
+    text = value.strip()
+    return float(text) if _DECIMAL_NUMBER.fullmatch(text) else None
+
+
 class InstanceState(NamedTuple):
     """What an instance says of itself in one answer."""
 
@@ -39,11 +46,16 @@
     rate_limit_readable: bool = True
     leaving: bool = False  # it will stop, and takes no further requests
 
-
-def parse_rate_limit(value: bytes) -> float | None:
-    """Return the requests a second that a header value names, None if it is no decimal number."""
-    text = value.strip()
-    return float(text) if _DECIMAL_NUMBER.fullmatch(text) else None
+    @classmethod
+    def from_fields(cls, limits: list[bytes], leaving: list[bytes]) -> "InstanceState":
+        """Return the state that header values name; of several readable limits the lowest holds."""
+        rates = [parse_rate_limit(value) for value in limits]
+        readable = [rate for rate in rates if rate is not None]
+        return cls(
+            rate_limit=min(readable, default=None),
+            rate_limit_readable=bool(readable) or not limits,
+            leaving=any(value.strip() == LEAVING_VALUE for value in leaving),
+        )
 
 
 class RateLimit:
--- a/packages/thorntray/src/thorntray/internal/request/instance_answers.py
+++ b/packages/thorntray/src/thorntray/internal/request/instance_answers.py
@@ -8,12 +8,11 @@
 
 from thorntray.internal.connection.header_names import FieldClassifier, FieldKind, HeaderNames
 from thorntray.internal.connection.instance_pool import InstanceResponse
-from thorntray.internal.overload.rate_limit import InstanceState, parse_rate_limit
+from thorntray.internal.overload.rate_limit import InstanceState
 from thorntray.internal.request.result import Cause, Result, ResultKind, not_run
 from thorntray.internal.telemetry.events import Event, log_event
 
 MISDIRECTED = 421  # HTTP status; the request names another instance ID than the instance's own
-LEAVING_VALUE = b"1"
 MAX_LOGGED_VALUE = 40  # bytes of an unreadable limit in the log
 
 
@@ -41,7 +40,7 @@
         lines: list[bytes] = []
         ran = True
         limits: list[bytes] = []
-        leaving = False
+        leaving: list[bytes] = []
         for name, value in response.headers:
             match self._fields.classify(name):
                 case FieldKind.DROPPED:
@@ -52,7 +51,7 @@
                 case FieldKind.RATE_LIMIT:
                     limits.append(value)
                 case FieldKind.LEAVING:
-                    leaving = leaving or value.strip() == LEAVING_VALUE
+                    leaving.append(value)
             lines.append(b"%b: %b\r\n" % (name, value))
         if response.status == MISDIRECTED:
             return InstanceAnswer(not_run(Cause.NO_INSTANCE if ran else Cause.REJECTED), None)
@@ -68,11 +67,8 @@
         return InstanceAnswer(result, state)
 
 
-def _state_from(limits: list[bytes], leaving: bool) -> InstanceState:
-    """Return the state; of several readable limits the lowest holds."""
-    rates = [parse_rate_limit(value) for value in limits]
-    readable = [rate for rate in rates if rate is not None]
-    if limits and not readable:
+def _state_from(limits: list[bytes], leaving: list[bytes]) -> InstanceState:
+    state = InstanceState.from_fields(limits, leaving)
+    if not state.rate_limit_readable:
         log_event(Event.INSTANCE_LIMIT, value=limits[0][:MAX_LOGGED_VALUE].decode("latin-1"))
-        return InstanceState(rate_limit_readable=False, leaving=leaving)
-    return InstanceState(min(readable, default=None), leaving=leaving)
+    return state
