--- a/tests/test_instance_limits.py
+++ b/tests/test_instance_limits.py
@@ -291,3 +291,28 @@
     assert refused == ["view-1", "view-2", "view-3"]
     assert displaced.kind is ResultKind.NOT_RUN
     assert 0.6 <= displaced.retry_after <= 0.8
+
+
+def test_an_instance_that_falls_silent_gets_no_more_than_its_limit():
+    async def scenario(fleet):
+        reply = StateReply(rate_limit_line(LIMIT))
+        await add_service(fleet, reply)
+        await send_steadily(fleet, ["h1", "h2"], 1.0)
+        reply.delay = 60.0
+        await send_steadily(fleet, ["h1", "h2"], 2.5, run="silent")
+        return fleet.instances["t1"].arrivals
+
+    arrivals = run_scenario(scenario)
+    assert most_in_window(arrivals, arrivals[0] + NOTICE_TIME) <= allowed()
+
+
+def test_a_pause_of_the_node_saves_up_no_burst():
+    async def scenario(fleet):
+        await add_service(fleet, StateReply(rate_limit_line(LIMIT)))
+        await send_steadily(fleet, ["h1", "h2"], 1.0)
+        time.sleep(3.0)  # all nodes stand still
+        resumed_at = time.monotonic()
+        await send_steadily(fleet, ["h1", "h2", "t1"], 1.0, run="resumed")
+        return [at for at in fleet.instances["t1"].arrivals if at >= resumed_at]
+
+    assert 1 <= len(run_scenario(scenario)) <= LIMIT + 2
