--- a/tests/test_instance_notices.py
+++ b/tests/test_instance_notices.py
@@ -2,8 +2,11 @@
 
 from random import Random
 
+import msgspec
+
 from tests.builders import ManualClock, make_member
 from tests.mesh_builders import make_announcement
+from thorntray.internal.connection.frame import LENGTH_BYTES, Hello, decode_frame, encode_frame
 from thorntray.internal.membership.instance_notices import (
     LEAVING_LIFETIME,
     LIMIT_LIFETIME,
@@ -118,3 +121,18 @@
     assert placement.pick(members, "r", set(), 0.6).name == "sound"
     placement.record_notice("need", None, 0.7)
     assert placement.pick(members, "r", set(), 0.7).name == "need"
+
+
+class EarlierHello(msgspec.Struct, tag=0, array_like=True, frozen=True):
+    """The frame of nodes that know no notices."""
+
+    sender: str
+    session: bytes
+
+
+def test_nodes_with_and_without_notices_understand_each_other():
+    newer = encode_frame(Hello("n1", b"session1", (LEAVING,)))[LENGTH_BYTES:]
+    earlier = EarlierHello("n1", b"session1")
+    assert msgspec.msgpack.decode(newer, type=EarlierHello) == earlier
+    assert decode_frame(msgspec.msgpack.encode(earlier)) == Hello("n1", b"session1")
+    assert decode_frame(newer).notices == (LEAVING,)
