--- a/packages/thorntray-node/src/thorntray_node/mesh_config.py
+++ b/packages/thorntray-node/src/thorntray_node/mesh_config.py
@@ -35,6 +35,8 @@
     budget: RetryBudgetSettings
     header_names: HeaderNames
     metrics_port: int = 0  # 0: metrics are not served
+    # Seconds after which a withdrawn API key must be refused everywhere; None: without a bound.
+    max_policy_age: float | None = None
     listen_host: str = ""  # bind address for peers; empty: `host`, the advertised one
 
     @property
@@ -61,6 +63,9 @@
                 faults.append(Fault("node", key, str(port), f"give a port from 1 to {MAX_PORT}"))
         if self.stop_limit <= 0:
             faults.append(Fault("node", "stop_limit", str(self.stop_limit), "give seconds above 0"))
+        if self.max_policy_age is not None and self.max_policy_age <= 0:
+            value = str(self.max_policy_age)
+            faults.append(Fault("node", "max_policy_age", value, "give seconds above 0"))
         if faults:
             raise InvalidSettings(source, faults)
         return self
--- a/packages/thorntray-node/src/thorntray_node/mesh_node.py
+++ b/packages/thorntray-node/src/thorntray_node/mesh_node.py
@@ -28,9 +28,10 @@
 from thorntray.internal.process.pauses import Pauses
 from thorntray.internal.process.registration import Registration
 from thorntray.internal.process.tasks import BackgroundTasks
+from thorntray.internal.request.caller_identity import CallerIdentity
 from thorntray.internal.request.instance_tracker import InstanceTracker
 from thorntray.internal.request.origin import Origin
-from thorntray.internal.request.origin_context import OriginDependencies
+from thorntray.internal.request.origin_context import OriginDependencies, RequestHead
 from thorntray.internal.request.origin_request import OriginRequest
 from thorntray.internal.request.owner import Owner, OwnerDependencies
 from thorntray.internal.request.request_log import RequestLog
@@ -40,7 +41,8 @@
 from thorntray.internal.store.watch_duty import WatchDuty
 from thorntray.internal.telemetry.events import Event, log_event
 from thorntray.internal.telemetry.node_metrics import NodeMetrics
-from thorntray.internal.version.policy import Policy, PolicyHolder
+from thorntray.internal.version.freshness import Freshness
+from thorntray.internal.version.policy import Policy, PolicyHolder, Route
 from thorntray_node.mesh_config import MeshConfig
 from thorntray_node.mesh_gauges import register_gauges
 from thorntray_node.peer_requests import PeerRequests
@@ -114,6 +116,7 @@
     def _create_origin_components(self) -> None:
         cfg, clock = self.cfg, self.clock
         self.holder = PolicyHolder(self._policy_changed)
+        self.freshness = Freshness()
         self.links = Links(cfg.name, self._session, cfg.domain, clock)
         self.links.on_non_result_frame = self._peer_frame_received
         self.links.on_link_failure = self._link_failed
@@ -128,6 +131,7 @@
         cfg = self.cfg
         return OriginDependencies(
             own_name=cfg.name,
+            own_host=cfg.instance.host,
             own_service=cfg.service,
             names=cfg.header_names,
             policy=lambda: self.holder.policy,
@@ -143,6 +147,8 @@
             drain=self.drain,
             clock=self.clock,
             rng=self.rng,
+            identity=CallerIdentity(self.freshness),
+            on_refused=self._caller_refused,
             on_finish=self._origin_finished,
             on_retry=self._retry_requested,
         )
@@ -271,6 +277,10 @@
         seconds = self.clock.monotonic() - req.arrived_at
         self.metrics.request_ended("origin", req.route_key, result, seconds)
 
+    def _caller_refused(self, head: RequestHead, route: Route, reason: str) -> None:
+        self.log.refused(head, route, reason)
+        self.metrics.caller_refused(reason)
+
     def _request_unanswered(self, exchange: Exchange, closed_by: ClosedBy) -> None:
         self.log.unanswered(self._request_id(exchange), closed_by)
         self.metrics.request_unanswered(closed_by.value)
--- a/packages/thorntray/src/thorntray/internal/connection/header_names.py
+++ b/packages/thorntray/src/thorntray/internal/connection/header_names.py
@@ -31,6 +31,7 @@
     retry_after: bytes = b"Retry-After"
     rate_limit: bytes = b"Thorntray-Rate-Limit"
     leaving: bytes = b"Thorntray-Leaving"
+    workspace: bytes = b"Thorntray-Workspace"
 
 
 MAX_CACHED_SPELLINGS = 512  # bounds the memory that arbitrary field names can take
@@ -44,6 +45,8 @@
     CONNECTION = auto()  # `Connection`, which lists further hop-by-hop fields
     HOST = auto()
     REQUEST_ID = auto()
+    AUTHORIZATION = auto()  # holds the API key of the caller
+    WORKSPACE = auto()  # set by the node that identifies the caller
     DEADLINE = auto()
     NOT_RUN = auto()  # the instance did not run the request
     RATE_LIMIT = auto()  # requests a second that the instance takes; passed on
--- a/packages/thorntray/src/thorntray/internal/connection/http_server.py
+++ b/packages/thorntray/src/thorntray/internal/connection/http_server.py
@@ -76,6 +76,11 @@
         self._head: bytes | None = None  # without the Connection field
         self._body = b""
 
+    @property
+    def peer_host(self) -> str:
+        """Return the IP address of the caller, empty if it is unknown."""
+        return self._connection.peer_host
+
     @property
     def responded(self) -> bool:
         """Return whether a response was set."""
@@ -166,6 +171,7 @@
     def __init__(self, server: HttpServer) -> None:
         self.server = server
         self.pending: deque[Exchange] = deque()
+        self.peer_host = ""  # IP address of the caller
         self._transport: asyncio.Transport | None = None
         self._parser = httptools.HttpRequestParser(self)
         self._last_active_at = server.clock.monotonic()
@@ -180,6 +186,8 @@
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Register the connection with the server."""
         self._transport = transport  # uvloop's transport is not a subclass of asyncio.Transport
+        peer = transport.get_extra_info("peername")
+        self.peer_host = peer[0] if peer else ""
         self.server.connections.add(self)
 
     def data_received(self, data: bytes) -> None:
--- a/packages/thorntray/src/thorntray/internal/membership/gossip.py
+++ b/packages/thorntray/src/thorntray/internal/membership/gossip.py
@@ -65,7 +65,47 @@
     buckets: tuple[int, ...]
 
 
-Datagram = Ping | Ack | PingRequest | Spread | Join | Digest
+class PolicyCheck(msgspec.Struct, tag="c", array_like=True, frozen=True):
+    """Asks a peer what it knows of the newest policy."""
+
+    sequence: int
+
+
+class PolicyChecked(msgspec.Struct, tag="C", array_like=True, frozen=True):
+    """Answers a `PolicyCheck`: `version` was the newest one `age` seconds before the answer."""
+
+    sequence: int
+    version: int
+    age: float
+
+
+class QuotaAsk(msgspec.Struct, tag="q", array_like=True, frozen=True):
+    """Asks for `wanted` tokens of a workspace's quota, and gives `returned` unused ones back."""
+
+    sequence: int
+    workspace: str
+    wanted: int
+    returned: int
+
+
+class QuotaGrant(msgspec.Struct, tag="Q", array_like=True, frozen=True):
+    """Answers a `QuotaAsk`; without tokens, `retry_after` tells in seconds when there are some."""
+
+    sequence: int
+    workspace: str
+    tokens: int
+    retry_after: float
+
+
+class CrashReport(msgspec.Struct, tag="x", array_like=True, frozen=True):
+    """Tells of requests that ran when an instance crashed, as (fingerprint, crash, weight)."""
+
+    entries: tuple[tuple[int, int, float], ...]
+
+
+Query = PolicyCheck | PolicyChecked | QuotaAsk | QuotaGrant | CrashReport
+MembershipDatagram = Ping | Ack | PingRequest | Spread | Join | Digest
+Datagram = MembershipDatagram | Query
 
 _encoder = msgspec.msgpack.Encoder()
 _decoder = msgspec.msgpack.Decoder(Datagram)
--- a/packages/thorntray/src/thorntray/internal/membership/membership.py
+++ b/packages/thorntray/src/thorntray/internal/membership/membership.py
@@ -27,10 +27,13 @@
 from thorntray.internal.membership.gossip import (
     Ack,
     Address,
+    Datagram,
     Digest,
     Join,
+    MembershipDatagram,
     Ping,
     PingRequest,
+    Query,
     Revisions,
     Spread,
     decode_datagram,
@@ -87,6 +90,8 @@
         self._spread_tokens = SPREAD_BURST_BYTES
         self._revisions_sent = 0
         self._tasks = BackgroundTasks()
+        # Handlers of the datagrams that do not belong to the membership protocol, by type.
+        self.handlers: dict[type, Callable[[Datagram, Address], None]] = {}
         self.bytes_received = 0
         self.bad_datagrams = 0
 
@@ -149,6 +154,10 @@
         if member is not None and name != self.own.name:
             self._prober.probe(member)
 
+    def send_datagram(self, datagram: Datagram, address: Address) -> None:
+        """Send a datagram for a handler of `handlers` at a peer; it may be lost."""
+        self._sender.send_to(datagram, address)
+
     # Background tasks.
 
     def start(self) -> None:
@@ -237,6 +246,14 @@
             self.bad_datagrams += 1
             log_event(Event.BAD_MESSAGE, detail=str(exc), peer=f"{address.host}:{address.port}")
             return
+        handler = self.handlers.get(type(datagram))
+        if handler is not None:
+            handler(datagram, address)
+        elif not isinstance(datagram, Query):
+            self._process(datagram)
+
+    def _process(self, datagram: MembershipDatagram) -> None:
+        """Process a datagram of the membership protocol."""
         was_alone = len(self.view) == 1
         self._apply(datagram.sender)
         if was_alone and not isinstance(datagram, Join):
--- a/packages/thorntray/src/thorntray/internal/process/clock.py
+++ b/packages/thorntray/src/thorntray/internal/process/clock.py
@@ -15,6 +15,10 @@
         """Return the seconds since 1970-01-01 UTC."""
         ...
 
+    def boottime(self) -> float:
+        """Return a time like `monotonic` that also counts while the machine is suspended."""
+        ...
+
 
 class SystemClock:
     """The clock of the operating system."""
@@ -26,3 +30,7 @@
     def time(self) -> float:
         """Return `time.time()`."""
         return time.time()
+
+    def boottime(self) -> float:
+        """Return the time of `CLOCK_BOOTTIME`."""
+        return time.clock_gettime(time.CLOCK_BOOTTIME)
--- a/packages/thorntray/src/thorntray/internal/request/origin.py
+++ b/packages/thorntray/src/thorntray/internal/request/origin.py
@@ -1,21 +1,29 @@
 """Entry point for requests at their origin: the node that received them from a caller or instance.
 
 Parses the relevant header fields, looks up the route in the current policy and starts an
-`OriginRequest`. Requests that arrive before any policy, have invalid fields or match no route are
-answered here.
+`OriginRequest`. Requests that arrive before any policy, have invalid fields, match no route or come
+from a caller that may not call are answered here.
 """
 
 from thorntray.internal.connection.header_names import FieldClassifier, FieldKind
 from thorntray.internal.connection.http_server import Exchange
+from thorntray.internal.request.caller_identity import IdentityRefusal
 from thorntray.internal.request.origin_context import (
     OriginContext,
     OriginDependencies,
     RequestHead,
 )
 from thorntray.internal.request.origin_request import OriginRequest
+from thorntray.internal.version.policy import Policy, Route
+from thorntray.internal.version.workspaces import Workspace
 
 NO_POLICY_RETRY_AFTER = 0.5  # seconds, before jitter
-NOT_FOUND, BAD_REQUEST, UNAVAILABLE = 404, 400, 503
+STALE_POLICY_RETRY_AFTER = 0.5  # seconds, before jitter
+NOT_FOUND, BAD_REQUEST, UNAUTHORIZED, UNAVAILABLE = 404, 400, 401, 503
+_CHALLENGE = b"WWW-Authenticate: Bearer\r\n"
+
+
+_IDENTITY_FIELDS = frozenset({FieldKind.AUTHORIZATION, FieldKind.WORKSPACE})
 
 
 class InvalidRequestHead(Exception):
@@ -37,6 +45,8 @@
                 names.deadline_ms: FieldKind.DEADLINE,
                 names.expected_instance: FieldKind.DROPPED,
                 names.caller_service: FieldKind.DROPPED,
+                b"Authorization": FieldKind.AUTHORIZATION,
+                names.workspace: FieldKind.WORKSPACE,
             }
         )
 
@@ -47,7 +57,7 @@
             self._refuse(exchange, UNAVAILABLE, NO_POLICY_RETRY_AFTER)
             return
         try:
-            head = self.read_head(exchange.request.headers)
+            head = self.read_head(exchange.request.headers, bool(policy.workspaces))
         except InvalidRequestHead:
             self._refuse(exchange, BAD_REQUEST)
             return
@@ -57,13 +67,33 @@
         if route is None:
             self._refuse(exchange, NOT_FOUND)
             return
-        request = OriginRequest(self._context, exchange, head, route)
+        caller = self._identify(exchange, policy, head, route)
+        if isinstance(caller, IdentityRefusal):
+            self._refuse_caller(exchange, head, route, caller)
+            return
+        request = OriginRequest(self._context, exchange, head, route, caller)
         try:
             request.start()
         except Exception:
             self._context.active.discard(request)
             raise
 
+    def _identify(
+        self, exchange: Exchange, policy: Policy, head: RequestHead, route: Route
+    ) -> Workspace | None | IdentityRefusal:
+        deps = self._deps
+        from_own_instance = exchange.peer_host == deps.own_host
+        return deps.identity.identify(policy, route, head.authorization, from_own_instance)
+
+    def _refuse_caller(
+        self, exchange: Exchange, head: RequestHead, route: Route, refusal: IdentityRefusal
+    ) -> None:
+        self._deps.on_refused(head, route, refusal.name)
+        if refusal is IdentityRefusal.STALE_POLICY:
+            self._refuse(exchange, UNAVAILABLE, STALE_POLICY_RETRY_AFTER)
+        else:
+            exchange.respond(UNAUTHORIZED, _CHALLENGE, b"")
+
     def end_all(self) -> int:
         """End all requests now, as their node stops; returns their number."""
         active = list(self._context.active)
@@ -71,9 +101,15 @@
             request.end_for_stop()
         return len(active)
 
-    def read_head(self, headers: list[tuple[bytes, bytes]]) -> RequestHead:
-        """Parse the header fields; raises `InvalidRequestHead`."""
+    def read_head(
+        self, headers: list[tuple[bytes, bytes]], with_workspaces: bool = False
+    ) -> RequestHead:
+        """Parse the header fields; raises `InvalidRequestHead`.
+
+        With workspaces, the fields that identify the caller are not forwarded.
+        """
         host, request_id, deadline, connection_options = b"", b"", None, b""
+        authorization: list[bytes] = []
         lines: list[bytes] = []
         for name, value in headers:
             kind = self._fields.classify(name)
@@ -85,6 +121,10 @@
             if kind is FieldKind.CONNECTION:
                 connection_options = value.lower()
                 continue
+            if with_workspaces and kind in _IDENTITY_FIELDS:
+                if kind is FieldKind.AUTHORIZATION:
+                    authorization.append(value)
+                continue
             lines.append(b"%b: %b\r\n" % (name, value))
             if kind is FieldKind.HOST:
                 host = value
@@ -95,7 +135,15 @@
         if not request_id or not host:
             raise InvalidRequestHead("the Host header field or the request ID is missing")
         host = host.rpartition(b":")[0] if host.rpartition(b":")[2].isdigit() else host
-        return RequestHead(host.decode("latin-1"), request_id, deadline, b"".join(lines))
+        if len(authorization) > 1:
+            raise InvalidRequestHead("the Authorization header field occurs more than once")
+        return RequestHead(
+            host.decode("latin-1"),
+            request_id,
+            deadline,
+            b"".join(lines),
+            authorization[0] if authorization else b"",
+        )
 
     def _refuse(self, exchange: Exchange, status: int, retry_after: float = 0.0) -> None:
         lines = b""
--- a/packages/thorntray/src/thorntray/internal/request/origin_context.py
+++ b/packages/thorntray/src/thorntray/internal/request/origin_context.py
@@ -15,6 +15,7 @@
 from thorntray.internal.overload.root_admission import RootAdmission
 from thorntray.internal.process.clock import Clock
 from thorntray.internal.process.drain import Drain
+from thorntray.internal.request.caller_identity import CallerIdentity
 from thorntray.internal.request.owner import Owner
 from thorntray.internal.request.result import Result
 from thorntray.internal.version.policy import Policy, Route
@@ -25,6 +26,16 @@
 RETRY_AFTER_JITTER = 0.5  # largest relative addition; keeps callers from retrying simultaneously
 
 
+class RequestHead(NamedTuple):
+    """The parsed header fields of a request."""
+
+    host: str
+    request_id: bytes
+    deadline: float | None  # seconds after arrival
+    lines: bytes  # header lines to forward, each with its CRLF
+    authorization: bytes = b""  # value of the Authorization field, if it is not forwarded
+
+
 class Directory(Protocol):
     """Looks up members by service."""
 
@@ -37,6 +48,7 @@
     """Process-wide components that an `Origin` and its requests use."""
 
     own_name: str
+    own_host: str  # IP address from which the own instance calls
     own_service: str
     names: HeaderNames
     policy: Callable[[], Policy | None]
@@ -52,6 +64,8 @@
     drain: Drain
     clock: Clock
     rng: Random
+    identity: CallerIdentity
+    on_refused: Callable[[RequestHead, Route, str], None]  # str: name of the reason
     on_finish: Callable[["OriginRequest", Result], None]
     on_retry: Callable[
         ["OriginRequest", Result, bool], None
@@ -90,12 +104,3 @@
 def _jittered(seconds: float, rng: Random) -> float:
     """Return `seconds` plus a random addition of up to `RETRY_AFTER_JITTER` of it."""
     return seconds * (1.0 + RETRY_AFTER_JITTER * rng.random())
-
-
-class RequestHead(NamedTuple):
-    """The parsed header fields of a request."""
-
-    host: str
-    request_id: bytes
-    deadline: float | None  # seconds after arrival
-    lines: bytes  # header lines to forward, each with its CRLF
--- a/packages/thorntray/src/thorntray/internal/request/origin_request.py
+++ b/packages/thorntray/src/thorntray/internal/request/origin_request.py
@@ -28,6 +28,7 @@
 from thorntray.internal.request.result_frames import result_from_frame
 from thorntray.internal.telemetry.events import log_handler_failure
 from thorntray.internal.version.policy import Route
+from thorntray.internal.version.workspaces import Workspace
 
 DEFAULT_DEADLINE = 10.0  # seconds, for requests without a deadline field
 OWNER_RESULT_GRACE = 0.03  # seconds past the deadline to wait for the owner's own result
@@ -47,6 +48,7 @@
     """One request at its origin, from its arrival to its response."""
 
     __slots__ = ("context", "exchange", "head", "route", "service", "route_key", "parent", "worth")
+    __slots__ += ("workspace", "priority")
     __slots__ += (
         "arrived_at",
         "expiry",
@@ -71,12 +73,18 @@
     )
 
     def __init__(
-        self, context: OriginContext, exchange: Exchange, head: RequestHead, route: Route
+        self,
+        context: OriginContext,
+        exchange: Exchange,
+        head: RequestHead,
+        route: Route,
+        workspace: Workspace | None = None,
     ) -> None:
         self.context = context
         self.exchange = exchange
         self.head = head
         self.route = route
+        self.workspace = workspace  # that the caller belongs to, None if there is none
         self.service = context.choose_service(route)
         self.route_key = f"{route.name}>{self.service}"
         self.arrived_at = context.deps.clock.monotonic()
@@ -84,7 +92,10 @@
         self.expiry = self.arrived_at + min(deadline, route.timeout)
         self.parent: RunningRequest | None = None
         self.nested = False  # whether the own instance sent it for a request that it is running
-        self.worth = worth_of(route.priority)
+        self.priority = route.priority
+        if workspace is not None and workspace.priority is not None:
+            self.priority = workspace.priority
+        self.worth = worth_of(self.priority)
         self.timer: asyncio.TimerHandle | None = None
         self.tried: set[str] = set()  # members not to send it to again
         self.full: set[str] = set()  # members that had no free slot in time
@@ -111,7 +122,7 @@
             return
         if not self.nested:
             deps.budget.deposit(self.service)
-            if not deps.admission.admit(self.route_key, self.route.priority, self.arrived_at):
+            if not deps.admission.admit(self.route_key, self.priority, self.arrived_at):
                 self.finish(not_run(Cause.PRICED_OUT, self.route.target_latency / 2))
                 return
         self.exchange.on_cancel = self.cancel
@@ -240,7 +251,7 @@
             request_id=self.head.request_id,
             method=request.method,
             target=request.target,
-            header_lines=self.head.lines,
+            header_lines=self._header_lines(),
             body=request.body,
             caller_service=self.context.deps.own_service,
             idempotent=self.route.idempotent,
@@ -250,6 +261,13 @@
             worth=self.worth,
         )
 
+    def _header_lines(self) -> bytes:
+        """Return the header lines for the instance, which is told the caller's workspace."""
+        if self.workspace is None:
+            return self.head.lines
+        name = self.context.deps.names.workspace
+        return b"%b%b: %b\r\n" % (self.head.lines, name, self.workspace.name.encode())
+
     def _max_slot_wait(self) -> float:
         whole_wait = NESTED_MAX_SLOT_WAIT
         if not self.nested:
--- a/packages/thorntray/src/thorntray/internal/request/request_log.py
+++ b/packages/thorntray/src/thorntray/internal/request/request_log.py
@@ -9,6 +9,7 @@
 from thorntray.internal.connection.frame import CallFrame
 from thorntray.internal.connection.http_server import ClosedBy
 from thorntray.internal.process.clock import Clock
+from thorntray.internal.request.origin_context import RequestHead
 from thorntray.internal.request.origin_request import OriginRequest
 from thorntray.internal.request.result import Cause, Result, ResultKind
 from thorntray.internal.telemetry.events import (
@@ -18,6 +19,7 @@
     remaining_events,
     suppress_event,
 )
+from thorntray.internal.version.policy import Route
 
 SUCCESS_SAMPLE_INTERVAL = 512  # one in this many successful requests is logged
 # One in this many failed requests is logged once half of a second's limit is used.
@@ -64,6 +66,15 @@
             **fields,
         )
 
+    def refused(self, head: RequestHead, route: Route, reason: str) -> None:
+        """Log a request that its caller may not send; the key itself is never logged."""
+        log_event(
+            Event.CALLER_REFUSED,
+            id=head.request_id.decode("latin-1"),
+            route=route.name,
+            reason=reason,
+        )
+
     def unanswered(self, request_id: bytes, closed_by: ClosedBy) -> None:
         """Log a request whose connection this node ended before the answer."""
         if closed_by is not ClosedBy.CALLER:
--- a/packages/thorntray/src/thorntray/internal/telemetry/events.py
+++ b/packages/thorntray/src/thorntray/internal/telemetry/events.py
@@ -85,6 +85,9 @@
         "connection ended by this node before the answer",
         MAX_REQUEST_LINES_PER_SECOND,
     )
+    CALLER_REFUSED = EventKind(
+        513, Level.INFO, "request refused for its caller", MAX_REQUEST_LINES_PER_SECOND
+    )
     LOAD = EventKind(520, Level.INFO, "load of the instance and prices received")
     LIMIT_LOWERED = EventKind(501, Level.WARNING, "concurrency limit lowered")
 
--- a/packages/thorntray/src/thorntray/internal/telemetry/node_metrics.py
+++ b/packages/thorntray/src/thorntray/internal/telemetry/node_metrics.py
@@ -18,6 +18,7 @@
 
 NODE_METRICS: dict[str, tuple[str, str]] = {
     "thorntray_requests": ("counter", "requests ended, by side, route, end and cause"),
+    "thorntray_refused_callers": ("counter", "requests refused for their caller, by reason"),
     "thorntray_request_seconds": ("histogram", "time of requests, by side and route"),
     "thorntray_queue_wait_seconds": ("histogram", "wait for a slot of the own instance"),
     "thorntray_repeats": (
@@ -65,6 +66,7 @@
         )
         self._queue_wait = self._histogram("thorntray_queue_wait_seconds", WAIT_BUCKETS)
         self._repeats = self._counter("thorntray_repeats", "service", "paid")
+        self._refused_callers = self._counter("thorntray_refused_callers", "reason")
         self._unanswered = self._counter("thorntray_unanswered", "closed_by")
         self._store_calls = self._counter("thorntray_store_calls", "method", "result")
         self._loop_lag = self._histogram("thorntray_loop_lag_seconds", LAG_BUCKETS)
@@ -93,6 +95,10 @@
         """Count a requested retry; `paid` is whether the retry budget covered it."""
         self._repeats.labels(service, str(paid).lower()).inc()
 
+    def caller_refused(self, reason: str) -> None:
+        """Count a request that was refused for its caller; `reason` is a name from a fixed set."""
+        self._refused_callers.labels(reason).inc()
+
     def request_unanswered(self, closed_by: str) -> None:
         """Count a request whose connection ended before its answer."""
         self._unanswered.labels(closed_by).inc()
--- a/packages/thorntray/src/thorntray/internal/version/policy.py
+++ b/packages/thorntray/src/thorntray/internal/version/policy.py
@@ -9,6 +9,7 @@
 from typing import NamedTuple, Self
 
 from thorntray.internal.connection.http_server import RequestLimits
+from thorntray.internal.version.workspaces import NO_WORKSPACES, Workspaces
 
 
 class Target(NamedTuple):
@@ -22,7 +23,7 @@
     """A route: target services, retry and timeout settings; times in seconds.
 
     `priority` is a rank, where 0 is the most important. `max_attempts` limits the number of
-    instances that one request may be sent to.
+    instances that one request may be sent to. An `anonymous` route needs no API key.
     """
 
     name: str
@@ -34,6 +35,7 @@
     target_latency: float
     max_attempts: int
     priority: int
+    anonymous: bool = False
 
 
 class ServicePolicy(NamedTuple):
@@ -51,6 +53,7 @@
     services: Mapping[str, ServicePolicy]
     limits: RequestLimits
     document: bytes
+    workspaces: Workspaces = NO_WORKSPACES
 
     @classmethod
     def from_parts(
@@ -60,10 +63,11 @@
         services: Mapping[str, ServicePolicy],
         limits: RequestLimits,
         document: bytes,
+        workspaces: Workspaces = NO_WORKSPACES,
     ) -> Self:
         """Return a policy with its routes indexed by host and prefix."""
         index = {(route.host.lower(), route.prefix): route for route in routes}
-        return cls(version, index, services, limits, document)
+        return cls(version, index, services, limits, document, workspaces)
 
     def find_route(self, host: str, path: str) -> Route | None:
         """Return the route with the longest matching prefix, None if none matches."""
--- a/tests/builders.py
+++ b/tests/builders.py
@@ -31,6 +31,9 @@
     def time(self) -> float:
         return EPOCH + self.monotonic()
 
+    def boottime(self) -> float:
+        return self.monotonic()
+
 
 class ManualClock:
     """Clock that a test advances through `now` (seconds)."""
@@ -44,6 +47,9 @@
     def time(self) -> float:
         return EPOCH + self.now
 
+    def boottime(self) -> float:
+        return self.now
+
 
 def run_virtual(coroutine: Awaitable[Any]) -> Any:
     """Run a coroutine on an event loop with virtual time, in which sleeping takes no real time."""
