Callers are told from the own instance by their key, not by their address

Cause: clients run on the machine of a node and share its instance's address.

Change: a key always decides; a request without one must belong to a request that the instance is running, by the same match as before. A node that started less than 10 s ago refuses what it cannot match with 503 instead of 401, since its instance may still run requests of the previous process. A request with a key is never a nested call.

--- a/packages/thorntray-node/src/thorntray_node/mesh_node.py
+++ b/packages/thorntray-node/src/thorntray_node/mesh_node.py
@@ -147,7 +147,7 @@
             drain=self.drain,
             clock=self.clock,
             rng=self.rng,
-            identity=CallerIdentity(self.freshness),
+            identity=CallerIdentity(self.freshness, self.clock),
             on_refused=self._caller_refused,
             on_finish=self._origin_finished,
             on_retry=self._retry_requested,
--- a/packages/thorntray/src/thorntray/internal/request/caller_identity.py
+++ b/packages/thorntray/src/thorntray/internal/request/caller_identity.py
@@ -4,16 +4,22 @@
 passed on. A known key decides also on an anonymous route, and an unknown one is refused there too,
 since a request with a withdrawn key must not run anywhere.
 
-Calls of the node's own instance carry no key. They are told by the address that they come from, as
-a caller can copy any header field.
+Calls that the own instance makes for a request that it is running carry no key. Its address alone
+does not identify them, since callers may run on the same machine, so each must belong to a running
+request. A node that has just started does not know what its instance is running: it refuses them
+as not run instead of rejecting a proper call for good.
 """
 
+from collections.abc import Callable
 from enum import Enum
 
+from thorntray.internal.process.clock import Clock
 from thorntray.internal.version.freshness import Freshness
 from thorntray.internal.version.policy import Policy, Route
 from thorntray.internal.version.workspaces import Workspace
 
+# Seconds after its start in which the instance may still run requests of the previous process.
+UNKNOWN_CALLS_PERIOD = 10.0
 _SCHEME = b"bearer"
 
 
@@ -22,33 +28,48 @@
 
     MISSING_KEY = "no API key on a route that needs one"
     UNKNOWN_KEY = "the API key belongs to no workspace"
+    UNMATCHED_CALL = "no API key, and this node does not know yet what its instance is running"
     STALE_POLICY = "this node cannot know whether the API key has been withdrawn"
 
 
 class CallerIdentity:
     """Finds the workspace of a request."""
 
-    def __init__(self, freshness: Freshness) -> None:
+    def __init__(self, freshness: Freshness, clock: Clock) -> None:
         self._freshness = freshness
+        self._clock = clock
+        self._started_at = clock.monotonic()
 
     def identify(
-        self, policy: Policy, route: Route, authorization: bytes, from_own_instance: bool
+        self,
+        policy: Policy,
+        route: Route,
+        authorization: bytes,
+        is_nested_call: Callable[[], bool],
     ) -> Workspace | None | IdentityRefusal:
         """Return the workspace, None for a request without one, or why it is refused.
 
         `authorization` is the value of the Authorization field, empty if there is none.
+        `is_nested_call` is called only if the route needs a key and there is none.
         """
         workspaces = policy.workspaces
-        if not workspaces or from_own_instance:
+        if not workspaces:
             return None
         if not authorization:
-            return None if route.anonymous else IdentityRefusal.MISSING_KEY
+            if route.anonymous or is_nested_call():
+                return None
+            return self._refusal_without_key()
         # Freshness first: a key that is not known yet may be in a version that has not arrived.
         if not self._freshness.allows_keys(policy):
             return IdentityRefusal.STALE_POLICY
         workspace = workspaces.of_key(_key(authorization))
         return workspace if workspace is not None else IdentityRefusal.UNKNOWN_KEY
 
+    def _refusal_without_key(self) -> IdentityRefusal:
+        if self._clock.monotonic() - self._started_at < UNKNOWN_CALLS_PERIOD:
+            return IdentityRefusal.UNMATCHED_CALL
+        return IdentityRefusal.MISSING_KEY
+
 
 def _key(authorization: bytes) -> bytes:
     """Return the key of an Authorization field, empty if it has another scheme."""
--- a/packages/thorntray/src/thorntray/internal/request/origin.py
+++ b/packages/thorntray/src/thorntray/internal/request/origin.py
@@ -18,7 +18,7 @@
 from thorntray.internal.version.workspaces import Workspace
 
 NO_POLICY_RETRY_AFTER = 0.5  # seconds, before jitter
-STALE_POLICY_RETRY_AFTER = 0.5  # seconds, before jitter
+UNKNOWN_CALLER_RETRY_AFTER = 0.5  # seconds, before jitter
 NOT_FOUND, BAD_REQUEST, UNAUTHORIZED, UNAVAILABLE = 404, 400, 401, 503
 _CHALLENGE = b"WWW-Authenticate: Bearer\r\n"
 
@@ -81,18 +81,21 @@
     def _identify(
         self, exchange: Exchange, policy: Policy, head: RequestHead, route: Route
     ) -> Workspace | None | IdentityRefusal:
-        deps = self._deps
-        from_own_instance = exchange.peer_host == deps.own_host
-        return deps.identity.identify(policy, route, head.authorization, from_own_instance)
+        def is_nested_call() -> bool:
+            from_own_host = exchange.peer_host == self._deps.own_host
+            return from_own_host and self._context.is_nested_call(head, route)
+
+        return self._deps.identity.identify(policy, route, head.authorization, is_nested_call)
 
     def _refuse_caller(
         self, exchange: Exchange, head: RequestHead, route: Route, refusal: IdentityRefusal
     ) -> None:
         self._deps.on_refused(head, route, refusal.name)
-        if refusal is IdentityRefusal.STALE_POLICY:
-            self._refuse(exchange, UNAVAILABLE, STALE_POLICY_RETRY_AFTER)
-        else:
-            exchange.respond(UNAUTHORIZED, _CHALLENGE, b"")
+        match refusal:
+            case IdentityRefusal.STALE_POLICY | IdentityRefusal.UNMATCHED_CALL:
+                self._refuse(exchange, UNAVAILABLE, UNKNOWN_CALLER_RETRY_AFTER)
+            case IdentityRefusal.MISSING_KEY | IdentityRefusal.UNKNOWN_KEY:
+                exchange.respond(UNAUTHORIZED, _CHALLENGE, b"")
 
     def end_all(self) -> int:
         """End all requests now, as their node stops; returns their number."""
--- a/packages/thorntray/src/thorntray/internal/request/origin_context.py
+++ b/packages/thorntray/src/thorntray/internal/request/origin_context.py
@@ -8,7 +8,11 @@
 from thorntray.internal.connection.link import Links
 from thorntray.internal.membership.instance_notices import InstanceNotices
 from thorntray.internal.membership.member import Member
-from thorntray.internal.overload.call_parents import NestedRoutes, RunningRequests
+from thorntray.internal.overload.call_parents import (
+    NestedRoutes,
+    RunningRequest,
+    RunningRequests,
+)
 from thorntray.internal.overload.ejection import Ejection
 from thorntray.internal.overload.placement import Placement
 from thorntray.internal.overload.retry_budget import RetryBudget
@@ -81,6 +85,18 @@
         self.active: set[OriginRequest] = set()  # requests without a result
         self._split_credit: dict[tuple[str, str], float] = {}
 
+    def find_parent(self, head: RequestHead) -> RunningRequest | None:
+        """Return the request, running at the own instance, that a call belongs to."""
+        running = self.deps.running
+        parent = running.parent_by_id(head.request_id)
+        if parent is None and head.deadline is not None:
+            parent = running.parent_of(self.deps.clock.monotonic() + head.deadline)
+        return parent
+
+    def is_nested_call(self, head: RequestHead, route: Route) -> bool:
+        """Return whether the own instance makes this call for a request that it is running."""
+        return self.find_parent(head) is not None or self.nested_routes.is_nested(route.name)
+
     def choose_service(self, route: Route) -> str:
         """Choose the target service of one request by smooth weighted round-robin."""
         if len(route.targets) == 1:
--- a/packages/thorntray/src/thorntray/internal/request/origin_request.py
+++ b/packages/thorntray/src/thorntray/internal/request/origin_request.py
@@ -133,11 +133,11 @@
     def _find_parent(self) -> None:
         """Detect whether this is a nested call of a request that the own instance is running."""
         deadline = self.head.deadline
-        if deadline is None:
+        if deadline is None or self.workspace is not None:
             return
         running, nested_routes = self.context.deps.running, self.context.nested_routes
         expiry = self.arrived_at + deadline
-        self.parent = running.parent_by_id(self.head.request_id) or running.parent_of(expiry)
+        self.parent = self.context.find_parent(self.head)
         nested_routes.record(self.route.name, self.parent is not None)
         self.nested = self.parent is not None or nested_routes.is_nested(self.route.name)
         if self.nested and self.parent is None:
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -6,7 +6,8 @@
 import pytest
 from hypothesis import HealthCheck, settings
 
-sys.path.insert(0, str(Path(__file__).resolve().parent.parent))
+ROOT = Path(__file__).resolve().parent.parent
+sys.path[:0] = [str(ROOT), str(ROOT / "platform")]
 
 settings.register_profile(
     "ci",
@@ -17,7 +18,7 @@
 )
 settings.load_profile("ci")
 
-KNOWN_RED = Path(__file__).resolve().parent.parent / "KNOWN-RED.txt"
+KNOWN_RED = ROOT / "KNOWN-RED.txt"
 
 
 def pytest_collection_modifyitems(items):
--- a/tests/test_platform_adapter.py
+++ b/tests/test_platform_adapter.py
@@ -25,7 +25,8 @@
 
 PLATFORM_NAMES = (
     "X-Request-Deadline|X-Target-Instance|X-Not-Executed|X-Caller-Service|X-Response-Signature|"
-    "TrafficSplit|HeartbeatUrl|MaxAttempts|kv-txn|THORNTRAY_BOOT|op/config"
+    "TrafficSplit|HeartbeatUrl|MaxAttempts|kv-txn|THORNTRAY_BOOT|op/config|X-Tenant-Id|ApiKeys|"
+    "AllowAnonymous|RatePerS|StrictRevocation|RevokeS"
 )
 MAX_ADAPTER_LINES = 900
 
