A changed settings file is taken, or refused whole

Cause: a change was only logged (event 105), so a new retry bound or stop limit was in force only after a restart.

A file with a fault changes nothing (event 117).

--- a/packages/thorntray-node/src/thorntray_node/mesh_node.py
+++ b/packages/thorntray-node/src/thorntray_node/mesh_node.py
@@ -219,6 +219,12 @@
         except OSError as exc:
             log_event(Event.METRICS_NOT_SERVED, port=self.cfg.metrics_port, detail=repr(exc))
 
+    def reconfigure(self, cfg: MeshConfig) -> None:
+        """Apply the settings that can be changed at run time (`settings_reload`)."""
+        self.cfg = cfg
+        self.drain.set_limit(cfg.stop_limit)
+        self.budget.set_bound(cfg.budget)
+
     def _own_member(self) -> Member:
         cfg = self.cfg
         return Member(
--- a/packages/thorntray/src/thorntray/internal/overload/retry_budget.py
+++ b/packages/thorntray/src/thorntray/internal/overload/retry_budget.py
@@ -40,6 +40,12 @@
         """Set the number of nodes that share the slack."""
         self._nodes = max(1, nodes)
 
+    def set_bound(self, settings: RetryBudgetSettings) -> None:
+        """Replace the bound; what was saved up beyond a lower one is lost."""
+        self._settings = settings
+        most = self._max_tokens()
+        self._tokens = {name: min(most, tokens) for name, tokens in self._tokens.items()}
+
     def deposit(self, service: str) -> None:
         """Add the tokens earned by one original request to a service."""
         self._tokens[service] = min(
--- a/packages/thorntray/src/thorntray/internal/process/drain.py
+++ b/packages/thorntray/src/thorntray/internal/process/drain.py
@@ -25,6 +25,10 @@
         self.begun = False
         self._ended = False
 
+    def set_limit(self, limit: float) -> None:
+        """Set the longest duration in seconds; a stop that has begun keeps its own."""
+        self._limit = limit
+
     def begin(self) -> None:
         """Begin the stop now."""
         now = self._clock.monotonic()
--- a/packages/thorntray/src/thorntray/internal/telemetry/events.py
+++ b/packages/thorntray/src/thorntray/internal/telemetry/events.py
@@ -43,6 +43,7 @@
     DRAIN_ENDED = EventKind(102, Level.INFO, "graceful stop ended")
     DRAIN_CUT = EventKind(103, Level.ERROR, "graceful stop ran out of time")
     SETTINGS_CHANGED = EventKind(105, Level.INFO, "settings file changed")
+    SETTINGS_REFUSED = EventKind(117, Level.ERROR, "settings file refused, those in force are kept")
     METRICS_NOT_SERVED = EventKind(106, Level.WARNING, "metrics not served")
     LOG_LINES_DROPPED = EventKind(107, Level.WARNING, "log lines dropped")
     LIBRARY = EventKind(108, Level.WARNING, "library log message")
