--- a/packages/thorntray-node/src/thorntray_node/mesh_node.py
+++ b/packages/thorntray-node/src/thorntray_node/mesh_node.py
@@ -52,6 +52,7 @@
 PRICE_UPDATE_PERIOD = 0.1  # seconds between updates of the slot price
 LINK_FAILURE_PAUSE = 1.0  # seconds without new requests to a member after a link failure
 HOUSEKEEPING_PERIOD = 0.5  # seconds
+LOOPBACK_HOST = "127.0.0.1"
 LEAVE_TIME = 0.05  # seconds for the datagrams that announce the leave
 OK, UNAVAILABLE = 200, 503
 METRICS_CONTENT_TYPE = b"Content-Type: text/plain; version=0.0.4\r\n"
@@ -131,7 +132,7 @@
         cfg = self.cfg
         return OriginDependencies(
             own_name=cfg.name,
-            own_host=cfg.instance.host,
+            own_hosts=frozenset({LOOPBACK_HOST, cfg.host, cfg.instance.host}),
             own_service=cfg.service,
             names=cfg.header_names,
             policy=lambda: self.holder.policy,
--- a/packages/thorntray/src/thorntray/internal/overload/call_parents.py
+++ b/packages/thorntray/src/thorntray/internal/overload/call_parents.py
@@ -137,6 +137,10 @@
         share = self._matched_shares.get(route, float(matched))
         self._matched_shares[route] = share + MATCH_WEIGHT * (matched - share)
 
+    def is_known(self, route: str) -> bool:
+        """Return whether a request on a route has been recorded."""
+        return route in self._matched_shares
+
     def is_nested(self, route: str) -> bool:
         """Return whether requests on a route are taken for nested calls, by the matched share."""
         return self._matched_shares.get(route, 0.0) > NESTED_ROUTE_THRESHOLD
--- a/packages/thorntray/src/thorntray/internal/request/origin.py
+++ b/packages/thorntray/src/thorntray/internal/request/origin.py
@@ -82,8 +82,8 @@
         self, exchange: Exchange, policy: Policy, head: RequestHead, route: Route
     ) -> Workspace | None | IdentityRefusal:
         def is_nested_call() -> bool:
-            from_own_host = exchange.peer_host == self._deps.own_host
-            return from_own_host and self._context.is_nested_call(head, route)
+            local = exchange.peer_host in self._deps.own_hosts
+            return local and self._context.is_nested_call(head, route)
 
         return self._deps.identity.identify(policy, route, head.authorization, is_nested_call)
 
--- a/packages/thorntray/src/thorntray/internal/request/origin_context.py
+++ b/packages/thorntray/src/thorntray/internal/request/origin_context.py
@@ -52,7 +52,7 @@
     """Process-wide components that an `Origin` and its requests use."""
 
     own_name: str
-    own_host: str  # IP address from which the own instance calls
+    own_hosts: frozenset[str]  # IP addresses from which the own instance may call
     own_service: str
     names: HeaderNames
     policy: Callable[[], Policy | None]
@@ -94,8 +94,15 @@
         return parent
 
     def is_nested_call(self, head: RequestHead, route: Route) -> bool:
-        """Return whether the own instance makes this call for a request that it is running."""
-        return self.find_parent(head) is not None or self.nested_routes.is_nested(route.name)
+        """Return whether the own instance makes this call for a request that it is running.
+
+        On a route that callers use, an equal expiry may be chance, and only the id counts.
+        """
+        if self.deps.running.parent_by_id(head.request_id) is not None:
+            return True
+        if self.nested_routes.is_known(route.name):
+            return self.nested_routes.is_nested(route.name)
+        return self.find_parent(head) is not None
 
     def choose_service(self, route: Route) -> str:
         """Choose the target service of one request by smooth weighted round-robin."""
--- a/packages/thorntray/src/thorntray/internal/request/origin_request.py
+++ b/packages/thorntray/src/thorntray/internal/request/origin_request.py
@@ -132,10 +132,13 @@
 
     def _find_parent(self) -> None:
         """Detect whether this is a nested call of a request that the own instance is running."""
+        running, nested_routes = self.context.deps.running, self.context.nested_routes
+        if self.workspace is not None:  # instances have no key
+            nested_routes.record(self.route.name, False)
+            return
         deadline = self.head.deadline
-        if deadline is None or self.workspace is not None:
+        if deadline is None:
             return
-        running, nested_routes = self.context.deps.running, self.context.nested_routes
         expiry = self.arrived_at + deadline
         self.parent = self.context.find_parent(self.head)
         nested_routes.record(self.route.name, self.parent is not None)
