--- a/soak/clients.py
+++ b/soak/clients.py
@@ -9,6 +9,7 @@
 import socket
 import time
 from collections import deque
+from collections.abc import Callable
 from dataclasses import dataclass, field
 from enum import Enum
 from random import Random
@@ -65,7 +66,8 @@
     has the signature, the body and the id that belong to this request. `answered_at` is the end of
     the attempt, for slow readers the arrival of the response's head. `position` is the
     number of requests sent before it on its connection and not answered then. `time_limit` is in
-    seconds: the longest timeout of the routes of this request and of those before it.
+    seconds: the longest timeout of the routes of this request and of those before it. `key` is the
+    API key, empty without one.
     """
 
     sent_at: float
@@ -81,6 +83,7 @@
     reused: bool
     position: int
     time_limit: float
+    key: str = ""
 
 
 class CallerRequest(NamedTuple):
@@ -88,6 +91,7 @@
 
     request_id: str
     route: RouteConfig
+    key: str = ""
 
 
 class Answer(NamedTuple):
@@ -129,12 +133,19 @@
 class Callers:
     """Callers of all nodes; arrivals follow a Poisson process and do not wait for responses."""
 
-    def __init__(self, fleet: MeshFleet, rng: Random, run_id: str) -> None:
+    def __init__(
+        self,
+        fleet: MeshFleet,
+        rng: Random,
+        run_id: str,
+        draw_key: Callable[[], str] = lambda: "",
+    ) -> None:
         self.attempts: list[Attempt] = []
         self.rate = 60.0  # exchanges per second, over all nodes
         self._fleet = fleet
         self._rng = rng
         self._run_id = run_id
+        self._draw_key = draw_key
         self._request_count = 0
         self._idle_connections: dict[tuple[str, ConnectionUse], deque[Connection]] = {}
         self._tasks: set[asyncio.Task[None]] = set()
@@ -180,7 +191,7 @@
 
     def _next_request(self, route: RouteConfig) -> CallerRequest:
         self._request_count += 1
-        return CallerRequest(f"{self._run_id}-{self._request_count}", route)
+        return CallerRequest(f"{self._run_id}-{self._request_count}", route, self._draw_key())
 
     async def _send(
         self, node: NodeProcess, use: ConnectionUse, reuse: bool, exchange: Exchange
@@ -224,6 +235,7 @@
                     reused=idle is not None,
                     position=position,
                     time_limit=time_limit,
+                    key=req.key,
                 )
             )
 
@@ -314,8 +326,10 @@
     idempotent = req.route.kind == "idempotent"
     method, body = ("GET", b"") if idempotent else ("POST", b"body")
     length = f"Content-Length: {len(body)}\r\n" if body else ""
+    key = f"Authorization: Bearer {req.key}\r\n" if req.key else ""
     head = (
         f"{method} {req.route.path} HTTP/1.1\r\nHost: {HOST_NAME}\r\n"
-        f"X-Request-Id: {req.request_id}\r\nX-Request-Deadline: {DEADLINE_MS}\r\n{length}\r\n"
+        f"X-Request-Id: {req.request_id}\r\nX-Request-Deadline: {DEADLINE_MS}\r\n"
+        f"{length}{key}\r\n"
     )
     return head.encode() + body
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -6,6 +6,7 @@
 from contextlib import suppress
 from random import Random
 
+from soak.api_keys import KeyRing
 from soak.clients import Callers
 from soak.observation import NodeStop, RouteChange
 from soak.plan import Fault, FaultKind
@@ -26,12 +27,15 @@
 class FaultInjector:
     """Injects faults, and records planned stops and changes of the route `moving`."""
 
-    def __init__(self, fleet: MeshFleet, callers: Callers, rng: Random) -> None:
+    def __init__(
+        self, fleet: MeshFleet, callers: Callers, rng: Random, ring: KeyRing | None = None
+    ) -> None:
         self.stops: list[NodeStop] = []
         self.changes: list[RouteChange] = []
         self._fleet = fleet
         self._callers = callers
         self._rng = rng
+        self._ring = ring
         self._active: list[Fault] = []
 
     async def inject(self, fault: Fault) -> None:
@@ -50,6 +54,8 @@
                 await self._limit_worker(node)
             case FaultKind.CHANGE:
                 await self._change_route()
+            case FaultKind.KEY_WITHDRAWN:
+                await self._withdraw_key()
             case FaultKind.STORE_COMPACT:
                 await self._fleet.store.compact()
             case FaultKind.STORE_LOSES:
@@ -87,6 +93,14 @@
         await self._fleet.publish(build_routes(service))
         self.changes.append(RouteChange(time.monotonic(), service))
 
+    async def _withdraw_key(self) -> None:
+        if self._ring is None:
+            return
+        keys = self._ring.replace_key(self._rng)
+        self._fleet.workspaces = self._ring.workspaces()
+        await self._fleet.publish(self._fleet.routes)
+        self._ring.confirm(*keys)
+
     async def _inject_temporary(self, node: NodeProcess, fault: Fault) -> None:
         self._active.append(fault)
         match fault.kind:
--- a/soak/plan.py
+++ b/soak/plan.py
@@ -32,6 +32,7 @@
     STORE_COMPACT = "store compacts its history"
     STORE_RESTORE = "store responds 503, then returns to a copy of its data some seconds old"
     CHANGE = "route `moving` is moved to another service"
+    KEY_WITHDRAWN = "an API key is withdrawn and replaced, while callers go on using it"
     SURGE = "callers send at four times the rate"
 
 
--- a/soak/run.py
+++ b/soak/run.py
@@ -14,6 +14,7 @@
 
 from absl import app, flags
 
+from soak.api_keys import KeyRing, key_violations
 from soak.checks import RECOVERY_TIME, safety_violations, summary, violations
 from soak.clients import Callers
 from soak.faults import FaultInjector
@@ -51,8 +52,17 @@
         self.fleet = MeshFleet(
             build_routes(SERVICES[0]), BEHAVIORS, Random(self.rng.getrandbits(64))
         )
-        self._callers = Callers(self.fleet, Random(self.rng.getrandbits(64)), f"s{seed}")
-        self._injector = FaultInjector(self.fleet, self._callers, self.rng)
+        key_rng = Random(seed)
+        self.ring = KeyRing() if seed % 2 else None  # runs with an even seed have no workspaces
+        if self.ring is not None:
+            self.fleet.workspaces = self.ring.workspaces()
+        self._callers = Callers(
+            self.fleet,
+            Random(self.rng.getrandbits(64)),
+            f"s{seed}",
+            lambda: self.ring.draw(key_rng) if self.ring is not None else "",
+        )
+        self._injector = FaultInjector(self.fleet, self._callers, self.rng, self.ring)
         self._faults: list[Fault] = []
         self._load_started_at = 0.0
 
@@ -110,6 +120,8 @@
     finally:
         await soak.fleet.close()
     violation_lines = violations(observation)
+    if soak.ring is not None:
+        violation_lines += key_violations(observation, soak.ring)
     kinds = Counter(line.partition(":")[0] for line in violation_lines)
     print(f"seed {seed}: {summary(observation)}, violations: {dict(kinds)}", flush=True)
     if violation_lines:
--- a/standins/mesh_fleet.py
+++ b/standins/mesh_fleet.py
@@ -32,6 +32,7 @@
 APP_PORT, INBOUND_PORT, READY_PORT, OUTBOUND_PORT, CONTROL_PORT = 8301, 8300, 8302, 8304, 8306
 FIRST_PEER_PORT, LAST_PEER_PORT, METRICS_PORT, STORE_PORT = 7620, 7635, 7634, 8309
 STOP_TIMEOUT = 6  # seconds; GraceS in the settings of the nodes
+REVOCATION_BOUND = 5  # seconds after which a withdrawn API key must be refused everywhere
 START_TIMEOUT = 20.0  # seconds until all nodes are ready
 PACKAGES = ("packages/thorntray/src", "packages/thorntray-node/src")
 
@@ -53,6 +54,15 @@
         return f"/{self.name}/1"
 
 
+class WorkspaceConfig(NamedTuple):
+    """A workspace in the operators' configuration; `rate` in requests a second, 0: no limit."""
+
+    name: str
+    keys: tuple[str, ...]
+    rate: float = 0.0
+    burst: float = 0.0
+
+
 class NodeProcess:
     """A node process, its worker, and the proxies in front of the two."""
 
@@ -92,6 +102,7 @@
     ) -> None:
         self.folder = Path(tempfile.mkdtemp(prefix="thorntray-mesh-"))
         self.routes = routes
+        self.workspaces: list[WorkspaceConfig] = []
         self.record = FleetRecord()
         self.store = KvStoreStandIn()
         self.nodes: dict[str, NodeProcess] = {}
@@ -133,7 +144,8 @@
 
     async def publish_again(self) -> None:
         """Write the newest version to the store again, after the store may have lost it."""
-        document = {"Version": f"r{self.version}", "Resources": _resources(self.routes)}
+        resources = _resources(self.routes) + _tenants(self.workspaces)
+        document = {"Version": f"r{self.version}", "Resources": resources}
         await self.store.write("op/config", json.dumps(document).encode())
 
     def start_node(self, node: NodeProcess) -> None:
@@ -228,6 +240,8 @@
 RetryBudgetRatio = 0.2
 BudgetSlack = 48
 BudgetWindowS = 10
+StrictRevocation = true
+RevokeS = {REVOCATION_BOUND}
 """
 
 
@@ -248,3 +262,18 @@
     for service in sorted({route.service for route in routes}):
         resources.append({"EntryKind": "Services", "Metadata": {"Name": service}, "Spec": {}})
     return resources
+
+
+def _tenants(workspaces: list[WorkspaceConfig]) -> list[dict[str, object]]:
+    return [
+        {
+            "EntryKind": "Tenants",
+            "Metadata": {"Name": workspace.name},
+            "Spec": {
+                "ApiKeys": list(workspace.keys),
+                "RatePerS": workspace.rate,
+                "Burst": workspace.burst,
+            },
+        }
+        for workspace in workspaces
+    ]
--- a/standins/worker.py
+++ b/standins/worker.py
@@ -37,7 +37,7 @@
     """A request that reached a worker.
 
     `received_at` is in monotonic seconds, `boot` counts the starts of the worker, and `executed` is
-    false if the worker rejected the request.
+    false if the worker rejected the request. `workspace` is the one that the node has named.
     """
 
     received_at: float
@@ -47,6 +47,7 @@
     service: str
     path: str
     executed: bool
+    workspace: str = ""
 
 
 class RunEnd(NamedTuple):
@@ -249,7 +250,16 @@
         now = time.monotonic()
         index = len(self._record.arrivals)
         self._record.arrivals.append(
-            Arrival(now, request_id, self.name, boot, self.service, path, not rejection_status)
+            Arrival(
+                now,
+                request_id,
+                self.name,
+                boot,
+                self.service,
+                path,
+                executed=not rejection_status,
+                workspace=headers.get("x-tenant-id", ""),
+            )
         )
         if rejection_status:
             self._record.run_ends[index] = RunEnd(now, broke_off=False)
