Ports and networks of concurrent processes cannot collide

Cause: `free_port` began at a place that the process id decided, and checked only that nothing had bound the port yet. A second process could return the same port before the first one had bound it. `MeshFleet` took one of 240 networks by the process id modulo 240, so two runs could share one. The relay took a port from the ephemeral range and gave it up while it refused connections; any outgoing connection could take it before `heal`.

Change: a process claims a block of 250 ports, and a network, by binding a guard socket that the system closes when the process ends. The relay and the test of the worker stand-in use `free_port`.

--- a/standins/fleet.py
+++ b/standins/fleet.py
@@ -15,29 +15,41 @@
 import time
 import urllib.error
 import urllib.request
-from collections.abc import Iterable
+from collections.abc import Iterable, Iterator
 from dataclasses import dataclass, field
+from functools import cache
 from pathlib import Path
 from typing import Any, Self
 
+from standins.claims import claim
+
 ROOT = Path(__file__).resolve().parent.parent
 PACKAGES = ("packages/thorntray/src", "packages/thorntray-node/src", "packages/thorntrayctl/src")
 START_TIMEOUT = 60.0  # seconds; default timeout of `wait_for`
 HOST = "127.0.0.1"
 
 
-_ports = itertools.cycle(range(12000, 32000))
-for _ in range(os.getpid() * 37 % 20000):
-    next(_ports)
+# Blocks of ports below the ephemeral range of the system, one for each process that uses any.
+FIRST_PORT, BLOCK_SIZE, BLOCKS = 12000, 250, 80
+FIRST_GUARD_PORT = 11900  # port of the guard of the first block
+
+
+@cache
+def _port_cycle() -> Iterator[int]:
+    """Claim a block for this process and return an endless iterator over its ports."""
+    block = claim([(HOST, FIRST_GUARD_PORT + n) for n in range(BLOCKS)])
+    first = FIRST_PORT + block * BLOCK_SIZE
+    return itertools.cycle(range(first, first + BLOCK_SIZE))
 
 
 def free_port() -> int:
     """Return a port that is free for TCP and UDP and is not returned again soon.
 
-    The port is below the ephemeral range of the system. Otherwise an outgoing connection could take
-    it before the intended process binds it.
+    The port is below the ephemeral range of the system, and in a block that only this process uses.
+    Otherwise an outgoing connection, or another run, could take it before the intended process
+    binds it.
     """
-    for port in _ports:
+    for port in _port_cycle():
         try:
             with socket.socket() as tcp, socket.socket(type=socket.SOCK_DGRAM) as udp:
                 tcp.bind((HOST, port))
--- a/standins/mesh_fleet.py
+++ b/standins/mesh_fleet.py
@@ -12,10 +12,12 @@
 import subprocess
 import sys
 import tempfile
+from functools import cache
 from pathlib import Path
 from random import Random
 from typing import NamedTuple
 
+from standins.claims import claim
 from standins.fault_proxy import FaultProxy
 from standins.kv_store import KvStoreStandIn
 from standins.worker import (
@@ -36,6 +38,16 @@
 PACKAGES = ("packages/thorntray/src", "packages/thorntray-node/src")
 
 
+NETWORKS = [f"127.{n}" for n in range(10, 250)]
+GUARD_PORT = 7619  # used by no process of a fleet
+
+
+@cache
+def _claimed_network() -> str:
+    """Return the network of this process: fleets of two processes must not share addresses."""
+    return NETWORKS[claim([(f"{network}.0.1", GUARD_PORT) for network in NETWORKS])]
+
+
 class RouteConfig(NamedTuple):
     """A route in the operators' configuration; times in seconds."""
 
@@ -98,7 +110,7 @@
         self.version = 0
         self.behaviors = behaviors
         self._rng = rng
-        self._network = f"127.{os.getpid() % 240 + 10}"
+        self._network = _claimed_network()
 
     async def start(self, instances: list[tuple[str, str]]) -> None:
         """Start the store, and a node with a worker for each `(service, failure domain)` pair."""
--- a/standins/relay.py
+++ b/standins/relay.py
@@ -6,6 +6,8 @@
 import socket
 import threading
 
+from standins.fleet import HOST, free_port
+
 BUFFER_BYTES = 65536
 
 
@@ -16,7 +18,9 @@
         self._target_port = target_port
         self._connections: list[tuple[socket.socket, socket.socket]] = []
         self.drop_responses = False  # discards all bytes from the target; connections stay open
-        self.port = 0
+        # Not a port that the system chooses: while the relay refuses connections, an outgoing
+        # connection of any process could take it.
+        self.port = free_port()
         self._listen()
 
     def close_connections(self) -> None:
@@ -45,8 +49,7 @@
             self.refuse_connections()
 
     def _listen(self) -> None:
-        self._listener = socket.create_server(("127.0.0.1", self.port))
-        self.port = self._listener.getsockname()[1]
+        self._listener = socket.create_server((HOST, self.port))
         threading.Thread(target=self._accept, args=(self._listener,), daemon=True).start()
 
     def _accept(self, listener: socket.socket) -> None:
@@ -56,7 +59,7 @@
             except OSError:
                 return
             try:
-                upstream = socket.create_connection(("127.0.0.1", self._target_port), timeout=5)
+                upstream = socket.create_connection((HOST, self._target_port), timeout=5)
             except OSError:
                 client.close()
                 continue
--- a/tests/test_worker_standin.py
+++ b/tests/test_worker_standin.py
@@ -1,12 +1,12 @@
 """The worker stand-in records how each request that it received ended."""
 
 import asyncio
-import socket
 from contextlib import suppress
 from random import Random
 
 import pytest
 
+from standins.fleet import HOST, free_port
 from standins.worker import (
     Endpoint,
     FleetRecord,
@@ -27,9 +27,8 @@
     """Run `scenario(worker, endpoint)` with a started worker; returns its record."""
 
     async def work():
-        with socket.create_server(("127.0.0.1", 0)) as sock:
-            listen = Endpoint(*sock.getsockname())
-        no_node = Endpoint("127.0.0.1", 1)
+        listen = Endpoint(HOST, free_port())
+        no_node = Endpoint(HOST, 1)
         endpoints = WorkerEndpoints(listen, listen, no_node, no_node)
         record = FleetRecord()
         worker = WorkerStandIn("w1", "stock", endpoints, record, Random(1), BEHAVIORS)
