`make test` runs the tests in four processes

Cause: the suite runs one test after the other, most of the time waiting for timers and processes: 534 passed in 644 s, with 238 s of processor time (load 3 to 18 from other work on seven processors).

Change: pytest-xdist with four workers. The files whose tests share a fleet (test_node_stops, test_processes) each go to one worker. The marks `xdist_group` have no effect under pytest 9.2, which ignores the changed node ids, so the scheduler of `--dist loadgroup` is replaced in conftest. The check that KNOWN-RED.txt lists existing tests is made in the main process, since a worker's usage error is reported as an internal error without its text. Tried: an unknown entry ends the run with code 4 and the message, with and without workers; an entry of a test that passes fails.

--- a/Makefile
+++ b/Makefile
@@ -6,8 +6,11 @@
 
 .PHONY: test demo bench capacity soak lint features clean
 
+# Workers of pytest-xdist. Some tests measure times and start processes of their own, so there are
+# fewer workers than processors.
+WORKERS ?= 4
 test: $(READY)
-	$(BIN)/python -m pytest
+	$(BIN)/python -m pytest --numprocesses $(WORKERS) --dist loadgroup
 	$(BIN)/behave --no-capture --format progress
 
 demo: $(READY)
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -5,6 +5,7 @@
 
 import pytest
 from hypothesis import HealthCheck, settings
+from xdist.scheduler import LoadScopeScheduling
 
 sys.path.insert(0, str(Path(__file__).resolve().parent.parent))
 
@@ -18,20 +19,56 @@
 settings.load_profile("ci")
 
 KNOWN_RED = Path(__file__).resolve().parent.parent / "KNOWN-RED.txt"
+SHARED_FLEET_FILES = ("tests/test_node_stops.py", "tests/test_processes.py")
 
 
-def pytest_collection_modifyitems(items):
+def known_red():
+    """Return the entries of KNOWN-RED.txt by the node id of their test."""
+    lines = KNOWN_RED.read_text("utf-8").splitlines()
+    entries = [line for line in lines if line.strip() and not line.startswith("#")]
+    return {line.split("|")[0].strip(): line for line in entries}
+
+
+def check_known_red(node_ids):
+    """Raise a usage error if an entry matches no test, unless only a few tests are collected."""
+    missing = set(known_red()) - set(node_ids)
+    if missing and len(node_ids) > 50:
+        raise pytest.UsageError(f"KNOWN-RED.txt lists tests that do not exist: {sorted(missing)}")
+
+
+def pytest_collection_modifyitems(config, items):
     """Mark the tests listed in KNOWN-RED.txt as expected failures.
 
     The marks are strict: a listed test that passes fails the run. If more than 50 tests are
     collected, an entry that matches none of them is a usage error.
     """
-    lines = KNOWN_RED.read_text("utf-8").splitlines()
-    entries = [line for line in lines if line.strip() and not line.startswith("#")]
-    reasons = {line.split("|")[0].strip(): line for line in entries}
+    reasons = known_red()
     for item in items:
-        reason = reasons.pop(item.nodeid, None)
-        if reason is not None:
-            item.add_marker(pytest.mark.xfail(reason=reason, strict=True))
-    if reasons and len(items) > 50:
-        raise pytest.UsageError(f"KNOWN-RED.txt lists tests that do not exist: {list(reasons)}")
+        if item.nodeid in reasons:
+            item.add_marker(pytest.mark.xfail(reason=reasons[item.nodeid], strict=True))
+    if not hasattr(config, "workerinput"):
+        check_known_red([item.nodeid for item in items])
+
+
+@pytest.hookimpl(optionalhook=True)
+def pytest_xdist_node_collection_finished(ids):
+    """Check the entries in the main process; the usage error of a worker is not displayed."""
+    check_known_red(ids)
+
+
+class SharedFleetScheduling(LoadScopeScheduling):
+    """Gives the tests of a file whose tests share a fleet to one worker; others go anywhere.
+
+    The marks `xdist_group` of pytest-xdist 3.8 have no effect under pytest 9.2, which ignores the
+    node ids that it changes: each worker would start a fleet of its own.
+    """
+
+    def _split_scope(self, nodeid):
+        path = nodeid.partition("::")[0]
+        return path if path in SHARED_FLEET_FILES else nodeid
+
+
+@pytest.hookimpl(optionalhook=True)
+def pytest_xdist_make_scheduler(config, log):
+    """Replace the scheduler of `--dist loadgroup`."""
+    return SharedFleetScheduling(config, log) if config.getvalue("dist") == "loadgroup" else None
