The fixture of planned stops gets a grant of a given node at once

Cause: `request_grant` repeated requests until another node's grant came. The ingress asks a node of another failure domain only when its own 20,000 grants are issued, so the first call sent 20,000 requests (18 s at load 11), and beside load it passed its limit of 30 s: two tests of test_node_stops failed with `TimeoutError: no grant of stopping` in a run at load 5 to 18.

Change: the requests carry an idempotency key, by which the ingress chooses the owner (`Outbound._choose_grant_owner`). Limit, scenarios and assertions are the same; only the table of grants of the ingress is no longer full.

--- a/tests/stop_fleet.py
+++ b/tests/stop_fleet.py
@@ -2,6 +2,7 @@
 
 import socket
 import time
+import uuid
 from email.message import Message
 from http.client import parse_headers
 from pathlib import Path
@@ -90,11 +91,16 @@
 
 
 def request_grant(ingress: Site, owner: Site) -> str:
-    """Return a grant issued by the node of `owner`; raises `TimeoutError` if there is none."""
+    """Return a grant issued by the node of `owner`; raises `TimeoutError` if there is none.
+
+    The idempotency key decides on the owner. Without one, a node of another failure domain is asked
+    only when the grants of the ingress are used up, after 20,000 requests.
+    """
     deadline = time.monotonic() + ANSWER_TIMEOUT
     while time.monotonic() < deadline:
+        key = {"idempotency-key": uuid.uuid4().hex}
         with connect(ingress) as sock:
-            sock.sendall(request_bytes("POST", PAYOUT_PATH, {}, b"{}"))
+            sock.sendall(request_bytes("POST", PAYOUT_PATH, key, b"{}"))
             grant = read_answer(sock.makefile("rb"))[1]["thorntray-grant"]
         if read_claims(grant).ok.owner == owner.name:
             return grant
