Whole nodes run in virtual time in the tests of instance limits

Cause: the subject of test_instance_limits is a rate limit, a decision over seconds. Its tests waited these seconds, and a busy machine changed how many requests were sent in them.

Change: `tests/virtual_mesh.py` runs a mesh fleet on the loop of async-solipsism, with datagrams in memory. The tests use it with the same assertions and bounds; the pause of a process is a jump of the clock. Times of arrival are those of the event loop, which on a loop with real time is the same clock.

Mutations: without the check of the tokens in `RateLimit.may_send` eleven of 17 tests fail; without its limit for first sends, the test of first sends fails.

--- a/tests/mesh_builders.py
+++ b/tests/mesh_builders.py
@@ -1,7 +1,6 @@
 """Test helpers for the lean path: frames, policies, a fake instance, and nodes over loopback."""
 
 import asyncio
-import time
 from collections.abc import Awaitable, Callable
 from random import Random
 
@@ -15,7 +14,7 @@
 from thorntray.internal.connection.link_connection import LinkConnection
 from thorntray.internal.membership.member import Member
 from thorntray.internal.overload.retry_budget import RetryBudgetSettings
-from thorntray.internal.process.clock import SystemClock
+from thorntray.internal.process.clock import Clock, SystemClock
 from thorntray.internal.process.registration import Announcement, Phase
 from thorntray.internal.request.result import Cause, Result, ResultKind
 from thorntray.internal.request.result_frames import frame_from_result
@@ -114,7 +113,7 @@
     """An instance on loopback that answers through `reply` and records the requests it ran.
 
     `run_ids` and `heads` list the IDs and heads of these requests in order of arrival, `arrivals`
-    their times in seconds of `time.monotonic`.
+    their times in seconds of the event loop.
     `disconnects` counts the connections that ended from the other side.
     """
 
@@ -148,7 +147,7 @@
                 head = await read_head(reader)
                 request_id = header_of(head, b"Thorntray-Request-Id")
                 self.heads.append(head)
-                self.arrivals.append(time.monotonic())
+                self.arrivals.append(asyncio.get_running_loop().time())
                 self.run_ids.append(request_id)
                 await self._reply(request_id, writer)
         except (asyncio.IncompleteReadError, ConnectionError):
@@ -264,10 +263,11 @@
 class MeshFleet:
     """Nodes and their instances in one process, connected over loopback, with a shared store."""
 
-    def __init__(self, policy: Policy | None = None) -> None:
+    def __init__(self, policy: Policy | None = None, clock: Clock | None = None) -> None:
         self.store = MemoryStore()
         self.store.entries["policy"] = b"document"
         self._policy = policy or make_policy()
+        self.clock = clock or SystemClock()
         self.nodes: dict[str, MeshNode] = {}
         self.instances: dict[str, FakeInstance] = {}
         self.stopped: list[str] = []  # names of the nodes that were restarted
@@ -289,7 +289,7 @@
             self.store,
             StoreKeys("seeds/", "policy"),
             lambda _: self._policy,
-            SystemClock(),
+            self.clock,
             rng,
         )
         await node.start(lambda exchange: exchange.respond(200, b"", b""))
--- a/tests/test_instance_limits.py
+++ b/tests/test_instance_limits.py
@@ -1,10 +1,10 @@
-"""An instance that names a rate limit or its leaving, with whole nodes over loopback."""
+"""An instance that names a rate limit or its leaving, with whole nodes in virtual time."""
 
 import asyncio
-import time
 
 from tests.instance_replies import LEAVING_LINE, StateReply, rate_limit_line
-from tests.mesh_builders import header_of, make_call, make_policy, make_route, run_scenario
+from tests.mesh_builders import header_of, make_call, make_policy, make_route
+from tests.virtual_mesh import run_virtual_scenario
 from thorntray.internal.request.result import ResultKind
 from thorntray.internal.version.policy import Target
 
@@ -15,11 +15,15 @@
 DEMAND = 60  # requests a second, more than `LIMIT` allows in any way
 
 
+def loop_time():
+    return asyncio.get_running_loop().time()
+
+
 async def send_steadily(fleet, names, seconds, path="/prices/1", method=b"GET", run="r"):
     """Send `DEMAND` requests a second in turn to the named nodes; return their answers."""
     tasks = []
-    end = time.monotonic() + seconds
-    while time.monotonic() < end:
+    end = loop_time() + seconds
+    while loop_time() < end:
         index = len(tasks)
         request = fleet.send(names[index % len(names)], method, path, f"{run}-{index}")
         tasks.append(asyncio.create_task(request))
@@ -52,7 +56,7 @@
         await send_steadily(fleet, ["h1", "h2", "t1"], 3.0)
         return fleet.instances["t1"].arrivals
 
-    arrivals = run_scenario(scenario)
+    arrivals = run_virtual_scenario(scenario)
     assert most_in_window(arrivals, arrivals[0] + NOTICE_TIME) <= allowed()
 
 
@@ -62,7 +66,7 @@
         answers = await send_steadily(fleet, ["h1", "h2"], 2.0)
         return fleet.instances["t1"].arrivals, answers
 
-    arrivals, answers = run_scenario(scenario)
+    arrivals, answers = run_virtual_scenario(scenario)
     assert most_in_window(arrivals, arrivals[0] + NOTICE_TIME) <= allowed()
     assert sum(answer.startswith(b"HTTP/1.1 200") for answer in answers) >= 0.99 * len(answers)
 
@@ -72,11 +76,11 @@
         await add_service(fleet, StateReply(rate_limit_line(0.25)))
         await fleet.get("h1", "/prices/1", "first")
         await asyncio.sleep(0.1)
-        started = time.monotonic()
+        started = loop_time()
         answer = await fleet.get("h2", "/prices/1", "second")
-        return answer, time.monotonic() - started
+        return answer, loop_time() - started
 
-    answer, seconds = run_scenario(scenario)
+    answer, seconds = run_virtual_scenario(scenario)
     assert answer.startswith(b"HTTP/1.1 503")
     assert seconds < 0.1
     # The next of the four seconds' requests fits in about 3.9 seconds; jitter adds up to a half.
@@ -95,7 +99,7 @@
             await asyncio.sleep(0.2)
         return await asyncio.gather(*payouts), await views, fleet.instances["t1"].run_ids
 
-    payouts, views, run_ids = run_scenario(scenario)
+    payouts, views, run_ids = run_virtual_scenario(scenario)
     assert sum(answer.startswith(b"HTTP/1.1 200") for answer in payouts) >= 11
     assert sum(answer.startswith(b"HTTP/1.1 503") for answer in views) > len(views) / 2
     refused = [n for n, answer in enumerate(views) if answer.startswith(b"HTTP/1.1 503")]
@@ -114,7 +118,7 @@
         await send_steadily(fleet, ["h1", "h2"], 3.0)
         return fleet.instances["t1"].arrivals
 
-    arrivals = run_scenario(scenario)
+    arrivals = run_virtual_scenario(scenario)
     assert most_in_window(arrivals, arrivals[0] + NOTICE_TIME) <= allowed()
 
 
@@ -124,12 +128,12 @@
         await send_steadily(fleet, ["h1", "h2"], 1.5)
         await fleet.restart_node("t1")
         fleet.announce("t1", sequence=2)
-        restarted_at = time.monotonic()
+        restarted_at = loop_time()
         await fleet.share_membership()
         await send_steadily(fleet, ["h1", "h2"], 2.0, run="again")
         return fleet.instances["t1"].arrivals, restarted_at
 
-    arrivals, restarted_at = run_scenario(scenario)
+    arrivals, restarted_at = run_virtual_scenario(scenario)
     first_second = [at for at in arrivals if restarted_at <= at < restarted_at + 1.0]
     assert 1 <= len(first_second) <= EXCESS_FACTOR * LIMIT + EXCESS_REQUESTS
     assert most_in_window(arrivals, arrivals[0] + NOTICE_TIME + 0.3) <= allowed()
@@ -142,7 +146,7 @@
         return fleet.instances["t1"].arrivals
 
     # The node knows nothing of the instance yet, and no peer does.
-    arrivals = run_scenario(scenario)
+    arrivals = run_virtual_scenario(scenario)
     assert len(arrivals) <= 8
 
 
@@ -159,7 +163,7 @@
         arrivals = [id for id in fleet.instances["t1"].run_ids if id.startswith(b"rising")]
         return answers, len(arrivals)
 
-    answers, rising = run_scenario(scenario)
+    answers, rising = run_virtual_scenario(scenario)
     assert LIMIT < rising <= EXCESS_FACTOR * 2 * LIMIT + EXCESS_REQUESTS
     assert sum(answer.startswith(b"HTTP/1.1 200") for answer in answers) >= 0.95 * len(answers)
 
@@ -177,7 +181,7 @@
         answers = await send_steadily(fleet, ["h1", "h2"], 0.5, run="free")
         return stopped, answers
 
-    stopped, answers = run_scenario(scenario)
+    stopped, answers = run_virtual_scenario(scenario)
     assert stopped <= 3
     assert sum(answer.startswith(b"HTTP/1.1 200") for answer in answers) >= 0.9 * len(answers)
 
@@ -191,7 +195,7 @@
         answers = await send_steadily(fleet, ["h1"], 2.0, run="unreadable")
         return fleet.instances["t1"].arrivals, answers
 
-    arrivals, answers = run_scenario(scenario)
+    arrivals, answers = run_virtual_scenario(scenario)
     assert most_in_window(arrivals, arrivals[0] + NOTICE_TIME) <= allowed()
     assert any(answer.startswith(b"HTTP/1.1 200") for answer in answers)
 
@@ -202,14 +206,14 @@
         await add_service(fleet, reply, others=["t2"])
         await send_steadily(fleet, ["h1", "h2"], 0.5)
         reply.header_lines = LEAVING_LINE
-        left_at = time.monotonic()
+        left_at = loop_time()
         answers = await send_steadily(fleet, ["h1", "h2", "t1"], 1.5, run="leaving")
         fleet.announce("t1", sequence=9)  # a late announcement of the boot that leaves
         answers += await send_steadily(fleet, ["h1", "h2", "t1"], 0.5, run="late")
         late = [at for at in fleet.instances["t1"].arrivals if at > left_at + NOTICE_TIME]
         return late, answers
 
-    late, answers = run_scenario(scenario)
+    late, answers = run_virtual_scenario(scenario)
     assert late == []
     assert all(answer.startswith(b"HTTP/1.1 200") for answer in answers)
 
@@ -222,11 +226,11 @@
         await fleet.share_membership()
         await asyncio.sleep(0.2)
         fleet.announce("t1", sequence=5)
-        restarted_at = time.monotonic()
+        restarted_at = loop_time()
         await send_steadily(fleet, ["t1", "h1", "h2"], 1.0, run="again")
         return [at for at in fleet.instances["t1"].arrivals if at > restarted_at]
 
-    assert run_scenario(scenario) == []
+    assert run_virtual_scenario(scenario) == []
 
 
 def test_a_new_boot_of_an_instance_that_left_is_used_without_the_limit_of_the_one_before():
@@ -239,7 +243,7 @@
         await asyncio.sleep(0.3)
         return await send_steadily(fleet, ["h1"], 0.5, run="new")
 
-    answers = run_scenario(scenario)
+    answers = run_virtual_scenario(scenario)
     assert sum(answer.startswith(b"HTTP/1.1 200") for answer in answers) >= 0.9 * len(answers)
 
 
@@ -266,7 +270,7 @@
         await send_steadily(fleet, ["h1", "h2"], 3.0, path="/outer/1")
         return fleet.instances["t1"].arrivals
 
-    arrivals = run_scenario(scenario, make_policy(routes=routes))
+    arrivals = run_virtual_scenario(scenario, make_policy(routes=routes))
     assert most_in_window(arrivals, arrivals[0] + NOTICE_TIME) <= allowed()
 
 
@@ -286,7 +290,7 @@
         submit("payout", worth=8.0)
         return refused_at_once, sorted(ends), ends["view-1"]
 
-    refused_at_once, refused, displaced = run_scenario(scenario)
+    refused_at_once, refused, displaced = run_virtual_scenario(scenario)
     assert refused_at_once == ["view-2", "view-3"]
     assert refused == ["view-1", "view-2", "view-3"]
     assert displaced.kind is ResultKind.NOT_RUN
@@ -302,7 +306,7 @@
         await send_steadily(fleet, ["h1", "h2"], 2.5, run="silent")
         return fleet.instances["t1"].arrivals
 
-    arrivals = run_scenario(scenario)
+    arrivals = run_virtual_scenario(scenario)
     assert most_in_window(arrivals, arrivals[0] + NOTICE_TIME) <= allowed()
 
 
@@ -310,9 +314,9 @@
     async def scenario(fleet):
         await add_service(fleet, StateReply(rate_limit_line(LIMIT)))
         await send_steadily(fleet, ["h1", "h2"], 1.0)
-        time.sleep(3.0)  # all nodes stand still
-        resumed_at = time.monotonic()
+        asyncio.get_running_loop().stand_still(3.0)
+        resumed_at = loop_time()
         await send_steadily(fleet, ["h1", "h2", "t1"], 1.0, run="resumed")
         return [at for at in fleet.instances["t1"].arrivals if at >= resumed_at]
 
-    assert 1 <= len(run_scenario(scenario)) <= LIMIT + 2
+    assert 1 <= len(run_virtual_scenario(scenario)) <= LIMIT + 2
