Tests of time-outs and slot waits run in virtual time

Cause: six tests assert times of some tens or hundreds of milliseconds, or wait for timers, with whole nodes in real time. Their subject is a decision or a timer, and on a busy machine they depended on its speed.

Change: test_slot_wait, three tests of test_lean_time and the test of a silent peer in test_lean_path use `run_virtual_scenario`, with the same assertions and bounds. The test of a disconnected caller, whose subject is a socket, stays in real time.

Mutations, each failing as expected: - the whole wait instead of `longest_wait` in `OriginRequest`: the test of a full instance in test_slot_wait; - no time to complete for detached calls in `Owner` (`left = 0.0`): the test of cancelled nested calls in test_lean_time; - the deadline instead of `min(deadline, route.timeout)`: the test of the route's timeout in test_lean_time; - no abort after `SILENCE_TIMEOUT` in `LinkConnection.check_liveness`: the test of a silent peer in test_lean_path.

--- a/tests/test_lean_path.py
+++ b/tests/test_lean_path.py
@@ -1,7 +1,6 @@
 """Tests of the lean path with whole nodes over loopback: attempts, retries, lost answers."""
 
 import asyncio
-import time
 
 import pytest
 
@@ -13,6 +12,7 @@
     make_route,
     run_scenario,
 )
+from tests.virtual_mesh import run_virtual_scenario
 from thorntray.internal.overload.root_admission import CLOSED_PRICE
 from thorntray.internal.request.result import Cause, SlotUse
 
@@ -187,17 +187,19 @@
         owner = await fleet.add("t1", "tariff", never_answer)
         origin = await fleet.add("h1", "haul")
         await fleet.share_membership()
-        started_at = time.monotonic()
+        started_at = asyncio.get_running_loop().time()
         pending = asyncio.ensure_future(fleet.send("h1", b"POST", "/payouts/1", "id-1"))
         await asyncio.sleep(0.1)
         for link, _ in list(owner.peer_requests._requests):
             link._transport.pause_reading()
         answer = await pending
-        seconds = time.monotonic() - started_at
+        seconds = asyncio.get_running_loop().time() - started_at
         load = origin.placement._state("t1")
         return answer, seconds, load.paused_until > origin.clock.monotonic()
 
-    answer, seconds, paused = run_scenario(scenario, make_policy(routes=[PAYOUT_ROUTE_5S_TIMEOUT]))
+    answer, seconds, paused = run_virtual_scenario(
+        scenario, make_policy(routes=[PAYOUT_ROUTE_5S_TIMEOUT])
+    )
     assert answer.startswith(b"HTTP/1.1 502")
     assert seconds < 1.3 and paused
 
--- a/tests/test_lean_time.py
+++ b/tests/test_lean_time.py
@@ -1,10 +1,10 @@
 """Tests of the lean path with disconnected callers, timeouts and a shortage of slots."""
 
 import asyncio
-import time
 
 from tests.instance_replies import answer_bytes, never_answer
 from tests.mesh_builders import make_call, make_policy, make_route, request_bytes, run_scenario
+from tests.virtual_mesh import run_virtual_scenario
 
 
 def test_work_for_a_disconnected_caller_is_cancelled_at_once():
@@ -42,20 +42,20 @@
         await asyncio.sleep(0.4)
         return len(node.owner.requests), node.queue.in_flight, len(node.pool._idle)
 
-    assert run_scenario(lambda fleet: scenario(fleet, 0.1)) == (0, 0, 1)
-    assert run_scenario(lambda fleet: scenario(fleet, 2.0)) == (0, 0, 0)
+    assert run_virtual_scenario(lambda fleet: scenario(fleet, 0.1)) == (0, 0, 1)
+    assert run_virtual_scenario(lambda fleet: scenario(fleet, 2.0)) == (0, 0, 0)
 
 
 def test_a_request_is_answered_at_its_routes_timeout():
     async def scenario(fleet):
         await fleet.add("t1", "tariff", never_answer)
         await fleet.share_membership()
-        started_at = time.monotonic()
+        started_at = asyncio.get_running_loop().time()
         answer = await fleet.get("t1", "/prices/1", "id-1")
-        return answer, time.monotonic() - started_at
+        return answer, asyncio.get_running_loop().time() - started_at
 
     policy = make_policy(routes=[make_route(timeout=0.4)])
-    answer, seconds = run_scenario(scenario, policy)
+    answer, seconds = run_virtual_scenario(scenario, policy)
     assert answer.startswith(b"HTTP/1.1 504")
     assert 0.35 < seconds < 0.9
 
@@ -68,6 +68,6 @@
         answer = await fleet.send("t1", b"POST", "/payouts/1", "id-1")
         return answer, fleet.instances["t1"].run_ids
 
-    answer, ran = run_scenario(scenario)
+    answer, ran = run_virtual_scenario(scenario)
     assert answer.startswith(b"HTTP/1.1 503") and b"Retry-After: " in answer
     assert ran == []
--- a/tests/test_slot_wait.py
+++ b/tests/test_slot_wait.py
@@ -6,7 +6,7 @@
 from hypothesis import strategies as st
 
 from tests.instance_replies import answer_bytes
-from tests.mesh_builders import run_scenario
+from tests.virtual_mesh import run_virtual_scenario
 from thorntray.internal.overload.slot_wait import SHORT_OFFERS, SHORT_WAIT, longest_wait
 
 LONG_RUN = 0.6  # seconds that a request keeps the only slot of an instance
@@ -36,7 +36,7 @@
         await holder
         return answer, seconds, fleet.instances["t2"].run_ids
 
-    answer, seconds, ran_elsewhere = run_scenario(scenario)
+    answer, seconds, ran_elsewhere = run_virtual_scenario(scenario)
     assert answer.startswith(b"HTTP/1.1 200")
     assert ran_elsewhere == [b"second"]
     assert seconds < 0.08
@@ -57,7 +57,7 @@
         await asyncio.sleep(0.05)
         writer.write(answer_bytes(request_id))
 
-    answers = run_scenario(scenario)
+    answers = run_virtual_scenario(scenario)
     assert all(answer.startswith(b"HTTP/1.1 200") for answer in answers)
 
 
