A test of planned stops waits for the end of the stopped instances

Cause: the test asked each instance for its record whose process had not ended. One that had been told to stop 0.5 s before and had closed its port, but not ended yet, refused: `URLError: Connection refused` at `fleet.run_counts`, once, with two runs of the suite at a time (load 9 to 13).

Change: the test waits for the end of each stopped instance, and fails if it does not end within 40 s. No assertion changed.

--- a/tests/test_processes.py
+++ b/tests/test_processes.py
@@ -308,6 +308,7 @@
             site.node.terminate()
             assert site.node.wait(40) == 0
             site.upstream.terminate()
+            site.upstream.wait(40)  # an instance that is ending refuses the question for its record
         time.sleep(0.5)
     interrupted = [row for row in load.outcomes if row[1] not in ("done", "not-run")]
     assert not interrupted
