The test of endless bodies measures its own connections only

Cause: it searched all objects of the process for connections every 20 ms (`gc.get_objects`). In a process with hundreds of other tests that takes most of the 5 s that the test has, and connections that a failed test had left were counted too: in three of four runs of the suite with four processes (load 9 to 18), `[chunked]` ended with TimeoutError and `[by close]` with 122,839,521 and 128,010,560 bytes of 83,886,080.

Change: the connections of the test are recorded when they are created.

--- a/tests/test_endless_answers.py
+++ b/tests/test_endless_answers.py
@@ -1,12 +1,13 @@
 """An instance that sends bytes without end, in a head or a body, until its caller closes."""
 
 import asyncio
-import gc
+from weakref import WeakSet
 
 import pytest
 
 from tests.instance_replies import answer_bytes
 from tests.mesh_builders import HOST, FakeInstance, run_scenario
+from thorntray.internal.connection import instance_pool
 from thorntray.internal.connection.instance_pool import (
     InstanceConnection,
     InstancePool,
@@ -97,27 +98,30 @@
 
 
 @pytest.mark.parametrize("framing", ["chunked", "by close"])
-def test_endless_bodies_take_bounded_memory_together(framing):
+def test_endless_bodies_take_bounded_memory_together(framing, monkeypatch):
     head, part = CHUNKED_HEAD, b"10000\r\n" + b"z" * (64 * KIB) + b"\r\n"
     if framing == "by close":
         head, part = START_LINE + b"\r\n", b"z" * (64 * KIB)
     reply = EndlessReply(head, part, most=100 * MIB)
     most_held = 0
+    connections = WeakSet()
+
+    class RecordedConnection(InstanceConnection):
+        def __init__(self, *args, **kwargs):
+            super().__init__(*args, **kwargs)
+            connections.add(self)
 
     async def watch():
         nonlocal most_held
         while True:
-            held = (
-                sum(map(len, c._body))
-                for c in gc.get_objects()
-                if isinstance(c, InstanceConnection)
-            )
-            most_held = max(most_held, sum(held))
+            held = sum(len(part) for connection in connections for part in connection._body)
+            most_held = max(most_held, held)
             await asyncio.sleep(0.02)
 
+    monkeypatch.setattr(instance_pool, "InstanceConnection", RecordedConnection)
     ends = play(reply, requests=8, watch=watch)
     assert ends == [ResponseFault.GARBLED] * 8
-    assert most_held <= MAX_BODIES_HELD
+    assert MIB < most_held <= MAX_BODIES_HELD
 
 
 def test_a_sound_answer_is_delivered_beside_endless_ones():
