Find crashes caused by requests, gossip them, and refuse the culprits

Cause: see the decision in overload/crash_suspects.py; it needs evidence from all nodes. A request is not sent again after a crash in which it ran alone or was already suspected. CallFrame has the field workspace. Events 521 and 522, a counter and two gauges.

--- a/packages/thorntray-node/src/thorntray_node/mesh_gauges.py
+++ b/packages/thorntray-node/src/thorntray_node/mesh_gauges.py
@@ -20,6 +20,8 @@
         "thorntray_rate_limit": lambda: _or_minus_one(node.rate_limit.rate),
         "thorntray_slot_price": lambda: node.owner.deps.price.price,
         "thorntray_failing_share": lambda: node.owner.failure_rate,
+        "thorntray_crash_suspects": lambda: node.suspects.suspect_count,
+        "thorntray_blocked_fingerprints": lambda: len(node.suspects.blocked),
         "thorntray_members": lambda: len(node.membership.alive()),
         "thorntray_policy_version": lambda: node.holder.version,
         "thorntray_policy_watch": lambda: float(node.policy_watch.duty.on_duty()),
--- a/packages/thorntray-node/src/thorntray_node/mesh_node.py
+++ b/packages/thorntray-node/src/thorntray_node/mesh_node.py
@@ -10,12 +10,14 @@
 from thorntray.internal.connection.http_server import ClosedBy, Exchange, HttpServer
 from thorntray.internal.connection.instance_pool import InstancePool
 from thorntray.internal.connection.link import LinkListener, Links
+from thorntray.internal.membership.crash_reports import CrashReports
 from thorntray.internal.membership.gossip import Address
 from thorntray.internal.membership.instance_notices import InstanceNotices
 from thorntray.internal.membership.member import SESSION_BYTES, Health, Member
 from thorntray.internal.membership.membership import Membership
 from thorntray.internal.membership.udp import UdpTransport
 from thorntray.internal.overload.call_parents import RunningRequests
+from thorntray.internal.overload.crash_suspects import Crash, CrashSuspects
 from thorntray.internal.overload.ejection import Ejection
 from thorntray.internal.overload.placement import Placement
 from thorntray.internal.overload.rate_limit import RateLimit
@@ -29,6 +31,7 @@
 from thorntray.internal.process.registration import Registration
 from thorntray.internal.process.tasks import BackgroundTasks
 from thorntray.internal.request.caller_identity import CallerIdentity
+from thorntray.internal.request.crash_watch import CrashWatch, CrashWatchDependencies
 from thorntray.internal.request.instance_tracker import InstanceTracker
 from thorntray.internal.request.origin import Origin
 from thorntray.internal.request.origin_context import OriginDependencies, RequestHead
@@ -95,6 +98,19 @@
         names = cfg.header_names
         self.pool = InstancePool(*cfg.instance, names.request_id.lower(), clock)
         self.log = RequestLog(clock)
+        self.suspects = CrashSuspects(clock, self._request_blocked)
+        self.crash_watch = CrashWatch(
+            CrashWatchDependencies(
+                node=cfg.name,
+                registration=self.registration,
+                refuses_connections=self.pool.refuses_connections,
+                suspects=self.suspects,
+                on_crash=self._instance_crashed,
+                spawn=self._tasks.spawn,
+                clock=clock,
+                rng=self.rng,
+            )
+        )
         self.owner = Owner(
             OwnerDependencies(
                 service=cfg.service,
@@ -107,6 +123,8 @@
                 tracker=self.tracker,
                 running=self.running,
                 pauses=self.pauses,
+                suspects=self.suspects,
+                crash_watch=self.crash_watch,
                 clock=clock,
                 on_finish=self._owner_finished,
                 on_slot_wait=self.metrics.observe_queue_wait,
@@ -148,6 +166,8 @@
             clock=self.clock,
             rng=self.rng,
             identity=CallerIdentity(self.freshness),
+            suspects=self.suspects,
+            on_success=self.crash_reports.report_success,
             on_refused=self._caller_refused,
             on_finish=self._origin_finished,
             on_retry=self._retry_requested,
@@ -176,6 +196,7 @@
             self.policy_watch.on_revisions,
             self._member_removed,
         )
+        self.crash_reports = CrashReports(self.suspects, self.membership, self.clock, self.rng)
         udp.receive = self.membership.on_datagram
         self.seeds = Seeds(
             self.membership,
@@ -201,7 +222,14 @@
         await self.listener.start()
         self.membership.start()
         self.seeds.start()
-        for loop in (self.policy_watch.run, self.links.watch, self._tick, self._housekeeping):
+        loops = (
+            self.policy_watch.run,
+            self.links.watch,
+            self.crash_reports.run,
+            self._tick,
+            self._housekeeping,
+        )
+        for loop in loops:
             self._tasks.spawn(loop())
         servers = (self.callers, self.readiness, self.announcements, self.metrics_server)
         for server in servers:
@@ -247,6 +275,7 @@
     def _instance_changed(self) -> None:
         registration = self.registration
         self.tracker.update_boot()
+        self.crash_watch.boot_changed()
         current = registration.current
         if current is not None and current.slots > 0:
             self.queue.set_slots(current.slots)
@@ -254,6 +283,18 @@
             self.owner.reject_queued(Cause.DRAINING)
         self.membership.announce(ready=registration.available)
 
+    def _instance_crashed(self, crash: Crash) -> None:
+        self.metrics.instance_crashed()
+        self.crash_reports.report_crash(crash)
+
+    def _request_blocked(self, fingerprint: int, crashes: int, seconds: float) -> None:
+        log_event(
+            Event.REQUEST_BLOCKED,
+            fingerprint=f"{fingerprint:016x}",
+            crashes=crashes,
+            seconds=round(seconds, 1),
+        )
+
     def _member_removed(self, name: str) -> None:
         self.links.drain_link(name)
         self.placement.forget(name)
--- a/packages/thorntray/src/thorntray/internal/connection/instance_pool.py
+++ b/packages/thorntray/src/thorntray/internal/connection/instance_pool.py
@@ -298,6 +298,18 @@
         pending_send.connecting = asyncio.ensure_future(connect)
         return pending_send
 
+    async def refuses_connections(self) -> bool:
+        """Return whether nothing listens at the instance's address; a timeout does not show it."""
+        try:
+            async with asyncio.timeout(CONNECT_TIMEOUT):
+                _, writer = await asyncio.open_connection(self._host, self._port)
+        except ConnectionRefusedError:
+            return True
+        except (OSError, TimeoutError):
+            return False
+        writer.transport.abort()
+        return False
+
     def release(self, connection: InstanceConnection) -> None:
         """Return a connection to the pool."""
         self._idle.append(connection)
--- a/packages/thorntray/src/thorntray/internal/membership/gossip.py
+++ b/packages/thorntray/src/thorntray/internal/membership/gossip.py
@@ -98,12 +98,29 @@
 
 
 class CrashReport(msgspec.Struct, tag="x", array_like=True, frozen=True):
-    """Tells of requests that ran when an instance crashed, as (fingerprint, crash, weight)."""
+    """Tells of requests that ran when instances crashed; `overload.crash_suspects` has the terms.
 
-    entries: tuple[tuple[int, int, float], ...]
+    `crashes` holds (crash ID, age in seconds, number of running requests, fingerprints), `blocked`
+    and `cleared` hold (fingerprint, remaining seconds). Ages are those at the moment of sending, as
+    the clocks of nodes differ.
+    """
 
+    crashes: tuple[tuple[int, float, int, tuple[int, ...]], ...] = ()
+    blocked: tuple[tuple[int, float], ...] = ()
+    cleared: tuple[tuple[int, float], ...] = ()
 
-Query = PolicyCheck | PolicyChecked | QuotaAsk | QuotaGrant | CrashReport
+
+class CrashQuery(msgspec.Struct, tag="X", array_like=True, frozen=True):
+    """Anti-entropy: asks for all crash reports if the receiver's `digest` of them differs.
+
+    A receiver whose reports differ asks back once; `is_reply` marks that query.
+    """
+
+    digest: int
+    is_reply: bool = False
+
+
+Query = PolicyCheck | PolicyChecked | QuotaAsk | QuotaGrant | CrashReport | CrashQuery
 MembershipDatagram = Ping | Ack | PingRequest | Spread | Join | Digest
 Datagram = MembershipDatagram | Query
 
--- /dev/null
+++ b/packages/thorntray/src/thorntray/internal/request/crash_watch.py
@@ -0,0 +1,161 @@
+"""Judges whether the own instance crashed while it ran requests.
+
+The fault: requests that crash instances are found by the crashes that they ran in, and a false
+report may get an innocent request refused. So a lost connection is no crash by itself. It is one
+if the instance then refuses connections or announces a later start or a new ID, and had not said
+that it leaves. An instance that resets connections, is unresponsive or cut off does neither. If the
+new boot was announced before the connections of the old one ended, the old one was replaced while
+it ran, as when its address goes to another instance; that does not count either.
+
+The results of lost requests are held for some milliseconds, until all of them have ended and one
+connection has been tried. A request that ran alone when its instance crashed is then reported as
+`CRASHED`, so that its origin does not send it to the next instance.
+"""
+
+import asyncio
+from collections.abc import Awaitable, Callable, Coroutine
+from dataclasses import dataclass, field
+from random import Random
+from typing import TYPE_CHECKING, NamedTuple
+
+from thorntray.internal.connection.frame import CallFrame
+from thorntray.internal.membership.crash_reports import MAX_REPORTED_FINGERPRINTS
+from thorntray.internal.membership.hashing import hash64
+from thorntray.internal.overload.crash_suspects import Crash, CrashSuspects, choose_reported
+from thorntray.internal.process.clock import Clock
+from thorntray.internal.process.registration import Boot, Registration
+from thorntray.internal.request.fingerprint import fingerprint_of_call
+from thorntray.internal.request.result import Cause, Result, unknown
+from thorntray.internal.telemetry.events import Event, log_event
+
+if TYPE_CHECKING:
+    from thorntray.internal.request.owner import OwnerRequest
+
+GATHER_TIME = 0.02  # seconds in which the other requests of a crashed instance end, too
+# Seconds after the first lost request at which a connection is tried; the first ends the holding.
+PROBE_TIMES = (GATHER_TIME, 0.2, 0.5, 1.0, 2.0, 4.0)
+EVIDENCE_TIME = 10.0  # seconds after the first lost request in which a crash can still be proven
+MAX_LOGGED_REQUESTS = 5  # IDs and fingerprints in the log line of a crash
+
+
+class CrashWatchDependencies(NamedTuple):
+    """Components that a `CrashWatch` uses."""
+
+    node: str
+    registration: Registration
+    refuses_connections: Callable[[], Awaitable[bool]]  # of the instance
+    suspects: CrashSuspects
+    on_crash: Callable[[Crash], None]
+    spawn: Callable[[Coroutine[None, None, None]], object]
+    clock: Clock
+    rng: Random
+
+
+@dataclass
+class _Losses:
+    """Requests of one boot that were lost shortly after each other."""
+
+    boot: Boot
+    began_at: float  # boot time
+    first_at: float  # monotonic seconds
+    last_at: float  # monotonic seconds
+    calls: list[CallFrame] = field(default_factory=list)
+    held: list["OwnerRequest"] | None = field(default_factory=list)  # None after the first probe
+    settled: bool = False  # judged a crash, or found to be none
+    crashed: bool = False
+
+
+class CrashWatch:
+    """The lost requests of the own instance that may have crashed it."""
+
+    def __init__(self, deps: CrashWatchDependencies) -> None:
+        self._deps = deps
+        self._losses: _Losses | None = None
+
+    def hold_lost(self, request: "OwnerRequest") -> bool:
+        """Note a request that was lost; return whether it will be finished by this object."""
+        deps, boot = self._deps, request.boot
+        if boot is None or not self._may_have_crashed(boot):
+            return False
+        losses = self._losses
+        now = deps.clock.monotonic()
+        done = losses is None or (losses.settled and not losses.crashed)
+        if losses is None or done or losses.boot != boot:
+            losses = self._losses = _Losses(boot, deps.clock.boottime(), now, now)
+            deps.spawn(self._judge(losses))
+        if losses.crashed or request.started_at > losses.first_at:
+            return False  # sent after the crash, if it was one, so the instance did not run it
+        losses.calls.append(request.call)
+        losses.last_at = now
+        if losses.held is None:
+            return False
+        losses.held.append(request)
+        return True
+
+    def record_success(self, started_at: float) -> None:
+        """Note a response to a request sent at `started_at`, which shows that the boot lives."""
+        losses = self._losses
+        if losses is not None and started_at > losses.last_at:
+            losses.settled = True
+            self._losses = None
+
+    def boot_changed(self) -> None:
+        """Judge the lost requests by the boot that is now announced."""
+        losses, current = self._losses, self._deps.registration.current
+        if losses is None:
+            return
+        if current is None:  # this node now serves another service or address
+            losses.settled = True
+        elif current.boot != losses.boot:
+            self._settle_as_crash(losses)
+
+    def _may_have_crashed(self, boot: Boot) -> bool:
+        registration = self._deps.registration
+        current = registration.current
+        if registration.node_draining or registration.has_left(boot):
+            return False
+        return current is not None and current.boot == boot
+
+    async def _judge(self, losses: _Losses) -> None:
+        """Probe the instance until it is known whether it crashed; finish the held requests."""
+        waited = 0.0
+        for probe_time in PROBE_TIMES:
+            await asyncio.sleep(probe_time - waited)
+            waited = probe_time
+            refused = not losses.settled and await self._deps.refuses_connections()
+            if refused and self._may_have_crashed(losses.boot):
+                self._settle_as_crash(losses)
+            self._finish_held(losses)
+            if losses.settled:
+                return
+        await asyncio.sleep(EVIDENCE_TIME - waited)
+        losses.settled = True
+
+    def _finish_held(self, losses: _Losses) -> None:
+        held, losses.held = losses.held or [], None
+        alone = losses.crashed and len(losses.calls) == 1
+        result: Result = unknown(Cause.CRASHED if alone else Cause.LOST)
+        for request in held:
+            request.finish(result)
+
+    def _settle_as_crash(self, losses: _Losses) -> None:
+        deps = self._deps
+        if losses.settled:
+            return
+        losses.settled = True
+        if deps.registration.node_draining or deps.registration.has_left(losses.boot):
+            return
+        losses.crashed = True
+        fingerprints = [fingerprint_of_call(call) for call in losses.calls]
+        reported = choose_reported(
+            fingerprints, MAX_REPORTED_FINGERPRINTS, deps.suspects, deps.rng.random
+        )
+        shown = zip(losses.calls[:MAX_LOGGED_REQUESTS], fingerprints, strict=False)
+        log_event(
+            Event.INSTANCE_CRASHED,
+            instance=losses.boot.instance_id,
+            running=len(losses.calls),
+            requests={call.request_id.decode("latin-1"): f"{f:016x}" for call, f in shown},
+        )
+        crash_id = hash64(f"{deps.node} {losses.boot.instance_id} {losses.boot.started_ms}")
+        deps.on_crash(Crash(crash_id, losses.began_at, len(losses.calls), reported))
--- a/packages/thorntray/src/thorntray/internal/request/origin_context.py
+++ b/packages/thorntray/src/thorntray/internal/request/origin_context.py
@@ -9,6 +9,7 @@
 from thorntray.internal.membership.instance_notices import InstanceNotices
 from thorntray.internal.membership.member import Member
 from thorntray.internal.overload.call_parents import NestedRoutes, RunningRequests
+from thorntray.internal.overload.crash_suspects import CrashSuspects
 from thorntray.internal.overload.ejection import Ejection
 from thorntray.internal.overload.placement import Placement
 from thorntray.internal.overload.retry_budget import RetryBudget
@@ -65,6 +66,8 @@
     clock: Clock
     rng: Random
     identity: CallerIdentity
+    suspects: CrashSuspects
+    on_success: Callable[[int], None]  # with the fingerprint; called while there are suspects
     on_refused: Callable[[RequestHead, Route, str], None]  # str: name of the reason
     on_finish: Callable[["OriginRequest", Result], None]
     on_retry: Callable[
--- a/packages/thorntray/src/thorntray/internal/request/origin_request.py
+++ b/packages/thorntray/src/thorntray/internal/request/origin_request.py
@@ -14,6 +14,7 @@
 from thorntray.internal.overload.call_parents import RunningRequest
 from thorntray.internal.overload.root_admission import CLOSED_PRICE, worth_of
 from thorntray.internal.overload.slot_wait import longest_wait
+from thorntray.internal.request.fingerprint import fingerprint
 from thorntray.internal.request.origin_context import OriginContext, RequestHead
 from thorntray.internal.request.owner import OwnerRequest
 from thorntray.internal.request.result import (
@@ -70,6 +71,8 @@
         "nested",
         "saw_overload",
         "return_after",
+        "fingerprint",
+        "suspected",
     )
 
     def __init__(
@@ -111,6 +114,8 @@
         self.call_number = 0
         self.sent_at = 0.0
         self.finished = False
+        self.fingerprint: int | None = None  # only while there are suspects
+        self.suspected = False  # whether an instance had crashed with it before the last send
 
     def start(self) -> None:
         """Decide on admission and start the first attempt."""
@@ -192,6 +197,8 @@
     def _try_next(self) -> None:
         deps = self.context.deps
         now = deps.clock.monotonic()
+        if deps.suspects.active and self._refuse_if_blocked():
+            return
         members = deps.directory.members_of(self.service)
         member = deps.placement.pick(members, self.route_key, self.tried | self.full, now)
         if member is None and self.full:
@@ -205,6 +212,31 @@
             return
         self._send_to(member, now)
 
+    def _refuse_if_blocked(self) -> bool:
+        """Refuse the request if instances crash of it; return whether it was refused."""
+        suspects, fingerprint = self.context.deps.suspects, self._fingerprint()
+        blocked_for = suspects.blocked_for(fingerprint)
+        if blocked_for > 0:
+            self._give_up(not_run(Cause.BLOCKED, blocked_for))
+            return True
+        self.suspected = suspects.is_suspected(fingerprint)
+        return False
+
+    def _fingerprint(self) -> int:
+        if self.fingerprint is None:
+            request = self.exchange.request
+            self.fingerprint = fingerprint(
+                self.route.name,
+                request.method,
+                request.target,
+                self._workspace_name(),
+                request.body,
+            )
+        return self.fingerprint
+
+    def _workspace_name(self) -> str:
+        return self.workspace.name if self.workspace is not None else ""
+
     def _mark_service_unavailable(self, now: float) -> None:
         """Set the service's price to `CLOSED_PRICE`, here and in the results sent to the parent.
 
@@ -259,6 +291,7 @@
             budget=self.expiry - now,
             max_wait=self._max_slot_wait(),
             worth=self.worth,
+            workspace=self._workspace_name(),
         )
 
     def _header_lines(self) -> bytes:
@@ -308,15 +341,18 @@
         deps.admission.prices.update(self.service, result.prices, now)
         if self.parent is not None:
             self.parent.add_costs(result.costs, result.prices)
+        answered = result.kind is ResultKind.ANSWERED and result.status < 500
+        if answered and deps.suspects.active:
+            deps.on_success(self._fingerprint())
         if not self.nested and result.costs:
-            if result.kind is ResultKind.ANSWERED and result.status < 500:
+            if answered:
                 deps.admission.costs.record_success(self.route_key, result.costs)
             else:
                 deps.admission.costs.record_failure(self.route_key, result.costs)
         match result.cause:
             case Cause.LOST | Cause.GARBLED | Cause.REJECTED:
                 deps.ejection.record_attempt(member.name, failed=True)
-            case Cause.NO_INSTANCE | Cause.DRAINING:
+            case Cause.NO_INSTANCE | Cause.DRAINING | Cause.CRASHED:
                 deps.placement.pause(member.name, now)
             case Cause.NONE:
                 deps.ejection.record_attempt(member.name, failed=False)
@@ -346,6 +382,8 @@
         self.saw_overload = self.saw_overload or result.cause in _OVERLOAD_CAUSES
         if now >= self.expiry or result.cause is Cause.EXPIRED:
             self._give_up(result)
+        elif self._crashes_instances(result):
+            self._give_up(result)
         elif arrived and not self._may_retry(result):
             self._give_up(result)
         elif self.refusals >= MAX_REFUSALS:
@@ -353,6 +391,12 @@
         else:
             self._try_next()
 
+    def _crashes_instances(self, result: Result) -> bool:
+        """Return whether a further send would probably crash the next instance."""
+        if result.cause in (Cause.CRASHED, Cause.BLOCKED):
+            return True
+        return result.cause is Cause.LOST and self.suspected
+
     def _may_retry(self, result: Result) -> bool:
         """Return whether to retry; if so, the retry has been charged to the budget."""
         deps = self.context.deps
--- a/packages/thorntray/src/thorntray/internal/request/owner.py
+++ b/packages/thorntray/src/thorntray/internal/request/owner.py
@@ -19,6 +19,7 @@
     ResponseFault,
 )
 from thorntray.internal.overload.call_parents import RunningRequest, RunningRequests
+from thorntray.internal.overload.crash_suspects import CrashSuspects
 from thorntray.internal.overload.failing_share import FailingShare
 from thorntray.internal.overload.rate_limit import InstanceState, RateLimit
 from thorntray.internal.overload.slot_price import MIN_PRICE, SlotPrice
@@ -26,6 +27,8 @@
 from thorntray.internal.process.clock import Clock
 from thorntray.internal.process.pauses import Pauses
 from thorntray.internal.process.registration import Boot, Registration
+from thorntray.internal.request.crash_watch import CrashWatch
+from thorntray.internal.request.fingerprint import fingerprint_of_call
 from thorntray.internal.request.instance_answers import AnswerReader
 from thorntray.internal.request.instance_tracker import InstanceTracker
 from thorntray.internal.request.result import (
@@ -63,6 +66,8 @@
     tracker: InstanceTracker
     running: RunningRequests
     pauses: Pauses
+    suspects: CrashSuspects
+    crash_watch: CrashWatch
     clock: Clock
     on_finish: Callable[[CallFrame, Result, float], None]  # with the seconds at this node
     on_slot_wait: Callable[[float], None]  # with the seconds waited
@@ -216,6 +221,12 @@
         if refusal is not None:
             request.finish(not_run(refusal))
             return
+        if deps.suspects.blocking:
+            # Its origin may not know yet, and it may have waited here since before the block.
+            blocked_for = deps.suspects.blocked_for(fingerprint_of_call(call))
+            if blocked_for > 0:
+                request.finish(not_run(Cause.BLOCKED, blocked_for))
+                return
         request.started_at = now
         request.boot = deps.tracker.boot
         waited = now - request.arrived_at
@@ -324,6 +335,9 @@
         self, request: OwnerRequest
     ) -> Callable[[InstanceResponse | ResponseFault], None]:
         def on_response(response: InstanceResponse | ResponseFault) -> None:
+            lost = response is ResponseFault.LOST and not request.finished
+            if lost and self.deps.crash_watch.hold_lost(request):
+                return
             request.finish(self._result_of(request, response))
 
         return on_response
@@ -340,6 +354,7 @@
             case ResponseFault.GARBLED:
                 return unknown(Cause.GARBLED)
             case InstanceResponse():
+                self.deps.crash_watch.record_success(request.started_at)
                 answer = self._answers.read(response)
                 if answer.state is not None:
                     self._learn(request, answer.state)
--- a/packages/thorntray/src/thorntray/internal/request/request_log.py
+++ b/packages/thorntray/src/thorntray/internal/request/request_log.py
@@ -46,6 +46,8 @@
                 req.worth * deps.admission.costs.success_share(req.route_key), 3
             )
             fields["share"] = round(deps.admission.shares.get(req.route_key, 1.0), 3)
+        if result.cause in (Cause.BLOCKED, Cause.CRASHED) and req.fingerprint is not None:
+            fields["fingerprint"] = f"{req.fingerprint:016x}"
         if req.parent is not None:
             fields["parent"] = req.parent.request_id.decode("latin-1")
         log_event(
--- a/packages/thorntray/src/thorntray/internal/request/result.py
+++ b/packages/thorntray/src/thorntray/internal/request/result.py
@@ -35,6 +35,8 @@
     PRICED_OUT = 10  # refused at admission: a service down the call tree is short of slots
     NO_ROUTE = 11
     TOO_LARGE = 12
+    CRASHED = 13  # the instance crashed while it ran this request alone
+    BLOCKED = 14  # refused: instances that run the request crash
 
 
 class SlotUse(NamedTuple):
--- a/packages/thorntray/src/thorntray/internal/telemetry/events.py
+++ b/packages/thorntray/src/thorntray/internal/telemetry/events.py
@@ -89,6 +89,8 @@
         513, Level.INFO, "request refused for its caller", MAX_REQUEST_LINES_PER_SECOND
     )
     LOAD = EventKind(520, Level.INFO, "load of the instance and prices received")
+    INSTANCE_CRASHED = EventKind(521, Level.WARNING, "upstream instance crashed with requests")
+    REQUEST_BLOCKED = EventKind(522, Level.WARNING, "requests that crash instances are refused")
     LIMIT_LOWERED = EventKind(501, Level.WARNING, "concurrency limit lowered")
 
 
--- a/packages/thorntray/src/thorntray/internal/telemetry/node_metrics.py
+++ b/packages/thorntray/src/thorntray/internal/telemetry/node_metrics.py
@@ -30,6 +30,10 @@
         "requests whose connection ended before the answer, by who ended it",
     ),
     "thorntray_store_calls": ("counter", "calls to the platform's store, by method and result"),
+    "thorntray_instance_crashes": (
+        "counter",
+        "crashes of the own instance while it ran requests",
+    ),
     "thorntray_loop_lag_seconds": ("histogram", "delay of timers of the event loop"),
     "thorntray_in_flight": ("gauge", "requests in slots of the own instance"),
     "thorntray_waiting": ("gauge", "requests waiting for a slot of the own instance"),
@@ -45,6 +49,11 @@
     "thorntray_slot_price": ("gauge", "price of a slot-second of the own instance"),
     "thorntray_failing_share": ("gauge", "share of its requests that the own instance fails"),
     "thorntray_repeat_budget": ("gauge", "retries left in the budget of this node, by service"),
+    "thorntray_crash_suspects": (
+        "gauge",
+        "requests known to have run when an instance crashed, and not cleared by a success",
+    ),
+    "thorntray_blocked_fingerprints": ("gauge", "requests refused since instances crash of them"),
     "thorntray_members": ("gauge", "members considered alive"),
     "thorntray_policy_version": ("gauge", "version of the policy in force, 0 for none"),
     "thorntray_policy_watch": ("gauge", "1 if this node watches the policy in the store, else 0"),
@@ -69,6 +78,7 @@
         self._refused_callers = self._counter("thorntray_refused_callers", "reason")
         self._unanswered = self._counter("thorntray_unanswered", "closed_by")
         self._store_calls = self._counter("thorntray_store_calls", "method", "result")
+        self._instance_crashes = self._counter("thorntray_instance_crashes")
         self._loop_lag = self._histogram("thorntray_loop_lag_seconds", LAG_BUCKETS)
         self._labelled_gauges: list[tuple[Gauge, Callable[[], dict[str, float]]]] = []
         self._request_children: dict[tuple[str, str, int, int], Counter] = {}
@@ -107,6 +117,10 @@
         """Count a call to the platform's store; `result` is the status or the kind of failure."""
         self._store_calls.labels(method, result).inc()
 
+    def instance_crashed(self) -> None:
+        """Count a crash of the own instance."""
+        self._instance_crashes.inc()
+
     def observe_loop_lag(self, seconds: float) -> None:
         """Record how late a timer of the event loop fired."""
         self._loop_lag.observe(max(0.0, seconds))
