--- a/packages/thorntrayctl/src/thorntrayctl/request_trace.py
+++ b/packages/thorntrayctl/src/thorntrayctl/request_trace.py
@@ -14,7 +14,8 @@
 REQUEST_ENDED, REQUEST_REPEATED, REQUEST_UNANSWERED = 510, 511, 512
 STOP_EVENTS = frozenset({101, 102, 103, 109})
 LINK_EVENTS = frozenset({410, 411})
-INSTANCE_EVENTS = frozenset({111, 112, 113})
+INSTANCE_CRASHED, REQUEST_BLOCKED = 521, 522
+INSTANCE_EVENTS = frozenset({111, 112, 113, INSTANCE_CRASHED})
 LOAD = 520
 CONTEXT_SECONDS = 1.5  # seconds before the start and after the end of the request
 MAX_CALL_DEPTH = 8  # levels of nested calls that are followed
@@ -83,9 +84,12 @@
 def _context_lines(events: list[LogLine], lines: list[LogLine]) -> list[LogLine]:
     first = min(line.time - line.fields.get("seconds", 0.0) for line in lines) - CONTEXT_SECONDS
     last = max(line.time for line in lines) + CONTEXT_SECONDS
+    fingerprints = {line.fields.get("fingerprint") for line in lines} - {None}
     nodes = {line.node for line in lines} | {str(line.fields.get("member", "")) for line in lines}
     context = []
     for event in events:
+        if event.event == REQUEST_BLOCKED and event.fields.get("fingerprint") in fingerprints:
+            context.append(event)  # usually long before the request
         if not first <= event.time <= last:
             continue
         if event.event in LINK_EVENTS and event.fields.get("peer") in nodes:
@@ -129,6 +133,13 @@
                 f"refused by {origin.node}: no instance of {_service_of_route(fields)} was "
                 f"available"
             )
+        case (_, "BLOCKED"):
+            return _blocked_cause(origin, context)
+        case ("UNKNOWN", "CRASHED"):
+            return (
+                f"the instance beside {fields['member']} crashed while it ran this request alone, "
+                "so it was not sent to another one"
+            )
         case ("NOT_RUN", "DRAINING") if not fields.get("refusals"):
             return f"refused by {origin.node}, which was stopping"
         case ("UNKNOWN", "DRAINING"):
@@ -144,6 +155,20 @@
     return f"{fields['end']} {fields['cause']}"
 
 
+def _blocked_cause(origin: LogLine, context: list[LogLine]) -> str:
+    fields = origin.fields
+    text = "instances crash of this request"
+    if "fingerprint" in fields:
+        text += f" (fingerprint {fields['fingerprint']})"
+    text = f"refused by {fields['member'] or origin.node}: {text}"
+    blocks = [e for e in context if e.event == REQUEST_BLOCKED and e.time <= origin.time]
+    if blocks:
+        newest = blocks[-1]
+        text += f"; {newest.node} blocked it {origin.time - newest.time:.0f} s before"
+        text += f" for {newest.fields['seconds']} s, knowing of {newest.fields['crashes']} crashes"
+    return text
+
+
 def _priced_out_cause(origin: LogLine, context: list[LogLine]) -> str:
     fields = origin.fields
     text = (
@@ -185,6 +210,12 @@
 
 def _lost_cause(origin: LogLine, owners: list[LogLine], context: list[LogLine]) -> str:
     member = origin.fields["member"]
+    for line in context:
+        if line.event == INSTANCE_CRASHED and line.node == member:
+            return (
+                f"the instance beside {member} crashed while it ran "
+                f"{line.fields['running']} requests"
+            )
     for line in owners:
         if line.node == member and line.fields["cause"] in ("LOST", "GARBLED"):
             return f"the instance beside {member} broke its connection while the request ran"
--- a/tests/test_explain.py
+++ b/tests/test_explain.py
@@ -159,6 +159,36 @@
     assert trace_request([refusal], "id-2").causes == ["request: refused by n1, which was stopping"]
 
 
+def test_a_request_that_crashes_instances_is_explained_by_the_crashes_and_the_block():
+    """Guards against a refusal that an operator cannot tell from one for want of capacity."""
+    crash = log_line(1.0, "n2", 521, "INSTANCE_CRASHED", instance="i", running=3)
+    block = log_line(2.0, "n3", 522, "REQUEST_BLOCKED", fingerprint="ab", crashes=3, seconds=600.0)
+    other = log_line(2.0, "n3", 522, "REQUEST_BLOCKED", fingerprint="cd", crashes=3, seconds=600.0)
+    usual = {"end": "UNKNOWN", "member": "n2"}
+    refusal = {"end": "NOT_RUN", "cause": "BLOCKED", "member": "", "fingerprint": "ab"}
+    lines = [
+        crash,
+        block,
+        other,
+        request_ended_line(1.1, "n1", "origin", "beside", cause="LOST", **usual),
+        request_ended_line(1.1, "n1", "origin", "alone", cause="CRASHED", **usual),
+        request_ended_line(62.0, "n1", "origin", "refused", **refusal),
+    ]
+    assert trace_request(lines, "beside").causes == [
+        "request: the instance beside n2 crashed while it ran 3 requests"
+    ]
+    assert trace_request(lines, "alone").causes == [
+        "request: the instance beside n2 crashed while it ran this request alone, so it was not "
+        "sent to another one"
+    ]
+    story = trace_request(lines, "refused")
+    assert story.causes == [
+        "request: refused by n1: instances crash of this request (fingerprint ab); n3 blocked it "
+        "60 s before for 600.0 s, knowing of 3 crashes"
+    ]
+    assert [line.fields["fingerprint"] for line in story.context] == ["ab"]
+
+
 def test_a_request_without_an_answer_is_explained_by_the_node_that_closed():
     line = log_line(1.0, "n1", 512, "REQUEST_UNANSWERED", id="id-1", closed_by="exit")
     assert trace_request([line], "id-1").causes == [
