Soak: a request that crashes workers, and a check of its sends

Cause: the bound on the sends was only tested without other faults. Change: the stand-in worker dies of a body with DEADLY_BODY, fault WORKER_DIES sends it, and the check DEADLY counts it.

--- a/soak/checks.py
+++ b/soak/checks.py
@@ -8,6 +8,7 @@
 from collections.abc import Iterator
 
 from soak.clients import Attempt, AttemptEnd
+from soak.deadly_requests import sends_after_third_crash
 from soak.lost_answers import lost_answers
 from soak.named_states import beyond_named_limits, runs_after_named_leaving
 from soak.observation import Observation, RouteChange
@@ -52,6 +53,7 @@
     yield from lost_answers(observation)
     yield from beyond_named_limits(observation)
     yield from runs_after_named_leaving(observation)
+    yield from sends_after_third_crash(observation)
     yield from (f"ENDED: the process of {name} is not running" for name in observation.ended_nodes)
 
 
@@ -214,5 +216,5 @@
     counts = " ".join(f"{key}:{count}" for key, count in [*sorted(statuses.items()), *ends.items()])
     return (
         f"{len(attempts)} requests ({counts}), {len(observation.faults)} faults, "
-        f"{len(observation.stops)} stops"
+        f"{len(observation.stops)} stops, {len(observation.record.deaths)} crashes by a request"
     )
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -10,7 +10,8 @@
 from soak.observation import NodeStop, RouteChange
 from soak.plan import Fault, FaultKind
 from soak.routes import SERVICES, build_routes
-from standins.mesh_fleet import STOP_TIMEOUT, MeshFleet, NodeProcess
+from standins.mesh_fleet import HOST_NAME, STOP_TIMEOUT, MeshFleet, NodeProcess
+from standins.worker import DEADLY_BODY, send_request
 
 PROXY_DELAY = 0.2  # seconds, of delayed links
 LOSS_RATE = 0.4  # share of lost datagrams and of dropped responses
@@ -21,6 +22,9 @@
 RATE_LIMITS = (0.0, 0.5, 2.0)  # requests a second that a worker names
 LIMIT_DURATION = 7.0  # seconds; longer than the window of the check
 EXIT_POLL_PERIOD = 0.05  # seconds
+DEADLY_PERIOD = 0.3  # seconds between the requests that crash workers
+DEADLY_TIMEOUT = 3.0  # seconds
+DEADLY_PATH = "/views/1"
 
 
 class FaultInjector:
@@ -48,6 +52,8 @@
                 await self._replace_worker(node, announced=False)
             case FaultKind.WORKER_LIMITS:
                 await self._limit_worker(node)
+            case FaultKind.WORKER_DIES:
+                await self._send_deadly(fault)
             case FaultKind.CHANGE:
                 await self._change_route()
             case FaultKind.STORE_COMPACT:
@@ -81,6 +87,18 @@
         await asyncio.sleep(LIMIT_DURATION)
         node.worker.rate_limit = None
 
+    async def _send_deadly(self, fault: Fault) -> None:
+        """Send one request that crashes workers again and again, at any node."""
+        body = DEADLY_BODY + f"{fault.node} {fault.start}".encode()
+        rng = Random(body)
+        senders: set[asyncio.Task[None]] = set()
+        for number in range(int(fault.duration / DEADLY_PERIOD)):
+            node = rng.choice(list(self._fleet.nodes.values()))
+            request_id = f"deadly-{fault.start}-{number}"
+            senders.add(asyncio.create_task(_send_ignoring_failure(node, request_id, body)))
+            await asyncio.sleep(DEADLY_PERIOD)
+        await asyncio.gather(*senders)
+
     async def _change_route(self) -> None:
         others = [s for s in SERVICES if s != self.changes[-1].service]
         service = self._rng.choice(others)
@@ -147,6 +165,13 @@
         return ""
 
 
+async def _send_ignoring_failure(node: NodeProcess, request_id: str, body: bytes) -> None:
+    headers = {"Host": HOST_NAME, "X-Request-Id": request_id, "X-Request-Deadline": "1500"}
+    with suppress(OSError, TimeoutError, asyncio.IncompleteReadError):
+        async with asyncio.timeout(DEADLY_TIMEOUT):
+            await send_request(node.outbound, "POST", DEADLY_PATH, headers, body)
+
+
 async def _wait_exit(node: NodeProcess) -> None:
     """Wait until the current process of a node has ended, and kill it after `STOP_TIMEOUT`."""
     process = node.process
--- a/soak/plan.py
+++ b/soak/plan.py
@@ -26,6 +26,7 @@
     WORKER_LIMITS = "worker names a rate limit in its answers"
     WORKER_LEAVES = "worker names its leaving in its answers only, deregisters and restarts"
     WORKER_ENDLESS = "10 % of the worker's responses have a body without end"
+    WORKER_DIES = "a caller sends a request that crashes each worker, again and again"
     STORE_BUSY = "store responds 503"
     STORE_SILENT = "store does not respond"
     STORE_LOSES = "store applies a write but its response is lost"
@@ -64,6 +65,9 @@
     FaultKind.WORKER_LOSES,
     FaultKind.WORKER_ENDLESS,
 }
+DRAWN_KINDS = [kind for kind in FaultKind if kind is not FaultKind.WORKER_DIES]
+DEADLY_SHARE = 0.4  # of the plans that have one fault `WORKER_DIES`
+DEADLY_DURATION = 9.0  # seconds; longer than three crashes and the time to learn of them
 MIN_DURATION, MAX_DURATION = 0.5, 4.0  # seconds
 FAULTS_PER_SECOND = 0.5  # average, at least two faults in a run
 STOP_SERIES_SHARE = 0.6  # of the plans
@@ -94,7 +98,7 @@
     faults = [
         Fault(
             round(rng.uniform(1.0, duration), 2),
-            rng.choice(list(FaultKind)),
+            rng.choice(DRAWN_KINDS),
             rng.choice(nodes),
             round(rng.uniform(MIN_DURATION, MAX_DURATION), 2),
         )
@@ -102,6 +106,12 @@
     ]
     if rng.random() < STOP_SERIES_SHARE:
         faults += draw_stop_series(rng, nodes, duration)
+    # Drawn apart, so that the other faults of a seed stay the same.
+    deadly_rng = Random(repr(faults))
+    if deadly_rng.random() < DEADLY_SHARE:
+        start = round(deadly_rng.uniform(1.0, duration), 2)
+        node = deadly_rng.choice(nodes)
+        faults.append(Fault(start, FaultKind.WORKER_DIES, node, DEADLY_DURATION))
     return sorted(faults, key=lambda fault: fault.start)
 
 
--- a/standins/worker.py
+++ b/standins/worker.py
@@ -4,7 +4,8 @@
 of a fleet append the requests that they receive to one shared `FleetRecord`. To inject faults, set
 `slowdown` (factor on the service time), `response_loss_rate` (share of the responses for which
 the worker closes the connection instead), `endless_rate` (share of the responses whose body
-does not end), or `rate_limit` (requests a second that its answers name).
+does not end), or `rate_limit` (requests a second that its answers name). A request whose body
+begins with `DEADLY_BODY` crashes the worker, which then starts again.
 """
 
 import asyncio
@@ -23,6 +24,8 @@
 SMALL_BODY_BYTES = 256
 MAX_HEAD_BYTES = 512  # of a response
 ENDLESS_CHUNK = b"4000\r\n" + b"e" * 0x4000 + b"\r\n"  # of a chunked body
+DEADLY_BODY = b"deadly "
+RESTART_DELAY = 0.5  # seconds after a crash by `DEADLY_BODY`
 MIN_SLOW_TIME, MAX_SLOW_TIME = 1.0, 3.0  # seconds that a slow request takes
 
 
@@ -69,6 +72,18 @@
     leaving: bool
 
 
+class Death(NamedTuple):
+    """A crash of a worker by a request with a deadly body, in monotonic seconds.
+
+    `planned_stop` is true if the worker was leaving anyway.
+    """
+
+    at: float
+    node: str
+    body: bytes
+    planned_stop: bool
+
+
 @dataclass
 class FleetRecord:
     """The requests that the workers of a fleet received.
@@ -76,13 +91,15 @@
     `draining_acknowledged` maps the name and boot of a worker to the monotonic time at which its
     node first acknowledged a draining heartbeat. `run_ends` maps the index of an arrival to its
     end; an arrival that a worker is still running has none. `named` lists the answers in which
-    workers have named a rate limit or their leaving.
+    workers have named a rate limit or their leaving. `deaths` lists the crashes by deadly bodies,
+    whose requests are not among the arrivals.
     """
 
     arrivals: list[Arrival] = field(default_factory=list)
     draining_acknowledged: dict[tuple[str, int], float] = field(default_factory=dict)
     run_ends: dict[int, RunEnd] = field(default_factory=dict)
     named: list[NamedState] = field(default_factory=list)
+    deaths: list[Death] = field(default_factory=list)
 
 
 class PathBehavior(NamedTuple):
@@ -155,6 +172,7 @@
         self._server: asyncio.Server | None = None
         self._connections: set[asyncio.StreamWriter] = set()
         self._heartbeat_task: asyncio.Task[None] | None = None
+        self._restart_task: asyncio.Task[None] | None = None
 
     @property
     def listening(self) -> bool:
@@ -171,14 +189,28 @@
 
     async def crash(self) -> None:
         """Stop listening and sending heartbeats, and abort all connections."""
-        if self._heartbeat_task is not None:
-            self._heartbeat_task.cancel()
+        for task in (self._heartbeat_task, self._restart_task):
+            if task is not None:
+                task.cancel()
         if self._server is not None:
             self._server.close()
             self._server = None
         for writer in list(self._connections):
             writer.transport.abort()
 
+    async def _die(self, body: bytes) -> None:
+        """Crash because of a request, and start again after `RESTART_DELAY`."""
+        planned = self.leaving or self.phase == "draining"
+        self._record.deaths.append(Death(time.monotonic(), self.name, body, planned))
+        await self.crash()
+        self._restart_task = asyncio.create_task(self._restart_later())
+
+    async def _restart_later(self) -> None:
+        await asyncio.sleep(RESTART_DELAY)
+        self._restart_task = None
+        if not self.listening:
+            await self.start()
+
     async def drain_and_restart(self, announced: bool = True) -> None:
         """Drain for `DRAIN_DURATION`, deregister, stop, and start again.
 
@@ -230,6 +262,10 @@
         try:
             while True:
                 start_line, headers, body = await read_message(reader)
+                if body.startswith(DEADLY_BODY):
+                    if self.listening:
+                        await self._die(body)
+                    return
                 response = await self._handle_request(start_line.split(" ")[1], headers)
                 if response is None:
                     return
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -18,7 +18,7 @@
 from soak.plan import MAX_STOP_GAP, Fault, FaultKind, draw_plan
 from soak.run import run_seed
 from standins.mesh_fleet import RouteConfig
-from standins.worker import Arrival, FleetRecord
+from standins.worker import Arrival, Death, FleetRecord
 
 LOOKUP = RouteConfig("prices", "tariff")
 PAYOUT = RouteConfig("payouts", "settle", kind="non_idempotent")
@@ -139,6 +139,20 @@
     assert violation_kinds(observe(late, [], faults)) == {"RECOVER"}
 
 
+def test_a_deadly_request_that_goes_on_to_reach_workers_is_detected():
+    def observe_deaths(times, faults=()):
+        observation = observe([], [], faults)
+        observation.record.deaths.extend(Death(at, "n1", b"deadly x", False) for at in times)
+        return violation_kinds(observation)
+
+    crashes, later = [10.0, 11.0, 12.0], [16.0, 17.0, 18.0]
+    assert observe_deaths(crashes + later) == set()
+    assert observe_deaths([*crashes, 14.9, *later]) == set()  # within the time to learn of it
+    assert observe_deaths([*crashes, *later, 19.0]) == {"DEADLY"}
+    reset = [Fault(10.0, FaultKind.APP_RESET, "n1", 1.0)]
+    assert observe_deaths([*crashes, *later, 19.0], reset) == set()
+
+
 def test_a_seed_always_gives_the_same_plan():
     nodes = ["a", "b"]
     assert draw_plan(Random(5), nodes, 20.0) == draw_plan(Random(5), nodes, 20.0)
--- a/tests/test_worker_standin.py
+++ b/tests/test_worker_standin.py
@@ -8,6 +8,8 @@
 import pytest
 
 from standins.worker import (
+    DEADLY_BODY,
+    RESTART_DELAY,
     Endpoint,
     FleetRecord,
     PathBehavior,
@@ -50,6 +52,20 @@
         await send_request(endpoint, "GET", "/reports/1", HEADERS)
 
 
+def test_a_worker_dies_of_a_deadly_body_and_starts_again():
+    async def scenario(worker, endpoint):
+        with pytest.raises((OSError, asyncio.IncompleteReadError)):
+            await send_request(endpoint, "POST", "/reports/1", HEADERS, DEADLY_BODY + b"1")
+        assert not worker.listening
+        await asyncio.sleep(RESTART_DELAY + 0.1)
+        await send_request(endpoint, "GET", "/reports/1", HEADERS)
+        assert worker.boot == 2
+
+    record = run_with_worker(scenario)
+    assert [death.body for death in record.deaths] == [DEADLY_BODY + b"1"]
+    assert len(record.arrivals) == 1
+
+
 def test_a_response_has_the_size_for_its_path():
     async def scenario(worker, endpoint):
         response = await send_request(endpoint, "GET", "/exports/1", HEADERS)
