Suspect requests given up before a crash; ask for reports sooner after a start

Cause: the instance may go on to run a request whose caller has left. Change: requests given up within 5 s before a crash are suspected with the lost ones. A node asks for reports every 0.1 s after its start. The probe of the instance waits 0.1 s at most.

--- a/packages/thorntray/src/thorntray/internal/connection/instance_pool.py
+++ b/packages/thorntray/src/thorntray/internal/connection/instance_pool.py
@@ -25,6 +25,7 @@
 from thorntray.internal.telemetry.events import log_handler_failure
 
 CONNECT_TIMEOUT = 0.5  # seconds
+REFUSAL_TIMEOUT = 0.1  # seconds; a refusal by the own host comes at once
 DEFAULT_IDLE_TIMEOUT = 4.0  # seconds, if the instance sends no Keep-Alive timeout
 # Seconds by which the pool closes an idle connection before the instance would, at most half of
 # the timeout that the instance announces.
@@ -301,7 +302,7 @@
     async def refuses_connections(self) -> bool:
         """Return whether nothing listens at the instance's address; a timeout does not show it."""
         try:
-            async with asyncio.timeout(CONNECT_TIMEOUT):
+            async with asyncio.timeout(REFUSAL_TIMEOUT):
                 _, writer = await asyncio.open_connection(self._host, self._port)
         except ConnectionRefusedError:
             return True
--- a/packages/thorntray/src/thorntray/internal/membership/crash_reports.py
+++ b/packages/thorntray/src/thorntray/internal/membership/crash_reports.py
@@ -32,8 +32,9 @@
 
 SPREAD_PERIOD = 0.2  # seconds
 SPREAD_FANOUT = 3  # random members in each spread period
-START_QUERIES = 8  # periods after the start in which a node asks for all reports
-START_QUERY_FANOUT = 2  # random members that are asked in each of them
+START_QUERIES = 12  # times that a node asks for all reports after its start
+START_QUERY_PERIOD = 0.1  # seconds between them; until then, blocked requests may pass
+START_QUERY_FANOUT = 2  # random members that are asked each time
 SYNC_PERIOD = 3.0  # seconds between digest exchanges, while there are reports
 TRANSFER_INTERVAL = 0.02  # seconds between the datagrams of a transfer of all reports
 MAX_TRANSFERS = 4  # transfers at the same time
@@ -89,7 +90,8 @@
         """Exchange reports until cancelled."""
         try:
             while True:
-                await asyncio.sleep(SPREAD_PERIOD * (0.9 + 0.2 * self._rng.random()))
+                period = START_QUERY_PERIOD if self._queries_left > 0 else SPREAD_PERIOD
+                await asyncio.sleep(period * (0.9 + 0.2 * self._rng.random()))
                 self._decide()
                 self._query()
                 self._spread()
@@ -114,7 +116,7 @@
         for member in self._membership.view.sample(self._rng, SPREAD_FANOUT):
             if not self._pending:
                 return
-            items = sorted(self._pending, key=self._pending.__getitem__)
+            items = sorted(self._pending, key=self._sending_order)
             report, sent = self._pack(iter(items))
             self._send(report, member)
             for item in sent:
@@ -122,6 +124,10 @@
                 if self._pending[item] >= limit:
                     del self._pending[item]
 
+    def _sending_order(self, item: _Item) -> tuple[int, bool]:
+        """Order what was sent least often first; of these, the crashes last, which are largest."""
+        return self._pending[item], item.kind is _Kind.CRASH
+
     def _query(self) -> None:
         """Ask members for reports after the start, and compare with one member periodically."""
         view = self._membership.view
--- a/packages/thorntray/src/thorntray/internal/request/crash_watch.py
+++ b/packages/thorntray/src/thorntray/internal/request/crash_watch.py
@@ -13,6 +13,7 @@
 """
 
 import asyncio
+from collections import deque
 from collections.abc import Awaitable, Callable, Coroutine
 from dataclasses import dataclass, field
 from random import Random
@@ -35,6 +36,9 @@
 # Seconds after the first lost request at which a connection is tried; the first ends the holding.
 PROBE_TIMES = (GATHER_TIME, 0.2, 0.5, 1.0, 2.0, 4.0)
 EVIDENCE_TIME = 10.0  # seconds after the first lost request in which a crash can still be proven
+# Seconds before the first lost request in which a request that the node gave up may still have run.
+ABANDONED_TIME = 5.0
+MAX_ABANDONED = 32  # newest ones that are kept
 MAX_LOGGED_REQUESTS = 5  # IDs and fingerprints in the log line of a crash
 
 
@@ -63,6 +67,16 @@
     held: list["OwnerRequest"] | None = field(default_factory=list)  # None after the first probe
     settled: bool = False  # judged a crash, or found to be none
     crashed: bool = False
+    alone: bool = False  # whether the instance ran only one request when it crashed
+
+
+class _Abandoned(NamedTuple):
+    """A request whose connection this node closed at `at` (monotonic seconds)."""
+
+    request_id: bytes
+    fingerprint: int  # not the call, as bodies may be large
+    boot: Boot | None
+    at: float
 
 
 class CrashWatch:
@@ -71,6 +85,7 @@
     def __init__(self, deps: CrashWatchDependencies) -> None:
         self._deps = deps
         self._losses: _Losses | None = None
+        self._abandoned: deque[_Abandoned] = deque(maxlen=MAX_ABANDONED)
 
     def hold_lost(self, request: "OwnerRequest") -> bool:
         """Note a request that was lost; return whether it will be finished by this object."""
@@ -92,6 +107,14 @@
         losses.held.append(request)
         return True
 
+    def record_abandoned(self, request: "OwnerRequest") -> None:
+        """Note a request that this node gave up; the instance may go on to run it."""
+        now = self._deps.clock.monotonic()
+        call = request.call
+        self._abandoned.append(
+            _Abandoned(call.request_id, fingerprint_of_call(call), request.boot, now)
+        )
+
     def record_success(self, started_at: float) -> None:
         """Note a response to a request sent at `started_at`, which shows that the boot lives."""
         losses = self._losses
@@ -130,11 +153,11 @@
                 return
         await asyncio.sleep(EVIDENCE_TIME - waited)
         losses.settled = True
+        losses.calls.clear()
 
     def _finish_held(self, losses: _Losses) -> None:
         held, losses.held = losses.held or [], None
-        alone = losses.crashed and len(losses.calls) == 1
-        result: Result = unknown(Cause.CRASHED if alone else Cause.LOST)
+        result: Result = unknown(Cause.CRASHED if losses.alone else Cause.LOST)
         for request in held:
             request.finish(result)
 
@@ -146,16 +169,20 @@
         if deps.registration.node_draining or deps.registration.has_left(losses.boot):
             return
         losses.crashed = True
-        fingerprints = [fingerprint_of_call(call) for call in losses.calls]
+        since = losses.first_at - ABANDONED_TIME
+        ran = [(call.request_id, fingerprint_of_call(call)) for call in losses.calls]
+        ran += [a[:2] for a in self._abandoned if a.boot == losses.boot and a.at > since]
+        losses.alone = len(ran) == 1
+        losses.calls.clear()
         reported = choose_reported(
-            fingerprints, MAX_REPORTED_FINGERPRINTS, deps.suspects, deps.rng.random
+            [f for _, f in ran], MAX_REPORTED_FINGERPRINTS, deps.suspects, deps.rng.random
         )
-        shown = zip(losses.calls[:MAX_LOGGED_REQUESTS], fingerprints, strict=False)
+        shown = ran[:MAX_LOGGED_REQUESTS]
         log_event(
             Event.INSTANCE_CRASHED,
             instance=losses.boot.instance_id,
-            running=len(losses.calls),
-            requests={call.request_id.decode("latin-1"): f"{f:016x}" for call, f in shown},
+            running=len(ran),
+            requests={request_id.decode("latin-1"): f"{f:016x}" for request_id, f in shown},
         )
         crash_id = hash64(f"{deps.node} {losses.boot.instance_id} {losses.boot.started_ms}")
-        deps.on_crash(Crash(crash_id, losses.began_at, len(losses.calls), reported))
+        deps.on_crash(Crash(crash_id, losses.began_at, len(ran), reported))
--- a/packages/thorntray/src/thorntray/internal/request/owner.py
+++ b/packages/thorntray/src/thorntray/internal/request/owner.py
@@ -120,6 +120,7 @@
     def _abort(self) -> None:
         if self.instance_call is not None:
             self.instance_call.cancel()
+            self.owner.deps.crash_watch.record_abandoned(self)
         self.finish(unknown(Cause.CANCELLED))
 
     @property
@@ -372,6 +373,7 @@
         """Finish a request as unknown after its expiry and the grace period."""
         if request.instance_call is not None:
             request.instance_call.cancel()
+            self.deps.crash_watch.record_abandoned(request)
         request.finish(unknown(Cause.EXPIRED))
 
     def _with_load_report(self, request: OwnerRequest, result: Result, now: float) -> Result:
--- a/tests/test_crash_watch.py
+++ b/tests/test_crash_watch.py
@@ -241,6 +241,26 @@
     assert crash.running == 1
 
 
+def test_a_request_given_up_shortly_before_a_crash_is_suspected_with_the_lost_ones():
+    """Guards against a slow culprit whose caller has left, while others are blamed alone."""
+
+    async def scenario(instance):
+        boot = instance.registration.current.boot
+        for number, given_up_at in ((7, 0.0), (8, 5.5)):
+            await asyncio.sleep(given_up_at)
+            instance.watch.record_abandoned(LostRequest(number, boot, 0.0))
+        instance.watch.record_abandoned(LostRequest(9, Boot("i-0", 1), 0.0))
+        instance.refuses = True
+        return instance.lose(1)
+
+    instance = watch_instance(scenario)
+    [crash] = instance.crashes
+    given_up = fingerprint_of_call(LostRequest(8, None, 0.0).call)
+    lost = fingerprint_of_call(instance.requests[0].call)
+    assert crash.fingerprints == {given_up, lost}
+    assert instance.requests[0].cause is Cause.LOST
+
+
 def test_the_fingerprint_is_that_of_the_entry_node_and_tells_each_part_apart():
     call = make_call(method=b"POST", target=b"/prices/1", body=b"b", workspace="w")
     parts = ("prices", b"POST", b"/prices/1", "w", b"b")
--- a/tests/test_crashing_requests.py
+++ b/tests/test_crashing_requests.py
@@ -212,6 +212,38 @@
     assert statuses.count(b"200") >= 0.9 * len(statuses) and len(statuses) > 50
 
 
+def test_instances_killed_in_a_row_by_operators_block_nothing():
+    """Guards against kills that add up, with two fingerprints in all that run in each of them."""
+
+    async def scenario(fleet):
+        await start_fleet(fleet)
+        end = time.monotonic() + 7.0
+
+        async def send_often(caller):
+            number = 0
+            while time.monotonic() < end:
+                path = ("/payouts/slow", "/prices/slow")[caller % 2]
+                await post(fleet, NODES[caller % 4], f"often-{caller}-{number}", b"", path)
+                number += 1
+
+        async def kill_often():
+            number = 0
+            while time.monotonic() < end - 1.0:
+                await asyncio.sleep(0.45)
+                fleet.instances[NODES[number % 3]].crash()
+                number += 1
+
+        await asyncio.gather(kill_often(), *(send_often(caller) for caller in range(6)))
+        await asyncio.sleep(STABLE_TIME)
+        judged = max(len(node.suspects.crashes) for node in fleet.nodes.values())
+        answer, _ = await post(fleet, "h1", "last", b"")
+        return judged, [node.suspects.blocked for node in fleet.nodes.values()], answer
+
+    judged, blocked, answer = run_scenario(scenario)
+    assert judged >= 5 and blocked == [{}, {}, {}, {}]
+    assert answer.startswith(b"HTTP/1.1 200")
+
+
 def test_a_connection_reset_by_a_living_instance_is_not_counted():
     async def scenario(fleet):
         await start_fleet(fleet)
