Tests for guards of blocked requests that no test had shown

Change: tests for the time to watch, crashes at one moment, suspects first in a report, no holding at planned stops, the queries of a node that starts, refusal by entry and server-side node each alone, and no retry of a suspected request. A node that knows only blocks compares them with peers, too.

--- a/packages/thorntray/src/thorntray/internal/membership/crash_reports.py
+++ b/packages/thorntray/src/thorntray/internal/membership/crash_reports.py
@@ -211,7 +211,8 @@
 
     @property
     def _has_reports(self) -> bool:
-        return bool(self._suspects.crashes or self._suspects.cleared)
+        suspects = self._suspects
+        return bool(suspects.crashes or suspects.cleared or suspects.blocked)
 
     def _items(self) -> list[_Item]:
         """Return all items; first the blocks, which a node that starts needs most."""
--- a/tests/test_crash_reports.py
+++ b/tests/test_crash_reports.py
@@ -128,8 +128,10 @@
         fleet.crash("n17", 102, CULPRIT)
         await asyncio.sleep(GOSSIP_LIMIT)
         not_refusing = fleet.not_refusing(CULPRIT)
+        await asyncio.sleep(10.0)  # until nothing is gossiped any more
+        fleet.fleet.loss = 0.0
         await fleet.restart("n03")
-        await asyncio.sleep(1.5)
+        await asyncio.sleep(0.5)
         return crashes, not_refusing, fleet.not_refusing(CULPRIT)
 
     assert run_virtual(scenario()) == ({100}, [], [])
--- a/tests/test_crash_suspects.py
+++ b/tests/test_crash_suspects.py
@@ -1,6 +1,7 @@
 """Decision on requests that crash instances: the culprit is found, and nothing else is refused."""
 
 from itertools import count
+from random import Random
 
 from tests.builders import ManualClock
 from thorntray.internal.overload.crash_suspects import (
@@ -85,6 +86,17 @@
     assert not evidence.blocked
 
 
+def test_crashes_at_one_moment_alone_block_nothing():
+    """Guards against a power loss of three instances that all ran one slow request."""
+    evidence = Evidence()
+    for _ in range(3):
+        evidence.crash(POPULAR, step=0.01)
+    evidence.wait(WATCH_TIME)
+    assert not evidence.blocked
+    evidence.crash(POPULAR)
+    assert evidence.blocked == {POPULAR}
+
+
 def test_two_culprits_are_both_blocked():
     evidence = Evidence()
     evidence.crash(CULPRIT, beside=3)
@@ -105,7 +117,7 @@
     evidence.wait(WATCH_TIME)
     for _ in range(5):
         evidence.crash(CULPRIT, POPULAR, beside=10)
-    assert evidence.blocked == {CULPRIT}
+    assert {fingerprint for fingerprint, _ in evidence.blocks} == {CULPRIT}
     assert not evidence.suspects.is_suspected(POPULAR)
 
 
@@ -198,5 +210,6 @@
 def test_a_report_of_a_crash_with_too_many_requests_keeps_those_already_suspected():
     evidence = Evidence()
     evidence.crash(CULPRIT)
-    chosen = choose_reported([*range(500, 900), CULPRIT], 50, evidence.suspects, lambda: 0.5)
-    assert CULPRIT in chosen and len(chosen) == 50
+    ran = [*range(500, 900), CULPRIT]
+    assert choose_reported(ran, 1, evidence.suspects, Random(1).random) == {CULPRIT}
+    assert len(choose_reported(ran, 50, evidence.suspects, Random(1).random)) == 50
--- a/tests/test_crash_watch.py
+++ b/tests/test_crash_watch.py
@@ -180,7 +180,8 @@
     async def scenario(instance):
         instance.announce(sequence=2, phase=Phase.DRAINING)
         instance.refuses = True
-        instance.lose(1)
+        [request] = instance.lose(1)
+        assert request.cause is Cause.LOST  # not held
 
     assert watch_instance(scenario).crashes == []
 
@@ -223,7 +224,8 @@
     async def scenario(instance):
         instance.registration.drain_node()
         instance.refuses = True
-        instance.lose(1)
+        [request] = instance.lose(1)
+        assert request.cause is Cause.LOST  # not held
 
     assert watch_instance(scenario).crashes == []
 
--- a/tests/test_crashing_requests.py
+++ b/tests/test_crashing_requests.py
@@ -5,6 +5,8 @@
 
 from tests.instance_replies import answer_bytes
 from tests.mesh_builders import FakeInstance, header_of, request_bytes, run_scenario
+from thorntray.internal.overload.crash_suspects import Crash
+from thorntray.internal.request.fingerprint import fingerprint
 
 POISON = b"poison"
 RESTART_TIME = 0.3  # seconds from a crash to the next boot
@@ -169,22 +171,51 @@
 
     async def scenario(fleet):
         await start_fleet(fleet)
-        await post(fleet, "h1", "poison", POISON, "/prices/1")
-        await asyncio.sleep(1.5)
+        suspects = fleet.nodes["h1"].suspects
+        poison = fingerprint("prices", b"POST", b"/prices/1", "", POISON)
+        suspects.add_crash(Crash(1, time.clock_gettime(time.CLOCK_BOOTTIME), 2, {poison, 2}))
         slow = [
             asyncio.ensure_future(post(fleet, "h1", f"slow-{n}", b"%d" % n, "/prices/slow"))
             for n in range(12)
         ]
         await asyncio.sleep(0.05)
-        answer, _ = await post(fleet, "h1", "poison-2", POISON, "/prices/1")
+        answer, _ = await post(fleet, "h1", "poison", POISON, "/prices/1")
         return answer, crashes(fleet), [(await task)[0] for task in slow]
 
     answer, crashed, slow = run_scenario(scenario)
-    assert answer.startswith(b"HTTP/1.1 502") and crashed == 2
+    assert answer.startswith(b"HTTP/1.1 502") and crashed == 1
     # Those that ran beside it are sent to another instance.
     assert all(other.startswith(b"HTTP/1.1 200") for other in slow)
 
 
+def refuse_at(nodes):
+    """Block the request at some nodes only; return the answer of h1, the sends, and who knows."""
+
+    async def scenario(fleet):
+        await start_fleet(fleet)
+        poison = fingerprint("payouts", b"POST", b"/payouts/1", "", POISON)
+        until = time.clock_gettime(time.CLOCK_BOOTTIME) + 60.0
+        for name in nodes:
+            fleet.nodes[name].suspects.add_block(poison, until)
+        answer, _ = await post(fleet, "h1", "poison", POISON)
+        knowing = [name for name in NODES if fleet.nodes[name].suspects.blocked]
+        return answer, crashes(fleet), knowing
+
+    return run_scenario(scenario)
+
+
+def test_the_entry_node_refuses_what_the_nodes_of_the_instances_do_not_know_yet():
+    answer, crashed, knowing = refuse_at(["h1"])
+    assert answer.startswith(b"HTTP/1.1 503") and crashed == 0 and knowing == ["h1"]
+
+
+def test_the_nodes_of_the_instances_refuse_what_the_entry_node_does_not_know_yet():
+    """Guards against an entry node that has just started, and requests in queues."""
+    answer, crashed, knowing = refuse_at(["t1", "t2", "t3"])
+    assert answer.startswith(b"HTTP/1.1 503") and crashed == 0 and "h1" not in knowing
+    assert b"Retry-After" in answer
+
+
 def test_a_frequent_request_beside_a_culprit_is_never_refused():
     async def scenario(fleet):
         await start_fleet(fleet)
