Make the test of a suspected request show its guard

Cause: the culprit ran alone in it, or the retry budget was used up, so it passed without the rule. Change: the test fills the budget and waits until each instance runs a request. Run: tests/test_crash_watch.py, test_crashing_requests.py, test_crash_suspects.py; the changed test eight times, all passed; it fails with the rule removed (2 crashes instead of 1).

--- a/tests/test_crashing_requests.py
+++ b/tests/test_crashing_requests.py
@@ -10,6 +10,7 @@
 
 POISON = b"poison"
 RESTART_TIME = 0.3  # seconds from a crash to the next boot
+SLOW_TIME, LONGER_TIME = 0.2, 0.35  # seconds
 STABLE_TIME = 3.0  # seconds after the third crash, `StableS`
 MAX_FURTHER_SENDS = 3  # over all nodes
 MAX_REFUSAL_TIME = 0.3  # seconds; nothing is waited for
@@ -24,6 +25,7 @@
         self.port = fleet.instances[name].port
         self.poisoned_at = []  # monotonic seconds at which it began to run the request
         self.boots = 1
+        self.running = 0  # slow requests
         self._fleet, self._name = fleet, name
         self._writers = set()
         self._restart = None
@@ -38,8 +40,10 @@
                     self.poisoned_at.append(time.monotonic())
                     self.crash()
                     return
-                if b"/slow" in head:
-                    await asyncio.sleep(0.2)
+                if b"/slow" in head or b"/longer" in head:
+                    self.running += 1
+                    await asyncio.sleep(SLOW_TIME if b"/slow" in head else LONGER_TIME)
+                    self.running -= 1
                 self.run_ids.append(header_of(head, b"Thorntray-Request-Id"))
                 writer.write(answer_bytes(self.run_ids[-1]))
         except (asyncio.IncompleteReadError, ConnectionError):
@@ -171,21 +175,24 @@
 
     async def scenario(fleet):
         await start_fleet(fleet)
+        for number in range(60):  # fills the retry budget
+            await post(fleet, "h1", f"first-{number}", b"", "/prices/1")
         suspects = fleet.nodes["h1"].suspects
         poison = fingerprint("prices", b"POST", b"/prices/1", "", POISON)
         suspects.add_crash(Crash(1, time.clock_gettime(time.CLOCK_BOOTTIME), 2, {poison, 2}))
-        slow = [
-            asyncio.ensure_future(post(fleet, "h1", f"slow-{n}", b"%d" % n, "/prices/slow"))
-            for n in range(12)
-        ]
-        await asyncio.sleep(0.05)
+        slow = []
+        instances = [fleet.instances[name] for name in NODES[:3]]
+        while not all(instance.running for instance in instances):
+            request = post(fleet, "h1", f"slow-{len(slow)}", b"%d" % len(slow), "/prices/longer")
+            slow.append(asyncio.ensure_future(request))
+            await asyncio.sleep(0.01)
         answer, _ = await post(fleet, "h1", "poison", POISON, "/prices/1")
         return answer, crashes(fleet), [(await task)[0] for task in slow]
 
     answer, crashed, slow = run_scenario(scenario)
     assert answer.startswith(b"HTTP/1.1 502") and crashed == 1
     # Those that ran beside it are sent to another instance.
-    assert all(other.startswith(b"HTTP/1.1 200") for other in slow)
+    assert [other[9:12] for other in slow] == [b"200"] * len(slow)
 
 
 def refuse_at(nodes):
