Root admission distributes a route's share over workspaces by max-min fairness

Under a shortage, every workspace was admitted the same share, so one that sent ten times its usual load took most of what was left. fair_share keeps a level for each route and priority: a workspace below it is admitted in full, one above it up to the level, weighted by quota, and none less than 0.26 of the share. Demand is averaged over eight requests of each workspace, so that a group of four at a node with few requests is no high demand and a hot workspace is cut within seconds. A decision visits at most 18 workspaces, and forgets idle ones. Without a workspace, admit is unchanged.

Run: tests/test_fair_share.py, tests/test_slot_decisions.py, make lint.

--- a/packages/thorntray/src/thorntray/internal/overload/root_admission.py
+++ b/packages/thorntray/src/thorntray/internal/overload/root_admission.py
@@ -8,6 +8,10 @@
 changes gradually around the break-even point. A small share of every route is always admitted, so
 that no route is refused completely for long and prices are still reported.
 
+With workspaces, the share of a route is distributed among them (`fair_share`), so that one that
+sends many times its usual load does not crowd out the others. Requests without a workspace, as
+those of an anonymous route, are admitted the share itself.
+
 A call tree that will fail is worth nothing, however valuable its request. When most requests of a
 route fail, its worth is reduced, and scarce slots go to requests that still succeed.
 """
@@ -15,8 +19,10 @@
 import math
 from typing import NamedTuple
 
+from thorntray.internal.overload.fair_share import FairShare
 from thorntray.internal.overload.slot_price import MIN_PRICE
 from thorntray.internal.request.result import Costs, SlotUse
+from thorntray.internal.version.workspaces import Workspace
 
 COST_WEIGHT = 0.08  # weight of the newest request in a route's costs
 SUCCESS_WEIGHT = 0.1  # weight of the newest request in a route's share of successes
@@ -157,6 +163,7 @@
     def __init__(self) -> None:
         self.costs = RouteCosts()
         self.prices = PriceTable()
+        self.fair_share = FairShare()
         self._credit: dict[str, float] = {}
         self.shares: dict[str, float] = {}  # last admitted share, by route
 
@@ -167,7 +174,9 @@
             price += use.seconds * (self.prices.price(service, now) - MIN_PRICE)
         return price
 
-    def admit(self, route: str, priority: int, now: float) -> bool:
+    def admit(
+        self, route: str, priority: int, now: float, workspace: Workspace | None = None
+    ) -> bool:
         """Return whether a request may start.
 
         The share is kept exactly by accumulating credit, not by random choice.
@@ -175,6 +184,8 @@
         worth = worth_of(priority) * self.costs.success_share(route)
         share = admitted_share(self.tree_price(route, now), worth)
         self.shares[route] = share
+        if workspace is not None:
+            return self.fair_share.admits((route, priority), workspace, share, now)
         credit = self._credit.get(route, 0.5) + share
         if credit >= 1.0:
             self._credit[route] = credit - 1.0
