Waiting requests of equal rank are started round-robin by workspace

Ordered by expiry alone, the burst of one workspace went before all requests that expired later. The backlog now takes turns by workspace within a rank, and by expiry within a workspace; count_ahead counts in that order. CallFrame names the workspace as its last field, empty by default, and a nested call inherits it from the request it belongs to.

--- a/packages/thorntray/src/thorntray/internal/connection/frame.py
+++ b/packages/thorntray/src/thorntray/internal/connection/frame.py
@@ -32,7 +32,8 @@
     `number` matches the result to the call. `budget` is the remaining time in seconds and
     `max_wait` the longest wait for a slot in seconds. `header_lines` are complete lines including
     their line ends. `worth` ranks the request when slots are scarce; `nested` marks a call made
-    while another request is running.
+    while another request is running. `workspace` is the name of the one that the call tree belongs
+    to, empty if there is none; older nodes omit and ignore it.
     """
 
     number: int
@@ -49,6 +50,7 @@
     budget: float
     max_wait: float
     worth: float
+    workspace: str = ""
 
 
 class ResultFrame(msgspec.Struct, tag=2, array_like=True, frozen=True):
--- a/packages/thorntray/src/thorntray/internal/overload/call_parents.py
+++ b/packages/thorntray/src/thorntray/internal/overload/call_parents.py
@@ -4,8 +4,8 @@
 ID of the request they serve by one segment, which is then unambiguous. Otherwise the call expires
 together with the request it serves, and this node assigned that deadline itself, so a call whose
 expiry matches that of a running request is attributed to that request. The link gives
-all requests of a call tree the same worth and sums up their costs at the root, so that a retry of
-the root is charged for all calls that it repeats.
+all requests of a call tree the same worth and workspace, and sums up their costs at the root, so
+that a retry of the root is charged for all calls that it repeats.
 
 A call may expire before its parent if the called route has a shorter time limit of its own.
 Then no expiry matches. If other calls on that route were matched, the route is a nested one
@@ -26,12 +26,14 @@
 class RunningRequest:
     """A request running at the instance, with the costs of its call tree so far."""
 
-    __slots__ = ("expiry", "worth", "request_id", "costs", "prices", "made_nested_calls")
+    __slots__ = ("expiry", "worth", "request_id", "workspace")
+    __slots__ += ("costs", "prices", "made_nested_calls")
 
-    def __init__(self, expiry: float, worth: float, request_id: bytes) -> None:
+    def __init__(self, expiry: float, worth: float, request_id: bytes, workspace: str = "") -> None:
         self.expiry = expiry  # monotonic seconds
         self.worth = worth
         self.request_id = request_id
+        self.workspace = workspace  # name, empty if there is none
         self.costs: dict[str, tuple[float, float]] = {}
         self.prices: dict[str, float] = {}
         self.made_nested_calls = False  # whether a nested call was attributed to it
@@ -66,9 +68,11 @@
     def __len__(self) -> int:
         return len(self._requests)
 
-    def begin(self, expiry: float, worth: float, request_id: bytes = b"") -> RunningRequest:
+    def begin(
+        self, expiry: float, worth: float, request_id: bytes = b"", workspace: str = ""
+    ) -> RunningRequest:
         """Add a request that starts; `expiry` is in monotonic seconds."""
-        request = RunningRequest(expiry, worth, request_id)
+        request = RunningRequest(expiry, worth, request_id, workspace)
         self._requests.add(request)
         self._by_id[request_id] = request
         step = _step_index(expiry)
--- a/packages/thorntray/src/thorntray/internal/overload/slot_queue.py
+++ b/packages/thorntray/src/thorntray/internal/overload/slot_queue.py
@@ -7,7 +7,9 @@
 
 Calls of a request that is already running go before new requests of the same worth: their parents
 hold slots elsewhere until the calls end. Of equal ones the first to expire goes first: a call tree
-that makes many calls in turn is then completed rather than left halfway behind newer ones.
+that makes many calls in turn is then completed rather than left halfway behind newer ones. Equal
+ones of several workspaces are started in turn, so that the long backlog of one does not delay the
+others (`fair_backlog`).
 
 A request that takes long may hold each of a few slots while short nested calls wait, one after the
 other, until their parent runs out of time. While nested calls are usual here, one slot is therefore
@@ -25,8 +27,7 @@
 
 from collections.abc import Callable
 
-from sortedcontainers import SortedKeyList
-
+from thorntray.internal.overload.fair_backlog import FairBacklog
 from thorntray.internal.overload.rate_limit import RateLimit
 
 UNUSED_SHARE = 0.07  # most of the slots of an instance that stay unused
@@ -39,7 +40,8 @@
 class Ticket:
     """A request for a slot; `start` is called when it gets one."""
 
-    __slots__ = ("worth", "nested", "expiry", "idempotent", "sort_key", "start", "holds_slot")
+    __slots__ = ("worth", "nested", "expiry", "idempotent", "workspace", "sort_key", "start")
+    __slots__ += ("holds_slot",)
 
     def __init__(
         self,
@@ -48,20 +50,18 @@
         start: Callable[[], None],
         expiry: float = 0.0,
         idempotent: bool = True,
+        workspace: str = "",
     ) -> None:
         self.worth = worth
         self.nested = nested
         self.expiry = expiry  # monotonic seconds
         self.idempotent = idempotent
+        self.workspace = workspace  # name, empty if there is none
         self.start = start
         self.sort_key = (0.0, 0.0, 0)
         self.holds_slot = False
 
 
-def _sort_key(ticket: Ticket) -> tuple[float, float, int]:
-    return ticket.sort_key
-
-
 class SlotQueue:
     """The slots in use and the requests waiting for one, in order of worth."""
 
@@ -71,7 +71,7 @@
         self.in_flight = 0
         self._sequence = 0
         self._nested_share = 0.0  # of the newest requests, moving average
-        self._waiting: SortedKeyList = SortedKeyList(key=_sort_key)
+        self._waiting: FairBacklog[Ticket] = FairBacklog()
 
     @property
     def waiting(self) -> int:
@@ -98,13 +98,13 @@
 
     def count_ahead(self, ticket: Ticket) -> int:
         """Return the number of waiting requests that go before a waiting one."""
-        return self._waiting.bisect_key_left(ticket.sort_key)
+        return self._waiting.count_ahead(ticket)
 
     def withdraw(self, ticket: Ticket) -> bool:
         """Remove a waiting request; False if it is not waiting."""
         if ticket.holds_slot or ticket not in self._waiting:
             return False
-        self._waiting.remove(ticket)
+        self._waiting.withdraw(ticket)
         return True
 
     def release(self, ticket: Ticket) -> None:
@@ -143,7 +143,7 @@
     def start_waiting(self) -> None:
         """Start the waiting requests that fit now, by slots and by the rate limit."""
         while (ticket := self._startable_waiting()) is not None:
-            self._waiting.remove(ticket)
+            self._waiting.take(ticket)
             self._assign_slot(ticket)
 
     def _assign_slot(self, ticket: Ticket) -> None:
--- a/packages/thorntray/src/thorntray/internal/request/origin_request.py
+++ b/packages/thorntray/src/thorntray/internal/request/origin_request.py
@@ -122,7 +122,9 @@
             return
         if not self.nested:
             deps.budget.deposit(self.service)
-            if not deps.admission.admit(self.route_key, self.priority, self.arrived_at):
+            if not deps.admission.admit(
+                self.route_key, self.priority, self.arrived_at, self.workspace
+            ):
                 self.finish(not_run(Cause.PRICED_OUT, self.route.target_latency / 2))
                 return
         self.exchange.on_cancel = self.cancel
@@ -259,8 +261,16 @@
             budget=self.expiry - now,
             max_wait=self._max_slot_wait(),
             worth=self.worth,
+            workspace=self._workspace_name,
         )
 
+    @property
+    def _workspace_name(self) -> str:
+        """Return the name of the call tree's workspace, empty if there is none."""
+        if self.workspace is not None:
+            return self.workspace.name
+        return self.parent.workspace if self.parent is not None else ""
+
     def _header_lines(self) -> bytes:
         """Return the header lines for the instance, which is told the caller's workspace."""
         if self.workspace is None:
--- a/packages/thorntray/src/thorntray/internal/request/owner.py
+++ b/packages/thorntray/src/thorntray/internal/request/owner.py
@@ -81,7 +81,12 @@
         self.arrived_at = owner.deps.clock.monotonic()
         self.expiry = self.arrived_at + call.budget
         self.ticket = Ticket(
-            call.worth, call.nested, self._on_slot_granted, self.expiry, call.idempotent
+            call.worth,
+            call.nested,
+            self._on_slot_granted,
+            self.expiry,
+            call.idempotent,
+            call.workspace,
         )
         self.run: RunningRequest | None = None
         self.instance_call: PendingSend | None = None
@@ -222,7 +227,9 @@
         self._queue_wait += MOVING_AVERAGE_WEIGHT * (waited - self._queue_wait)
         deps.on_slot_wait(waited)
         budget_ms = self._distinct_budget(request.expiry, now)
-        request.run = deps.running.begin(now + budget_ms / 1000, call.worth, call.request_id)
+        request.run = deps.running.begin(
+            now + budget_ms / 1000, call.worth, call.request_id, call.workspace
+        )
         data = self._request_bytes(call, budget_ms)
         request.timer = asyncio.get_running_loop().call_later(
             budget_ms / 1000 + EXPIRY_GRACE, self._on_expiry, request
