--- a/tests/test_fair_share_replay.py
+++ b/tests/test_fair_share_replay.py
@@ -26,6 +26,14 @@
     assert answered.share_of(hot) >= MIN_RELATIVE_SHARE * answered.share()
 
 
+def test_the_others_keep_their_share_in_the_seconds_after_a_workspace_becomes_hot(usual):
+    """Guards against a demand that follows the load slowly: the hot one would get a long burst."""
+    load = LOAD._replace(hot="w45", hot_from=LOAD.warm_up, seconds=LOAD.warm_up + 20.0)
+    before, after = play(load._replace(factor=1.0)), play(load)
+    print(f"first 20 s: others {before.share('w45'):.3f} -> {after.share('w45'):.3f}")
+    assert before.share("w45") - after.share("w45") <= MAX_CHANGE
+
+
 def test_the_others_lose_several_times_the_bound_if_all_are_admitted_the_same_share():
     """Shows that the load needs the distribution: the replay as it was before workspaces."""
     plain = LOAD._replace(fair_admission=False, fair_queue=False)
--- a/tests/workspace_replay.py
+++ b/tests/workspace_replay.py
@@ -30,6 +30,7 @@
     sizes: dict[str, float]  # relative demand by workspace
     hot: str = ""  # workspace that sends `factor` times its usual load
     factor: float = 10.0
+    hot_from: float = 0.0  # seconds after the start
     overload: float = 1.5
     slots: int = 21
     entry_nodes: int = 4
@@ -82,11 +83,11 @@
         scale = replay.overload * capacity / sum(replay.sizes.values())
         for name, size in replay.sizes.items():
             rate, arrivals = scale * size, Random(f"{name} {replay.seed}")
-            rate *= replay.factor if name == replay.hot else 1.0
-            time = arrivals.expovariate(rate)
+            time = 0.0
             while time < replay.seconds:
+                hot = name == replay.hot and time >= replay.hot_from
+                time += arrivals.expovariate(rate * replay.factor if hot else rate)
                 self.at(time, lambda name=name: self.arrive(name))
-                time += arrivals.expovariate(rate)
         for step in range(int(replay.seconds / PRICE_PERIOD)):
             self.at(step * PRICE_PERIOD, self.update_price)
         while self.events:
