The policy watch tells which version was the newest when a call was sent

Cause: evidence that no API key has been withdrawn (docs/design/workspaces.md, part 1) comes from the answers to the watch, also from those without changes. The watch waited for 30 s, did not say when its call was sent, and took a garbled change for none. Calls that waited for the call limit got its tokens in no order, so that frequent retries could starve a renewal.

Change: the caller of a watch chooses the wait of each call, and a batch has the boot time at which its call left, after the wait for the limit. The policy watch passes on the newest valid version with that time. It has none after a missing document, an invalid one that follows an unknown one, or a change that was not decoded. The limit serves waiting calls in order. Without a sink for the evidence, the calls to the store are those of before.

In the tests, fakes of the store take the wait as an argument, and the in-memory store answers at its end; make_key_policy is new.

--- a/packages/thorntray/src/thorntray/internal/store/policy_watch.py
+++ b/packages/thorntray/src/thorntray/internal/store/policy_watch.py
@@ -5,12 +5,17 @@
 policy version of the sender, and a node fetches a newer one from a peer, also while it cannot reach
 the service. A node that has heard of a version and has not received it within `FETCH_PATIENCE`
 reads the service again.
+
+Each answer of the service, also one without changes, shows which version was the newest when the
+call was sent; `EvidenceSink` is told of it. An invalid document never comes into force, so the
+newest valid one before it counts. Where that one is not known, because the first read after a start
+or a gap returned an invalid document or none, the answers show nothing.
 """
 
 import asyncio
 from collections.abc import AsyncIterator, Callable
 from random import Random
-from typing import Protocol
+from typing import NamedTuple, Protocol
 
 from thorntray.errors import BadDocument, PlatformUnavailable
 from thorntray.internal.connection.frame import FetchPolicy, Frame, PolicyFrame
@@ -32,6 +37,7 @@
 DUTY_CHECK_PERIOD = 0.25  # seconds
 
 PolicyDecoder = Callable[[bytes], Policy]
+WatchWait = Callable[[], float | None]
 
 
 class PolicyStore(Protocol):
@@ -46,11 +52,57 @@
         """Return the entries of a key or prefix and the store's revision."""
         ...
 
-    def watch(self, prefix: str, start_revision: int) -> AsyncIterator[WatchBatch]:
-        """Yield the changes of keys with a prefix, starting at a revision."""
+    def watch(self, prefix: str, start_revision: int, wait: WatchWait) -> AsyncIterator[WatchBatch]:
+        """Yield the changes of keys with a prefix, starting at a revision.
+
+        `wait` returns for each call after how many seconds the store is to answer without changes,
+        which yields an empty batch; None leaves the time to the store's client.
+        """
         ...
 
 
+class EvidenceSink(Protocol):
+    """Is told which version of the policy the store held at which time."""
+
+    def now(self) -> float:
+        """Return the boot time in seconds."""
+        ...
+
+    def watch_wait(self) -> float | None:
+        """Return after how many seconds a watch is to be answered; None: whenever it suits."""
+        ...
+
+    def store_answered(self, version: int, sent_at: float, epoch: int) -> None:
+        """Record that a call sent at a boot time was answered in an epoch of the store.
+
+        `version` is the newest valid one that the store held.
+        """
+        ...
+
+
+class NoEvidence:
+    """The sink of a node that needs no evidence."""
+
+    def now(self) -> float:
+        """Return 0."""
+        return 0.0
+
+    def watch_wait(self) -> float | None:
+        """Return None."""
+        return None
+
+    def store_answered(self, version: int, sent_at: float, epoch: int) -> None:
+        """Do nothing."""
+
+
+class _StoredVersion(NamedTuple):
+    """The newest valid version, as of a write of the key in an epoch of the store."""
+
+    epoch: int
+    mod_revision: int
+    version: int
+
+
 class PolicyWatch:
     """Reads policies from the store and from peers and offers them to the holder."""
 
@@ -73,7 +125,9 @@
         self._rng = rng
         self._last_request: tuple[int, float] = (0, 0.0)  # version, event loop time
         self._behind_since: float | None = None  # event loop time; None if no newer one is known
+        self._stored: _StoredVersion | None = None  # None: not known
         self.duty: WatchDuty | EveryNode = EveryNode()
+        self.evidence: EvidenceSink = NoEvidence()
 
     def revisions(self) -> Revisions:
         """Return the version in force, in the form in which datagrams carry it."""
@@ -108,13 +162,16 @@
             return None
         return PolicyFrame(policy.version, policy.document)
 
-    def offer(self, document: bytes, source: str) -> None:
-        """Decode a document and put it in force if it is newer; an invalid one is only logged."""
+    def offer(self, document: bytes, source: str) -> int | None:
+        """Decode a document and put it in force if it is newer; return its version.
+
+        An invalid document is only logged, and None is returned.
+        """
         try:
             policy = self._decode(document)
         except BadDocument as exc:
             log_event(Event.POLICY_REFUSED, source=source, detail=str(exc))
-            return
+            return None
         if self._holder.replace_if_newer(policy):
             self._behind_since = None
             log_event(
@@ -123,15 +180,15 @@
                 source=source,
                 routes=len(policy.routes),
             )
+        return policy.version
 
     async def run(self) -> None:
         """Read the policy, watch it while on duty, and start again whenever the watch ends."""
         backoff = INITIAL_BACKOFF
         while True:
             try:
-                entries, revision = await self._store.read(self._key)
+                revision = await self.read()
                 epoch = self._store.epoch.current
-                self._apply(WatchBatch(tuple(entries), revision))
                 backoff = INITIAL_BACKOFF
                 if self.duty.on_duty():
                     await self._watch(revision + 1)
@@ -146,13 +203,56 @@
             self._behind_since = None
             await self._wait_until_needed()
 
+    async def read(self) -> int:
+        """Read the policy from the store, offer it, and return the store's revision.
+
+        Raises `PlatformUnavailable`.
+        """
+        sent_at = self.evidence.now()
+        entries, revision = await self._store.read(self._key)
+        self._state.record(True)
+        entry = next((entry for entry in entries if entry.key == self._key), None)
+        if entry is None:
+            self._stored = None
+        else:
+            self._apply_read(entry)
+        self._record_evidence(sent_at)
+        return revision
+
+    async def check(self) -> None:
+        """Read the policy from the store once more, whether or not this node is on duty."""
+        try:
+            await self.read()
+        except PlatformUnavailable as exc:
+            self._state.record(False, str(exc))
+
+    def _apply_read(self, entry: StoreEntry) -> None:
+        version = self.offer(entry.value, "store")
+        epoch, stored = self._store.epoch.current, self._stored
+        if version is not None:
+            self._set_stored(_StoredVersion(epoch, entry.mod_revision, version))
+        elif stored is not None and stored[:2] != (epoch, entry.mod_revision):
+            self._stored = None  # there may have been a valid version before the invalid one
+
+    def _set_stored(self, new: _StoredVersion) -> None:
+        """Replace the newest version that the store is known to hold, unless `new` is outdated.
+
+        A read and a watch that run at the same time may be answered in any order.
+        """
+        if self._stored is None or new[:2] >= self._stored[:2]:
+            self._stored = new
+
     async def _watch(self, start_revision: int) -> None:
         """Apply the changes of the key until the watch ends or this node is no longer on duty."""
-        async for batch in self._store.watch(self._key, start_revision):
+        wait = self.evidence.watch_wait
+        async for batch in self._store.watch(self._key, start_revision, wait):
             self._state.record(True)
             if batch.compacted:
                 return  # changes may have been missed: the key is to be read again
-            self._apply(batch)
+            self._apply_changes(batch)
+            if not batch.complete:
+                self._stored = None  # the change that was not decoded may be a newer version
+            self._record_evidence(batch.sent_at)
             if not self.duty.on_duty():
                 return
 
@@ -166,8 +266,19 @@
             return False
         return asyncio.get_running_loop().time() - self._behind_since > FETCH_PATIENCE
 
-    def _apply(self, batch: WatchBatch) -> None:
-        self._state.record(True)
+    def _apply_changes(self, batch: WatchBatch) -> None:
+        """Offer the changes of the key, of which none was missed."""
         for entry in batch.entries:
-            if entry.key == self._key:
-                self.offer(entry.value, "store")
+            if entry.key != self._key:
+                continue
+            version, stored = self.offer(entry.value, "store"), self._stored
+            if version is None and stored is not None:
+                version = stored.version
+            if version is not None:
+                epoch = self._store.epoch.current
+                self._set_stored(_StoredVersion(epoch, entry.mod_revision, version))
+
+    def _record_evidence(self, sent_at: float) -> None:
+        stored, epoch = self._stored, self._store.epoch.current
+        if stored is not None and stored.epoch == epoch:
+            self.evidence.store_answered(stored.version, sent_at, epoch)
--- a/packages/thorntray/src/thorntray/internal/store/store_calls.py
+++ b/packages/thorntray/src/thorntray/internal/store/store_calls.py
@@ -8,7 +8,8 @@
 import asyncio
 import socket
 from collections.abc import Callable
-from dataclasses import dataclass
+from dataclasses import dataclass, field
+from math import inf
 from random import Random
 from typing import NamedTuple
 
@@ -37,11 +38,18 @@
 
 
 class WatchBatch(NamedTuple):
-    """Changes reported by a watch. If `compacted` is set, some may have been missed."""
+    """Changes reported by a watch. If `compacted` is set, some may have been missed.
+
+    `sent_at` is the boot time in seconds at which the call was sent, to which the store answered
+    with all changes up to then; a store client that does not know it leaves minus infinity. If
+    `complete` is false, a change could not be decoded.
+    """
 
     entries: tuple[StoreEntry, ...]
     revision: int
     compacted: bool = False
+    sent_at: float = -inf
+    complete: bool = True
 
 
 # A body that is not JSON, or nested too deeply, is no answer.
@@ -55,24 +63,35 @@
 
 
 class StoreReply(NamedTuple):
-    """HTTP status and decoded JSON body of a call; the body is empty unless the status is 200."""
+    """HTTP status and decoded JSON body of a call; the body is empty unless the status is 200.
+
+    `sent_at` is the boot time in seconds at which the call was sent.
+    """
 
     status: int
     body: dict
+    sent_at: float = -inf
 
 
 @dataclass(slots=True)
 class CallBudget:
-    """Token bucket for calls to the platform's service."""
+    """Token bucket for calls to the platform's service; those that wait get tokens in order."""
 
     clock: Clock
     rate: float = CALLS_PER_SECOND
     burst: float = CALL_BURST
     tokens: float = CALL_BURST
     updated_at: float = 0.0
+    queue: asyncio.Lock = field(default_factory=asyncio.Lock)
 
     async def acquire(self) -> None:
         """Wait until a call may be made."""
+        # Without an order, a caller that waits for the renewal of its evidence could lose each new
+        # token to others that retry often.
+        async with self.queue:
+            await self._take()
+
+    async def _take(self) -> None:
         while True:
             now = self.clock.monotonic()
             self.tokens = min(self.burst, self.tokens + (now - self.updated_at) * self.rate)
@@ -104,6 +123,7 @@
         self._epoch_header = epoch_header
         self.epoch = StoreEpoch()
         self._rng = rng
+        self._clock = clock
         self._budget = CallBudget(clock, rate=rate, updated_at=clock.monotonic())
         self._session: aiohttp.ClientSession | None = None
         self.calls = 0
@@ -127,6 +147,7 @@
         """
         await self._budget.acquire()
         self.calls += 1
+        sent_at = self._clock.boottime()
         url = self.endpoint() + path
         client_timeout = aiohttp.ClientTimeout(
             total=timeout, sock_connect=min(timeout, CALL_TIMEOUT)
@@ -138,7 +159,7 @@
                 body = await resp.read()
                 self._on_call(method, str(resp.status))
                 decoded = msgspec.json.decode(body, type=dict) if resp.status == 200 else {}
-                reply = StoreReply(resp.status, decoded)
+                reply = StoreReply(resp.status, decoded, sent_at)
                 epoch = resp.headers.get(self._epoch_header, "")
         except (aiohttp.ClientConnectorError, aiohttp.ServerTimeoutError) as exc:
             self._on_call(method, "no connection")
--- a/tests/fleet_builders.py
+++ b/tests/fleet_builders.py
@@ -13,6 +13,7 @@
 from thorntray.internal.membership.gossip import Address
 from thorntray.internal.membership.member import Health, Member
 from thorntray.internal.membership.membership import Membership
+from thorntray.internal.store.policy_watch import WatchWait
 from thorntray.internal.store.roles import Roles
 from thorntray.internal.store.settings_sync import SettingsSync
 from thorntray.internal.store.store_calls import StoreEntry, WatchBatch
@@ -103,17 +104,35 @@
     async def lease_revoke(self, lease: int) -> None:
         self._count()
 
-    async def watch(self, prefix: str, start_revision: int):
+    async def watch(self, prefix: str, start_revision: int, wait: WatchWait = lambda: None):
         self._count()
-        after = start_revision - 1
+        after, loop = start_revision - 1, asyncio.get_running_loop()
+        while not self.down:
+            sent_at, seconds = loop.time(), wait()
+            deadline = None if seconds is None else sent_at + seconds
+            matching = await self._next_changes(prefix, after, deadline)
+            if self.down:
+                break
+            after = self.revision
+            yield WatchBatch(matching, after, sent_at=sent_at)
+        raise PlatformUnavailable("down")
+
+    async def _next_changes(
+        self, prefix: str, after: int, deadline: float | None
+    ) -> tuple[StoreEntry, ...]:
+        """Return the changes after a revision, none at the deadline (event loop time)."""
         while not self.down:
             changed = [StoreEntry(k, v, r) for k, (v, r) in self.values.items() if r > after]
             after = self.revision
             matching = tuple(entry for entry in changed if entry.key.startswith(prefix))
             if matching:
-                yield WatchBatch(matching, after)
-            await self._change_event.wait()
-        raise PlatformUnavailable("down")
+                return matching
+            try:
+                async with asyncio.timeout_at(deadline):
+                    await self._change_event.wait()
+            except TimeoutError:
+                break
+        return ()
 
 
 class MemoryFleet:
--- a/tests/mesh_builders.py
+++ b/tests/mesh_builders.py
@@ -19,9 +19,11 @@
 from thorntray.internal.process.registration import Announcement, Phase
 from thorntray.internal.request.result import Cause, Result, ResultKind
 from thorntray.internal.request.result_frames import frame_from_result
+from thorntray.internal.store.policy_watch import WatchWait
 from thorntray.internal.store.store_calls import StoreEntry, WatchBatch
 from thorntray.internal.store.store_epoch import StoreEpoch
 from thorntray.internal.version.policy import Policy, Route, ServicePolicy, Target
+from thorntray.internal.version.workspaces import Workspace, Workspaces
 from thorntray_node.mesh_config import Endpoint, MeshConfig
 from thorntray_node.mesh_node import MeshNode
 from thorntray_node.platform_store import StoreKeys
@@ -75,6 +77,17 @@
     return Policy.from_parts(version, routes, services, RequestLimits(), b"document")
 
 
+def make_key_policy(version: int = 1, routes: list[Route] | None = None) -> Policy:
+    """Return a policy with the API keys `key-n` and `key-(n+1)`, where n is its version.
+
+    So version n + 1 withdraws `key-n`. The document holds only the version.
+    """
+    keys = [f"key-{version}", f"key-{version + 1}"]
+    workspaces = Workspaces.from_keys([(Workspace("himal"), keys)])
+    document = str(version).encode()
+    return make_policy(version, routes)._replace(workspaces=workspaces, document=document)
+
+
 def make_announcement(**changes) -> Announcement:
     """Return an announcement with default fields, replaced by `changes`."""
     fields = {
@@ -231,7 +244,7 @@
     async def lease_revoke(self, lease: int) -> None:
         """Do nothing; the entries stay."""
 
-    async def watch(self, prefix: str, start_revision: int):
+    async def watch(self, prefix: str, start_revision: int, wait: WatchWait):
         """Report no change for an hour."""
         await asyncio.sleep(3600)
         yield WatchBatch((), start_revision)
--- a/tests/policy_fleet.py
+++ b/tests/policy_fleet.py
@@ -12,7 +12,7 @@
 from thorntray.internal.membership.gossip import Address
 from thorntray.internal.membership.member import Member
 from thorntray.internal.membership.membership import Membership
-from thorntray.internal.store.policy_watch import PolicyWatch
+from thorntray.internal.store.policy_watch import PolicyWatch, WatchWait
 from thorntray.internal.store.seeds import PlatformState, Seeds, SeedTiming
 from thorntray.internal.store.watch_duty import WatchDuty
 from thorntray.internal.version.policy import Policy, PolicyHolder
@@ -66,9 +66,9 @@
     async def lease_revoke(self, lease: int) -> None:
         await self._store.lease_revoke(lease)
 
-    async def watch(self, prefix: str, start_revision: int):
+    async def watch(self, prefix: str, start_revision: int, wait: WatchWait):
         self._count()
-        async for batch in self._store.watch(prefix, start_revision):
+        async for batch in self._store.watch(prefix, start_revision, wait):
             yield batch
             self._count()
 
@@ -100,16 +100,19 @@
 class PolicyNode:
     """Membership, seeds and policy watch of one node."""
 
+    make_clock = LoopClock
+
     def __init__(self, fleet: MemoryFleet, store: CountingStore, name: str, domain: str) -> None:
         self.fleet, self.name, self.running = fleet, name, True
-        self.clock, rng = LoopClock(), Random(name)
+        self.clock, self.rng = self.make_clock(), Random(name)
+        rng = self.rng
         fleet.next_port += 1
         self.address = Address("127.0.0.1", fleet.next_port)
         self.applied_at: dict[int, float] = {}  # event loop time by version
         self.holder = PolicyHolder(self._on_change)
         view = store.of_node(name)
         state = PlatformState()
-        self.watch = PolicyWatch(view, KEY, _decode, self.holder, self, state, rng)
+        self.watch = PolicyWatch(view, KEY, self.decode, self.holder, self, state, rng)
         own = make_member(
             name,
             domain=domain,
@@ -150,26 +153,34 @@
         if self.running:
             self.membership.on_datagram(data, address)
 
+    def decode(self, document: bytes) -> Policy:
+        """Return the policy of a document, which holds only the version."""
+        return make_policy(int(document))._replace(document=document)
+
     def _on_change(self, policy: Policy) -> None:
         self.applied_at[policy.version] = asyncio.get_running_loop().time()
         self.membership.spread_revisions()
 
 
-def _decode(document: bytes) -> Policy:
-    return make_policy(int(document))._replace(document=document)
-
-
 class PolicyFleet:
     """`count` nodes in several domains that share one store with policy version 1."""
 
+    node_type = PolicyNode
+    store_type = CountingStore
+
     def __init__(self, count: int, domains: int = 5, seed: int = 1) -> None:
-        self.store = CountingStore()
+        self.store = self.store_type()
         self.network = MemoryFleet(Random(seed))
         self.store.write(KEY, b"1")
         for index in range(count):
-            node = PolicyNode(self.network, self.store, f"n{index:04}", f"d{index % domains}")
-            self.network.nodes[node.name] = node
-            self.network.nodes_by_address[node.address] = node
+            self.add(f"n{index:04}", f"d{index % domains}")
+
+    def add(self, name: str, domain: str) -> PolicyNode:
+        """Add a node, which is to be started."""
+        node = self.node_type(self.network, self.store, name, domain)
+        self.network.nodes[name] = node
+        self.network.nodes_by_address[node.address] = node
+        return node
 
     @property
     def nodes(self) -> dict[str, PolicyNode]:
--- a/tests/test_kv_store.py
+++ b/tests/test_kv_store.py
@@ -132,3 +132,54 @@
         return first, second, holder.version
 
     assert run_with_store(scenario) == (3, 7, 7)
+
+
+def test_a_watch_is_answered_without_changes_within_its_wait_and_tells_when_it_was_sent():
+    """Guards against evidence that looks newer than the call, and against waits of 30 s for it."""
+
+    async def scenario(store, stand_in):
+        await stand_in.write(KEY, b"one")
+        _, revision = await store.read(KEY)
+        waits = iter([0.3, 0.1])
+        watch = store.watch(KEY, revision + 1, lambda: next(waits))
+        clock, seen = SystemClock(), []
+        for _ in range(2):
+            before = clock.boottime()
+            batch = await anext(watch)
+            seen.append((batch.entries, batch.sent_at - before, clock.boottime() - batch.sent_at))
+        return seen
+
+    (first, sent, waited), (second, sent_again, waited_again) = run_with_store(scenario)
+    assert first == second == ()
+    assert 0 <= sent < 0.2 and 0 <= sent_again < 0.2
+    assert 0.29 <= waited < 1.5 and 0.09 <= waited_again < 1.5
+
+
+def test_a_watch_call_that_waits_for_the_call_limit_counts_from_when_it_is_sent():
+    """The wait for the limit must not make evidence older than the call."""
+
+    async def scenario(store, stand_in):
+        await stand_in.write(KEY, b"one")
+        _, revision = await store.read(KEY)
+        store._calls._budget.tokens = 0.0
+        before = SystemClock().boottime()
+        batch = await anext(store.watch(KEY, revision + 1, lambda: 0.05))
+        return batch.sent_at - before
+
+    assert run_with_store(scenario) > 0.5
+
+
+def test_a_watch_tells_that_a_change_could_not_be_decoded():
+    """The garbled change may be the version that withdraws a key."""
+
+    async def scenario(store, stand_in):
+        await stand_in.write(KEY, b"one")
+        _, revision = await store.read(KEY)
+        await stand_in.write(KEY, b"two")
+        stand_in.events[-1][1]["Value"] = "not base64!"
+        garbled = await anext(store.watch(KEY, revision + 1))
+        await stand_in.write(KEY, b"three")
+        sound = await anext(store.watch(KEY, garbled.revision + 1))
+        return garbled.complete, sound.complete
+
+    assert run_with_store(scenario) == (False, True)
--- a/tests/test_store_epoch.py
+++ b/tests/test_store_epoch.py
@@ -258,7 +258,7 @@
                 reads.append(loop.time())
                 return [], 1
 
-            async def watch(self, prefix, start_revision):
+            async def watch(self, prefix, start_revision, wait):
                 await epoch.wait_beyond(1 if epoch.current == 1 else 2)
                 return
                 yield
