API keys are served only with recent evidence that the policy is the newest one

Cause: a node that was partitioned, paused or restarted, or whose store was down or restored, went on to serve keys that a newer version had withdrawn. The settings allow a bound, RevokeS, for that (docs/design/workspaces.md, part 1).

Change: version/freshness.py decides by evidence, a version with the boot time at which no newer one had been acknowledged; it is valid for 0.8 of the bound, and for the bound less 1 s where that is shorter. Evidence for a newer version counts once that is in force, and a store in a new epoch, also in the first one that a process sees, gives none for 1 s. store/freshness_check.py renews it: the watchers by short watch calls, other nodes by datagrams to a watcher of their domain, then to other domains and members, then by reads of the store with a back-off. Without a bound, or without workspaces, there are no queries, and the calls to the store are those of before.

Events 313 and 314, a gauge for the age of the evidence.

--- a/packages/thorntray-node/src/thorntray_node/mesh_gauges.py
+++ b/packages/thorntray-node/src/thorntray_node/mesh_gauges.py
@@ -1,6 +1,7 @@
 """Gauges for the state of a `MeshNode`, evaluated when the metrics are scraped."""
 
 from collections.abc import Callable
+from math import isfinite
 from typing import TYPE_CHECKING
 
 if TYPE_CHECKING:
@@ -11,6 +12,11 @@
     return -1.0 if value is None else value
 
 
+def _evidence_age(node: "MeshNode") -> float:
+    age = node.freshness.age(node.holder.version)
+    return age if node.freshness.is_needed(node.holder.policy) and isfinite(age) else -1.0
+
+
 def register_gauges(node: "MeshNode") -> None:
     """Register the gauges of a node; call once, after all its components are created."""
     gauges: dict[str, Callable[[], float]] = {
@@ -23,6 +29,7 @@
         "thorntray_members": lambda: len(node.membership.alive()),
         "thorntray_policy_version": lambda: node.holder.version,
         "thorntray_policy_watch": lambda: float(node.policy_watch.duty.on_duty()),
+        "thorntray_policy_evidence_age_seconds": lambda: _evidence_age(node),
         "thorntray_gossip_sent_bytes": lambda: node.membership.bytes_sent,
         "thorntray_gossip_received_bytes": lambda: node.membership.bytes_received,
         "thorntray_instance_connections": lambda: node.pool.connections_opened,
--- a/packages/thorntray-node/src/thorntray_node/mesh_node.py
+++ b/packages/thorntray-node/src/thorntray_node/mesh_node.py
@@ -36,7 +36,12 @@
 from thorntray.internal.request.owner import Owner, OwnerDependencies
 from thorntray.internal.request.request_log import RequestLog
 from thorntray.internal.request.result import Cause, Result
-from thorntray.internal.store.policy_watch import PolicyDecoder, PolicyWatch
+from thorntray.internal.store.freshness_check import FreshnessCheck
+from thorntray.internal.store.policy_watch import (
+    POLICY_REVISION_KEY,
+    PolicyDecoder,
+    PolicyWatch,
+)
 from thorntray.internal.store.seeds import PlatformState, Seeds, SeedTiming
 from thorntray.internal.store.watch_duty import WatchDuty
 from thorntray.internal.telemetry.events import Event, log_event
@@ -116,7 +121,8 @@
     def _create_origin_components(self) -> None:
         cfg, clock = self.cfg, self.clock
         self.holder = PolicyHolder(self._policy_changed)
-        self.freshness = Freshness()
+        self.freshness = Freshness(clock, cfg.max_policy_age)
+        self.freshness_check: FreshnessCheck | None = None  # None: keys need no evidence
         self.links = Links(cfg.name, self._session, cfg.domain, clock)
         self.links.on_non_result_frame = self._peer_frame_received
         self.links.on_link_failure = self._link_failed
@@ -186,7 +192,10 @@
             SEED_TIMING,
             self.rng,
         )
-        self.policy_watch.duty = WatchDuty(self.membership, self.seeds, self.clock, self.rng)
+        duty = WatchDuty(self.membership, self.seeds, self.clock, self.rng)
+        self.policy_watch.duty = duty
+        if self.freshness.strict:
+            self._create_freshness_check(duty)
         self.origin = Origin(self._origin_dependencies())
         self.callers = HttpServer(self.origin.handle, self.clock)
         self.callers.on_unanswered = self._request_unanswered
@@ -203,11 +212,27 @@
         self.seeds.start()
         for loop in (self.policy_watch.run, self.links.watch, self._tick, self._housekeeping):
             self._tasks.spawn(loop())
+        if self.freshness_check is not None:
+            self._tasks.spawn(self.freshness_check.query_peers())
+            self._tasks.spawn(self.freshness_check.check_store())
         servers = (self.callers, self.readiness, self.announcements, self.metrics_server)
         for server in servers:
             self._tasks.spawn(server.sweep())
         log_event(Event.STARTED, service=cfg.service, domain=cfg.domain)
 
+    def _create_freshness_check(self, duty: WatchDuty) -> None:
+        watch = self.policy_watch
+        self.freshness_check = watch.evidence = FreshnessCheck(
+            self.freshness,
+            self.holder,
+            self.membership,
+            duty,
+            watch.check,
+            lambda member, version: watch.on_revisions(member, {POLICY_REVISION_KEY: version}),
+            self.clock,
+            self.rng,
+        )
+
     async def _serve_metrics(self) -> None:
         """Start the metrics server; a failure is only logged, as a node works without metrics."""
         register_gauges(self)
@@ -242,6 +267,8 @@
 
     def _policy_changed(self, policy: Policy) -> None:
         self.callers.limits = policy.limits
+        if self.freshness_check is not None:
+            self.freshness_check.policy_changed()
         self.membership.spread_revisions()
 
     def _instance_changed(self) -> None:
--- a/packages/thorntray/src/thorntray/internal/store/watch_duty.py
+++ b/packages/thorntray/src/thorntray/internal/store/watch_duty.py
@@ -43,20 +43,26 @@
             self._isolated_until = now + ISOLATION_HOLD
         if now < self._isolated_until:
             return True
-        return self._membership.own.name in self._watchers()
+        own = self._membership.own
+        return own.name in self._watchers(own.domain)
 
     def source_for(self, sender: Member) -> Member:
         """Return the peer from which to fetch a version that `sender` has told of."""
         own = self._membership.own
         if sender.domain == own.domain:
             return sender
-        names = sorted(self._watchers() - {own.name})
-        watcher = self._membership.find(self._rng.choice(names)) if names else None
-        return watcher or sender
+        watchers = self.watchers_of(own.domain)
+        return self._rng.choice(watchers) if watchers else sender
+
+    def watchers_of(self, domain: str) -> list[Member]:
+        """Return the members of a failure domain that watch the policy, without this node."""
+        own = self._membership.own.name
+        names = sorted(self._watchers(domain) - {own})
+        return [member for name in names if (member := self._membership.find(name)) is not None]
 
-    def _watchers(self) -> set[str]:
-        members, own = self._membership.alive(), self._membership.own
-        return role_holders(members, own.domain, POLICY_WATCH_ROLE, WATCHERS_PER_DOMAIN)
+    def _watchers(self, domain: str) -> set[str]:
+        members = self._membership.alive()
+        return role_holders(members, domain, POLICY_WATCH_ROLE, WATCHERS_PER_DOMAIN)
 
 
 class EveryNode:
--- a/packages/thorntray/src/thorntray/internal/telemetry/events.py
+++ b/packages/thorntray/src/thorntray/internal/telemetry/events.py
@@ -71,6 +71,10 @@
     PLATFORM_RESTORED = EventKind(
         312, Level.WARNING, "platform service restored from an older copy"
     )
+    KEYS_REFUSED = EventKind(
+        313, Level.WARNING, "API keys refused, no recent proof of the newest policy"
+    )
+    KEYS_SERVED = EventKind(314, Level.INFO, "API keys served again")
     BAD_MESSAGE = EventKind(400, Level.WARNING, "message refused")
     HANDLER_FAILED = EventKind(401, Level.ERROR, "message handler failed")
     LINK_LOST = EventKind(410, Level.WARNING, "link to a peer lost")
--- a/packages/thorntray/src/thorntray/internal/telemetry/node_metrics.py
+++ b/packages/thorntray/src/thorntray/internal/telemetry/node_metrics.py
@@ -48,6 +48,10 @@
     "thorntray_members": ("gauge", "members considered alive"),
     "thorntray_policy_version": ("gauge", "version of the policy in force, 0 for none"),
     "thorntray_policy_watch": ("gauge", "1 if this node watches the policy in the store, else 0"),
+    "thorntray_policy_evidence_age_seconds": (
+        "gauge",
+        "age of the proof that the policy in force is the newest one, -1: none or not needed",
+    ),
     "thorntray_gossip_sent_bytes": ("gauge", "bytes of membership datagrams sent since the start"),
     "thorntray_gossip_received_bytes": ("gauge", "bytes of membership datagrams received"),
     "thorntray_instance_connections": ("gauge", "connections opened to the instance"),
--- a/tests/mesh_builders.py
+++ b/tests/mesh_builders.py
@@ -26,7 +26,7 @@
 from thorntray.internal.version.workspaces import Workspace, Workspaces
 from thorntray_node.mesh_config import Endpoint, MeshConfig
 from thorntray_node.mesh_node import MeshNode
-from thorntray_node.platform_store import StoreKeys
+from thorntray_node.platform_store import PlatformStore, StoreKeys
 
 HOST = "127.0.0.1"
 HEADER_NAMES = HeaderNames()
@@ -295,13 +295,21 @@
         self.announce(name)
         return node
 
+    def decode_policy(self, document: bytes) -> Policy:
+        """Return the policy of the fleet, whatever the document."""
+        return self._policy
+
+    def make_store(self, name: str) -> PlatformStore:
+        """Return the store's client of a node."""
+        return self.store
+
     async def _start_node(self, cfg: MeshConfig) -> MeshNode:
         rng = Random(f"{cfg.name} {len(self.stopped)}")
         node = MeshNode(
             cfg,
-            self.store,
+            self.make_store(cfg.name),
             StoreKeys("seeds/", "policy"),
-            lambda _: self._policy,
+            self.decode_policy,
             SystemClock(),
             rng,
         )
