thorntrayctl explain names the cause of a request refused for its caller

Cause: such a request has a single line, 513, and no line of its end, so explain printed it without a cause.

Change: the reason is put in words. For a stale policy, the trace has the newest lines 310 or 311 and 313 or 314 of that node before the refusal, which may be hours old, and the cause tells the age of the last proof and whether the store failed.

--- a/packages/thorntrayctl/src/thorntrayctl/request_trace.py
+++ b/packages/thorntrayctl/src/thorntrayctl/request_trace.py
@@ -1,9 +1,9 @@
 """Assembles the trace of one request from the log lines of all nodes.
 
 A log line is JSON, possibly after a text prefix. A request is logged by its origin and by each
-owner that it was sent to; a call that it made has its own id and refers to it as `parent`. The
-trace includes the state that the nodes logged at that time (lost links, changes of instances,
-load), since this usually shows the cause.
+owner that it was sent to; a call that it made has its own id and refers to it as `parent`. One that
+is refused for its caller has a single line. The trace includes the state that the nodes logged at
+that time (lost links, changes of instances, load), since this usually shows the cause.
 """
 
 import json
@@ -12,10 +12,15 @@
 
 # Numbers of log events, as in `thorntray.internal.telemetry.events`.
 REQUEST_ENDED, REQUEST_REPEATED, REQUEST_UNANSWERED = 510, 511, 512
+CALLER_REFUSED = 513
 STOP_EVENTS = frozenset({101, 102, 103, 109})
 LINK_EVENTS = frozenset({410, 411})
 INSTANCE_EVENTS = frozenset({111, 112, 113})
 LOAD = 520
+STORE_DOWN, STORE_UP = 310, 311
+KEYS_REFUSED, KEYS_SERVED = 313, 314
+# The newest of each group before a refusal shows the state of its node, however long ago it began.
+STATE_EVENTS = (frozenset({STORE_DOWN, STORE_UP}), frozenset({KEYS_REFUSED, KEYS_SERVED}))
 CONTEXT_SECONDS = 1.5  # seconds before the start and after the end of the request
 MAX_CALL_DEPTH = 8  # levels of nested calls that are followed
 _HIDDEN_FIELDS = frozenset({"time", "event", "name", "level", "node", "text"})
@@ -94,7 +99,20 @@
             context.append(event)
         elif event.event == LOAD:
             context.append(event)
-    return context
+    return sorted([*_state_lines(events, lines), *context], key=lambda line: line.time)
+
+
+def _state_lines(events: list[LogLine], lines: list[LogLine]) -> list[LogLine]:
+    """Return the newest lines about the store and about keys before refusals for stale policies."""
+    found: dict[tuple[str, frozenset[int]], LogLine] = {}
+    for line in lines:
+        if line.event != CALLER_REFUSED or line.fields.get("reason") != "STALE_POLICY":
+            continue
+        for event in events:
+            for group in STATE_EVENTS:
+                if event.event in group and event.node == line.node and event.time <= line.time:
+                    found[(event.node, group)] = event
+    return list(found.values())
 
 
 def _causes(lines: list[LogLine], context: list[LogLine], request_id: str) -> list[str]:
@@ -108,17 +126,62 @@
         for line in lines
         if line.event == REQUEST_UNANSWERED
     ]
+    for line in lines:
+        if line.event == CALLER_REFUSED:
+            subject = _subject(line, request_id)
+            causes.append(f"{subject}: {_caller_refused_cause(line, context)}")
     for line in origins:
         if line.fields["end"] == "ANSWERED" and line.fields["status"] < 500:
             continue
         owners = [
             e for e in ended if e.fields["side"] == "owner" and e.fields["id"] == line.fields["id"]
         ]
-        subject = "request" if line.fields["id"] == request_id else f"call {line.fields['id']}"
-        causes.append(f"{subject}: {_cause(line, owners, context)}")
+        causes.append(f"{_subject(line, request_id)}: {_cause(line, owners, context)}")
     return causes
 
 
+def _subject(line: LogLine, request_id: str) -> str:
+    return "request" if line.fields["id"] == request_id else f"call {line.fields['id']}"
+
+
+def _caller_refused_cause(line: LogLine, context: list[LogLine]) -> str:
+    reason = line.fields.get("reason")
+    match reason:
+        case "MISSING_KEY":
+            return (
+                f"refused by {line.node}: it carried no API key, and route "
+                f"{line.fields.get('route')} needs one"
+            )
+        case "UNKNOWN_KEY":
+            return (
+                f"refused by {line.node}: its API key belongs to no workspace; it is wrong or has "
+                f"been withdrawn"
+            )
+        case "STALE_POLICY":
+            return _stale_policy_cause(line, context)
+    return f"refused by {line.node} for its caller: {reason}"
+
+
+def _stale_policy_cause(line: LogLine, context: list[LogLine]) -> str:
+    text = f"refused by {line.node}, which could not know whether the API key has been withdrawn"
+    states = {event.event: event for event in context if event.node == line.node}
+    if KEYS_REFUSED in states:
+        fields = states[KEYS_REFUSED].fields
+        age = fields.get("evidence_age")
+        claim = f"that version {fields.get('version')} of the desired state was the newest one"
+        if age is None:
+            text += f": it had no proof {claim}"
+        else:
+            text += f": its newest proof {claim} was {age} s old"
+    else:
+        text += ": it had just started, or has not logged when its proof ran out"
+    if STORE_DOWN in states:
+        text += (
+            f"; its calls to the platform's store failed ({states[STORE_DOWN].fields['detail']})"
+        )
+    return text
+
+
 def _cause(origin: LogLine, owners: list[LogLine], context: list[LogLine]) -> str:
     fields = origin.fields
     match (fields["end"], fields["cause"]):
--- a/tests/test_explain.py
+++ b/tests/test_explain.py
@@ -166,6 +166,57 @@
     ]
 
 
+def caller_refused_line(time, node, reason):
+    return log_line(time, node, 513, "CALLER_REFUSED", id="id-1", route="prices", reason=reason)
+
+
+def store_down_line(time, node):
+    return log_line(time, node, 310, "PLATFORM_DOWN", detail="no connection")
+
+
+def keys_refused_line(time, node, age):
+    return log_line(time, node, 313, "KEYS_REFUSED", version=7, evidence_age=age)
+
+
+def test_a_request_refused_for_its_key_is_explained():
+    """Guards against an empty explanation, since such a request has no line of its end."""
+    missing = trace_request([caller_refused_line(1.0, "n1", "MISSING_KEY")], "id-1").causes
+    assert missing == ["request: refused by n1: it carried no API key, and route prices needs one"]
+    unknown = trace_request([caller_refused_line(1.0, "n1", "UNKNOWN_KEY")], "id-1").causes
+    assert unknown == [
+        "request: refused by n1: its API key belongs to no workspace; it is wrong or has been "
+        "withdrawn"
+    ]
+    later = trace_request([caller_refused_line(1.0, "n1", "BLOCKED")], "id-1").causes
+    assert later == ["request: refused by n1 for its caller: BLOCKED"]
+
+
+def test_a_request_refused_for_a_stale_policy_is_explained_by_what_its_node_logged_before():
+    """The store may have been down for hours; lines of other nodes say nothing about this one."""
+    refused = caller_refused_line(9000.0, "n1", "STALE_POLICY")
+    text = "request: refused by n1, which could not know whether the API key has been withdrawn: "
+    lines = [
+        store_down_line(1.0, "n1"),
+        keys_refused_line(5.0, "n1", 4.0),
+        keys_refused_line(8000.0, "n2", 4.5),
+        refused,
+        keys_refused_line(9500.0, "n1", 9.0),
+    ]
+    trace = trace_request(lines, "id-1")
+    assert trace.causes == [
+        f"{text}its newest proof that version 7 of the desired state was the newest one was 4.0 s "
+        "old; its calls to the platform's store failed (no connection)"
+    ]
+    assert [line.name for line in trace.context] == ["PLATFORM_DOWN", "KEYS_REFUSED"]
+    back = log_line(6.0, "n1", 311, "PLATFORM_BACK", detail="")
+    [cause] = trace_request([*lines, back], "id-1").causes
+    assert "failed" not in cause, "the store answered again before the refusal"
+    [cause] = trace_request([keys_refused_line(5.0, "n1", None), refused], "id-1").causes
+    assert cause == f"{text}it had no proof that version 7 of the desired state was the newest one"
+    [cause] = trace_request([refused], "id-1").causes
+    assert cause == f"{text}it had just started, or has not logged when its proof ran out"
+
+
 def test_an_unknown_id_has_an_empty_explanation():
     assert trace_request([request_ended_line(1.0, "n1", "origin", "id-1")], "id-9").lines == []
 
