--- a/tests/test_freshness.py
+++ b/tests/test_freshness.py
@@ -148,3 +148,12 @@
         freshness.record(Evidence(1 + step, clock.now))
         freshness.record(Evidence(1 + step // 2, clock.now - 0.05))
     assert len(freshness._evidence) < 100
+
+
+def test_evidence_that_adds_nothing_takes_no_memory():
+    """A peer that is behind may answer each query with a higher version of an older time."""
+    freshness, _ = make_freshness()
+    freshness.record(Evidence(1, START))
+    for version in range(1, 50):
+        freshness.record(Evidence(version, START - 0.1 / version))
+    assert len(freshness._evidence) == 1
--- a/tests/test_freshness_check.py
+++ b/tests/test_freshness_check.py
@@ -11,6 +11,7 @@
 from thorntray.internal.membership.gossip import Address, PolicyCheck, PolicyChecked
 from thorntray.internal.store.freshness_check import (
     MAX_STORE_BACKOFF,
+    PERIOD_JITTER,
     STORE_CHECK_AGE,
     WATCH_WAIT,
     FreshnessCheck,
@@ -61,9 +62,9 @@
 class OneNode:
     """The exchange of one node, on a clock that the test sets."""
 
-    def __init__(self, policy=None, clock=None, seed=1, others=()):
+    def __init__(self, policy=None, clock=None, seed=1, others=(), bound=BOUND):
         self.clock = clock or ManualClock()
-        self.freshness = Freshness(self.clock, BOUND)
+        self.freshness = Freshness(self.clock, bound)
         self.holder = PolicyHolder(lambda policy: None)
         self.holder.policy = policy or make_key_policy(1)
         self.membership = FakeMembership(*others)
@@ -112,6 +113,15 @@
     assert not node.serves
 
 
+def test_an_answer_of_the_store_that_waited_during_a_pause_is_old():
+    """The node was paused while its watch call was open."""
+    node = OneNode()
+    sent_at = node.clock.now
+    node.clock.now += 30.0
+    node.check.store_answered(1, sent_at, 0)
+    assert not node.serves
+
+
 def test_a_reply_to_the_process_before_a_restart_is_not_taken():
     before, after = OneNode(seed=1), OneNode(seed=2)
     query = before.query()[0]
@@ -273,6 +283,27 @@
     assert len(waits) == 20
 
 
+def test_the_watch_waits_in_proportion_to_a_short_bound_down_to_a_least_time():
+    """Guards against evidence that has run out before the next answer, and against a busy loop."""
+
+    def wait_of(bound):
+        node = OneNode(bound=bound)
+        node.freshness.record(Evidence(1, node.clock.now))
+        return node.check.watch_wait()
+
+    assert WATCH_WAIT * (1 - PERIOD_JITTER) <= wait_of(60.0) <= WATCH_WAIT
+    assert wait_of(2.0) <= 0.4 * WATCH_WAIT
+    assert wait_of(0.001) >= 0.01
+
+
+def test_a_node_that_never_gets_evidence_makes_few_watch_calls_after_its_start():
+    """The store may hold only an invalid document, which is no evidence after a start."""
+    node = OneNode()
+    assert node.check.watch_wait() < WATCH_WAIT / 2
+    node.clock.now += STORE_CHECK_AGE + 0.1
+    assert node.check.watch_wait() > WATCH_WAIT / 2
+
+
 def test_a_stop_and_a_start_of_serving_keys_are_logged_once_each(monkeypatch):
     events = []
     monkeypatch.setattr(
--- a/tests/test_freshness_mesh.py
+++ b/tests/test_freshness_mesh.py
@@ -21,7 +21,9 @@
     request_bytes,
 )
 from thorntray.internal.process.clock import SystemClock  # noqa: E402
+from thorntray.internal.store.freshness_check import PERIOD_JITTER, WATCH_WAIT  # noqa: E402
 from thorntray.internal.store.store_calls import StoreCalls  # noqa: E402
+from thorntray_node.mesh_node import SEED_TIMING  # noqa: E402
 from wire_names import STORE_EPOCH_HEADER  # noqa: E402
 
 BOUND = 5.0  # seconds
@@ -118,6 +120,13 @@
     return asyncio.run(work())
 
 
+def test_the_watch_calls_leave_a_part_of_the_call_limit_for_other_calls():
+    """Guards against a watcher whose evidence ages while it waits for the limit."""
+    watch_calls = 1 / (WATCH_WAIT * (1 - PERIOD_JITTER))
+    renewals = 1 / (0.8 * SEED_TIMING.renew_period)
+    assert watch_calls + renewals <= 0.75 * STORE_CALLS_PER_SECOND
+
+
 def test_a_key_that_is_withdrawn_in_the_store_stops_at_all_nodes():
     async def scenario(fleet):
         await fleet.stand_in.write("policy", b"2")
--- a/tests/test_policy_evidence.py
+++ b/tests/test_policy_evidence.py
@@ -122,6 +122,20 @@
     assert answers_of(b"3", [garbled, WatchBatch((), 10, sent_at=3.0)]) == [(3, 1.0)]
 
 
+def test_a_read_that_is_answered_after_a_newer_change_was_watched_changes_nothing():
+    """A read and a watch run at the same time; the older version must not count as the newest."""
+
+    async def scenario():
+        store = ScriptedStore(b"3", [])
+        watch = make_watch(store)
+        watch._apply_changes(change(b"4", 6, 2.0))
+        await watch.read()
+        watch._record_evidence(3.0)
+        return watch.evidence.answers
+
+    assert run_virtual(scenario()) == [(4, 1.0), (4, 3.0)]
+
+
 def test_an_answer_of_the_store_before_its_restore_is_not_combined_with_the_new_epoch():
     async def scenario():
         store = ScriptedStore(b"3", [])
@@ -152,7 +166,8 @@
         waits = []
         for _ in range(5):
             began = loop.time()
-            await budget.acquire()
+            async with asyncio.timeout(60.0):
+                await budget.acquire()
             waits.append(loop.time() - began)
             await asyncio.sleep(0.1)
         for task in greedy:
