One node that reaches the store is enough for a domain, whichever it is

Cause: where the store refused all watchers of a cut-off domain, each node depended on its own calls, and a watcher could run out of evidence although another node had some.

Change: a node whose evidence grows old also queries members of its own domain, and again the one that gave newer evidence last. A node whose own call was answered makes the next one at an age of 1 s instead of 2.2 s.

Run: test_freshness, test_freshness_check, test_freshness_failures.

--- a/packages/thorntray/src/thorntray/internal/store/freshness_check.py
+++ b/packages/thorntray/src/thorntray/internal/store/freshness_check.py
@@ -6,7 +6,8 @@
 without changes. Every other node asks a watcher of its domain by datagram, and stays with one whose
 evidence is first-hand. Evidence that grows old is sought ever further away: at watchers of other
 domains and at random members, which may have it from others, and at last at the store itself, with
-a back-off, so that a store that is down for all sees a bounded number of calls from each node.
+a back-off, so that a store that is down for all sees a bounded number of calls from each node. A
+node whose own call was answered makes the next one soon, as others may rely on it.
 
 The periods keep evidence below 0.2 x the revocation bound of 5 s at each node while no call or
 datagram is lost: a watcher's is at most two watch waits old, since it counts from the sending of
@@ -44,7 +45,9 @@
 LATE_WATCH_AGE = 1.0  # age of a watcher's evidence from which on it queries other watchers
 FOREIGN_QUERY_AGE = 1.5  # age from which on nodes outside the domain are queried too
 STORE_CHECK_AGE = 2.2  # age from which on the node asks the store itself
+STORE_RECHECK_AGE = 1.0  # the same while the node's own calls renew the evidence, also for others
 STORE_CHECK_SPREAD = 1.0  # over which the nodes of a fleet spread their first calls to the store
+RELAY_QUERIES = 2  # members of the own domain that are queried in a period, beside the last relay
 FIRST_STORE_BACKOFF = 0.5  # after an own call to the store, doubled for each further one
 MAX_STORE_BACKOFF = 2.0
 PERIOD_JITTER = 0.1  # share of a period by which it is shortened at random
@@ -90,6 +93,8 @@
         self._queries: dict[int, _Query] = {}  # unanswered ones by sequence number
         self._source = ""  # name of the watcher that has answered the newest query
         self._last_asked = ""  # name of the watcher of the own domain that was queried last
+        self._relay = ""  # name of the member that has given newer evidence last
+        self._read_evidence_at = -inf  # boot time of the evidence that an own call has given last
         self._ask_watcher = False  # whether the next foreign query goes to a watcher
         self._served: bool | None = None  # as last logged; None: nothing logged since the start
         membership.handlers[PolicyCheck] = self._on_check
@@ -139,6 +144,15 @@
         needed_for = self._clock.boottime() - self._needed_since
         return min(self.evidence_age, needed_for) > self._scaled(STORE_CHECK_AGE)
 
+    @property
+    def _is_read_due(self) -> bool:
+        """Return whether the store is to be asked now.
+
+        A node that reaches the store where the watchers do not is asked by others as a relay.
+        """
+        own = self._freshness.newest(self._holder.version) == self._read_evidence_at
+        return self._is_lacking or (own and self.evidence_age > self._scaled(STORE_RECHECK_AGE))
+
     # Background tasks.
 
     async def query_peers(self) -> None:
@@ -154,15 +168,18 @@
         """Read the policy from the store while neither the watch nor peers renew the evidence."""
         while True:
             await self._needed.wait()
-            if self._is_lacking:
+            if self._is_read_due:
                 await asyncio.sleep(self._scaled(STORE_CHECK_SPREAD) * self._rng.random())
                 await self._read_until_renewed()
             await asyncio.sleep(self._jittered(QUERY_PERIOD))
 
     async def _read_until_renewed(self) -> None:
         backoff = FIRST_STORE_BACKOFF
-        while self._is_lacking:
+        while self._is_read_due:
             await self._read_policy()
+            if not self._is_read_due:
+                self._read_evidence_at = self._freshness.newest(self._holder.version)
+                return
             await asyncio.sleep(self._jittered(backoff))
             backoff = min(MAX_STORE_BACKOFF, backoff * 2)
 
@@ -172,6 +189,7 @@
             self._query_own_domain()
         if age > scaled(FOREIGN_QUERY_AGE):
             self._query_outside()
+            self._query_relays()
 
     def _query_own_domain(self) -> None:
         """Query the watcher that has answered last, else a random other one of the own domain."""
@@ -197,6 +215,20 @@
         if others:
             self._query(self._rng.choice(others))
 
+    def _query_relays(self) -> None:
+        """Query members of the own domain: one may reach the store although no watcher does.
+
+        Its evidence then spreads from node to node, within few periods to all.
+        """
+        own = self._membership.own
+        local = [
+            m for m in self._membership.alive() if m.domain == own.domain and m.name != own.name
+        ]
+        relays = [m for m in local if m.name == self._relay != self._last_asked]
+        others = [m for m in local if m not in relays]
+        for member in relays + self._rng.sample(others, min(RELAY_QUERIES, len(others))):
+            self._query(member)
+
     def _query(self, member: Member) -> None:
         self._sequence += 1
         self._queries[self._sequence] = _Query(member, self._clock.boottime())
@@ -223,7 +255,10 @@
         query = self._queries.pop(datagram.sequence, None)
         if query is None or not datagram.age >= 0:  # not a number is refused too
             return
-        self._freshness.record(Evidence(datagram.version, query.sent_at - datagram.age))
+        at = query.sent_at - datagram.age
+        if at > self._freshness.newest(self._holder.version):
+            self._relay = query.member.name
+        self._freshness.record(Evidence(datagram.version, at))
         if datagram.version > self._holder.version:
             self._on_newer(query.member, datagram.version)
         own_domain = self._membership.own.domain
--- a/packages/thorntray/src/thorntray/internal/version/freshness.py
+++ b/packages/thorntray/src/thorntray/internal/version/freshness.py
@@ -76,8 +76,11 @@
 
     def age(self, version: int) -> float:
         """Return the age in seconds of the newest evidence for a version in force, or infinity."""
-        newest = max((e.at for e in self._evidence if e.version <= version), default=-inf)
-        return self._clock.boottime() - newest
+        return self._clock.boottime() - self.newest(version)
+
+    def newest(self, version: int) -> float:
+        """Return the boot time of the newest evidence for a version in force, or minus infinity."""
+        return max((e.at for e in self._evidence if e.version <= version), default=-inf)
 
     def record(self, evidence: Evidence) -> None:
         """Add evidence that a peer has given."""
--- a/tests/test_freshness_check.py
+++ b/tests/test_freshness_check.py
@@ -251,6 +251,55 @@
     assert after_evidence == []
 
 
+def test_a_node_whose_own_calls_renew_the_evidence_makes_them_before_others_run_out():
+    """It may be the only one of its domain that reaches the store, and no watcher."""
+
+    async def scenario(answered):
+        loop = asyncio.get_running_loop()
+        clock = ManualClock()
+        clock.boottime = loop.time
+        node = OneNode(clock=clock)
+
+        async def read():
+            node.reads.append(loop.time())
+            if answered:
+                node.check.store_answered(1, loop.time(), 0)
+
+        node.check._read_policy = read
+        task = asyncio.ensure_future(node.check.check_store())
+        await asyncio.sleep(STORE_CHECK_AGE + 1.0)
+        node.reads.clear()
+        await asyncio.sleep(20.0)
+        own = len(node.reads)
+        for _ in range(100):  # a watcher answers again
+            await asyncio.sleep(0.2)
+            node.freshness.record(Evidence(1, loop.time()))
+            if loop.time() < STORE_CHECK_AGE + 23.0:
+                node.reads.clear()
+        task.cancel()
+        return own, len(node.reads)
+
+    own, beside_a_watcher = run_virtual(scenario(True))
+    assert own >= 20.0 / STORE_CHECK_AGE + 1
+    assert beside_a_watcher == 0
+
+
+def test_the_member_that_gave_newer_evidence_is_asked_again():
+    """Only few members may have evidence when all watchers of the domain have failed."""
+    others = [make_member(f"peer{n}", domain="d0") for n in range(30)]
+    node = OneNode(others=others)
+
+    def ask():
+        node.query()
+        return {address.host: datagram for datagram, address in node.membership.sent}
+
+    node.freshness.record(Evidence(1, node.clock.now))
+    node.clock.now += 2.0
+    name, query = max(ask().items())
+    node.membership.receive(PolicyChecked(query.sequence, 1, 1.9))
+    assert all(name in ask() for _ in range(10))
+
+
 def test_without_workspaces_nothing_is_asked_and_the_watch_waits_as_long_as_before():
     async def scenario():
         node = OneNode(make_policy(1))
--- a/tests/test_freshness_failures.py
+++ b/tests/test_freshness_failures.py
@@ -122,6 +122,21 @@
     assert "d0" not in run_fleet(scenario)
 
 
+def test_one_node_that_reaches_the_store_is_enough_for_its_domain_also_if_it_is_no_watcher():
+    """The store refuses all others, and the domain is cut off from the other domains."""
+
+    async def scenario(fleet):
+        local = {n for n, node in fleet.nodes.items() if node.membership.own.domain == "d0"}
+        fleet.store.refused = set(fleet.nodes) - {min(local - fleet.watchers())}
+        for name in local:
+            fleet.network.partition_of[name] = 1
+        return await fleet.refusals("key-1", 20.0) & local, len(local)
+
+    refusing, local = run_fleet(scenario, nodes=60)
+    assert local == 20
+    assert refusing == set()
+
+
 @pytest.mark.parametrize("failure", ["refused", "silent"])
 def test_a_domain_whose_watchers_all_fail_serves_by_the_evidence_of_other_domains(failure):
     async def scenario(fleet):
