--- a/packages/thorntray-node/src/thorntray_node/mesh_node.py
+++ b/packages/thorntray-node/src/thorntray_node/mesh_node.py
@@ -278,6 +278,7 @@
         self.cfg = cfg
         self.drain.set_limit(cfg.stop_limit)
         self.budget.set_bound(cfg.budget)
+        self.freshness.set_bound(cfg.max_policy_age)
 
     def _own_member(self) -> Member:
         cfg = self.cfg
--- a/packages/thorntray/src/thorntray/internal/version/freshness.py
+++ b/packages/thorntray/src/thorntray/internal/version/freshness.py
@@ -48,6 +48,10 @@
         self._epoch = 0
         self._silent_until = -inf  # boot time; store calls sent before it are no evidence
 
+    def set_bound(self, max_policy_age: float | None) -> None:
+        """Replace the bound for the withdrawal of keys."""
+        self._bound = max_policy_age
+
     @property
     def strict(self) -> bool:
         """Return whether there is a bound for the withdrawal of keys."""
--- a/tests/freshness_fleet.py
+++ b/tests/freshness_fleet.py
@@ -93,7 +93,7 @@
     def __init__(self, fleet: MemoryFleet, store: CountingStore, name: str, domain: str) -> None:
         super().__init__(fleet, store, name, domain)
         self.freshness = Freshness(self.clock, self.bound)
-        self.identity = CallerIdentity(self.freshness)
+        self.identity = CallerIdentity(self.freshness, self.clock)
         self.check: FreshnessCheck | None = None
         self.tasks = BackgroundTasks()
         if not self.freshness.strict:
@@ -135,7 +135,7 @@
         if not self.running or policy is None:
             return False
         authorization = f"Bearer {key}".encode()
-        caller = self.identity.identify(policy, make_route(), authorization, False)
+        caller = self.identity.identify(policy, make_route(), authorization, lambda: False)
         return isinstance(caller, Workspace)
 
     @property
--- a/tests/test_caller_identity.py
+++ b/tests/test_caller_identity.py
@@ -24,7 +24,7 @@
     authorization=b"", route=KEYED, policy=POLICY, nested=False, seconds=UNKNOWN_CALLS_PERIOD
 ):
     clock = ManualClock()
-    identity = CallerIdentity(Freshness(), clock)
+    identity = CallerIdentity(Freshness(clock, None), clock)
     clock.now += seconds
     return identity.identify(policy, route, authorization, lambda: nested)
 
--- a/tests/test_workspace_of_calls.py
+++ b/tests/test_workspace_of_calls.py
@@ -52,8 +52,7 @@
 
 
 async def send_with_key(node, request_id):
-    """Send a request as a client of another host."""
-    node.origin._deps = node.origin._deps._replace(own_host="192.0.2.1")
+    """Send a request as a client does."""
     reader, writer = await asyncio.open_connection(*node.cfg.callers)
     request = request_bytes(b"GET", "/prices/1", request_id)
     writer.write(request.removesuffix(b"\r\n") + KEY)
