Quotas of workspaces: tokens from a coordinator, 429 with a retry time

Cause: a workspace's rate and burst were read from the desired state, but nothing kept them; a client could send any number of requests.

Change: a request of a limited workspace takes a token where it enters. QuotaAsk has the asker's session and the tokens it still holds, so that repeated and late datagrams grant nothing twice. Labelled gauges no longer show label values that are gone.

--- a/packages/thorntray-node/src/thorntray_node/mesh_gauges.py
+++ b/packages/thorntray-node/src/thorntray_node/mesh_gauges.py
@@ -25,6 +25,8 @@
         "thorntray_policy_watch": lambda: float(node.policy_watch.duty.on_duty()),
         "thorntray_gossip_sent_bytes": lambda: node.membership.bytes_sent,
         "thorntray_gossip_received_bytes": lambda: node.membership.bytes_received,
+        "thorntray_quota_asks": lambda: node.quotas.asks_sent,
+        "thorntray_quota_coordinated": lambda: node.quotas.coordinated,
         "thorntray_instance_connections": lambda: node.pool.connections_opened,
     }
     for name, read_gauge in gauges.items():
@@ -32,4 +34,5 @@
     node.metrics.add_labelled_gauge(
         "thorntray_instance_sends", "kind", lambda: dict(node.owner.sends)
     )
+    node.metrics.add_labelled_gauge("thorntray_quota_refusals", "workspace", node.quotas.refusals)
     node.metrics.add_labelled_gauge("thorntray_repeat_budget", "service", node.budget.remaining)
--- a/packages/thorntray-node/src/thorntray_node/mesh_node.py
+++ b/packages/thorntray-node/src/thorntray_node/mesh_node.py
@@ -34,6 +34,7 @@
 from thorntray.internal.request.origin_context import OriginDependencies, RequestHead
 from thorntray.internal.request.origin_request import OriginRequest
 from thorntray.internal.request.owner import Owner, OwnerDependencies
+from thorntray.internal.request.quotas import Quotas
 from thorntray.internal.request.request_log import RequestLog
 from thorntray.internal.request.result import Cause, Result
 from thorntray.internal.store.policy_watch import PolicyDecoder, PolicyWatch
@@ -148,6 +149,7 @@
             clock=self.clock,
             rng=self.rng,
             identity=CallerIdentity(self.freshness),
+            quotas=self.quotas,
             on_refused=self._caller_refused,
             on_finish=self._origin_finished,
             on_retry=self._retry_requested,
@@ -187,6 +189,9 @@
             self.rng,
         )
         self.policy_watch.duty = WatchDuty(self.membership, self.seeds, self.clock, self.rng)
+        self.quotas = Quotas(
+            self.membership, lambda: self.holder.policy, lambda: self.seeds.settled, self.clock
+        )
         self.origin = Origin(self._origin_dependencies())
         self.callers = HttpServer(self.origin.handle, self.clock)
         self.callers.on_unanswered = self._request_unanswered
@@ -201,7 +206,14 @@
         await self.listener.start()
         self.membership.start()
         self.seeds.start()
-        for loop in (self.policy_watch.run, self.links.watch, self._tick, self._housekeeping):
+        loops = (
+            self.policy_watch.run,
+            self.links.watch,
+            self.quotas.run,
+            self._tick,
+            self._housekeeping,
+        )
+        for loop in loops:
             self._tasks.spawn(loop())
         servers = (self.callers, self.readiness, self.announcements, self.metrics_server)
         for server in servers:
--- a/packages/thorntray/src/thorntray/internal/membership/gossip.py
+++ b/packages/thorntray/src/thorntray/internal/membership/gossip.py
@@ -80,16 +80,22 @@
 
 
 class QuotaAsk(msgspec.Struct, tag="q", array_like=True, frozen=True):
-    """Asks for `wanted` tokens of a workspace's quota, and gives `returned` unused ones back."""
+    """Asks for `wanted` tokens of a workspace's quota, and gives `returned` unused ones back.
+
+    `held` are those that may still be used, of the ones granted before. `session` is that of the
+    asking process, which numbers its queries in rising order.
+    """
 
     sequence: int
+    session: bytes
     workspace: str
     wanted: int
+    held: int
     returned: int
 
 
 class QuotaGrant(msgspec.Struct, tag="Q", array_like=True, frozen=True):
-    """Answers a `QuotaAsk`; without tokens, `retry_after` tells in seconds when there are some."""
+    """Answers a `QuotaAsk`; if tokens are short, `retry_after` is in seconds."""
 
     sequence: int
     workspace: str
--- a/packages/thorntray/src/thorntray/internal/membership/membership.py
+++ b/packages/thorntray/src/thorntray/internal/membership/membership.py
@@ -94,6 +94,7 @@
         self.handlers: dict[type, Callable[[Datagram, Address], None]] = {}
         self.bytes_received = 0
         self.bad_datagrams = 0
+        self.refutations = 0  # times that others took this node for suspect, dead or another one
 
     @property
     def bytes_sent(self) -> int:
@@ -296,6 +297,7 @@
             return
         if same_state and update.version == self.own.version:
             return
+        self.refutations += 1
         log_event(Event.SELF_REFUTED, said=update.health.name, version=update.version)
         self._publish(self.own._replace(version=update.version + 1))
 
--- /dev/null
+++ b/packages/thorntray/src/thorntray/internal/overload/quota_tokens.py
@@ -0,0 +1,255 @@
+"""Decides, where requests enter, whether a token is at hand, and when to ask for how many.
+
+Load pattern: a node gets between one request in a minute and some thousands a second of one
+workspace. A query for each would load the coordinator and delay every request by a round trip. A
+node therefore asks for what it needs for `PREFETCH_TIME` by its recent demand, before it has run
+out. With less than one request in that time it asks for the requests that wait and holds nothing,
+so a small quota that is used at sixty nodes in turn is not held up at those that do not need it.
+
+Tokens expire `TOKEN_LIFETIME` after the query was sent, in boot time, so a late reply or a
+suspended machine does not extend them. Unspent ones are returned.
+
+The coordinator may be unreachable. After `SHARE_DELAY` the node admits its own small share of the
+rate. Before that it refuses, since the coordinator may still be granting the whole rate to others.
+"""
+
+from collections import deque
+from typing import NamedTuple
+
+from thorntray.internal.version.workspaces import Workspace
+
+TOKEN_LIFETIME = 0.2  # seconds after the query was sent; see quota_ledger.GRANT_WINDOW
+# Seconds of demand to hold tokens for. With 0.25, a workspace without burst that moved every 3 s
+# from one third of 60 nodes to another got 0.56 of its quota, as the nodes left behind held tokens.
+PREFETCH_TIME = 0.12
+LOW_TIME = 0.06  # seconds of demand below which more are asked for
+DEMAND_WINDOW = 0.5  # seconds over which demand is measured
+MAX_WAIT = 0.06  # seconds for which a request waits for a token
+REPLY_TIME = 0.005  # seconds that a reply usually takes at most
+# Seconds without a reply until a query is sent again. A request waits for two more tries, since
+# otherwise each lost datagram would refuse one.
+RESEND_AFTER = 0.02
+SILENT_AFTER = 0.06  # seconds without a reply after which the coordinator counts as silent
+MAX_BACK_OFF = 3600.0  # seconds, also for a workspace with a request a day
+SHARE_DELAY = 0.5  # seconds of silence after which the own share grows
+SILENCE_MEMORY = 2.0  # seconds without a query after which the coordinator may have come back
+
+
+class Ask(NamedTuple):
+    """A query that waits for its reply."""
+
+    sequence: int
+    sent_at: float
+    wanted: int
+    held: int
+    returned: int
+
+
+class _Lot:
+    """Tokens of one grant."""
+
+    __slots__ = ("tokens", "expires_at")
+
+    def __init__(self, tokens: int, expires_at: float) -> None:
+        self.tokens = tokens
+        self.expires_at = expires_at
+
+
+class Demand:
+    """Requests a second over a sliding window of about `DEMAND_WINDOW`."""
+
+    __slots__ = ("_count", "_began_at", "rate")
+
+    def __init__(self, now: float) -> None:
+        self._count = 0
+        self._began_at = now
+        self.rate = 0.0
+
+    def count(self, now: float) -> None:
+        """Count a request."""
+        if now - self._began_at >= DEMAND_WINDOW / 2:
+            self._close_window(now)
+        self._count += 1
+
+    def _close_window(self, now: float) -> None:
+        elapsed = now - self._began_at
+        measured = self._count / elapsed
+        self.rate = measured if elapsed >= DEMAND_WINDOW else (self.rate + measured) / 2
+        self._count, self._began_at = 0, now
+
+
+class TokenAccount:
+    """The tokens of one workspace at this node. Times are boot times in seconds."""
+
+    def __init__(self, workspace: Workspace, now: float) -> None:
+        self.workspace = workspace
+        self.held = 0
+        self.returned = 0  # unspent tokens to give back with the next query
+        self.asked: Ask | None = None
+        self.back_off_until = now
+        self.coordinator = ""
+        self.used_at = now
+        self._lots: deque[_Lot] = deque()
+        self._last_expiry = now
+        self._demand = Demand(now)
+        self._silent_since: float | None = None
+        self._unanswered_at = now
+        self._share = 0.0
+        self._share_at = now
+
+    # Requests.
+
+    def record_arrival(self, now: float) -> None:
+        """Count a request, for the demand."""
+        self._demand.count(now)
+        self.used_at = now
+
+    def spend(self, now: float) -> bool:
+        """Spend a token on a request; return whether there was one."""
+        lots = self._lots
+        while lots:
+            lot = lots[0]
+            if lot.expires_at <= now:
+                self._expire(now)
+                continue
+            lot.tokens -= 1
+            self.held -= 1
+            self._last_expiry = lot.expires_at
+            if not lot.tokens:
+                lots.popleft()
+            return True
+        return False
+
+    def spend_share(self, members: int, now: float) -> bool:
+        """Spend a token of the own share, which grows while the coordinator is silent."""
+        if not self.silent(now):
+            return False
+        assert self._silent_since is not None
+        grows_from = max(self._share_at, self._silent_since + SHARE_DELAY)
+        if now > grows_from:
+            depth = max(1.0, self.workspace.burst / members)
+            gain = self.workspace.rate / members * (now - grows_from)
+            self._share = min(depth, self._share + gain)
+            self._share_at = now
+        if self._share < 1.0:
+            return False
+        self._share -= 1.0
+        return True
+
+    def share_in(self, members: int) -> float:
+        """Return the seconds until the own share may hold a token."""
+        return (1.0 - self._share) * members / self.workspace.rate
+
+    def give_back(self) -> None:
+        """Take back the token that was spent last, for a request that goes nowhere."""
+        self._lots.appendleft(_Lot(1, self._last_expiry))
+        self.held += 1
+
+    def may_wait(self, ahead: int, seconds: float, now: float) -> bool:
+        """Return whether a request behind `ahead` others may get a token within `seconds`."""
+        back_off = self.back_off_until - now
+        if back_off <= 0:
+            return not self.silent(now) or now - self._unanswered_at > SILENT_AFTER
+        if back_off + REPLY_TIME > seconds:
+            return False
+        return ahead < max(1.0, self.workspace.rate * MAX_WAIT)
+
+    # Limits and coordinator.
+
+    def set_workspace(self, workspace: Workspace) -> None:
+        """Take over the workspace of a new policy. Tokens under a higher limit end now."""
+        before, self.workspace = self.workspace, workspace
+        if workspace.rate > before.rate or workspace.burst > before.burst:
+            self.back_off_until = 0.0
+        if workspace.rate < before.rate or workspace.burst < before.burst:
+            self.returned += self.held
+            self.held = 0
+            self._lots.clear()
+            self.asked = None
+
+    def set_coordinator(self, name: str, now: float) -> None:
+        """Take over a new coordinator, which knows nothing of the tokens of the one before."""
+        self.coordinator = name
+        self.asked = None
+        self.returned = 0
+        self.back_off_until = now
+        self._end_silence(now)
+
+    def silent(self, now: float) -> bool:
+        """Return whether the coordinator does not reply."""
+        if self._silent_since is not None and now - self._unanswered_at > SILENCE_MEMORY:
+            self._end_silence(now)
+        return self._silent_since is not None
+
+    def _end_silence(self, now: float) -> None:
+        self._silent_since = None
+        self._share = 0.0
+        self._share_at = now
+
+    # Queries.
+
+    def needs_more(self, now: float) -> bool:
+        """Return whether to ask before the tokens run out."""
+        low = self._demand.rate * LOW_TIME
+        return self.held < low and self.asked is None and now >= self.back_off_until
+
+    def ask(self, sequence: int, waiting: int, now: float) -> Ask | None:
+        """Return the query to send now, None if there is nothing to ask."""
+        self._expire(now)
+        if self.asked is not None:
+            return None
+        wanted = 0
+        if now >= self.back_off_until:
+            wanted = max(0, waiting + int(self._demand.rate * PREFETCH_TIME) - self.held)
+        if not wanted and not self.returned:
+            return None
+        self.asked = Ask(sequence, now, wanted, self.held, self.returned)
+        self.returned = 0
+        return self.asked
+
+    def record_silence(self, now: float) -> bool:
+        """Record that the query is unanswered; return whether to send the same one again."""
+        asked = self.asked
+        if asked is None:
+            return False
+        if now - asked.sent_at >= SILENT_AFTER:
+            self._unanswered_at = now
+            if self._silent_since is None:
+                self._silent_since = asked.sent_at
+                self._share_at = now
+        if now - asked.sent_at < TOKEN_LIFETIME:
+            return True
+        self.asked = None  # what it returned may have arrived and is not returned again
+        return False
+
+    def record_grant(self, sequence: int, tokens: int, retry_after: float, now: float) -> bool:
+        """Record a reply; return whether it answers the query that waits."""
+        asked = self.asked
+        if asked is None or asked.sequence != sequence:
+            return False
+        self.asked = None
+        self._end_silence(now)
+        if tokens > 0:
+            self._lots.append(_Lot(tokens, asked.sent_at + TOKEN_LIFETIME))
+            self.held += tokens
+        if retry_after > 0:
+            self.back_off_until = now + min(MAX_BACK_OFF, retry_after)
+        self._expire(now)
+        return True
+
+    def idle(self, now: float, after: float) -> bool:
+        """Return whether the account may be forgotten."""
+        active = self.held or self.returned or self.asked or now < self.back_off_until
+        return not active and now - self.used_at > after
+
+    def expire(self, now: float) -> int:
+        """Drop expired tokens; return how many wait to be returned."""
+        self._expire(now)
+        return self.returned
+
+    def _expire(self, now: float) -> None:
+        lots = self._lots
+        while lots and lots[0].expires_at <= now:
+            tokens = lots.popleft().tokens
+            self.held -= tokens
+            self.returned += tokens
--- a/packages/thorntray/src/thorntray/internal/request/origin.py
+++ b/packages/thorntray/src/thorntray/internal/request/origin.py
@@ -1,8 +1,8 @@
 """Entry point for requests at their origin: the node that received them from a caller or instance.
 
 Parses the relevant header fields, looks up the route in the current policy and starts an
-`OriginRequest`. Requests that arrive before any policy, have invalid fields, match no route or come
-from a caller that may not call are answered here.
+`OriginRequest`. Requests that arrive before any policy, have invalid fields, match no route, come
+from a caller that may not call, or exceed the quota of its workspace are answered here.
 """
 
 from thorntray.internal.connection.header_names import FieldClassifier, FieldKind
@@ -13,13 +13,15 @@
     OriginDependencies,
     RequestHead,
 )
-from thorntray.internal.request.origin_request import OriginRequest
+from thorntray.internal.request.origin_request import STOPPING_RETRY_AFTER, OriginRequest
+from thorntray.internal.request.quotas import QuotaReason, QuotaRefusal, WaitingRequest
 from thorntray.internal.version.policy import Policy, Route
 from thorntray.internal.version.workspaces import Workspace
 
 NO_POLICY_RETRY_AFTER = 0.5  # seconds, before jitter
 STALE_POLICY_RETRY_AFTER = 0.5  # seconds, before jitter
-NOT_FOUND, BAD_REQUEST, UNAUTHORIZED, UNAVAILABLE = 404, 400, 401, 503
+NOT_FOUND, BAD_REQUEST, UNAUTHORIZED, TOO_MANY_REQUESTS = 404, 400, 401, 429
+INTERNAL_ERROR, UNAVAILABLE = 500, 503
 _CHALLENGE = b"WWW-Authenticate: Bearer\r\n"
 
 
@@ -71,13 +73,62 @@
         if isinstance(caller, IdentityRefusal):
             self._refuse_caller(exchange, head, route, caller)
             return
-        request = OriginRequest(self._context, exchange, head, route, caller)
+        if caller is not None and caller.limited:
+            self._start_within_quota(exchange, head, route, caller)
+        else:
+            self._start(OriginRequest(self._context, exchange, head, route, caller))
+
+    def _start(self, request: OriginRequest) -> None:
         try:
             request.start()
         except Exception:
             self._context.active.discard(request)
             raise
 
+    def _start_within_quota(
+        self, exchange: Exchange, head: RequestHead, route: Route, workspace: Workspace
+    ) -> None:
+        """Start a request with a token of its workspace's quota, for which it may have to wait."""
+        deps, arrived_at = self._deps, self._deps.clock.monotonic()
+
+        def start() -> None:
+            request = OriginRequest(self._context, exchange, head, route, workspace, arrived_at)
+            self._start(request)
+            if request.refused_here:
+                deps.quotas.give_back(workspace)
+
+        def decided(refusal: QuotaRefusal | None) -> None:
+            exchange.on_cancel = None
+            try:
+                if refusal is None:
+                    start()
+                else:
+                    self._refuse_over_quota(exchange, head, route, refusal)
+            except Exception:
+                exchange.respond(INTERNAL_ERROR, b"", b"")
+                raise
+
+        if deps.quotas.take(workspace):
+            start()
+            return
+        left = route.timeout if head.deadline is None else min(head.deadline, route.timeout)
+        waiting: WaitingRequest | QuotaRefusal
+        if deps.drain.admits(False, route.target_latency):
+            waiting = deps.quotas.wait(workspace, decided, left)
+        else:
+            waiting = QuotaRefusal(QuotaReason.QUOTA_UNKNOWN, STOPPING_RETRY_AFTER)
+        if isinstance(waiting, QuotaRefusal):
+            self._refuse_over_quota(exchange, head, route, waiting)
+        else:
+            exchange.on_cancel = waiting.cancel
+
+    def _refuse_over_quota(
+        self, exchange: Exchange, head: RequestHead, route: Route, refusal: QuotaRefusal
+    ) -> None:
+        over = refusal.reason is QuotaReason.OVER_QUOTA
+        self._refuse(exchange, TOO_MANY_REQUESTS if over else UNAVAILABLE, refusal.retry_after)
+        self._deps.on_refused(head, route, refusal.reason.name)
+
     def _identify(
         self, exchange: Exchange, policy: Policy, head: RequestHead, route: Route
     ) -> Workspace | None | IdentityRefusal:
@@ -96,10 +147,11 @@
 
     def end_all(self) -> int:
         """End all requests now, as their node stops; returns their number."""
+        waiting = self._deps.quotas.end_all(STOPPING_RETRY_AFTER)
         active = list(self._context.active)
         for request in active:
             request.end_for_stop()
-        return len(active)
+        return waiting + len(active)
 
     def read_head(
         self, headers: list[tuple[bytes, bytes]], with_workspaces: bool = False
--- a/packages/thorntray/src/thorntray/internal/request/origin_context.py
+++ b/packages/thorntray/src/thorntray/internal/request/origin_context.py
@@ -17,6 +17,7 @@
 from thorntray.internal.process.drain import Drain
 from thorntray.internal.request.caller_identity import CallerIdentity
 from thorntray.internal.request.owner import Owner
+from thorntray.internal.request.quotas import Quotas
 from thorntray.internal.request.result import Result
 from thorntray.internal.version.policy import Policy, Route
 
@@ -65,6 +66,7 @@
     clock: Clock
     rng: Random
     identity: CallerIdentity
+    quotas: Quotas
     on_refused: Callable[[RequestHead, Route, str], None]  # str: name of the reason
     on_finish: Callable[["OriginRequest", Result], None]
     on_retry: Callable[
--- a/packages/thorntray/src/thorntray/internal/request/origin_request.py
+++ b/packages/thorntray/src/thorntray/internal/request/origin_request.py
@@ -79,6 +79,7 @@
         head: RequestHead,
         route: Route,
         workspace: Workspace | None = None,
+        arrived_at: float | None = None,
     ) -> None:
         self.context = context
         self.exchange = exchange
@@ -87,7 +88,8 @@
         self.workspace = workspace  # that the caller belongs to, None if there is none
         self.service = context.choose_service(route)
         self.route_key = f"{route.name}>{self.service}"
-        self.arrived_at = context.deps.clock.monotonic()
+        # Earlier than now if the request has waited for a token of its quota.
+        self.arrived_at = context.deps.clock.monotonic() if arrived_at is None else arrived_at
         deadline = DEFAULT_DEADLINE if head.deadline is None else head.deadline
         self.expiry = self.arrived_at + min(deadline, route.timeout)
         self.parent: RunningRequest | None = None
@@ -126,10 +128,15 @@
                 self.finish(not_run(Cause.PRICED_OUT, self.route.target_latency / 2))
                 return
         self.exchange.on_cancel = self.cancel
-        left = self.expiry - self.arrived_at + OWNER_RESULT_GRACE
+        left = self.expiry - deps.clock.monotonic() + OWNER_RESULT_GRACE
         self.timer = asyncio.get_running_loop().call_later(left, self._on_timeout)
         self._try_next()
 
+    @property
+    def refused_here(self) -> bool:
+        """Return whether the request has ended without having been sent to any instance."""
+        return self.finished and not self.maybe_ran and not self.arrivals
+
     def _find_parent(self) -> None:
         """Detect whether this is a nested call of a request that the own instance is running."""
         deadline = self.head.deadline
--- a/packages/thorntray/src/thorntray/internal/telemetry/node_metrics.py
+++ b/packages/thorntray/src/thorntray/internal/telemetry/node_metrics.py
@@ -44,6 +44,12 @@
     ),
     "thorntray_slot_price": ("gauge", "price of a slot-second of the own instance"),
     "thorntray_failing_share": ("gauge", "share of its requests that the own instance fails"),
+    "thorntray_quota_refusals": (
+        "gauge",
+        "requests refused for the quota since the start, by workspace; at most 20 and `other`",
+    ),
+    "thorntray_quota_asks": ("gauge", "queries for quota tokens sent to other nodes"),
+    "thorntray_quota_coordinated": ("gauge", "workspaces whose quota this node counts"),
     "thorntray_repeat_budget": ("gauge", "retries left in the budget of this node, by service"),
     "thorntray_members": ("gauge", "members considered alive"),
     "thorntray_policy_version": ("gauge", "version of the policy in force, 0 for none"),
@@ -118,7 +124,10 @@
     def add_labelled_gauge(
         self, name: str, label: str, read: Callable[[], dict[str, float]]
     ) -> None:
-        """Register a gauge with one value per label value, read on each scrape."""
+        """Register a gauge with one value per label value, read on each scrape.
+
+        Label values that `read` no longer returns are no longer shown.
+        """
         self._labelled_gauges.append(
             (Gauge(name, NODE_METRICS[name][1], [label], registry=self._registry), read)
         )
@@ -126,6 +135,7 @@
     def exposition(self) -> bytes:
         """Return all metrics in the Prometheus text format."""
         for gauge, read in self._labelled_gauges:
+            gauge.clear()
             for label, value in read().items():
                 gauge.labels(label).set(value)
         return generate_latest(self._registry)
