--- a/packages/thorntray/src/thorntray/internal/overload/quota_members.py
+++ b/packages/thorntray/src/thorntray/internal/overload/quota_members.py
@@ -40,7 +40,9 @@
         self._alive: set[str] = {own_name}
         self._coordinators: dict[str, tuple[int, str]] = {}
         self._removed_at: dict[str, float] = {}
-        self._shares: deque[tuple[float, float]] = deque([(now, 1.0)])  # rising
+        self._shares: deque[tuple[float, float]] = deque(
+            [(now, 1.0)]
+        )  # (last seen, share), both rising
         self._trend = 1.0
         self._alone_since = now
         self.known = False  # whether this node knows the fleet
@@ -126,5 +128,5 @@
         while shares and shares[-1][1] >= share:
             shares.pop()
         shares.append((now, share))
-        while len(shares) > 1 and shares[1][0] - now + RISE_DELAY <= 0:
+        while shares[0][0] <= now - RISE_DELAY:
             shares.popleft()
--- a/packages/thorntray/src/thorntray/internal/overload/quota_tokens.py
+++ b/packages/thorntray/src/thorntray/internal/overload/quota_tokens.py
@@ -86,7 +86,7 @@
         self.held = 0
         self.returned = 0  # unspent tokens to give back with the next query
         self.asked: Ask | None = None
-        self.back_off_until = now
+        self.back_off_until = float("-inf")  # until then the coordinator has no tokens
         self.coordinator = ""
         self.used_at = now
         self._lots: deque[_Lot] = deque()
@@ -160,7 +160,7 @@
         """Take over the workspace of a new policy. Tokens under a higher limit end now."""
         before, self.workspace = self.workspace, workspace
         if workspace.rate > before.rate or workspace.burst > before.burst:
-            self.back_off_until = 0.0
+            self.back_off_until = float("-inf")
         if workspace.rate < before.rate or workspace.burst < before.burst:
             self.returned += self.held
             self.held = 0
@@ -172,7 +172,7 @@
         self.coordinator = name
         self.asked = None
         self.returned = 0
-        self.back_off_until = now
+        self.back_off_until = float("-inf")
         self._end_silence(now)
 
     def silent(self, now: float) -> bool:
--- a/packages/thorntray/src/thorntray/internal/request/quotas.py
+++ b/packages/thorntray/src/thorntray/internal/request/quotas.py
@@ -19,7 +19,13 @@
 from thorntray.internal.membership.gossip import Address, QuotaAsk, QuotaGrant
 from thorntray.internal.membership.member import Health
 from thorntray.internal.membership.membership import Membership
-from thorntray.internal.overload.quota_ledger import MAX_GAP, Grant, Query, QuotaLedger
+from thorntray.internal.overload.quota_ledger import (
+    MAX_GAP,
+    MIN_BACK_OFF,
+    Grant,
+    Query,
+    QuotaLedger,
+)
 from thorntray.internal.overload.quota_members import QuotaMembers
 from thorntray.internal.overload.quota_tokens import (
     MAX_WAIT,
@@ -218,8 +224,9 @@
         self._refusals[account.workspace.name] += 1
         if not self._members.known:
             return QuotaRefusal(QuotaReason.QUOTA_UNKNOWN, UNKNOWN_RETRY_AFTER)
-        if now < account.back_off_until:
-            return QuotaRefusal(QuotaReason.OVER_QUOTA, account.back_off_until - now)
+        if now < account.back_off_until + MAX_WAIT:  # the next reply has not come in time
+            retry_after = max(MIN_BACK_OFF, account.back_off_until - now)
+            return QuotaRefusal(QuotaReason.OVER_QUOTA, retry_after)
         return QuotaRefusal(QuotaReason.QUOTA_UNKNOWN, UNKNOWN_RETRY_AFTER)
 
     def _end_wait(self, entry: _Entry, request: WaitingRequest) -> None:
--- a/tests/quota_fleet.py
+++ b/tests/quota_fleet.py
@@ -12,6 +12,7 @@
 from thorntray.internal.version.workspaces import Workspace, Workspaces
 
 WINDOW = 5.0  # seconds
+POLICY = make_policy()
 STEP = 0.01  # seconds between the requests that a load sends at once
 
 
@@ -26,7 +27,7 @@
         self.workspaces = fleet.workspaces
         self.quotas = Quotas(
             self.membership,
-            lambda: make_policy()._replace(workspaces=self.workspaces),
+            lambda: POLICY._replace(workspaces=self.workspaces),
             lambda: self.seeds.settled,
             self.clock,
         )
