--- a/packages/thorntray-node/src/thorntray_node/mesh_gauges.py
+++ b/packages/thorntray-node/src/thorntray_node/mesh_gauges.py
@@ -34,6 +34,8 @@
         "thorntray_policy_evidence_age_seconds": lambda: _evidence_age(node),
         "thorntray_gossip_sent_bytes": lambda: node.membership.bytes_sent,
         "thorntray_gossip_received_bytes": lambda: node.membership.bytes_received,
+        "thorntray_quota_asks": lambda: node.quotas.asks_sent,
+        "thorntray_quota_coordinated": lambda: node.quotas.coordinated,
         "thorntray_instance_connections": lambda: node.pool.connections_opened,
     }
     for name, read_gauge in gauges.items():
@@ -41,4 +43,5 @@
     node.metrics.add_labelled_gauge(
         "thorntray_instance_sends", "kind", lambda: dict(node.owner.sends)
     )
+    node.metrics.add_labelled_gauge("thorntray_quota_refusals", "workspace", node.quotas.refusals)
     node.metrics.add_labelled_gauge("thorntray_repeat_budget", "service", node.budget.remaining)
--- a/packages/thorntray-node/src/thorntray_node/mesh_node.py
+++ b/packages/thorntray-node/src/thorntray_node/mesh_node.py
@@ -37,6 +37,7 @@
 from thorntray.internal.request.origin_context import OriginDependencies, RequestHead
 from thorntray.internal.request.origin_request import OriginRequest
 from thorntray.internal.request.owner import Owner, OwnerDependencies
+from thorntray.internal.request.quotas import Quotas
 from thorntray.internal.request.request_log import RequestLog
 from thorntray.internal.request.result import Cause, Result
 from thorntray.internal.store.freshness_check import FreshnessCheck
@@ -175,6 +176,7 @@
             identity=CallerIdentity(self.freshness, self.clock),
             suspects=self.suspects,
             on_success=self.crash_reports.report_success,
+            quotas=self.quotas,
             on_refused=self._caller_refused,
             on_finish=self._origin_finished,
             on_retry=self._retry_requested,
@@ -218,6 +220,9 @@
         self.policy_watch.duty = duty
         if self.freshness.strict:
             self._create_freshness_check(duty)
+        self.quotas = Quotas(
+            self.membership, lambda: self.holder.policy, lambda: self.seeds.settled, self.clock
+        )
         self.origin = Origin(self._origin_dependencies())
         self.callers = HttpServer(self.origin.handle, self.clock)
         self.callers.on_unanswered = self._request_unanswered
@@ -236,6 +241,7 @@
             self.policy_watch.run,
             self.links.watch,
             self.crash_reports.run,
+            self.quotas.run,
             self._tick,
             self._housekeeping,
         )
@@ -278,7 +284,6 @@
         self.cfg = cfg
         self.drain.set_limit(cfg.stop_limit)
         self.budget.set_bound(cfg.budget)
-        self.freshness.set_bound(cfg.max_policy_age)
 
     def _own_member(self) -> Member:
         cfg = self.cfg
--- a/packages/thorntray-node/src/thorntray_node/settings_reload.py
+++ b/packages/thorntray-node/src/thorntray_node/settings_reload.py
@@ -15,7 +15,7 @@
 from thorntray_node.mesh_config import MeshConfig
 
 CHECK_PERIOD = 2.0  # seconds between checks whether the file has changed
-RELOADABLE_FIELDS = frozenset({"budget", "max_policy_age", "stop_limit"})
+RELOADABLE_FIELDS = frozenset({"budget", "stop_limit"})
 
 
 class SettingsReload:
--- a/packages/thorntray/src/thorntray/internal/request/origin_context.py
+++ b/packages/thorntray/src/thorntray/internal/request/origin_context.py
@@ -22,6 +22,7 @@
 from thorntray.internal.process.drain import Drain
 from thorntray.internal.request.caller_identity import CallerIdentity
 from thorntray.internal.request.owner import Owner
+from thorntray.internal.request.quotas import Quotas
 from thorntray.internal.request.result import Result
 from thorntray.internal.version.policy import Policy, Route
 
@@ -72,6 +73,7 @@
     identity: CallerIdentity
     suspects: CrashSuspects
     on_success: Callable[[int], None]  # with the fingerprint; called while there are suspects
+    quotas: Quotas
     on_refused: Callable[[RequestHead, Route, str], None]  # str: name of the reason
     on_finish: Callable[["OriginRequest", Result], None]
     on_retry: Callable[
