--- a/soak/api_keys.py
+++ b/soak/api_keys.py
@@ -48,6 +48,12 @@
         """Record that the store has acknowledged the replacement of a key."""
         self.withdrawn_at[old] = self.added_at[new] = time.monotonic()
 
+    @property
+    def unowed_keys(self) -> frozenset[str]:
+        """Return the keys that were withdrawn, and those of the workspace beyond its quota."""
+        limited = {key for key, name in self.workspace_of.items() if name == LIMITED}
+        return frozenset(limited | self.withdrawn_at.keys())
+
     def draw(self, rng: Random) -> str:
         """Return a key for a request; some callers go on using one that was withdrawn."""
         if self.withdrawn_at and rng.random() < WITHDRAWN_SHARE:
--- a/soak/checks.py
+++ b/soak/checks.py
@@ -199,7 +199,11 @@
     judged_from = (
         observation.load_started_at + max(fault.end for fault in observation.faults) + RECOVERY_TIME
     )
-    after_recovery = [a for a in observation.attempts if a.sent_at > judged_from]
+    after_recovery = [
+        attempt
+        for attempt in observation.attempts
+        if attempt.sent_at > judged_from and attempt.key not in observation.unowed_keys
+    ]
     served = sum(a.status == 200 for a in after_recovery)
     if after_recovery and served < MIN_SERVED_SHARE * len(after_recovery):
         yield (
