An answer of an unannounced boot does not hide a crash

Cause: after a restart the new boot may answer before its announcement is read. The answer was taken for one of the old boot, which then had not crashed. This happens if no refused connection is seen, as behind a proxy. Change: the start of the boot announced next decides which of the two answered. A later loss begins a new judgement. Run: tests/test_crash_watch.py, test_crashing_requests.py.

--- a/packages/thorntray/src/thorntray/internal/request/crash_watch.py
+++ b/packages/thorntray/src/thorntray/internal/request/crash_watch.py
@@ -5,7 +5,9 @@
 if the instance then refuses connections or announces a later start or a new ID, and had not said
 that it leaves. An instance that resets connections, is unresponsive or cut off does neither. If the
 new boot was announced before the connections of the old one ended, the old one was replaced while
-it ran, as when its address goes to another instance; that does not count either.
+it ran, as when its address goes to another instance; that does not count either. If requests
+sent after the loss are answered, the instance lives, unless the boot that is announced next had
+started by then: a new boot may answer before its announcement is read.
 
 The results of lost requests are held for some milliseconds, until all of them have ended and one
 connection has been tried. A request that ran alone when its instance crashed is then reported as
@@ -24,7 +26,7 @@
 from thorntray.internal.membership.hashing import hash64
 from thorntray.internal.overload.crash_suspects import Crash, CrashSuspects, choose_reported
 from thorntray.internal.process.clock import Clock
-from thorntray.internal.process.registration import Boot, Registration
+from thorntray.internal.process.registration import MS_PER_SECOND, Boot, Registration
 from thorntray.internal.request.fingerprint import fingerprint_of_call
 from thorntray.internal.request.result import Cause, Result, unknown
 from thorntray.internal.telemetry.events import Event, log_event
@@ -67,8 +69,14 @@
     held: list["OwnerRequest"] | None = field(default_factory=list)  # None after the first probe
     settled: bool = False  # judged a crash, or found to be none
     crashed: bool = False
+    answered_at: float | None = None  # seconds since 1970 of the first answer to a later request
     alone: bool = False  # whether the instance ran only one request when it crashed
 
+    def is_over(self, started_at: float) -> bool:
+        """Return whether a lost request that was sent at `started_at` has another cause."""
+        answered = self.answered_at is not None and started_at > self.last_at
+        return (self.settled or answered) and not self.crashed
+
 
 class _Abandoned(NamedTuple):
     """A request whose connection this node closed at `at` (monotonic seconds)."""
@@ -94,8 +102,7 @@
             return False
         losses = self._losses
         now = deps.clock.monotonic()
-        done = losses is None or (losses.settled and not losses.crashed)
-        if losses is None or done or losses.boot != boot:
+        if losses is None or losses.boot != boot or losses.is_over(request.started_at):
             losses = self._losses = _Losses(boot, deps.clock.boottime(), now, now)
             deps.spawn(self._judge(losses))
         if losses.crashed or request.started_at > losses.first_at:
@@ -116,11 +123,10 @@
         )
 
     def record_success(self, started_at: float) -> None:
-        """Note a response to a request sent at `started_at`, which shows that the boot lives."""
+        """Note a response to a request sent at `started_at`; some boot has run it."""
         losses = self._losses
-        if losses is not None and started_at > losses.last_at:
-            losses.settled = True
-            self._losses = None
+        if losses is not None and started_at > losses.last_at and losses.answered_at is None:
+            losses.answered_at = self._deps.clock.time()
 
     def boot_changed(self) -> None:
         """Judge the lost requests by the boot that is now announced."""
@@ -130,7 +136,10 @@
         if current is None:  # this node now serves another service or address
             losses.settled = True
         elif current.boot != losses.boot:
-            self._settle_as_crash(losses)
+            answered_at = losses.answered_at
+            if answered_at is None or current.started_ms <= answered_at * MS_PER_SECOND:
+                self._settle_as_crash(losses)
+            losses.settled = True
 
     def _may_have_crashed(self, boot: Boot) -> bool:
         registration = self._deps.registration
@@ -145,11 +154,13 @@
         for probe_time in PROBE_TIMES:
             await asyncio.sleep(probe_time - waited)
             waited = probe_time
-            refused = not losses.settled and await self._deps.refuses_connections()
+            undecided = not losses.settled and losses.answered_at is None
+            refused = undecided and await self._deps.refuses_connections()
             if refused and self._may_have_crashed(losses.boot):
                 self._settle_as_crash(losses)
             self._finish_held(losses)
             if losses.settled:
+                losses.calls.clear()
                 return
         await asyncio.sleep(EVIDENCE_TIME - waited)
         losses.settled = True
--- a/tests/test_crash_watch.py
+++ b/tests/test_crash_watch.py
@@ -160,11 +160,40 @@
         await asyncio.sleep(1.0)
         instance.refuses = True
         await asyncio.sleep(1.0)
-        instance.announce(started_ms=9000)
+        instance.announce(started_ms=int(instance.clock.time() * 1000))
 
     assert watch_instance(scenario).crashes == []
 
 
+def test_a_new_boot_that_answers_before_its_announcement_does_not_hide_the_crash():
+    """Guards against a quick restart, or one behind a proxy that accepts connections meanwhile."""
+
+    async def scenario(instance):
+        instance.lose(1)
+        await asyncio.sleep(1.0)
+        started_ms = int(instance.clock.time() * 1000)
+        await asyncio.sleep(0.1)
+        instance.watch.record_success(instance.clock.monotonic() - 0.05)
+        await asyncio.sleep(0.5)
+        instance.announce(started_ms=started_ms)
+
+    assert len(watch_instance(scenario).crashes) == 1
+
+
+def test_a_crash_after_a_reset_and_an_answer_is_that_of_the_later_requests():
+    async def scenario(instance):
+        instance.lose(1)
+        await asyncio.sleep(0.1)
+        instance.watch.record_success(instance.clock.monotonic() - 0.05)
+        await asyncio.sleep(0.1)
+        instance.refuses = True
+        return instance.lose(2)
+
+    instance = watch_instance(scenario)
+    [crash] = instance.crashes
+    assert crash.fingerprints == {fingerprint_of_call(instance.requests[0].call)}
+
+
 def test_an_unresponsive_or_partitioned_instance_is_no_crash():
     """Guards against a pause that ends with the same boot, whose connections were lost."""
 
