An idle node returns its expired tokens and fetches none in their place

Cause: the query that returned expired tokens also asked for the demand that was last measured, so a node that got no more requests held tokens anew every 0.2 s; 11 of 83 tokens of a burst were missing at another node.

Change: that query asks only for requests that wait.

--- a/packages/thorntray/src/thorntray/internal/overload/quota_tokens.py
+++ b/packages/thorntray/src/thorntray/internal/overload/quota_tokens.py
@@ -193,14 +193,18 @@
         low = self._demand.rate * LOW_TIME
         return self.held < low and self.asked is None and now >= self.back_off_until
 
-    def ask(self, sequence: int, waiting: int, now: float) -> Ask | None:
-        """Return the query to send now, None if there is nothing to ask."""
+    def ask(self, sequence: int, waiting: int, now: float, prefetch: bool = True) -> Ask | None:
+        """Return the query to send now, None if there is nothing to ask.
+
+        Without `prefetch` it is for what waits only: no request has come that shows any demand.
+        """
         self._expire(now)
         if self.asked is not None:
             return None
         wanted = 0
         if now >= self.back_off_until:
-            wanted = max(0, waiting + int(self._demand.rate * PREFETCH_TIME) - self.held)
+            ahead = int(self._demand.rate * PREFETCH_TIME) if prefetch else 0
+            wanted = max(0, waiting + ahead - self.held)
         if not wanted and not self.returned:
             return None
         self.asked = Ask(sequence, now, wanted, self.held, self.returned)
--- a/packages/thorntray/src/thorntray/internal/request/quotas.py
+++ b/packages/thorntray/src/thorntray/internal/request/quotas.py
@@ -238,7 +238,7 @@
 
     # Queries to coordinators.
 
-    def _ask(self, entry: _Entry, now: float, waiting: int) -> None:
+    def _ask(self, entry: _Entry, now: float, waiting: int, prefetch: bool = True) -> None:
         """Ask the coordinator if anything is needed and no query waits for its reply."""
         account = entry.account
         name = self._members.coordinator(account.workspace.name)
@@ -246,7 +246,7 @@
             account.set_coordinator(name, now)
         if not self._members.known:
             return
-        ask = account.ask(self._sequence + 1, waiting, now)
+        ask = account.ask(self._sequence + 1, waiting, now, prefetch)
         if ask is None:
             return
         self._sequence += 1
@@ -398,7 +398,7 @@
     def _return_expired(self, now: float) -> None:
         for name, entry in list(self._holding.items()):
             if entry.account.expire(now):
-                self._ask(entry, now, entry.waiting_count)
+                self._ask(entry, now, entry.waiting_count, prefetch=False)
             if not entry.account.held and not entry.account.returned:
                 del self._holding[name]
 
