--- a/packages/thorntray-node/src/thorntray_node/mesh_config.py
+++ b/packages/thorntray-node/src/thorntray_node/mesh_config.py
@@ -1,5 +1,6 @@
 """Settings of a `MeshNode`: validated once, immutable afterwards."""
 
+from math import inf
 from typing import NamedTuple
 
 from thorntray.errors import Fault, InvalidSettings
@@ -61,9 +62,9 @@
         for key, port in ports.items():
             if not 0 < port <= MAX_PORT:
                 faults.append(Fault("node", key, str(port), f"give a port from 1 to {MAX_PORT}"))
-        if self.stop_limit <= 0:
+        if not 0 < self.stop_limit < inf:
             faults.append(Fault("node", "stop_limit", str(self.stop_limit), "give seconds above 0"))
-        if self.max_policy_age is not None and self.max_policy_age <= 0:
+        if self.max_policy_age is not None and not 0 < self.max_policy_age < inf:
             value = str(self.max_policy_age)
             faults.append(Fault("node", "max_policy_age", value, "give seconds above 0"))
         if faults:
--- a/packages/thorntray/src/thorntray/internal/membership/crash_reports.py
+++ b/packages/thorntray/src/thorntray/internal/membership/crash_reports.py
@@ -12,6 +12,7 @@
 import asyncio
 from collections.abc import Iterator
 from enum import Enum, auto
+from math import isfinite
 from random import Random
 from typing import NamedTuple
 
@@ -112,8 +113,13 @@
     # Outgoing datagrams.
 
     def _spread(self) -> None:
+        if not self._pending:
+            return
         limit = RETRANSMIT_FACTOR * len(self._membership.view).bit_length()
-        for member in self._membership.view.sample(self._rng, SPREAD_FANOUT):
+        members = self._membership.view.sample(self._rng, SPREAD_FANOUT)
+        if not members:
+            self._pending.clear()  # members that join ask for all reports
+        for member in members:
             if not self._pending:
                 return
             items = sorted(self._pending, key=self._sending_order)
@@ -184,15 +190,15 @@
         news: list[_Item] = []
         # Clears first: they prevail over crashes and blocks, which may come from another node.
         for fingerprint, seconds in report.cleared:
-            if suspects.add_clear(fingerprint, now + seconds):
+            if isfinite(seconds) and suspects.add_clear(fingerprint, now + seconds):
                 news.append(_Item(_Kind.CLEAR, fingerprint))
         for crash_id, age, running, fingerprints in report.crashes:
             reported = frozenset(fingerprints[:MAX_REPORTED_FINGERPRINTS])
             crash = Crash(crash_id, now - age, running, reported)
-            if suspects.add_crash(crash):
+            if isfinite(age) and suspects.add_crash(crash):
                 news.append(_Item(_Kind.CRASH, crash_id))
         for fingerprint, seconds in report.blocked:
-            if suspects.add_block(fingerprint, now + seconds):
+            if isfinite(seconds) and suspects.add_block(fingerprint, now + seconds):
                 news.append(_Item(_Kind.BLOCK, fingerprint))
         self._pending.update(dict.fromkeys(news, 0))
         if news:
--- a/packages/thorntray/src/thorntray/internal/membership/gossip.py
+++ b/packages/thorntray/src/thorntray/internal/membership/gossip.py
@@ -126,9 +126,9 @@
     is_reply: bool = False
 
 
-Query = PolicyCheck | PolicyChecked | QuotaAsk | QuotaGrant | CrashReport | CrashQuery
+ServiceDatagram = PolicyCheck | PolicyChecked | QuotaAsk | QuotaGrant | CrashReport | CrashQuery
 MembershipDatagram = Ping | Ack | PingRequest | Spread | Join | Digest
-Datagram = MembershipDatagram | Query
+Datagram = MembershipDatagram | ServiceDatagram
 
 _encoder = msgspec.msgpack.Encoder()
 _decoder = msgspec.msgpack.Decoder(Datagram)
--- a/packages/thorntray/src/thorntray/internal/membership/membership.py
+++ b/packages/thorntray/src/thorntray/internal/membership/membership.py
@@ -33,8 +33,8 @@
     MembershipDatagram,
     Ping,
     PingRequest,
-    Query,
     Revisions,
+    ServiceDatagram,
     Spread,
     decode_datagram,
 )
@@ -45,7 +45,7 @@
 from thorntray.internal.membership.sender import PIGGYBACK_BYTES, DatagramSender, Transport
 from thorntray.internal.process.clock import Clock
 from thorntray.internal.process.tasks import BackgroundTasks
-from thorntray.internal.telemetry.events import Event, log_event
+from thorntray.internal.telemetry.events import Event, log_event, log_handler_failure
 
 SUSPECT_TIMEOUT = 3.0  # seconds until a suspect that has not refuted is dead
 SPREAD_PERIOD = 0.2  # seconds
@@ -249,10 +249,19 @@
             return
         handler = self.handlers.get(type(datagram))
         if handler is not None:
-            handler(datagram, address)
-        elif not isinstance(datagram, Query):
+            self._handle(handler, datagram, address)
+        elif not isinstance(datagram, ServiceDatagram):
             self._process(datagram)
 
+    def _handle(
+        self, handler: Callable[[Datagram, Address], None], datagram: Datagram, address: Address
+    ) -> None:
+        """Pass a datagram to its handler; a failure concerns this datagram only."""
+        try:
+            handler(datagram, address)
+        except Exception:
+            log_handler_failure(peer=f"{address.host}:{address.port}")
+
     def _process(self, datagram: MembershipDatagram) -> None:
         """Process a datagram of the membership protocol."""
         was_alone = len(self.view) == 1
--- a/packages/thorntray/src/thorntray/internal/overload/crash_suspects.py
+++ b/packages/thorntray/src/thorntray/internal/overload/crash_suspects.py
@@ -36,14 +36,16 @@
 BLOCK_TIME = 600.0  # seconds after the newest crash
 CLEAR_TIME = 300.0  # seconds after a successful response
 REPORT_LIFETIME = 1800.0  # seconds after a crash
-# Seconds from the first report to a block. A block must be known everywhere 3 s after the third
-# crash; gossip takes about one second to 60 nodes with 20 % of the datagrams lost.
+# Seconds from the first report to a block: time for the gossip of successes, and early enough for
+# the block to be known at all nodes 3 s after the third crash.
 WATCH_TIME = 1.5
-MOMENT = 0.25  # seconds in which several crashes count as one event
-MAX_COUNTED_IN_MOMENT = 2
+COINCIDENCE_WINDOW = 0.25  # seconds in which several crashes count as one event
+MAX_COINCIDENT = 2
 MAX_EQUAL_SUSPECTS = 4  # fingerprints of one crash that may be blocked on equal evidence
-HERD_CRASHES = 4  # crashes at one moment from which on they are taken for a common cause
-MIN_HERD_SHARE = 0.25  # of the crashes of a herd in which a fingerprint ran, for them to count
+CORRELATED_CRASHES = 4  # crashes at one moment from which on they are taken for a common cause
+MIN_CORRELATED_SHARE = (
+    0.25  # of the correlated crashes in which a fingerprint ran, for them to count
+)
 MAX_CRASHES = 512
 MAX_SUSPECTS = 8192  # fingerprints, over all crashes
 MAX_BLOCKED = 1024
@@ -198,9 +200,9 @@
         crashes = sorted(self._crashes_of_fingerprint(fingerprint), key=lambda crash: crash.at)
         counted: list[float] = []
         for crash in crashes[-MAX_COUNTED:]:
-            if not self._points_at(crash, fingerprint) or self._is_in_herd(crash, fingerprint):
+            if not self._points_at(crash, fingerprint) or self._is_correlated(crash, fingerprint):
                 continue
-            if sum(crash.at - at < MOMENT for at in counted) < MAX_COUNTED_IN_MOMENT:
+            if sum(crash.at - at < COINCIDENCE_WINDOW for at in counted) < MAX_COINCIDENT:
                 counted.append(crash.at)
         return counted[-1] + BLOCK_TIME if len(counted) >= CRASHES_TO_BLOCK else 0.0
 
@@ -210,20 +212,26 @@
         equal = sum(self._count_moments(other) >= own for other in crash.fingerprints)
         return equal <= MAX_EQUAL_SUSPECTS
 
-    def _is_in_herd(self, crash: Crash, fingerprint: int) -> bool:
+    def _is_correlated(self, crash: Crash, fingerprint: int) -> bool:
         """Return whether a crash is one of many at one moment that have another cause."""
         if crash.running == 1:
             return False
-        herd = [c for c in self._crashes.values() if abs(c.at - crash.at) < MOMENT]
-        ran_in = sum(fingerprint in c.fingerprints for c in herd)
-        return len(herd) >= HERD_CRASHES and ran_in < MIN_HERD_SHARE * len(herd)
+        correlated = [
+            c for c in self._crashes.values() if abs(c.at - crash.at) < COINCIDENCE_WINDOW
+        ]
+        ran_in = sum(fingerprint in c.fingerprints for c in correlated)
+        return len(correlated) >= CORRELATED_CRASHES and ran_in < MIN_CORRELATED_SHARE * len(
+            correlated
+        )
 
     def _count_moments(self, fingerprint: int) -> int:
         """Return the number of crashes of a fingerprint; those at one moment count as one."""
         known = self._moments.get(fingerprint)
         if known is None:
             times = sorted(crash.at for crash in self._crashes_of_fingerprint(fingerprint))
-            known = 1 + sum(later - earlier >= MOMENT for earlier, later in pairwise(times))
+            known = 1 + sum(
+                later - earlier >= COINCIDENCE_WINDOW for earlier, later in pairwise(times)
+            )
             self._moments[fingerprint] = known
         return known
 
--- a/packages/thorntray/src/thorntray/internal/overload/fair_backlog.py
+++ b/packages/thorntray/src/thorntray/internal/overload/fair_backlog.py
@@ -7,8 +7,9 @@
 
 A workspace is known only while it has waiting requests. One that comes back joins at the end.
 
-The usual case is a short queue, or a deployment without workspaces. While all waiting requests are
-of one workspace, they are kept in one list, which costs less than the order in turns.
+The usual case is a short queue, or a deployment without workspaces. Until requests of a second
+workspace wait, they are kept in one list, which costs less than the order in turns, and again once
+the queue has been empty.
 """
 
 from bisect import bisect_left, insort
@@ -149,7 +150,7 @@
     """The requests that wait, in the order in which they are to be started."""
 
     def __init__(self) -> None:
-        self._in_order: list[T] = []  # the waiting requests, while they are of one workspace
+        self._in_order: list[T] = []  # until a second workspace waits
         self._turns: _Turns[T] | None = None  # those of several
 
     def add(self, ticket: T) -> None:
--- a/packages/thorntray/src/thorntray/internal/overload/fair_share.py
+++ b/packages/thorntray/src/thorntray/internal/overload/fair_share.py
@@ -26,9 +26,8 @@
 
 from thorntray.internal.version.workspaces import Workspace
 
-# Requests over which the rate of a workspace is averaged. At a node with six requests a second, 4
-# cut groups of four to 0.95 of a workspace far below the level, 8 to 0.97. With 16, a workspace
-# that begins to send ten times as much is cut later.
+# Requests over which the rate of a workspace is averaged. With fewer, small groups of requests look
+# like a high demand; with more, a workspace whose load rises is cut later.
 WINDOW_REQUESTS = 8.0
 MIN_WINDOW, MAX_WINDOW = 4.0, 120.0  # seconds; bounds on the time for these requests
 # Least admitted share of a workspace's requests, relative to the share of all. The bound is 0.25;
--- a/packages/thorntray/src/thorntray/internal/overload/quota_ledger.py
+++ b/packages/thorntray/src/thorntray/internal/overload/quota_ledger.py
@@ -31,8 +31,8 @@
 SPARE_TIME = 0.3
 SPARE_TOKENS = 3.0  # so that a small quota is served when requests come a little early
 # Seconds without grants after this node has become the coordinator, in which the others learn of it
-# and the tokens of the previous coordinator are spent. With 0.5, 60 nodes admit no more in a
-# takeover than without one; each further second refuses the quota of a second.
+# and the tokens of the previous coordinator are spent. A shorter time may exceed the quota in a
+# takeover, a longer one refuses what it allows.
 QUIET_TIME = 0.5
 MAX_GAP = 1.0  # seconds without a sign of life after which this process may have been replaced
 MIN_BACK_OFF = 0.02  # seconds until a node may ask again if there are no tokens
--- a/packages/thorntray/src/thorntray/internal/overload/quota_members.py
+++ b/packages/thorntray/src/thorntray/internal/overload/quota_members.py
@@ -20,8 +20,8 @@
 
 RISE_DELAY = 3.0  # seconds after which a risen share of alive members is used
 TREND_TIME = 1.0  # seconds
-# Members taken for unreachable too, for each one suspected in TREND_TIME. Without any, 60 nodes
-# admitted 6.3 x rate in 5 s when the third with the coordinator was cut off, with 1 up to 6.0 x.
+# Further members taken for unreachable for each one suspected in TREND_TIME. Without them, a small
+# side of a partition grants too much until it has suspected all others.
 TREND_FACTOR = 2.0
 ALONE_TIME = 10.0  # seconds after which a node that knows no other member takes itself for all
 REMOVAL_MEMORY = 2 * 3600.0  # seconds, as long as dead members are remembered
--- a/packages/thorntray/src/thorntray/internal/overload/quota_tokens.py
+++ b/packages/thorntray/src/thorntray/internal/overload/quota_tokens.py
@@ -19,8 +19,8 @@
 from thorntray.internal.version.workspaces import Workspace
 
 TOKEN_LIFETIME = 0.2  # seconds after the query was sent; see quota_ledger.GRANT_WINDOW
-# Seconds of demand to hold tokens for. With 0.25, a workspace without burst that moved every 3 s
-# from one third of 60 nodes to another got 0.56 of its quota, as the nodes left behind held tokens.
+# Seconds of demand to hold tokens for. With more, nodes that the traffic has left hold tokens that
+# others need.
 PREFETCH_TIME = 0.12
 LOW_TIME = 0.06  # seconds of demand below which more are asked for
 DEMAND_WINDOW = 0.5  # seconds over which demand is measured
@@ -46,13 +46,14 @@
 
 
 class _Lot:
-    """Tokens of one grant."""
+    """Tokens of one grant; `returnable` is whether its coordinator is still the present one."""
 
-    __slots__ = ("tokens", "expires_at")
+    __slots__ = ("tokens", "expires_at", "returnable")
 
-    def __init__(self, tokens: int, expires_at: float) -> None:
+    def __init__(self, tokens: int, expires_at: float, returnable: bool = True) -> None:
         self.tokens = tokens
         self.expires_at = expires_at
+        self.returnable = returnable
 
 
 class Demand:
@@ -90,7 +91,8 @@
         self.coordinator = ""
         self.used_at = now
         self._lots: deque[_Lot] = deque()
-        self._last_expiry = now
+        self._last_spent = _Lot(0, now)  # the lot of the last token that was spent
+        self._last_from_share = False
         self._demand = Demand(now)
         self._silent_since: float | None = None
         self._unanswered_at = now
@@ -114,7 +116,7 @@
                 continue
             lot.tokens -= 1
             self.held -= 1
-            self._last_expiry = lot.expires_at
+            self._last_spent, self._last_from_share = lot, False
             if not lot.tokens:
                 lots.popleft()
             return True
@@ -134,15 +136,16 @@
         if self._share < 1.0:
             return False
         self._share -= 1.0
+        self._last_from_share = True
         return True
 
-    def share_in(self, members: int) -> float:
-        """Return the seconds until the own share may hold a token."""
-        return (1.0 - self._share) * members / self.workspace.rate
-
     def give_back(self) -> None:
         """Take back the token that was spent last, for a request that goes nowhere."""
-        self._lots.appendleft(_Lot(1, self._last_expiry))
+        if self._last_from_share:
+            self._share += 1.0
+            return
+        spent = self._last_spent
+        self._lots.appendleft(_Lot(1, spent.expires_at, spent.returnable))
         self.held += 1
 
     def may_wait(self, ahead: int, seconds: float, now: float) -> bool:
@@ -172,6 +175,9 @@
         self.coordinator = name
         self.asked = None
         self.returned = 0
+        for lot in self._lots:
+            lot.returnable = False
+        self._last_spent.returnable = False
         self.back_off_until = float("-inf")
         self._end_silence(now)
 
@@ -254,6 +260,7 @@
     def _expire(self, now: float) -> None:
         lots = self._lots
         while lots and lots[0].expires_at <= now:
-            tokens = lots.popleft().tokens
-            self.held -= tokens
-            self.returned += tokens
+            lot = lots.popleft()
+            self.held -= lot.tokens
+            if lot.returnable:
+                self.returned += lot.tokens
--- a/packages/thorntray/src/thorntray/internal/request/crash_watch.py
+++ b/packages/thorntray/src/thorntray/internal/request/crash_watch.py
@@ -29,7 +29,7 @@
 from thorntray.internal.process.registration import MS_PER_SECOND, Boot, Registration
 from thorntray.internal.request.fingerprint import fingerprint_of_call
 from thorntray.internal.request.result import Cause, Result, unknown
-from thorntray.internal.telemetry.events import Event, log_event
+from thorntray.internal.telemetry.events import Event, log_event, log_handler_failure
 
 if TYPE_CHECKING:
     from thorntray.internal.request.owner import OwnerRequest
@@ -170,7 +170,10 @@
         held, losses.held = losses.held or [], None
         result: Result = unknown(Cause.CRASHED if losses.alone else Cause.LOST)
         for request in held:
-            request.finish(result)
+            try:
+                request.finish(result)
+            except Exception:  # the other held requests are finished all the same
+                log_handler_failure(id=request.call.request_id.decode("latin-1"))
 
     def _settle_as_crash(self, losses: _Losses) -> None:
         deps = self._deps
--- a/packages/thorntray/src/thorntray/internal/request/quotas.py
+++ b/packages/thorntray/src/thorntray/internal/request/quotas.py
@@ -39,10 +39,12 @@
 from thorntray.internal.version.policy import Policy
 from thorntray.internal.version.workspaces import Workspace
 
+MIN_ASK_DELAY = 0.001  # seconds
 UPDATE_PERIOD = 0.1  # seconds between looks at the members
 RETURN_PERIOD = 0.05  # seconds between looks for expired tokens
 FORGET_PERIOD = 1.0  # seconds between looks for idle workspaces
 IDLE_TIME = 5.0  # seconds without a request after which a workspace is forgotten here
+SEQUENCE_SHIFT = 2  # bits, so that sequence numbers stay in the range of 64-bit integers
 PROBE_INTERVAL = 1.0  # seconds between extra probes of a silent coordinator
 UNKNOWN_RETRY_AFTER = 0.5  # seconds, before jitter; the view converges in about this time
 NAMED_WORKSPACES = 20  # workspaces with a metric of their own
@@ -145,7 +147,8 @@
         self._ledger = QuotaLedger(self._members)
         self._entries: dict[str, _Entry] = {}
         self._holding: dict[str, _Entry] = {}  # entries whose tokens may expire
-        self._sequence = 0
+        # Starts at random, so that a reply to the process before a restart matches no query.
+        self._sequence = int.from_bytes(membership.own.session) >> SEQUENCE_SHIFT
         self._observed_at = now
         self._refutations = membership.refutations
         self._probed_at: dict[str, float] = {}  # by coordinator
@@ -280,7 +283,7 @@
         if asked is not None:
             delay = max(RESEND_AFTER, now - asked.sent_at)
         elif entry.waiting_count:
-            delay = max(0.0, entry.account.back_off_until - now)
+            delay = max(MIN_ASK_DELAY, entry.account.back_off_until - now)
         else:
             return
         entry.timer = asyncio.get_running_loop().call_later(delay, self._on_timer, entry)
@@ -288,6 +291,13 @@
     def _on_timer(self, entry: _Entry) -> None:
         entry.timer = None
         now = self._clock.boottime()
+        self._query_again(entry, now)
+        if entry.timer is None:  # timers may fire before the end of a back-off
+            self._arm(entry, now)
+
+    def _query_again(self, entry: _Entry, now: float) -> None:
+        """Repeat the unanswered query, or ask for the requests that wait."""
+        entry.waiting = deque(request for request in entry.waiting if not request.over)
         account, asked = entry.account, entry.account.asked
         if asked is None:
             self._ask(entry, now, entry.waiting_count)
@@ -374,6 +384,9 @@
         """Follow the members, return expired tokens, and forget idle workspaces."""
         updated_at = forgotten_at = float("-inf")
         while True:
+            await asyncio.sleep(RETURN_PERIOD)
+            if not self._needed:
+                continue
             now = self._clock.boottime()
             self._observe(now)
             if now - updated_at >= UPDATE_PERIOD:
@@ -383,7 +396,13 @@
             if now - forgotten_at >= FORGET_PERIOD:
                 forgotten_at = now
                 self._forget_idle(now)
-            await asyncio.sleep(RETURN_PERIOD)
+
+    @property
+    def _needed(self) -> bool:
+        """Return whether any workspace has a quota, or had one and is not forgotten yet."""
+        policy = self._policy()
+        limited = policy is not None and policy.workspaces.any_limited
+        return limited or bool(self._entries)
 
     def _update_members(self, now: float) -> None:
         was_known = self._members.known
--- a/packages/thorntray/src/thorntray/internal/store/freshness_check.py
+++ b/packages/thorntray/src/thorntray/internal/store/freshness_check.py
@@ -94,7 +94,8 @@
         self._source = ""  # name of the watcher that has answered the newest query
         self._last_asked = ""  # name of the watcher of the own domain that was queried last
         self._relay = ""  # name of the member that has given newer evidence last
-        self._read_evidence_at = -inf  # boot time of the evidence that an own call has given last
+        # Boot time of the evidence that an own call has given last, None before the first.
+        self._read_evidence_at: float | None = None
         self._ask_watcher = False  # whether the next foreign query goes to a watcher
         self._served: bool | None = None  # as last logged; None: nothing logged since the start
         membership.handlers[PolicyCheck] = self._on_check
@@ -175,7 +176,7 @@
 
     async def _read_until_renewed(self) -> None:
         backoff = FIRST_STORE_BACKOFF
-        while self._is_read_due:
+        while self._needed.is_set() and self._is_read_due:
             await self._read_policy()
             if not self._is_read_due:
                 self._read_evidence_at = self._freshness.newest(self._holder.version)
--- a/packages/thorntray/src/thorntray/internal/version/workspaces.py
+++ b/packages/thorntray/src/thorntray/internal/version/workspaces.py
@@ -32,6 +32,7 @@
 
     by_name: Mapping[str, Workspace]
     names_by_digest: Mapping[bytes, str]
+    any_limited: bool = False  # whether any workspace has a quota
 
     @classmethod
     def from_keys(cls, entries: Iterable[tuple[Workspace, Iterable[str]]]) -> Self:
@@ -51,7 +52,8 @@
                 if not key or digest in names_by_digest:
                     raise ValueError(f"workspace {name}: an API key is empty or occurs twice")
                 names_by_digest[digest] = name
-        return cls(by_name, names_by_digest)
+        any_limited = any(workspace.limited for workspace in by_name.values())
+        return cls(by_name, names_by_digest, any_limited)
 
     def of_key(self, key: bytes) -> Workspace | None:
         """Return the workspace that holds an API key, None if none does."""
--- a/soak/api_keys.py
+++ b/soak/api_keys.py
@@ -49,7 +49,7 @@
         self.withdrawn_at[old] = self.added_at[new] = time.monotonic()
 
     @property
-    def unowed_keys(self) -> frozenset[str]:
+    def refusable_keys(self) -> frozenset[str]:
         """Return the keys that were withdrawn, and those of the workspace beyond its quota."""
         limited = {key for key, name in self.workspace_of.items() if name == LIMITED}
         return frozenset(limited | self.withdrawn_at.keys())
@@ -103,7 +103,7 @@
     for arrival in observation.record.arrivals:
         attempt = sent.get(arrival.request_id)
         if attempt is not None and arrival.workspace != ring.workspace_of[attempt.key]:
-            yield f"UNASKED: {arrival.request_id} reached {arrival.node} as {arrival.workspace!r}"
+            yield f"WORKSPACE: {arrival.request_id} reached {arrival.node} as {arrival.workspace!r}"
 
 
 def _beyond_quota(observation: Observation, ring: KeyRing) -> Iterator[str]:
--- a/soak/checks.py
+++ b/soak/checks.py
@@ -202,7 +202,7 @@
     after_recovery = [
         attempt
         for attempt in observation.attempts
-        if attempt.sent_at > judged_from and attempt.key not in observation.unowed_keys
+        if attempt.sent_at > judged_from and attempt.key not in observation.refusable_keys
     ]
     served = sum(a.status == 200 for a in after_recovery)
     if after_recovery and served < MIN_SERVED_SHARE * len(after_recovery):
--- a/soak/observation.py
+++ b/soak/observation.py
@@ -33,7 +33,7 @@
     faults: list[Fault]
     changes: list[RouteChange]
     stops: list[NodeStop]
-    unowed_keys: frozenset[str] = frozenset()  # API keys whose requests may rightly be refused
+    refusable_keys: frozenset[str] = frozenset()  # API keys whose requests may rightly be refused
     ended_nodes: tuple[str, ...] = ()  # names of the nodes whose process is not running at the end
 
     def node_stable(self, node: str, since: float, until: float) -> bool:
--- a/soak/run.py
+++ b/soak/run.py
@@ -97,7 +97,7 @@
             self._faults,
             self._injector.changes,
             self._injector.stops,
-            self.ring.unowed_keys if self.ring is not None else frozenset(),
+            self.ring.refusable_keys if self.ring is not None else frozenset(),
             tuple(node.name for node in self.fleet.nodes.values() if not node.running),
         )
 
--- a/tests/test_crash_suspects.py
+++ b/tests/test_crash_suspects.py
@@ -74,7 +74,7 @@
     assert evidence.blocked == {CULPRIT}
 
 
-def test_a_herd_crash_of_a_domain_blocks_nothing():
+def test_a_power_loss_of_a_domain_blocks_nothing():
     """Guards against a power loss that is taken for many crashes of what ran everywhere."""
     evidence = Evidence()
     for number in range(20):
--- a/tests/test_settings_reload.py
+++ b/tests/test_settings_reload.py
@@ -1,9 +1,13 @@
 """A settings file that changes while the node runs."""
 
 import asyncio
+import re
+from random import Random
 
 import pytest
 
+from settings_file import read_settings
+from standins.mesh_fleet import MeshFleet, NodeProcess
 from tests.builders import ManualClock
 from tests.mesh_builders import make_mesh_config
 from thorntray.errors import Fault, InvalidSettings
@@ -99,3 +103,23 @@
     budget.refill(["tariff"], 10.0)
     budget.set_bound(RetryBudgetSettings(ratio=0.0, slack=0.0, window=10.0))
     assert budget.remaining()["tariff"] <= 1.0
+
+
+@pytest.mark.parametrize("value", ["5", '"10.0.0.1"', "[]", "true"])
+def test_an_address_that_is_none_is_a_fault_and_ends_no_task(tmp_path, value):
+    # The task that reads the file again used to end with an AttributeError.
+    fleet = MeshFleet([], {}, Random(1))
+    text = fleet._settings(NodeProcess("n1", "tariff", "a", 1))
+    path = tmp_path / "boot.toml"
+    path.write_text(text)
+    read_settings(path)
+    path.write_text(re.sub("AppAddr = .*", f"AppAddr = {value}", text))
+    with pytest.raises(InvalidSettings):
+        read_settings(path)
+
+
+@pytest.mark.parametrize("field", ["stop_limit", "max_policy_age"])
+def test_a_time_that_is_no_number_is_a_fault(field):
+    cfg = make_mesh_config("n1", "tariff", 80, "a")._replace(**{field: float("nan")})
+    with pytest.raises(InvalidSettings, match=field):
+        cfg.validated("boot.toml")
--- a/tests/test_soak_api_keys.py
+++ b/tests/test_soak_api_keys.py
@@ -78,8 +78,8 @@
 def test_a_wrong_workspace_at_the_worker_is_a_violation():
     ring = KeyRing()
     assert found(ring, [attempt_with(f"{FREE}-0", 1.0)]) == set()
-    assert found(ring, [attempt_with(f"{FREE}-0", 1.0)], workspace=LIMITED) == {"UNASKED"}
-    assert found(ring, [attempt_with(f"{FREE}-0", 1.0)], workspace="") == {"UNASKED"}
+    assert found(ring, [attempt_with(f"{FREE}-0", 1.0)], workspace=LIMITED) == {"WORKSPACE"}
+    assert found(ring, [attempt_with(f"{FREE}-0", 1.0)], workspace="") == {"WORKSPACE"}
 
 
 def test_more_runs_in_a_window_than_the_quota_allows_are_a_violation():
