Log announcements that are ignored, instances that reject their id, and known suspects of a crash

Change: events 118 and 119, the counter thorntray_instance_mismatches, and the field suspected of 521. No decision is changed. Not measured: tests of registration, crash watch, notices and pages pass.

--- a/packages/thorntray-node/src/thorntray_node/mesh_node.py
+++ b/packages/thorntray-node/src/thorntray_node/mesh_node.py
@@ -98,7 +98,9 @@
         address = f"{cfg.instance.host}:{cfg.instance.port}"
         self.registration = Registration(cfg.service, address, clock, self._instance_changed)
         self.rate_limit = RateLimit(clock)
-        self.tracker = InstanceTracker(self.registration, self.rate_limit)
+        self.tracker = InstanceTracker(
+            self.registration, self.rate_limit, self.metrics.instance_mismatched
+        )
         self.queue = SlotQueue(self.rate_limit)
         self.running = RunningRequests()
         self.pauses = Pauses(clock)
--- a/packages/thorntray/src/thorntray/internal/process/registration.py
+++ b/packages/thorntray/src/thorntray/internal/process/registration.py
@@ -87,7 +87,10 @@
         if announcement.service != self._service or announcement.address != self._address:
             return False
         boot = announcement.boot
-        if self.has_left(boot) or not self._is_newer(announcement):
+        if self.has_left(boot):
+            return True
+        if not self._is_newer(announcement):
+            self._log_outdated(announcement)
             return True
         changed = self.current is None or announcement[:2] != self.current[:2]
         changed = changed or announcement.phase is not self.current.phase
@@ -153,6 +156,15 @@
             return False
         return announcement.sequence > current.sequence
 
+    def _log_outdated(self, announcement: Announcement) -> None:
+        current = self.current
+        if current is not None and announcement.boot != current.boot:
+            log_event(
+                Event.ANNOUNCEMENT_OUTDATED,
+                ignored=(*announcement.boot, announcement.sequence),
+                known=(*current.boot, current.sequence),
+            )
+
     def _record_left(self, boot: Boot) -> None:
         self._left_boots[boot] = None
         while len(self._left_boots) > MAX_LEFT_BOOTS:
--- a/packages/thorntray/src/thorntray/internal/request/crash_watch.py
+++ b/packages/thorntray/src/thorntray/internal/request/crash_watch.py
@@ -196,6 +196,7 @@
             Event.INSTANCE_CRASHED,
             instance=losses.boot.instance_id,
             running=len(ran),
+            suspected=sum(deps.suspects.is_suspected(f) for f in reported),
             requests={request_id.decode("latin-1"): f"{f:016x}" for request_id, f in shown},
         )
         crash_id = hash64(f"{deps.node} {losses.boot.instance_id} {losses.boot.started_ms}")
--- a/packages/thorntray/src/thorntray/internal/request/instance_tracker.py
+++ b/packages/thorntray/src/thorntray/internal/request/instance_tracker.py
@@ -4,6 +4,8 @@
 announced, and says nothing of that one.
 """
 
+from collections.abc import Callable
+
 from thorntray.internal.membership.instance_notices import InstanceNotice
 from thorntray.internal.overload.rate_limit import InstanceState, RateLimit
 from thorntray.internal.process.registration import Boot, Registration
@@ -15,9 +17,12 @@
 class InstanceTracker:
     """Applies what is learnt of the instance to its registration and its rate limit."""
 
-    def __init__(self, registration: Registration, rate_limit: RateLimit) -> None:
+    def __init__(
+        self, registration: Registration, rate_limit: RateLimit, on_mismatch: Callable[[], None]
+    ) -> None:
         self._registration = registration
         self._rate_limit = rate_limit
+        self._on_mismatch = on_mismatch
         self._boot: Boot | None = None
         self._peer_limits: dict[Boot, float] = {}
 
@@ -51,6 +56,12 @@
         if self._rate_limit.record_answer(state, sent_at):
             self._log_limit(before, "answer")
 
+    def record_mismatch(self, boot: Boot | None) -> None:
+        """Learn that a request sent to `boot` was rejected by another instance."""
+        self._on_mismatch()
+        if boot is not None and boot == self._boot:
+            log_event(Event.INSTANCE_MISMATCH, instance=boot.instance_id)
+
     def learn_from_peer(self, notice: InstanceNotice) -> None:
         """Learn what a peer knows of a boot of the instance."""
         boot = Boot(notice.instance_id, notice.started_ms)
--- a/packages/thorntray/src/thorntray/internal/request/owner.py
+++ b/packages/thorntray/src/thorntray/internal/request/owner.py
@@ -364,7 +364,9 @@
             case InstanceResponse():
                 self.deps.crash_watch.record_success(request.started_at)
                 answer = self._answers.read(response)
-                if answer.state is not None:
+                if answer.state is None:
+                    self.deps.tracker.record_mismatch(request.boot)
+                else:
                     self._learn(request, answer.state)
                 return answer.result
         raise AssertionError(response)
--- a/packages/thorntray/src/thorntray/internal/telemetry/events.py
+++ b/packages/thorntray/src/thorntray/internal/telemetry/events.py
@@ -55,6 +55,10 @@
     INSTANCE_ANNOUNCED = EventKind(113, Level.INFO, "upstream instance announced itself")
     ANNOUNCEMENT_REFUSED = EventKind(114, Level.WARNING, "announcement refused")
     INSTANCE_LIMIT = EventKind(116, Level.WARNING, "rate limit of the upstream instance changed")
+    ANNOUNCEMENT_OUTDATED = EventKind(118, Level.INFO, "announcement of another boot ignored")
+    INSTANCE_MISMATCH = EventKind(
+        119, Level.WARNING, "upstream instance is another one than announced"
+    )
     NODE_FAILED = EventKind(115, Level.ERROR, "node failed at its start or stop")
     MEMBER_JOINED = EventKind(200, Level.INFO, "member joined")
     MEMBER_SUSPECT = EventKind(201, Level.WARNING, "member suspected")
--- a/packages/thorntray/src/thorntray/internal/telemetry/node_metrics.py
+++ b/packages/thorntray/src/thorntray/internal/telemetry/node_metrics.py
@@ -34,6 +34,10 @@
         "counter",
         "crashes of the own instance while it ran requests",
     ),
+    "thorntray_instance_mismatches": (
+        "counter",
+        "requests that the own instance rejected as sent to another instance",
+    ),
     "thorntray_loop_lag_seconds": ("histogram", "delay of timers of the event loop"),
     "thorntray_in_flight": ("gauge", "requests in slots of the own instance"),
     "thorntray_waiting": ("gauge", "requests waiting for a slot of the own instance"),
@@ -89,6 +93,7 @@
         self._unanswered = self._counter("thorntray_unanswered", "closed_by")
         self._store_calls = self._counter("thorntray_store_calls", "method", "result")
         self._instance_crashes = self._counter("thorntray_instance_crashes")
+        self._instance_mismatches = self._counter("thorntray_instance_mismatches")
         self._loop_lag = self._histogram("thorntray_loop_lag_seconds", LAG_BUCKETS)
         self._labelled_gauges: list[tuple[Gauge, Callable[[], dict[str, float]]]] = []
         self._request_children: dict[tuple[str, str, int, int], Counter] = {}
@@ -131,6 +136,10 @@
         """Count a crash of the own instance."""
         self._instance_crashes.inc()
 
+    def instance_mismatched(self) -> None:
+        """Count a request that the own instance rejected as sent to another one."""
+        self._instance_mismatches.inc()
+
     def observe_loop_lag(self, seconds: float) -> None:
         """Record how late a timer of the event loop fired."""
         self._loop_lag.observe(max(0.0, seconds))
--- a/tests/test_instance_notices.py
+++ b/tests/test_instance_notices.py
@@ -32,7 +32,7 @@
         self.clock = ManualClock()
         self.registration = Registration("tariff", ADDRESS, self.clock, lambda: None)
         self.rate_limit = RateLimit(self.clock)
-        self.tracker = InstanceTracker(self.registration, self.rate_limit)
+        self.tracker = InstanceTracker(self.registration, self.rate_limit, lambda: None)
 
     def announce(self, **changes):
         self.registration.apply(make_announcement(address=ADDRESS, **changes))
