Tests of instances that restart and of one request that crashes them, failing

An instance that starts again under a new id without a start time is never used again (10 tests of restarts), and the requests of a crashed instance take the next ones with them (8 tests of whole nodes in virtual time).

--- a/tests/mesh_builders.py
+++ b/tests/mesh_builders.py
@@ -286,13 +286,13 @@
         self.stopped: list[str] = []  # names of the nodes that were restarted
 
     async def add(
-        self, name: str, service: str, reply: Reply | None = None, domain: str = "a"
+        self, name: str, service: str, reply: Reply | None = None, domain: str = "a", **announced
     ) -> MeshNode:
-        """Start an instance and its node, and register the instance with the node."""
+        """Start an instance and its node, and announce the instance to the node."""
         instance = await FakeInstance(reply).start()
         self.instances[name] = instance
         node = await self._start_node(make_mesh_config(name, service, instance.port, domain))
-        self.announce(name)
+        self.announce(name, **announced)
         return node
 
     def decode_policy(self, document: bytes) -> Policy:
--- a/tests/virtual_mesh.py
+++ b/tests/virtual_mesh.py
@@ -22,6 +22,15 @@
     def __init__(self) -> None:
         super().__init__()
         self.endpoints: dict[Address, _Endpoint] = {}
+        self.refusing: set[Address] = set()  # addresses that refuse connections
+
+    async def create_connection(
+        self, protocol_factory: Any, host: str, port: int, **options: Any
+    ) -> tuple[asyncio.Transport, Any]:
+        """Connect to a listening address, unless it refuses connections."""
+        if (host, port) in self.refusing:
+            raise ConnectionRefusedError(f"{host}:{port}")
+        return await super().create_connection(protocol_factory, host, port, **options)
 
     async def create_datagram_endpoint(
         self, protocol_factory: Any, local_addr: Address | None = None, **options: Any
