Requests of a crashed instance run apart from each other

Cause: what ran beside the culprit was sent to the next instances at once, the culprit among them. So many requests ran in all crashes that none could be told from the others, and the block came late or never. Change: of n suspects of a crash, the square root of n run together at an instance; those of two crashes run alone, 5 s after the newest one, and at one instance that all nodes choose. The other members of the service are told of a crash at once. A crash that a request of several crashes explains makes nothing else suspect. Not covered: two culprits at once take up to two instances each.

The soak's workers may start again under a new id without a start time, and a worker that is never used again is now a violation (IDLE).

--- a/packages/thorntray-node/src/thorntray_node/mesh_gauges.py
+++ b/packages/thorntray-node/src/thorntray_node/mesh_gauges.py
@@ -27,6 +27,7 @@
         "thorntray_slot_price": lambda: node.owner.deps.price.price,
         "thorntray_failing_share": lambda: node.owner.failure_rate,
         "thorntray_crash_suspects": lambda: node.suspects.suspect_count,
+        "thorntray_isolated_requests": lambda: node.isolation.running,
         "thorntray_blocked_fingerprints": lambda: len(node.suspects.blocked),
         "thorntray_members": lambda: len(node.membership.alive()),
         "thorntray_policy_version": lambda: node.holder.version,
--- a/packages/thorntray-node/src/thorntray_node/mesh_node.py
+++ b/packages/thorntray-node/src/thorntray_node/mesh_node.py
@@ -17,6 +17,7 @@
 from thorntray.internal.membership.membership import Membership
 from thorntray.internal.membership.udp import UdpTransport
 from thorntray.internal.overload.call_parents import RunningRequests
+from thorntray.internal.overload.crash_isolation import CrashIsolation
 from thorntray.internal.overload.crash_suspects import Crash, CrashSuspects
 from thorntray.internal.overload.ejection import Ejection
 from thorntray.internal.overload.placement import Placement
@@ -108,6 +109,7 @@
         self.pool = InstancePool(*cfg.instance, names.request_id.lower(), clock)
         self.log = RequestLog(clock)
         self.suspects = CrashSuspects(clock, self._request_blocked)
+        self.isolation = CrashIsolation(self.suspects, clock)
         self.crash_watch = CrashWatch(
             CrashWatchDependencies(
                 node=cfg.name,
@@ -132,7 +134,7 @@
                 tracker=self.tracker,
                 running=self.running,
                 pauses=self.pauses,
-                suspects=self.suspects,
+                isolation=self.isolation,
                 crash_watch=self.crash_watch,
                 clock=clock,
                 on_finish=self._owner_finished,
@@ -177,6 +179,7 @@
             rng=self.rng,
             identity=CallerIdentity(self.freshness, self.clock),
             suspects=self.suspects,
+            isolation=self.isolation,
             on_success=self.crash_reports.report_success,
             quotas=self.quotas,
             on_refused=self._caller_refused,
--- a/packages/thorntray/src/thorntray/internal/membership/crash_reports.py
+++ b/packages/thorntray/src/thorntray/internal/membership/crash_reports.py
@@ -31,6 +31,7 @@
 from thorntray.internal.process.clock import Clock
 from thorntray.internal.process.tasks import BackgroundTasks
 
+MAX_DIRECT_REPORTS = 64  # members of the service that are told of a crash at once
 SPREAD_PERIOD = 0.2  # seconds
 SPREAD_FANOUT = 3  # random members in each spread period
 START_QUERIES = 12  # times that a node asks for all reports after its start
@@ -80,6 +81,7 @@
     def report_crash(self, crash: Crash) -> None:
         """Report a crash of the own instance."""
         if self._suspects.add_crash(crash):
+            self._report_to_service(crash)
             self._announce(_Item(_Kind.CRASH, crash.crash_id))
 
     def report_success(self, fingerprint: int) -> None:
@@ -99,6 +101,14 @@
         finally:
             await self._tasks.stop()
 
+    def _report_to_service(self, crash: Crash) -> None:
+        """Send a crash to the members that will run the requests of the crashed instance next."""
+        membership = self._membership
+        peers = [m for m in membership.members_of(membership.own.service) if m != membership.own]
+        report, _ = self._pack(iter([_Item(_Kind.CRASH, crash.crash_id)]))
+        for member in self._rng.sample(peers, min(len(peers), MAX_DIRECT_REPORTS)):
+            self._send(report, member)
+
     def _announce(self, item: _Item) -> None:
         """Gossip an item, and send it to a few members at once."""
         self._pending[item] = 0
--- a/packages/thorntray/src/thorntray/internal/overload/crash_suspects.py
+++ b/packages/thorntray/src/thorntray/internal/overload/crash_suspects.py
@@ -81,18 +81,13 @@
         self._review_due = False  # whether the evidence has changed since the last decision
         self._moments: dict[int, int] = {}  # by fingerprint, during a review
 
-    # Queries on the request path; without a suspect in the fleet only the first two are called.
+    # Queries on the request path; without a suspect in the fleet only the first one is called.
 
     @property
     def active(self) -> bool:
         """Return whether any fingerprint is suspected or blocked."""
         return bool(self._crashes_of) or bool(self._blocked)
 
-    @property
-    def blocking(self) -> bool:
-        """Return whether any fingerprint is blocked."""
-        return bool(self._blocked)
-
     def blocked_for(self, fingerprint: int) -> float:
         """Return the seconds for which a request is still refused, 0 if it is not."""
         return max(0.0, self._blocked.get(fingerprint, 0.0) - self._clock.boottime())
@@ -101,6 +96,14 @@
         """Return whether an instance crashed while it ran this request, which never succeeded."""
         return fingerprint in self._crashes_of or fingerprint in self._blocked
 
+    def count_crashes(self, fingerprint: int) -> int:
+        """Return the number of known crashes in which a request ran that never succeeded."""
+        return len(self._crashes_of.get(fingerprint, ()))
+
+    def crashes_of(self, fingerprint: int) -> Iterator[Crash]:
+        """Return these crashes."""
+        return (self._crashes[crash_id] for crash_id in self._crashes_of.get(fingerprint, ()))
+
     # Evidence; each method returns whether it is news that other nodes need.
 
     def add_crash(self, crash: Crash) -> bool:
@@ -197,10 +200,10 @@
 
     def _block_end(self, fingerprint: int) -> float:
         """Return the time until which the known crashes block a fingerprint, 0 if they do not."""
-        crashes = sorted(self._crashes_of_fingerprint(fingerprint), key=lambda crash: crash.at)
+        crashes = sorted(self.crashes_of(fingerprint), key=lambda crash: crash.at)
         counted: list[float] = []
         for crash in crashes[-MAX_COUNTED:]:
-            if not self._points_at(crash, fingerprint) or self._is_correlated(crash, fingerprint):
+            if not self._points_at(crash, fingerprint) or self.is_correlated(crash, fingerprint):
                 continue
             if sum(crash.at - at < COINCIDENCE_WINDOW for at in counted) < MAX_COINCIDENT:
                 counted.append(crash.at)
@@ -212,7 +215,7 @@
         equal = sum(self._count_moments(other) >= own for other in crash.fingerprints)
         return equal <= MAX_EQUAL_SUSPECTS
 
-    def _is_correlated(self, crash: Crash, fingerprint: int) -> bool:
+    def is_correlated(self, crash: Crash, fingerprint: int) -> bool:
         """Return whether a crash is one of many at one moment that have another cause."""
         if crash.running == 1:
             return False
@@ -228,16 +231,13 @@
         """Return the number of crashes of a fingerprint; those at one moment count as one."""
         known = self._moments.get(fingerprint)
         if known is None:
-            times = sorted(crash.at for crash in self._crashes_of_fingerprint(fingerprint))
+            times = sorted(crash.at for crash in self.crashes_of(fingerprint))
             known = 1 + sum(
                 later - earlier >= COINCIDENCE_WINDOW for earlier, later in pairwise(times)
             )
             self._moments[fingerprint] = known
         return known
 
-    def _crashes_of_fingerprint(self, fingerprint: int) -> Iterator[Crash]:
-        return (self._crashes[crash_id] for crash_id in self._crashes_of[fingerprint])
-
     # Bounds.
 
     def _is_cleared(self, fingerprint: int) -> bool:
--- a/packages/thorntray/src/thorntray/internal/overload/slot_queue.py
+++ b/packages/thorntray/src/thorntray/internal/overload/slot_queue.py
@@ -37,11 +37,15 @@
 NESTED_BONUS = 0.5  # worth added for a nested call; half the smallest step between priorities
 
 
+def _always() -> bool:
+    return True
+
+
 class Ticket:
     """A request for a slot; `start` is called when it gets one."""
 
     __slots__ = ("worth", "nested", "expiry", "idempotent", "workspace", "sort_key", "start")
-    __slots__ += ("holds_slot",)
+    __slots__ += ("holds_slot", "may_start")
 
     def __init__(
         self,
@@ -51,6 +55,7 @@
         expiry: float = 0.0,
         idempotent: bool = True,
         workspace: str = "",
+        may_start: Callable[[], bool] = _always,
     ) -> None:
         self.worth = worth
         self.nested = nested
@@ -58,6 +63,7 @@
         self.idempotent = idempotent
         self.workspace = workspace  # name, empty if there is none
         self.start = start
+        self.may_start = may_start  # whether it need not wait for other reasons than slots
         self.sort_key = (0.0, 0.0, 0)
         self.holds_slot = False
 
@@ -86,7 +92,11 @@
     def submit(self, ticket: Ticket) -> bool:
         """Start a request if a slot is free, else queue it; True if it was started."""
         self._nested_share += NESTED_WEIGHT * (ticket.nested - self._nested_share)
-        if not self._waiting and self._rate_allows(ticket.idempotent) and self._slot_free(ticket):
+        if (
+            not self._waiting
+            and self._rate_allows(ticket.idempotent)
+            and self._slot_allowed(ticket)
+        ):
             self._assign_slot(ticket)
             return True
         self._sequence += 1
@@ -123,11 +133,11 @@
     def _rate_allows(self, idempotent: bool) -> bool:
         return self._rate_limit is None or self._rate_limit.may_send(idempotent)
 
-    def _slot_free(self, ticket: Ticket) -> bool:
+    def _slot_allowed(self, ticket: Ticket) -> bool:
         reserved = 0
         if not ticket.nested and self._nested_share > USUAL_NESTED_SHARE:
             reserved = min(NESTED_SLOTS, self.limit - 1)
-        return self.in_flight < self.limit - reserved
+        return self.in_flight < self.limit - reserved and ticket.may_start()
 
     def _startable_waiting(self) -> Ticket | None:
         """Return the first waiting request that may start now, None if there is none."""
@@ -135,7 +145,7 @@
             return None
         if not self._rate_allows(idempotent=True):
             return None
-        startable = filter(self._slot_free, self._waiting)
+        startable = filter(self._slot_allowed, self._waiting)
         if self._rate_allows(idempotent=False):  # the usual case: one check for all requests
             return next(startable, None)
         return next((ticket for ticket in startable if ticket.idempotent), None)
--- a/packages/thorntray/src/thorntray/internal/request/origin_context.py
+++ b/packages/thorntray/src/thorntray/internal/request/origin_context.py
@@ -13,6 +13,7 @@
     RunningRequest,
     RunningRequests,
 )
+from thorntray.internal.overload.crash_isolation import CrashIsolation
 from thorntray.internal.overload.crash_suspects import CrashSuspects
 from thorntray.internal.overload.ejection import Ejection
 from thorntray.internal.overload.placement import Placement
@@ -72,6 +73,7 @@
     rng: Random
     identity: CallerIdentity
     suspects: CrashSuspects
+    isolation: CrashIsolation
     on_success: Callable[[int], None]  # with the fingerprint; called while there are suspects
     quotas: Quotas
     on_refused: Callable[[RequestHead, Route, str], None]  # str: name of the reason
--- a/packages/thorntray/src/thorntray/internal/request/origin_request.py
+++ b/packages/thorntray/src/thorntray/internal/request/origin_request.py
@@ -12,6 +12,7 @@
 from thorntray.internal.connection.link import Link
 from thorntray.internal.membership.member import Member
 from thorntray.internal.overload.call_parents import RunningRequest
+from thorntray.internal.overload.crash_isolation import choose_instance
 from thorntray.internal.overload.root_admission import CLOSED_PRICE, worth_of
 from thorntray.internal.overload.slot_wait import longest_wait
 from thorntray.internal.request.fingerprint import fingerprint
@@ -209,9 +210,12 @@
     def _try_next(self) -> None:
         deps = self.context.deps
         now = deps.clock.monotonic()
-        if deps.suspects.active and self._refuse_if_blocked():
+        if deps.isolation.active and self._refuse_if_blocked():
             return
         members = deps.directory.members_of(self.service)
+        if self.suspected and deps.isolation.runs_alone(self._fingerprint()):
+            self._try_alone(members, now)
+            return
         member = deps.placement.pick(members, self.route_key, self.tried | self.full, now)
         if member is None and self.full:
             self.full.clear()
@@ -224,14 +228,22 @@
             return
         self._send_to(member, now)
 
+    def _try_alone(self, members: list[Member], now: float) -> None:
+        """Send the request to the instance that all nodes choose for it, or give up."""
+        chosen = choose_instance(members, self._fingerprint())
+        if chosen is None or chosen.name in self.tried | self.full:
+            self._give_up(not_run(Cause.BLOCKED, NO_INSTANCE_RETRY_AFTER))
+        else:
+            self._send_to(chosen, now)
+
     def _refuse_if_blocked(self) -> bool:
         """Refuse the request if instances crash of it; return whether it was refused."""
-        suspects, fingerprint = self.context.deps.suspects, self._fingerprint()
-        blocked_for = suspects.blocked_for(fingerprint)
-        if blocked_for > 0:
-            self._give_up(not_run(Cause.BLOCKED, blocked_for))
+        deps, fingerprint = self.context.deps, self._fingerprint()
+        refused_for = deps.isolation.refused_for(fingerprint)
+        if refused_for > 0:
+            self._give_up(not_run(Cause.BLOCKED, refused_for))
             return True
-        self.suspected = suspects.is_suspected(fingerprint)
+        self.suspected = deps.suspects.is_suspected(fingerprint)
         return False
 
     def _fingerprint(self) -> int:
--- a/packages/thorntray/src/thorntray/internal/request/owner.py
+++ b/packages/thorntray/src/thorntray/internal/request/owner.py
@@ -19,7 +19,7 @@
     ResponseFault,
 )
 from thorntray.internal.overload.call_parents import RunningRequest, RunningRequests
-from thorntray.internal.overload.crash_suspects import CrashSuspects
+from thorntray.internal.overload.crash_isolation import CrashIsolation
 from thorntray.internal.overload.failing_share import FailingShare
 from thorntray.internal.overload.rate_limit import InstanceState, RateLimit
 from thorntray.internal.overload.slot_price import MIN_PRICE, SlotPrice
@@ -66,7 +66,7 @@
     tracker: InstanceTracker
     running: RunningRequests
     pauses: Pauses
-    suspects: CrashSuspects
+    isolation: CrashIsolation
     crash_watch: CrashWatch
     clock: Clock
     on_finish: Callable[[CallFrame, Result, float], None]  # with the seconds at this node
@@ -78,6 +78,7 @@
 
     __slots__ = ("owner", "call", "on_result", "expiry", "ticket", "run", "instance_call", "timer")
     __slots__ += ("arrived_at", "started_at", "boot", "finished", "detached")
+    __slots__ += ("group_limit", "_fingerprint")
 
     def __init__(self, owner: "Owner", call: CallFrame, on_result: ResultCallback) -> None:
         self.owner = owner
@@ -92,6 +93,7 @@
             self.expiry,
             call.idempotent,
             call.workspace,
+            self._may_start,
         )
         self.run: RunningRequest | None = None
         self.instance_call: PendingSend | None = None
@@ -100,6 +102,19 @@
         self.boot: Boot | None = None  # the boot of the instance that it was sent to
         self.finished = False
         self.detached = False  # whether it was cancelled while the instance ran it
+        self.group_limit = 0  # if it runs as a suspect of a crash (`CrashIsolation`)
+        self._fingerprint: int | None = None
+
+    @property
+    def fingerprint(self) -> int:
+        """Return the fingerprint of the call."""
+        if self._fingerprint is None:
+            self._fingerprint = fingerprint_of_call(self.call)
+        return self._fingerprint
+
+    def _may_start(self) -> bool:
+        isolation = self.owner.deps.isolation
+        return not isolation.active or isolation.may_start(self.fingerprint)
 
     def cancel(self) -> None:
         """Cancel the request; a non-idempotent one that the instance is running continues."""
@@ -227,12 +242,13 @@
         if refusal is not None:
             request.finish(not_run(refusal))
             return
-        if deps.suspects.blocking:
-            # Its origin may not know yet, and it may have waited here since before the block.
-            blocked_for = deps.suspects.blocked_for(fingerprint_of_call(call))
-            if blocked_for > 0:
-                request.finish(not_run(Cause.BLOCKED, blocked_for))
+        if deps.isolation.active:
+            # Its origin may not know yet, and it may have waited here since before the crash.
+            refused_for = deps.isolation.refused_for(request.fingerprint)
+            if refused_for > 0:
+                request.finish(not_run(Cause.BLOCKED, refused_for))
                 return
+            request.group_limit = deps.isolation.begin(request.fingerprint)
         request.started_at = now
         request.boot = deps.tracker.boot
         waited = now - request.arrived_at
@@ -283,6 +299,8 @@
         if request.run is not None:
             deps.running.end(request.run)
             self._failing_share.record(result, request.run.made_nested_calls)
+        if request.group_limit:
+            deps.isolation.end(request.group_limit)
         if request.ticket.holds_slot:
             deps.queue.release(request.ticket)
         result = self._with_load_report(request, result, now)
--- a/packages/thorntray/src/thorntray/internal/telemetry/node_metrics.py
+++ b/packages/thorntray/src/thorntray/internal/telemetry/node_metrics.py
@@ -63,6 +63,10 @@
         "gauge",
         "requests known to have run when an instance crashed, and not cleared by a success",
     ),
+    "thorntray_isolated_requests": (
+        "gauge",
+        "requests at the own instance that run apart, since one of them may have crashed another",
+    ),
     "thorntray_blocked_fingerprints": ("gauge", "requests refused since instances crash of them"),
     "thorntray_members": ("gauge", "members considered alive"),
     "thorntray_policy_version": ("gauge", "version of the policy in force, 0 for none"),
--- a/packages/thorntrayctl/src/thorntrayctl/request_trace.py
+++ b/packages/thorntrayctl/src/thorntrayctl/request_trace.py
@@ -229,6 +229,8 @@
         newest = blocks[-1]
         text += f"; {newest.node} blocked it {origin.time - newest.time:.0f} s before"
         text += f" for {newest.fields['seconds']} s, knowing of {newest.fields['crashes']} crashes"
+    else:
+        text += "; it is not blocked, and runs again alone some seconds after its newest crash"
     return text
 
 
--- a/soak/checks.py
+++ b/soak/checks.py
@@ -9,6 +9,7 @@
 
 from soak.clients import Attempt, AttemptEnd
 from soak.deadly_requests import sends_after_third_crash
+from soak.idle_workers import idle_workers
 from soak.lost_answers import lost_answers
 from soak.named_states import beyond_named_limits, runs_after_named_leaving
 from soak.observation import Observation, RouteChange
@@ -51,6 +52,7 @@
     yield from _settings_violations(observation)
     yield from _failed_recovery(observation)
     yield from lost_answers(observation)
+    yield from idle_workers(observation)
     yield from beyond_named_limits(observation)
     yield from runs_after_named_leaving(observation)
     yield from sends_after_third_crash(observation)
--- a/soak/observation.py
+++ b/soak/observation.py
@@ -1,5 +1,6 @@
 """What one run has recorded, as the input of the checks."""
 
+from collections.abc import Mapping
 from typing import NamedTuple
 
 from soak.clients import Attempt
@@ -35,6 +36,7 @@
     stops: list[NodeStop]
     refusable_keys: frozenset[str] = frozenset()  # API keys whose requests may rightly be refused
     ended_nodes: tuple[str, ...] = ()  # names of the nodes whose process is not running at the end
+    running_workers: Mapping[str, str] = {}  # service by name, of the workers running at the end
 
     def node_stable(self, node: str, since: float, until: float) -> bool:
         """Return whether no fault hit the node in a span or in `STABILIZATION_TIME` before it."""
--- a/soak/run.py
+++ b/soak/run.py
@@ -52,6 +52,7 @@
         self.fleet = MeshFleet(
             build_routes(SERVICES[0]), BEHAVIORS, Random(self.rng.getrandbits(64))
         )
+        self.fleet.names_start = lambda index: (index + seed) % 2 == 0
         key_rng = Random(seed)
         self.ring = KeyRing() if seed % 2 else None  # runs with an even seed have no workspaces
         if self.ring is not None:
@@ -99,6 +100,7 @@
             self._injector.stops,
             self.ring.refusable_keys if self.ring is not None else frozenset(),
             tuple(node.name for node in self.fleet.nodes.values() if not node.running),
+            {n.name: n.service for n in self.fleet.nodes.values() if n.worker.listening},
         )
 
     async def _check_safety(self) -> None:
--- a/standins/mesh_fleet.py
+++ b/standins/mesh_fleet.py
@@ -12,6 +12,7 @@
 import subprocess
 import sys
 import tempfile
+from collections.abc import Callable
 from functools import cache
 from pathlib import Path
 from random import Random
@@ -118,6 +119,8 @@
         self.record = FleetRecord()
         self.store = KvStoreStandIn()
         self.nodes: dict[str, NodeProcess] = {}
+        # Whether the worker beside the node with an index names its start time.
+        self.names_start: Callable[[int], bool] = lambda index: True
         self.version = 0
         self.behaviors = behaviors
         self._rng = rng
@@ -213,6 +216,7 @@
         node.worker = WorkerStandIn(
             name, service, endpoints, self.record, self._fork_rng(), self.behaviors
         )
+        node.worker.names_start = self.names_start(index)
         self.nodes[name] = node
         await node.link_proxy.start(datagrams=True)
         await node.app_proxy.start()
--- a/standins/worker.py
+++ b/standins/worker.py
@@ -162,6 +162,8 @@
         self.rate_limit: float | None = None
         self.leaving = False
         self.phase = "ready"
+        # Whether announcements name the start time; if not, each boot has an ID of its own.
+        self.names_start = True
         self.boot = 0
         self._endpoints = endpoints
         self._record = record
@@ -175,13 +177,18 @@
         self._heartbeat_task: asyncio.Task[None] | None = None
         self._restart_task: asyncio.Task[None] | None = None
 
+    @property
+    def instance_id(self) -> str:
+        """Return the ID of the current boot."""
+        return self.name if self.names_start else f"{self.name}-{self.boot}"
+
     @property
     def listening(self) -> bool:
         """Return whether the worker accepts connections."""
         return self._server is not None
 
     async def start(self) -> None:
-        """Listen and send heartbeats, as a new boot with the same instance name."""
+        """Listen and send heartbeats, as a new boot."""
         self.boot += 1
         self._start_time_ms = int(time.time() * 1000)
         self._sequence, self.phase, self.leaving = 0, "ready", False
@@ -223,7 +230,7 @@
             await self._send_heartbeat()
         await asyncio.sleep(DRAIN_DURATION)
         with suppress(OSError, TimeoutError, asyncio.IncompleteReadError):
-            await self._post(f"/Instances.Deregister/{self.name}", {"born": self._start_time_ms})
+            await self._post(f"/Instances.Deregister/{self.instance_id}", self._start_field())
         await self.crash()
         await self.start()
 
@@ -242,14 +249,17 @@
             "Address": address,
             "Info": info,
             "Status": status,
-            "born": self._start_time_ms,
+            **self._start_field(),
         }
         with suppress(OSError, TimeoutError, asyncio.IncompleteReadError):
-            response = await self._post(f"/Instances.Heartbeat/{self.name}", heartbeat)
+            response = await self._post(f"/Instances.Heartbeat/{self.instance_id}", heartbeat)
             if response.status == 200 and phase == "draining":
                 key = (self.name, self.boot)
                 self._record.draining_acknowledged.setdefault(key, time.monotonic())
 
+    def _start_field(self) -> dict[str, int]:
+        return {"born": self._start_time_ms} if self.names_start else {}
+
     async def _post(self, path: str, body: dict[str, object]) -> Response:
         async with asyncio.timeout(HEARTBEAT_TIMEOUT):
             return await send_request(
@@ -334,7 +344,7 @@
         return self._behaviors.get(path, DEFAULT_BEHAVIOR)
 
     def _rejection_status(self, headers: dict[str, str]) -> int:
-        if headers.get("x-target-instance") != self.name:
+        if headers.get("x-target-instance") != self.instance_id:
             return 421
         return 503 if self._running >= self.slots else 0
 
--- a/tests/test_crash_isolation.py
+++ b/tests/test_crash_isolation.py
@@ -12,6 +12,9 @@
 from tests.instance_replies import answer_bytes
 from tests.mesh_builders import HOST, request_bytes
 from tests.virtual_mesh import run_virtual_scenario
+from thorntray.internal.overload.crash_isolation import SECOND_CRASH_PAUSE
+from thorntray.internal.overload.crash_suspects import Crash
+from thorntray.internal.request.fingerprint import fingerprint
 
 CULPRIT = "/prices/culprit"
 OTHER_CULPRIT = "/prices/other-culprit"
@@ -126,24 +129,28 @@
             return
 
 
+async def start_fleet(fleet, run, count):
+    """Start nodes with `count` crashing instances and two of another service.
+
+    Returns the instances by the names of their nodes, and the tasks that announce them.
+    """
+    instances = {f"t{n}": CrashingInstance(fleet, f"t{n}", run) for n in range(count)}
+    for name, instance in instances.items():
+        await fleet.add(name, "tariff", instance, **instance.boot)
+    for name in ("h1", "h2"):
+        await fleet.add(name, "haul")
+    tasks = [asyncio.ensure_future(i.announce_periodically()) for i in instances.values()]
+    await fleet.share_membership()
+    return instances, tasks
+
+
 def run_load(load):
     """Run a load with whole nodes in virtual time; return what happened."""
 
     async def scenario(fleet):
         run = Run()
-        owners = [f"t{n}" for n in range(load.instances)]
-        entries = [*owners, "h1", "h2"]
-        instances = {name: CrashingInstance(fleet, name, run) for name in owners}
-        for name in entries:
-            if name in owners:
-                await fleet.add(name, "tariff", instances[name], **instances[name].boot)
-            else:
-                await fleet.add(name, "haul")
-        announcing = [
-            asyncio.ensure_future(instance.announce_periodically())
-            for instance in instances.values()
-        ]
-        await fleet.share_membership()
+        instances, announcing = await start_fleet(fleet, run, load.instances)
+        entries = list(fleet.nodes)
         warm_up = [get(fleet, run, "h1", f"/prices/warm-{n}", f"w{n}") for n in range(80)]
         await asyncio.gather(*warm_up)
         run.statuses.clear()
@@ -168,7 +175,7 @@
         run.served_at_end = [i.served - n for i, n in zip(instances.values(), served, strict=True)]
         for task in announcing:
             task.cancel()
-        run.available = [fleet.nodes[name].registration.available for name in owners]
+        run.available = [fleet.nodes[name].registration.available for name in instances]
         return run
 
     return run_virtual_scenario(scenario)
@@ -202,6 +209,26 @@
     assert others.count(200) >= 0.95 * len(others)
 
 
+def test_a_culprit_that_comes_to_all_nodes_when_its_pause_ends_takes_one_instance():
+    """Guards against callers that are told the same retry time and return together."""
+
+    async def scenario(fleet):
+        run = Run()
+        await start_fleet(fleet, run, 4)
+        culprit = fingerprint("prices", b"GET", CULPRIT.encode(), "", b"")
+        crashed_at = fleet.clock.boottime() - SECOND_CRASH_PAUSE
+        for node in fleet.nodes.values():
+            for crash_id in (1, 2):
+                ran = frozenset([culprit, 10 * crash_id])
+                node.suspects.add_crash(Crash(crash_id, crashed_at, 2, ran))
+        sends = [get(fleet, run, name, CULPRIT, name) for name in [*fleet.nodes] * 3]
+        await asyncio.gather(*sends)
+        return run
+
+    run = run_virtual_scenario(scenario)
+    assert len(run.crashes) == 1
+
+
 def test_two_culprits_at_once_are_both_refused():
     run = run_load(Load(instances=4, culprits=(CULPRIT, OTHER_CULPRIT), seconds=16.0))
     for culprit in (CULPRIT, OTHER_CULPRIT):
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -14,6 +14,7 @@
     violations,
 )
 from soak.clients import Attempt, AttemptEnd
+from soak.idle_workers import MIN_REQUESTS, RETURN_TIME
 from soak.observation import Observation, RouteChange
 from soak.plan import MAX_STOP_GAP, Fault, FaultKind, draw_plan
 from soak.run import run_seed
@@ -68,6 +69,20 @@
     assert violations(observe([attempt()], [arrival()])) == []
 
 
+def test_a_worker_that_is_never_used_again_is_a_violation():
+    """Failure of incident 37, which broke no promise on any request."""
+    crash = Fault(1.0, FaultKind.WORKER_CRASH, "n2", 1.0)
+    late = crash.end + RETURN_TIME + 1.0
+    runs = [arrival(f"r{number}", late) for number in range(MIN_REQUESTS)]
+    attempts = [attempt(run.request_id, sent_at=late) for run in runs]
+    workers = {"n1": "tariff", "n2": "tariff", "n3": "settle"}
+    idle = observe(attempts, runs, [crash])._replace(running_workers=workers)
+    assert violation_kinds(idle) == {"IDLE"}
+    runs[-1] = arrival(runs[-1].request_id, late, node="n2")
+    used = observe(attempts, runs, [crash])._replace(running_workers=workers)
+    assert violations(used) == []
+
+
 def test_a_payout_that_ran_twice_is_a_strict_violation():
     observation = observe([attempt(route=PAYOUT)], [arrival(), arrival()])
     assert any(line.startswith("TWICE") for line in safety_violations(observation))
