A crash is known 5 ms after the first lost answer, not 20

Change: GATHER_TIME 5 ms. The answers that a crash loses are read in one turn of the event loop, so they are still gathered.

--- a/packages/thorntray/src/thorntray/internal/request/crash_watch.py
+++ b/packages/thorntray/src/thorntray/internal/request/crash_watch.py
@@ -34,7 +34,7 @@
 if TYPE_CHECKING:
     from thorntray.internal.request.owner import OwnerRequest
 
-GATHER_TIME = 0.02  # seconds in which the other requests of a crashed instance end, too
+GATHER_TIME = 0.005  # seconds in which the other requests of a crashed instance end, too
 # Seconds after the first lost request at which a connection is tried; the first ends the holding.
 PROBE_TIMES = (GATHER_TIME, 0.2, 0.5, 1.0, 2.0, 4.0)
 EVIDENCE_TIME = 10.0  # seconds after the first lost request in which a crash can still be proven
