The log of a crash names the requests first that ran in earlier ones; tests of guards

Tests of guards of the order of boots that no test had shown: late announcements while the current boot is silent for a moment, one that is repeated, a new address, rejections of an instance that was just announced, and the end of work to a crashed boot.

--- a/packages/thorntray/src/thorntray/internal/request/crash_watch.py
+++ b/packages/thorntray/src/thorntray/internal/request/crash_watch.py
@@ -41,7 +41,8 @@
 # Seconds before the first lost request in which a request that the node gave up may still have run.
 ABANDONED_TIME = 5.0
 MAX_ABANDONED = 32  # newest ones that are kept
-MAX_LOGGED_REQUESTS = 5  # IDs and fingerprints in the log line of a crash
+# IDs and fingerprints in the log line of a crash, first those that ran in earlier ones.
+MAX_LOGGED_REQUESTS = 5
 
 
 class CrashWatchDependencies(NamedTuple):
@@ -192,7 +193,8 @@
         reported = choose_reported(
             [f for _, f in ran], MAX_REPORTED_FINGERPRINTS, deps.suspects, deps.rng.random
         )
-        shown = ran[:MAX_LOGGED_REQUESTS]
+        by_suspicion = sorted(ran, key=lambda entry: -deps.suspects.count_crashes(entry[1]))
+        shown = by_suspicion[:MAX_LOGGED_REQUESTS]
         log_event(
             Event.INSTANCE_CRASHED,
             instance=losses.boot.instance_id,
--- a/tests/test_crash_watch.py
+++ b/tests/test_crash_watch.py
@@ -99,6 +99,7 @@
     assert crash.running == 3
     assert crash.fingerprints == {fingerprint_of_call(r.call) for r in instance.requests}
     assert [r.cause for r in instance.requests] == [Cause.LOST] * 3
+    assert not instance.registration.available
 
 
 def test_a_request_that_ran_alone_is_reported_as_the_cause():
--- a/tests/test_restarted_instances.py
+++ b/tests/test_restarted_instances.py
@@ -153,6 +153,42 @@
     assert instance.seconds_until_used("i-1", first_sequence=11) <= MAX_RETURN_TIME
 
 
+def test_a_restart_under_the_same_id_is_used_soon_after_a_known_crash():
+    instance = AnnouncedInstance()
+    instance.announce("i-1", 50)
+    instance.registration.record_crash(instance.registration.current.boot)
+    assert instance.seconds_until_used("i-1") <= 2 * PERIOD
+
+
+def test_late_announcements_do_not_replace_a_boot_that_is_silent_for_a_moment():
+    instance = AnnouncedInstance()
+    instance.announce("i-1", 10)
+    instance.announce("i-2", 1)
+    for sequence in (11, 12, 13):
+        instance.announce("i-1", sequence)
+        instance.wait(1.1)
+    assert instance.registration.current.instance_id == "i-2"
+
+
+def test_one_announcement_that_is_repeated_does_not_bring_an_ended_boot_back():
+    """Guards against a sender that repeats a stored announcement without end."""
+    instance = AnnouncedInstance()
+    instance.announce("i-1", 10)
+    instance.announce("i-2", 1)
+    for _ in range(10):
+        instance.announce("i-1", 11)
+        instance.wait(1.0)
+    assert instance.registration.current.instance_id == "i-2"
+
+
+def test_a_new_address_begins_without_the_boots_of_the_former_one():
+    instance = AnnouncedInstance()
+    instance.announce("i-1", 10, started_ms=9000)
+    instance.registration.set_target("tariff", "10.0.0.2:80")
+    instance.announce("i-1", 1, started_ms=5000, address="10.0.0.2:80")
+    assert instance.registration.available
+
+
 def test_a_boot_that_said_it_leaves_is_not_used_again_however_long_it_announces_itself():
     instance = AnnouncedInstance()
     instance.announce("i-1", 10, phase=Phase.DRAINING)
@@ -227,3 +263,11 @@
         ["/prices/1", "/prices/2"] * 4, rejecting=[b"/prices/2"], silence=0.0
     )
     assert available and served.startswith(b"HTTP/1.1 200")
+
+
+def test_rejections_by_an_instance_that_was_just_announced_do_not_close_it():
+    """Guards against a faulty handler whose requests come alone; the instance is alive."""
+    _, available, _, _ = run_renamed_instance(
+        ["/prices/2"] * 4, rejecting=[b"/prices/2"], silence=0.0
+    )
+    assert available
