A changed number of slots of the running instance is taken over

Found while looking for other states that a node keeps although the instance contradicts them: the slots of the first announcement of a boot stayed in use until the next one, as only a new boot or phase counted as a change. test_a_changed_number_of_slots_is_taken_over failed before.

--- a/packages/thorntray/src/thorntray/internal/process/registration.py
+++ b/packages/thorntray/src/thorntray/internal/process/registration.py
@@ -44,6 +44,11 @@
         """Return the boot that sent the announcement."""
         return Boot(self.instance_id, self.started_ms)
 
+    @property
+    def state(self) -> tuple[Boot, Phase, int]:
+        """Return what other parts of the node depend on."""
+        return self.boot, self.phase, self.slots
+
 
 class Registration:
     """The newest boot of the instance, and whether new work may be sent to it."""
@@ -89,8 +94,7 @@
         if not self._order.accept(boot, announcement.sequence):
             self._log_outdated(announcement)
             return True
-        changed = self.current is None or announcement[:2] != self.current[:2]
-        changed = changed or announcement.phase is not self.current.phase
+        changed = self.current is None or announcement.state != self.current.state
         self.current = announcement
         self._announced_at = self._clock.monotonic()
         if announcement.phase is Phase.DRAINING:
--- a/tests/test_registration.py
+++ b/tests/test_registration.py
@@ -30,6 +30,17 @@
     assert not registration.available
 
 
+def test_a_changed_number_of_slots_is_taken_over():
+    """Guards against slots of the first announcement that stay in use for ever."""
+    registration, _, changes = make_registration()
+    registration.apply(make_announcement(slots=16))
+    before = len(changes)
+    registration.apply(make_announcement(sequence=2, slots=16))
+    assert len(changes) == before
+    registration.apply(make_announcement(sequence=3, slots=8))
+    assert len(changes) == before + 1
+
+
 def test_a_late_announcement_does_not_replace_a_newer_one():
     registration, _, _ = make_registration()
     registration.apply(make_announcement(sequence=5, slots=16))
