A second crash under the same id and no start time counts again

Cause: the id of a crash was that of the boot, and after a crash the boot's further losses were taken for late ones.

--- a/packages/thorntray/src/thorntray/internal/request/crash_watch.py
+++ b/packages/thorntray/src/thorntray/internal/request/crash_watch.py
@@ -141,6 +141,8 @@
             if answered_at is None or current.started_ms <= answered_at * MS_PER_SECOND:
                 self._settle_as_crash(losses)
             losses.settled = True
+        elif losses.crashed and self._deps.registration.accepting:
+            self._losses = None  # the boot runs on, or its successor bears the same ID
 
     def _may_have_crashed(self, boot: Boot) -> bool:
         registration = self._deps.registration
@@ -202,5 +204,5 @@
             suspected=sum(deps.suspects.is_suspected(f) for f in reported),
             requests={request_id.decode("latin-1"): f"{f:016x}" for request_id, f in shown},
         )
-        crash_id = hash64(f"{deps.node} {losses.boot.instance_id} {losses.boot.started_ms}")
+        crash_id = hash64(f"{deps.node} {losses.boot} {losses.began_at}")
         deps.on_crash(Crash(crash_id, losses.began_at, len(ran), reported))
--- a/tests/test_crash_watch.py
+++ b/tests/test_crash_watch.py
@@ -35,7 +35,7 @@
 class Instance:
     """An instance and what its node knows of it; `refuses` is whether nothing listens there."""
 
-    def __init__(self):
+    def __init__(self, **announced):
         self.clock = LoopClock()
         self.refuses = False
         self.crashes = []
@@ -53,7 +53,7 @@
                 Random(1),
             )
         )
-        self.announce()
+        self.announce(**announced)
 
     async def _refuses_connections(self):
         return self.refuses
@@ -75,11 +75,14 @@
         return requests
 
 
-def watch_instance(scenario):
-    """Run a scenario, then wait for all evidence; return the instance."""
+def watch_instance(scenario, **announced):
+    """Run a scenario, then wait for all evidence; return the instance.
+
+    `announced` are fields of the first announcement.
+    """
 
     async def work():
-        instance = Instance()
+        instance = Instance(**announced)
         await asyncio.sleep(1.0)
         instance.requests = await scenario(instance) or []
         await asyncio.sleep(EVIDENCE_TIME + 1.0)
@@ -132,6 +135,24 @@
     assert len(watch_instance(scenario).crashes) == 1
 
 
+def test_a_second_crash_under_the_same_id_counts_again():
+    """Guards against instances that name no start time, whose second crash would be the first."""
+
+    async def scenario(instance):
+        for _ in range(2):
+            instance.refuses = True
+            instance.lose(1)
+            await asyncio.sleep(0.1)
+            instance.refuses = False
+            for sequence in range(1, 5):
+                instance.announce(started_ms=0, sequence=sequence)
+                await asyncio.sleep(1.0)
+            assert instance.registration.available
+
+    crashes = watch_instance(scenario, started_ms=0, sequence=50).crashes
+    assert len({crash.crash_id for crash in crashes}) == 2
+
+
 def test_a_crash_is_judged_once():
     async def scenario(instance):
         instance.refuses = True
