The proxies of the mesh stand-in deliver datagrams from the address of their sender

Cause: a proxy sent each datagram from its own address, so the reply to a query went back to the node that had been asked. In fleets of processes no coordinator of a quota, no peer asked for freshness and no member asked for crash reports was ever heard. That the product exceeds a quota while replies are lost is a fault of its own, still open.

--- a/standins/fault_proxy.py
+++ b/standins/fault_proxy.py
@@ -13,13 +13,18 @@
 
 
 class FaultProxy:
-    """Forwards one TCP port, and optionally the UDP port of the same number, to a target."""
+    """Forwards one TCP port, and optionally the UDP port of the same number, to a target.
+
+    A datagram of a host in `senders` is delivered from the address of that host's own proxy, so
+    that a reply to its source comes back through that proxy. Other senders cannot be replied to.
+    """
 
     def __init__(self, listen: Endpoint, target: Endpoint, rng: Random) -> None:
         self.delay = 0.0  # seconds, in each direction
         self.blackhole = False  # discards all data in both directions; connections stay open
         self.drop_responses = False  # discards TCP data from the target
         self.datagram_loss_rate = 0.0  # share of the datagrams that is discarded
+        self.senders: dict[str, FaultProxy] = {}
         self._listen = listen
         self._target = target
         self._rng = rng
@@ -52,16 +57,13 @@
         for task in list(self._tasks):
             task.cancel()
 
-    def forward_datagram(self, data: bytes) -> None:
-        """Forward a datagram after the delay, or drop it if a fault applies."""
-        if (
-            self.blackhole
-            or self._datagrams is None
-            or self._rng.random() < self.datagram_loss_rate
-        ):
+    def forward_datagram(self, data: bytes, host: str) -> None:
+        """Forward a datagram of a host after the delay, or drop it if a fault applies."""
+        endpoint = self.senders.get(host, self)._datagrams
+        if self.blackhole or endpoint is None or self._rng.random() < self.datagram_loss_rate:
             return
         loop = asyncio.get_running_loop()
-        loop.call_later(self.delay, self._datagrams.sendto, data, tuple(self._target))
+        loop.call_later(self.delay, endpoint.sendto, data, tuple(self._target))
 
     async def _accept(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         self._writers.add(writer)
@@ -104,4 +106,4 @@
 
     def datagram_received(self, data: bytes, addr: tuple[str, int]) -> None:
         """Forward a datagram."""
-        self._proxy.forward_datagram(data)
+        self._proxy.forward_datagram(data, addr[0])
--- a/standins/mesh_fleet.py
+++ b/standins/mesh_fleet.py
@@ -119,6 +119,7 @@
         self.record = FleetRecord()
         self.store = KvStoreStandIn()
         self.nodes: dict[str, NodeProcess] = {}
+        self._proxies: dict[str, FaultProxy] = {}  # by the host that a node sends from
         # Whether the worker beside the node with an index names its start time.
         self.names_start: Callable[[int], bool] = lambda index: True
         self.version = 0
@@ -218,6 +219,8 @@
         )
         node.worker.names_start = self.names_start(index)
         self.nodes[name] = node
+        self._proxies[host] = node.link_proxy
+        node.link_proxy.senders = self._proxies
         await node.link_proxy.start(datagrams=True)
         await node.app_proxy.start()
         self.start_node(node)
