A coordinator that is alive but hears no queries does not add up to more than the quota

Cause: half a second after the first unanswered query a node spent its own share of the rate, whether the coordinator was dead or only did not hear. One that is alive goes on granting the whole rate to the others. Change: the half second begins anew with each sign of life of the coordinator in the membership, which probes it every 0.15 s meanwhile. While it is alive and silent, the nodes concerned refuse with 503. Half a second of service of the own share is lost between a coordinator's last sign of life and its death.

--- a/packages/thorntray/src/thorntray/internal/membership/membership.py
+++ b/packages/thorntray/src/thorntray/internal/membership/membership.py
@@ -87,6 +87,7 @@
         self._on_member_gone = on_member_gone
         self._suspected_at: dict[str, float] = {}
         self._gone_at: dict[str, float] = {}
+        self._heard_at: dict[str, float] = {}  # boot time of the newest datagram of each member
         self._spread_tokens = SPREAD_BURST_BYTES
         self._revisions_sent = 0
         self._tasks = BackgroundTasks()
@@ -149,6 +150,10 @@
             return False
         return self._prober.answered
 
+    def heard_at(self, name: str) -> float:
+        """Return the boot time at which a member's newest datagram came, -inf if there is none."""
+        return self._heard_at.get(name, float("-inf"))
+
     def probe_now(self, name: str) -> None:
         """Probe a member at once, because an attempt through it has failed."""
         member = self.find(name)
@@ -265,6 +270,7 @@
     def _process(self, datagram: MembershipDatagram) -> None:
         """Process a datagram of the membership protocol."""
         was_alone = len(self.view) == 1
+        self._heard_at[datagram.sender.name] = self._clock.boottime()
         self._apply(datagram.sender)
         if was_alone and not isinstance(datagram, Join):
             self._sender.send(Join(self.own), datagram.sender)
@@ -360,4 +366,5 @@
         cutoff = self._clock.monotonic() - GONE_RETENTION
         for name in [n for n, since in self._gone_at.items() if since <= cutoff]:
             del self._gone_at[name]
+            self._heard_at.pop(name, None)
             self.view.forget(name)
--- a/packages/thorntray/src/thorntray/internal/overload/quota_tokens.py
+++ b/packages/thorntray/src/thorntray/internal/overload/quota_tokens.py
@@ -11,6 +11,8 @@
 
 The coordinator may be unreachable. After `SHARE_DELAY` the node admits its own small share of the
 rate. Before that it refuses, since the coordinator may still be granting the whole rate to others.
+The delay starts anew with each sign of life: a coordinator that only gets no queries, or whose
+replies are lost, goes on granting.
 """
 
 from collections import deque
@@ -122,12 +124,16 @@
             return True
         return False
 
-    def spend_share(self, members: int, now: float) -> bool:
-        """Spend a token of the own share, which grows while the coordinator is silent."""
+    def spend_share(self, members: int, heard_at: float, now: float) -> bool:
+        """Spend a token of the own share, which grows while the coordinator is silent.
+
+        `heard_at` is when the coordinator last gave a sign of life, in boot time.
+        """
         if not self.silent(now):
             return False
         assert self._silent_since is not None
-        grows_from = max(self._share_at, self._silent_since + SHARE_DELAY)
+        silent_since = max(self._silent_since, heard_at)
+        grows_from = max(self._share_at, silent_since + SHARE_DELAY)
         if now > grows_from:
             depth = max(1.0, self.workspace.burst / members)
             gain = self.workspace.rate / members * (now - grows_from)
--- a/packages/thorntray/src/thorntray/internal/request/quotas.py
+++ b/packages/thorntray/src/thorntray/internal/request/quotas.py
@@ -45,7 +45,8 @@
 FORGET_PERIOD = 1.0  # seconds between looks for idle workspaces
 IDLE_TIME = 5.0  # seconds without a request after which a workspace is forgotten here
 SEQUENCE_SHIFT = 2  # bits, so that sequence numbers stay in the range of 64-bit integers
-PROBE_INTERVAL = 1.0  # seconds between extra probes of a silent coordinator
+# Seconds between extra probes of a silent coordinator; shorter than quota_tokens.SHARE_DELAY.
+PROBE_INTERVAL = 0.15
 UNKNOWN_RETRY_AFTER = 0.5  # seconds, before jitter; the view converges in about this time
 NAMED_WORKSPACES = 20  # workspaces with a metric of their own
 OTHER = "other"
@@ -219,7 +220,10 @@
         return len(waiting)
 
     def _spend_share(self, account: TokenAccount, now: float) -> bool:
-        return self._members.known and account.spend_share(self._members.count, now)
+        if not self._members.known:
+            return False
+        heard_at = self._membership.heard_at(account.coordinator)
+        return account.spend_share(self._members.count, heard_at, now)
 
     def _refuse(self, entry: _Entry, now: float) -> QuotaRefusal:
         """Return the refusal that is true now, and count it."""
--- a/tests/fleet_builders.py
+++ b/tests/fleet_builders.py
@@ -2,6 +2,7 @@
 
 import asyncio
 from collections import Counter
+from collections.abc import Callable
 from random import Random
 from typing import Any
 
@@ -139,7 +140,8 @@
     """Control planes of many nodes; datagrams may be lost, delayed, duplicated, or cut off.
 
     `loss` and `duplication` are shares of datagrams from 0 to 1, `delay` is in seconds. Nodes with
-    different values in `partition_of` cannot reach each other.
+    different values in `partition_of` cannot reach each other. `drops` tells, for the names of
+    sender and target and the data, whether a datagram is lost.
     """
 
     def __init__(self, rng: Random, platform: MemoryPlatform | None = None) -> None:
@@ -151,6 +153,7 @@
         self.duplication = 0.0
         self.delay = 0.002
         self.partition_of: dict[str, int] = {}
+        self.drops: Callable[[str, str, bytes], bool] = lambda sender, target, data: False
         self.next_port = 1
 
     def add(
@@ -168,6 +171,8 @@
         target = self.nodes_by_address.get(address)
         if target is None or not self.can_reach(sender.name, target.name):
             return
+        if self.drops(sender.name, target.name, data):
+            return
         copies = (self.rng.random() >= self.loss) + (self.rng.random() < self.duplication)
         for _ in range(copies):
             delay = self.delay * self.rng.uniform(0.5, 3)
--- a/tests/test_quota_accounts.py
+++ b/tests/test_quota_accounts.py
@@ -8,6 +8,7 @@
 )
 from thorntray.internal.version.workspaces import Workspace
 
+NEVER = float("-inf")  # when the coordinator gave a sign of life
 WORKSPACE = Workspace("depots", rate=100.0, burst=10.0)
 
 
@@ -36,10 +37,10 @@
     account.record_silence(100.0 + SILENT_AFTER)
     now = 100.0 + SHARE_DELAY + 2.0
     account.record_silence(now - 0.01)
-    assert account.spend_share(members=10, now=now)
+    assert account.spend_share(members=10, heard_at=NEVER, now=now)
     account.give_back()
     assert account.held == 0 and account.expire(now + TOKEN_LIFETIME) == 0
-    assert account.spend_share(members=10, now=now), "the share has it again"
+    assert account.spend_share(members=10, heard_at=NEVER, now=now), "the share has it again"
 
 
 def test_a_given_back_token_is_spent_again():
--- a/tests/test_quota_decisions.py
+++ b/tests/test_quota_decisions.py
@@ -27,6 +27,7 @@
 from thorntray.internal.version.workspaces import Workspace
 
 OWN = "own"
+NEVER = float("-inf")  # when the coordinator gave a sign of life
 START = 1000.0  # boot time at which the node knows the fleet
 LATER = START + 1000.0  # a time at which all buckets are full
 
@@ -252,7 +253,7 @@
     while now < 1.5:
         sequence += 1
         account.ask(sequence, 1, now)
-        if account.spend_share(60, now):
+        if account.spend_share(60, NEVER, now):
             spent.append(now)
         now += 0.01
         account.record_silence(now)
@@ -260,7 +261,19 @@
     assert len(spent) <= 10 * 1.0 + 1
     account.ask(sequence + 1, 1, now)
     account.record_grant(account.asked.sequence, 0, 0.1, now)
-    assert not account.spend_share(60, now + 0.5)
+    assert not account.spend_share(60, NEVER, now + 0.5)
+
+
+def test_a_coordinator_that_gives_signs_of_life_leaves_no_share():
+    # Failure: it grants the whole rate to those that it hears, and the others add their shares.
+    account = make_account(rate=600.0)
+    now, sequence = 0.0, 0
+    while now < 3.0:
+        sequence += 1
+        account.ask(sequence, 1, now)
+        assert not account.spend_share(60, now - now % 0.4, now)
+        now += 0.01
+        account.record_silence(now)
 
 
 def test_the_share_of_a_silence_long_ago_is_not_spent():
@@ -268,7 +281,7 @@
     account = make_account(rate=60.0)
     account.ask(1, 1, 0.0)
     account.record_silence(SILENT_AFTER)
-    assert not account.spend_share(60, 4.0)
+    assert not account.spend_share(60, NEVER, 4.0)
 
 
 def test_a_lowered_limit_ends_the_tokens_at_hand():
