--- a/packages/thorntray-node/src/thorntray_node/peer_requests.py
+++ b/packages/thorntray-node/src/thorntray_node/peer_requests.py
@@ -2,7 +2,8 @@
 
 from thorntray.internal.connection.frame import CallFrame, CancelFrame, FetchPolicy, Frame, Hello
 from thorntray.internal.connection.link_connection import LinkConnection
-from thorntray.internal.request.owner import Owner, OwnerRequest
+from thorntray.internal.request.owner import Owner
+from thorntray.internal.request.owner_request import OwnerRequest
 from thorntray.internal.request.result import Result
 from thorntray.internal.request.result_frames import frame_from_result
 from thorntray.internal.store.policy_watch import PolicyWatch
--- a/packages/thorntray/src/thorntray/internal/request/crash_watch.py
+++ b/packages/thorntray/src/thorntray/internal/request/crash_watch.py
@@ -32,7 +32,7 @@
 from thorntray.internal.telemetry.events import Event, log_event, log_handler_failure
 
 if TYPE_CHECKING:
-    from thorntray.internal.request.owner import OwnerRequest
+    from thorntray.internal.request.owner_request import OwnerRequest
 
 GATHER_TIME = 0.005  # seconds in which the other requests of a crashed instance end, too
 # Seconds after the first lost request at which a connection is tried; the first ends the holding.
--- a/packages/thorntray/src/thorntray/internal/request/origin_request.py
+++ b/packages/thorntray/src/thorntray/internal/request/origin_request.py
@@ -17,7 +17,7 @@
 from thorntray.internal.overload.slot_wait import longest_wait
 from thorntray.internal.request.fingerprint import fingerprint
 from thorntray.internal.request.origin_context import OriginContext, RequestHead
-from thorntray.internal.request.owner import OwnerRequest
+from thorntray.internal.request.owner_request import OwnerRequest
 from thorntray.internal.request.result import (
     NO_REPORT,
     Cause,
--- a/packages/thorntray/src/thorntray/internal/request/owner.py
+++ b/packages/thorntray/src/thorntray/internal/request/owner.py
@@ -15,22 +15,21 @@
 from thorntray.internal.connection.instance_pool import (
     InstancePool,
     InstanceResponse,
-    PendingSend,
     ResponseFault,
 )
-from thorntray.internal.overload.call_parents import RunningRequest, RunningRequests
+from thorntray.internal.overload.call_parents import RunningRequests
 from thorntray.internal.overload.crash_isolation import CrashIsolation
 from thorntray.internal.overload.failing_share import FailingShare
 from thorntray.internal.overload.rate_limit import InstanceState, RateLimit
 from thorntray.internal.overload.slot_price import MIN_PRICE, SlotPrice
-from thorntray.internal.overload.slot_queue import SlotQueue, Ticket
+from thorntray.internal.overload.slot_queue import SlotQueue
 from thorntray.internal.process.clock import Clock
 from thorntray.internal.process.pauses import Pauses
-from thorntray.internal.process.registration import Boot, Registration
+from thorntray.internal.process.registration import Registration
 from thorntray.internal.request.crash_watch import CrashWatch
-from thorntray.internal.request.fingerprint import fingerprint_of_call
 from thorntray.internal.request.instance_answers import AnswerReader
 from thorntray.internal.request.instance_tracker import InstanceTracker
+from thorntray.internal.request.owner_request import MIN_BUDGET, OwnerRequest, ResultCallback
 from thorntray.internal.request.result import (
     Cause,
     LoadReport,
@@ -45,14 +44,9 @@
 MAX_EXPIRY_STEPS = 15  # earlier expiries to try for one that no other running request has
 MOVING_AVERAGE_WEIGHT = 0.1  # weight of the newest queue wait
 EXPIRY_GRACE = 0.15  # seconds after the expiry during which the instance may still respond
-DETACHED_TIMEOUT = 0.25  # seconds that a cancelled nested call may still run at the instance
-MIN_BUDGET = 0.002  # seconds; a request with less time left is not sent to the instance
-ISOLATED_WAIT_RATIO = 0.5  # longest wait of a suspect of a crash / its budget
 UNREACHABLE_BACKOFF = 0.3  # seconds without new requests after a failed connection attempt
 _BODY_METHODS = frozenset({b"POST", b"PUT", b"PATCH"})
 
-ResultCallback = Callable[[Result], None]
-
 
 class OwnerDependencies(NamedTuple):
     """Process-wide components that an `Owner` uses."""
@@ -74,130 +68,6 @@
     on_slot_wait: Callable[[float], None]  # with the seconds waited
 
 
-class OwnerRequest:
-    """One request at its owner, from its arrival to its result."""
-
-    __slots__ = ("owner", "call", "on_result", "expiry", "ticket", "run", "instance_call", "timer")
-    __slots__ += ("arrived_at", "started_at", "boot", "finished", "detached")
-    __slots__ += ("group_limit", "_fingerprint")
-
-    def __init__(self, owner: "Owner", call: CallFrame, on_result: ResultCallback) -> None:
-        self.owner = owner
-        self.call = call
-        self.on_result = on_result
-        self.arrived_at = owner.deps.clock.monotonic()
-        self.expiry = self.arrived_at + call.budget
-        self.ticket = Ticket(
-            call.worth,
-            call.nested,
-            self._on_slot_granted,
-            self.expiry,
-            call.idempotent,
-            call.workspace,
-            self._may_start,
-        )
-        self.run: RunningRequest | None = None
-        self.instance_call: PendingSend | None = None
-        self.timer: asyncio.TimerHandle | None = None
-        self.started_at = 0.0
-        self.boot: Boot | None = None  # the boot of the instance that it was sent to
-        self.finished = False
-        self.detached = False  # whether it was cancelled while the instance ran it
-        self.group_limit = 0  # if it runs as a suspect of a crash (`CrashIsolation`)
-        self._fingerprint: int | None = None
-
-    @property
-    def fingerprint(self) -> int:
-        """Return the fingerprint of the call."""
-        if self._fingerprint is None:
-            self._fingerprint = fingerprint_of_call(self.call)
-        return self._fingerprint
-
-    def _may_start(self) -> bool:
-        isolation = self.owner.deps.isolation
-        return not isolation.active or isolation.may_start(self.fingerprint)
-
-    def cancel(self) -> None:
-        """Cancel the request; a non-idempotent one that the instance is running continues."""
-        if self.finished:
-            return
-        if self.instance_call is None:
-            self.finish(not_run(Cause.CANCELLED))
-        elif self.call.idempotent and not self.detached:
-            self._detach()
-
-    def _detach(self) -> None:
-        """Give a cancelled nested call `DETACHED_TIMEOUT` to complete; abort any other request.
-
-        When a request fails, dozens of its nested calls may be cancelled at once. Aborting them
-        closes their connections, and opening new ones costs more than completing the calls.
-        """
-        self.detached = True
-        if self.timer is not None:
-            self.timer.cancel()
-        left = DETACHED_TIMEOUT if self.call.nested else 0.0
-        self.timer = asyncio.get_running_loop().call_later(left, self._abort)
-
-    def _abort(self) -> None:
-        if self.instance_call is not None:
-            self.instance_call.cancel()
-            self.owner.deps.crash_watch.record_abandoned(self)
-        self.finish(unknown(Cause.CANCELLED))
-
-    @property
-    def waiting(self) -> bool:
-        """Return whether it waits for a slot."""
-        return not (self.finished or self.ticket.holds_slot)
-
-    @property
-    def longest_wait(self) -> float:
-        """Return the seconds after its arrival for which it may wait to start."""
-        wait = self.call.max_wait
-        isolation = self.owner.deps.isolation
-        if isolation.active and isolation.group_limit(self.fingerprint):
-            # It waits for other suspects rather than for a slot, and would do so anywhere.
-            wait = max(wait, self.call.budget * ISOLATED_WAIT_RATIO)
-        return max(0.0, min(wait, self.call.budget - MIN_BUDGET))
-
-    def start_queue_timer(self) -> None:
-        """Limit the wait for a slot."""
-        loop = asyncio.get_running_loop()
-        self.timer = loop.call_later(self.longest_wait, self._on_queue_timeout)
-
-    def finish(self, result: Result) -> None:
-        """Deliver the result and release the slot; only the first call has an effect."""
-        if self.finished:
-            return
-        self.finished = True
-        if self.timer is not None:
-            self.timer.cancel()
-        self.owner.complete(self, result)
-        # Breaks the reference cycle with the ticket, so that no garbage collection is needed.
-        self.ticket.start = _no_op
-
-    def finish_failed(self) -> None:
-        """Finish the request, after the exception that is being handled; it may have run."""
-        log_handler_failure(id=self.call.request_id.decode("latin-1"))
-        self.finish(unknown(Cause.GARBLED))
-
-    def _on_queue_timeout(self) -> None:
-        expired = self.owner.deps.clock.monotonic() >= self.expiry - 2 * MIN_BUDGET
-        self.finish(not_run(Cause.EXPIRED) if expired else self.owner.waiting.full(self))
-
-    def _on_slot_granted(self) -> None:
-        if self.timer is not None:
-            self.timer.cancel()
-            self.timer = None
-        try:
-            self.owner.start(self)
-        except Exception:  # the request whose slot became free still gets its result
-            self.finish_failed()
-
-
-def _no_op() -> None:
-    """Do nothing."""
-
-
 class Owner:
     """Runs requests at this node's own instance."""
 
