A node that has just started tells callers without a key for good as soon as it can

Cause: a fixed time in which the instance may still run requests of the previous process. No request runs longer than the timeout of its route. Change: the longest timeout of the policy and 0.5 s instead of 10 s. A good key was served 1.0 to 1.9 s after the start, before as after; that is unchanged.

--- a/packages/thorntray/src/thorntray/internal/request/caller_identity.py
+++ b/packages/thorntray/src/thorntray/internal/request/caller_identity.py
@@ -18,8 +18,8 @@
 from thorntray.internal.version.policy import Policy, Route
 from thorntray.internal.version.workspaces import Workspace
 
-# Seconds after its start in which the instance may still run requests of the previous process.
-UNKNOWN_CALLS_PERIOD = 10.0
+# Seconds after a route's timeout in which the instance may still run its requests.
+RUN_MARGIN = 0.5
 _SCHEME = b"bearer"
 
 
@@ -58,15 +58,16 @@
         if not authorization:
             if route.anonymous or is_nested_call():
                 return None
-            return self._refusal_without_key()
+            return self._refusal_without_key(policy)
         # Freshness first: a key that is not known yet may be in a version that has not arrived.
         if not self._freshness.allows_keys(policy):
             return IdentityRefusal.STALE_POLICY
         workspace = workspaces.of_key(_key(authorization))
         return workspace if workspace is not None else IdentityRefusal.UNKNOWN_KEY
 
-    def _refusal_without_key(self) -> IdentityRefusal:
-        if self._clock.monotonic() - self._started_at < UNKNOWN_CALLS_PERIOD:
+    def _refusal_without_key(self, policy: Policy) -> IdentityRefusal:
+        longest_run = max(route.timeout for route in policy.routes.values()) + RUN_MARGIN
+        if self._clock.monotonic() - self._started_at < longest_run:
             return IdentityRefusal.UNMATCHED_CALL
         return IdentityRefusal.MISSING_KEY
 
--- a/tests/test_caller_identity.py
+++ b/tests/test_caller_identity.py
@@ -7,7 +7,7 @@
 from tests.mesh_builders import make_policy, make_route
 from thorntray.errors import BadDocument
 from thorntray.internal.request.caller_identity import (
-    UNKNOWN_CALLS_PERIOD,
+    RUN_MARGIN,
     CallerIdentity,
     IdentityRefusal,
 )
@@ -17,12 +17,11 @@
 DEPOTS = Workspace("depots", priority=1, rate=20.0, burst=5.0)
 ANONYMOUS = make_route(anonymous=True)
 KEYED = make_route()
+LONGEST_RUN = KEYED.timeout + RUN_MARGIN  # seconds, of the requests of a previous process
 POLICY = make_policy()._replace(workspaces=Workspaces.from_keys([(DEPOTS, ["k-1", "k-2"])]))
 
 
-def identify(
-    authorization=b"", route=KEYED, policy=POLICY, nested=False, seconds=UNKNOWN_CALLS_PERIOD
-):
+def identify(authorization=b"", route=KEYED, policy=POLICY, nested=False, seconds=LONGEST_RUN):
     clock = ManualClock()
     identity = CallerIdentity(Freshness(clock, None), clock)
     clock.now += seconds
