--- a/packages/thorntray/src/thorntray/internal/overload/crash_isolation.py
+++ b/packages/thorntray/src/thorntray/internal/overload/crash_isolation.py
@@ -102,7 +102,7 @@
 def choose_instance(members: list[Member], fingerprint: int) -> Member | None:
     """Return the member that runs a request which runs alone, the same at all nodes.
 
-    It stays the same while the set of routable members does; different requests get different ones.
+    It stays the same while the set of routable members does. Other requests may get other members.
     """
     routable = [member for member in members if member.routable]
     return max(routable, key=lambda m: hash64(f"{fingerprint} {m.name}"), default=None)
--- a/packages/thorntray/src/thorntray/internal/overload/crash_suspects.py
+++ b/packages/thorntray/src/thorntray/internal/overload/crash_suspects.py
@@ -101,7 +101,7 @@
         return len(self._crashes_of.get(fingerprint, ()))
 
     def crashes_of(self, fingerprint: int) -> Iterator[Crash]:
-        """Return these crashes."""
+        """Return the crashes that `count_crashes` counts."""
         return (self._crashes[crash_id] for crash_id in self._crashes_of.get(fingerprint, ()))
 
     # Evidence; each method returns whether it is news that other nodes need.
--- a/packages/thorntray/src/thorntray/internal/overload/slot_queue.py
+++ b/packages/thorntray/src/thorntray/internal/overload/slot_queue.py
@@ -63,7 +63,7 @@
         self.idempotent = idempotent
         self.workspace = workspace  # name, empty if there is none
         self.start = start
-        self.may_start = may_start  # whether it need not wait for other reasons than slots
+        self.may_start = may_start  # returns False while it has to wait even beside a free slot
         self.sort_key = (0.0, 0.0, 0)
         self.holds_slot = False
 
--- a/packages/thorntray/src/thorntray/internal/process/boot_order.py
+++ b/packages/thorntray/src/thorntray/internal/process/boot_order.py
@@ -5,11 +5,13 @@
 one, the instance gets no work for as long as it runs, and nothing but its own rejections shows it.
 So no judgement is final, except on a boot that says itself that it leaves.
 
-A later start time decides, and so does an ID that was never announced before if either start is
-unknown. A boot that was replaced, that crashed, or whose start time or sequence numbers lie behind
-the current ones is ignored as outdated, unless it goes on announcing itself with rising sequence
-numbers for `CLAIM_TIME` while the current boot is silent or doubted. Late announcements come to an
-end earlier, and a living boot is heard in between.
+Of two known start times the later one decides. A boot that names its start replaces one that does
+not, and of two that do not, the one whose ID was not announced before is the newer. All others are
+ignored as outdated: a boot that was replaced or crashed, an earlier start, a lower sequence number.
+
+Such a boot is used all the same if it goes on announcing itself with rising sequence numbers for
+`CLAIM_TIME` while the current boot is silent or doubted. Late announcements come to an end earlier,
+and a living boot is heard in between.
 """
 
 from typing import NamedTuple
