All nodes send a suspect of a crash to the same instance

Cause: after the first crash, copies of the culprit at several nodes went to different instances. Nodes of other services learnt of a crash by gossip only. Change: a suspect of one crash goes to the instance that all nodes choose for it, too, and to the next if that one refuses; 64 members of any service are told of a crash at once, first those of the instance's service. Before and after, the new test (a known crash, 18 copies at six nodes at one moment): several instances -> one.

--- a/packages/thorntray/src/thorntray/internal/membership/crash_reports.py
+++ b/packages/thorntray/src/thorntray/internal/membership/crash_reports.py
@@ -31,7 +31,7 @@
 from thorntray.internal.process.clock import Clock
 from thorntray.internal.process.tasks import BackgroundTasks
 
-MAX_DIRECT_REPORTS = 64  # members of the service that are told of a crash at once
+MAX_DIRECT_REPORTS = 64  # members that are told of a crash at once
 SPREAD_PERIOD = 0.2  # seconds
 SPREAD_FANOUT = 3  # random members in each spread period
 START_QUERIES = 12  # times that a node asks for all reports after its start
@@ -81,7 +81,7 @@
     def report_crash(self, crash: Crash) -> None:
         """Report a crash of the own instance."""
         if self._suspects.add_crash(crash):
-            self._report_to_service(crash)
+            self._report_directly(crash)
             self._announce(_Item(_Kind.CRASH, crash.crash_id))
 
     def report_success(self, fingerprint: int) -> None:
@@ -101,12 +101,17 @@
         finally:
             await self._tasks.stop()
 
-    def _report_to_service(self, crash: Crash) -> None:
-        """Send a crash to the members that will run the requests of the crashed instance next."""
-        membership = self._membership
-        peers = [m for m in membership.members_of(membership.own.service) if m != membership.own]
+    def _report_directly(self, crash: Crash) -> None:
+        """Send a crash to many members at once, without waiting for the gossip.
+
+        First to those that will run the requests of the crashed instance next.
+        """
+        own = self._membership.own
+        peers = [member for member in self._membership.alive() if member.name != own.name]
+        self._rng.shuffle(peers)
+        peers.sort(key=lambda member: member.service != own.service)
         report, _ = self._pack(iter([_Item(_Kind.CRASH, crash.crash_id)]))
-        for member in self._rng.sample(peers, min(len(peers), MAX_DIRECT_REPORTS)):
+        for member in peers[:MAX_DIRECT_REPORTS]:
             self._send(report, member)
 
     def _announce(self, item: _Item) -> None:
--- a/packages/thorntray/src/thorntray/internal/overload/crash_isolation.py
+++ b/packages/thorntray/src/thorntray/internal/overload/crash_isolation.py
@@ -9,10 +9,11 @@
   others are explained by these and run as usual.
 * Of n suspects, at most the square root of n run together at one instance. A second crash then
   leaves that many suspects, and the innocent ones are cleared by their success in a few rounds.
+* All nodes send the same suspect to the same instance. A culprit that comes often would otherwise
+  reach several before its second crash is known.
 * Suspects of two crashes or more run alone, and only after `SECOND_CRASH_PAUSE`. By then the
-  crashed instances are back, so that one culprit takes no further instance while two are down. All
-  nodes send such a request to the same instance, since many callers may return when the pause
-  ends. A third crash leaves a single suspect, which `crash_suspects` blocks.
+  crashed instances are back, so that one culprit takes no further instance while two are down. A
+  third crash leaves a single suspect, which `crash_suspects` blocks.
 
 One success anywhere ends the isolation of a request, and so does `ISOLATION_TIME` without a further
 crash. Crashes of many instances at one moment have another cause and isolate nothing.
@@ -100,7 +101,7 @@
 
 
 def choose_instance(members: list[Member], fingerprint: int) -> Member | None:
-    """Return the member that runs a request which runs alone, the same at all nodes.
+    """Return the member that runs a suspect, the same at all nodes.
 
     It stays the same while the set of routable members does. Other requests may get other members.
     """
--- a/packages/thorntray/src/thorntray/internal/request/origin_request.py
+++ b/packages/thorntray/src/thorntray/internal/request/origin_request.py
@@ -213,8 +213,7 @@
         if deps.isolation.active and self._refuse_if_blocked():
             return
         members = deps.directory.members_of(self.service)
-        if self.suspected and deps.isolation.runs_alone(self._fingerprint()):
-            self._try_alone(members, now)
+        if self.suspected and self._try_isolated(members, now):
             return
         member = deps.placement.pick(members, self.route_key, self.tried | self.full, now)
         if member is None and self.full:
@@ -228,13 +227,27 @@
             return
         self._send_to(member, now)
 
-    def _try_alone(self, members: list[Member], now: float) -> None:
-        """Send the request to the instance that all nodes choose for it, or give up."""
-        chosen = choose_instance(members, self._fingerprint())
-        if chosen is None or chosen.name in self.tried | self.full:
+    def _try_isolated(self, members: list[Member], now: float) -> bool:
+        """Send a suspect of a crash to the instance that all nodes choose for it.
+
+        If that one has refused it, a suspect of one crash goes to the next, any other is given up.
+        Returns False if the request is to be sent like any other.
+        """
+        isolation, fingerprint = self.context.deps.isolation, self._fingerprint()
+        if not isolation.group_limit(fingerprint):
+            return False
+        refusing = self.tried | self.full
+        alone = isolation.runs_alone(fingerprint)
+        if not alone:
+            members = [member for member in members if member.name not in refusing]
+        chosen = choose_instance(members, fingerprint)
+        if chosen is not None and chosen.name not in refusing:
+            self._send_to(chosen, now)
+        elif alone:
             self._give_up(not_run(Cause.BLOCKED, NO_INSTANCE_RETRY_AFTER))
         else:
-            self._send_to(chosen, now)
+            return False
+        return True
 
     def _refuse_if_blocked(self) -> bool:
         """Refuse the request if instances crash of it; return whether it was refused."""
--- a/tests/test_crash_isolation.py
+++ b/tests/test_crash_isolation.py
@@ -217,20 +217,21 @@
     assert others.count(200) >= 0.95 * len(others)
 
 
-def test_a_culprit_that_comes_to_all_nodes_when_its_pause_ends_takes_one_instance():
-    """Guards against callers that are told the same retry time and return together."""
+@pytest.mark.parametrize("known, age", [(1, 0.5), (2, SECOND_CRASH_PAUSE + 0.01)])
+def test_a_suspect_that_comes_to_all_nodes_at_one_moment_takes_one_instance(known, age):
+    """Guards against callers that repeat it together, as when a pause they were told of ends."""
 
     async def scenario(fleet):
         run = Run()
         await start_fleet(fleet, run, 4)
-        for crash_id in (1, 2):
-            report_crash(fleet, crash_id, [CULPRIT, f"{crash_id}"], SECOND_CRASH_PAUSE + 0.01)
+        for crash_id in range(known):
+            report_crash(fleet, crash_id, [CULPRIT, f"{crash_id}"], age)
         sends = [get(fleet, run, name, CULPRIT, name) for name in [*fleet.nodes] * 3]
         await asyncio.gather(*sends)
         return run
 
     run = run_virtual_scenario(scenario)
-    assert len(run.crashes) == 1
+    assert len({name for _, _, name in run.crashes}) == 1
 
 
 def test_suspects_wait_for_each_other_as_long_as_their_deadline_allows():
