--- a/tests/test_explain.py
+++ b/tests/test_explain.py
@@ -189,6 +189,15 @@
     assert [line.fields["fingerprint"] for line in story.context] == ["ab"]
 
 
+def test_a_request_that_is_held_back_after_two_crashes_is_told_from_a_blocked_one():
+    refusal = {"end": "NOT_RUN", "cause": "BLOCKED", "member": "", "fingerprint": "ab"}
+    lines = [request_ended_line(1.0, "n1", "origin", "held", **refusal)]
+    assert trace_request(lines, "held").causes == [
+        "request: refused by n1: instances crash of this request (fingerprint ab); it is not "
+        "blocked, and runs again alone some seconds after its newest crash"
+    ]
+
+
 def test_a_request_without_an_answer_is_explained_by_the_node_that_closed():
     line = log_line(1.0, "n1", 512, "REQUEST_UNANSWERED", id="id-1", closed_by="exit")
     assert trace_request([line], "id-1").causes == [
