--- a/packages/thorntrayctl/src/thorntrayctl/request_trace.py
+++ b/packages/thorntrayctl/src/thorntrayctl/request_trace.py
@@ -220,11 +220,11 @@
 
 def _blocked_cause(origin: LogLine, context: list[LogLine]) -> str:
     fields = origin.fields
-    text = "instances crash of this request"
+    blocks = [e for e in context if e.event == REQUEST_BLOCKED and e.time <= origin.time]
+    text = "instances crash of this request" if blocks else "instances crashed while they ran it"
     if "fingerprint" in fields:
         text += f" (fingerprint {fields['fingerprint']})"
     text = f"refused by {fields['member'] or origin.node}: {text}"
-    blocks = [e for e in context if e.event == REQUEST_BLOCKED and e.time <= origin.time]
     if blocks:
         newest = blocks[-1]
         text += f"; {newest.node} blocked it {origin.time - newest.time:.0f} s before"
