--- a/tests/crash_fleet.py
+++ b/tests/crash_fleet.py
@@ -26,11 +26,23 @@
     instance: str
 
 
+class Restart(NamedTuple):
+    """How an instance starts again: after some seconds, and what it announces then."""
+
+    seconds: float = RESTART_TIME
+    new_id: bool = True
+    names_start: bool = False
+
+
+NEW_UNNAMED_BOOT = Restart()
+
+
 class CrashingInstance:
-    """Reply of an instance that crashes of some paths and is back later under a new id."""
+    """Reply of an instance that crashes of some paths and is back later as a new boot."""
 
-    def __init__(self, fleet, name, run):
+    def __init__(self, fleet, name, run, restart=NEW_UNNAMED_BOOT):
         self.served = 0
+        self._restart = restart
         self._boots = 0
         self._sequence = 0
         self._fleet, self._name, self._run = fleet, name, run
@@ -58,7 +70,7 @@
         for writer in self._writers:
             writer.transport.abort()
         self._writers.clear()
-        loop.call_later(RESTART_TIME, self._start_again)
+        loop.call_later(self._restart.seconds, self._start_again)
 
     def _start_again(self):
         asyncio.get_running_loop().refusing.discard(self._address)
@@ -81,8 +93,10 @@
 
     @property
     def boot(self):
-        """Return the fields of the boot's announcements; it names no start time."""
-        return {"instance_id": f"{self._name}-{self._boots}", "started_ms": 0, "slots": SLOTS}
+        """Return the fields of the boot's announcements."""
+        suffix = f"-{self._boots}" if self._restart.new_id else ""
+        started_ms = 1000 * (self._boots + 1) if self._restart.names_start else 0
+        return {"instance_id": self._name + suffix, "started_ms": started_ms, "slots": SLOTS}
 
 
 class Run:
@@ -123,6 +137,7 @@
     period: float = 0.45  # seconds
     seconds: float = 14.0
     culprits: tuple[str, ...] = (CULPRIT,)
+    restart: Restart = NEW_UNNAMED_BOOT
 
 
 async def get(fleet, run, node, path, number):
@@ -137,12 +152,12 @@
             return
 
 
-async def start_fleet(fleet, run, count):
+async def start_fleet(fleet, run, count, restart=NEW_UNNAMED_BOOT):
     """Start nodes with `count` crashing instances and two of another service.
 
     Returns the instances by the names of their nodes, and the tasks that announce them.
     """
-    instances = {f"t{n}": CrashingInstance(fleet, f"t{n}", run) for n in range(count)}
+    instances = {f"t{n}": CrashingInstance(fleet, f"t{n}", run, restart) for n in range(count)}
     for name, instance in instances.items():
         await fleet.add(name, "tariff", instance, **instance.boot)
     for name in ("h1", "h2"):
@@ -165,7 +180,7 @@
 
     async def scenario(fleet):
         run = Run()
-        instances, announcing = await start_fleet(fleet, run, load.instances)
+        instances, announcing = await start_fleet(fleet, run, load.instances, load.restart)
         entries = list(fleet.nodes)
         warm_up = [get(fleet, run, "h1", f"/prices/warm-{n}", f"w{n}") for n in range(80)]
         await asyncio.gather(*warm_up)
--- a/tests/test_crash_isolation.py
+++ b/tests/test_crash_isolation.py
@@ -12,6 +12,7 @@
     CULPRIT,
     OTHER_CULPRIT,
     Load,
+    Restart,
     Run,
     get,
     report_crash,
@@ -32,6 +33,16 @@
     assert len(run.late_sends(CULPRIT)) <= MAX_FURTHER_SENDS
 
 
+@pytest.mark.parametrize("seconds", [0.3, 3.0])
+@pytest.mark.parametrize("new_id, names_start", [(True, True), (False, True), (False, False)])
+def test_a_culprit_is_refused_however_its_instances_start_again(seconds, new_id, names_start):
+    """Guards against crashes of one boot after the other that are taken for a single one."""
+    run = run_load(Load(restart=Restart(seconds, new_id, names_start)))
+    assert len(run.late_sends(CULPRIT)) <= MAX_FURTHER_SENDS
+    assert run.statuses[CULPRIT][-1] == 503
+    assert all(run.available)
+
+
 @pytest.mark.parametrize("beside", [1, 16, 64])
 def test_what_ran_beside_a_culprit_is_served(beside):
     run = run_load(Load(beside=beside))
