--- a/packages/thorntray/src/thorntray/errors.py
+++ b/packages/thorntray/src/thorntray/errors.py
@@ -61,6 +61,14 @@
         super().__init__(f"{reason}; not executed, retry in {retry_after:.3f} s")
 
 
+class NotConnected(ThorntrayError):
+    """Raised when no connection for an HTTP call could be opened; nothing was sent."""
+
+
+class NoReply(ThorntrayError):
+    """Raised when an HTTP call was sent and got no valid reply; it may have been received."""
+
+
 class PlatformUnavailable(ThorntrayError):
     """Raised when the platform's key-value service did not answer and nothing was written."""
 
--- /dev/null
+++ b/packages/thorntray/src/thorntray/internal/store/aiohttp_client.py
@@ -0,0 +1,60 @@
+"""An `HttpClient` by `aiohttp`, for the product's own interface to a key-value service.
+
+It has TLS and streamed replies, which `connection.http_client` has not.
+"""
+
+import socket
+
+import aiohttp
+
+from thorntray.errors import NoReply, NotConnected
+from thorntray.internal.connection.http_client import (
+    CONNECT_TIMEOUT,
+    HttpReply,
+    enable_keepalive,
+)
+
+
+class AiohttpClient:
+    """Calls through one `aiohttp` session, which is opened on first use."""
+
+    def __init__(self) -> None:
+        self._session: aiohttp.ClientSession | None = None
+
+    async def call(self, method: str, url: str, body: bytes | None, timeout: float) -> HttpReply:
+        """Make one call; see `HttpClient`."""
+        limits = aiohttp.ClientTimeout(total=timeout, sock_connect=min(timeout, CONNECT_TIMEOUT))
+        headers = {"Content-Type": "application/json"} if body is not None else None
+        try:
+            async with self.session().request(
+                method, url, data=body, headers=headers, timeout=limits
+            ) as resp:
+                fields = {name.lower(): value for name, value in resp.headers.items()}
+                return HttpReply(resp.status, fields, await resp.read())
+        except (aiohttp.ClientConnectorError, aiohttp.ServerTimeoutError) as exc:
+            raise NotConnected(f"no connection: {exc!r}") from exc
+        except (aiohttp.ClientError, OSError, TimeoutError) as exc:
+            raise NoReply(repr(exc)) from exc
+
+    async def close(self) -> None:
+        """Close all connections."""
+        if self._session is not None:
+            await self._session.close()
+
+    def session(self) -> aiohttp.ClientSession:
+        """Return the session."""
+        if self._session is None:
+            connector = aiohttp.TCPConnector(socket_factory=_keepalive_socket)
+            self._session = aiohttp.ClientSession(connector=connector)
+            # If aiohttp silently retried a transaction, the caller could not see that the first
+            # attempt had taken effect.
+            self._session._retry_connection = False
+        return self._session
+
+
+def _keepalive_socket(addr_info: tuple) -> socket.socket:
+    family, kind, proto, _, _ = addr_info
+    sock = socket.socket(family, kind, proto)
+    enable_keepalive(sock)
+    sock.setblocking(False)
+    return sock
--- a/packages/thorntray/src/thorntray/internal/store/platform.py
+++ b/packages/thorntray/src/thorntray/internal/store/platform.py
@@ -17,6 +17,7 @@
 
 from thorntray.errors import PlatformUnavailable, WriteUndetermined
 from thorntray.internal.process.clock import Clock
+from thorntray.internal.store.aiohttp_client import AiohttpClient
 from thorntray.internal.store.store_calls import (
     CALL_TIMEOUT,
     StoreCalls,
@@ -64,7 +65,8 @@
 
     def __init__(self, endpoints: list[str], clock: Clock, rng: Random) -> None:
         self._rng = rng
-        self._http = StoreCalls(endpoints, clock, rng)
+        self._client = AiohttpClient()
+        self._http = StoreCalls(endpoints, self._client, clock, rng)
 
     @property
     def calls(self) -> int:
@@ -156,7 +158,7 @@
         url = self._http.endpoint() + "/v3/watch"
         timeout = aiohttp.ClientTimeout(total=None, sock_connect=CALL_TIMEOUT)
         try:
-            async with self._http.http().post(
+            async with self._client.session().post(
                 url,
                 json={"create_request": create},
                 timeout=timeout,
--- a/packages/thorntray/src/thorntray/internal/store/store_calls.py
+++ b/packages/thorntray/src/thorntray/internal/store/store_calls.py
@@ -1,22 +1,20 @@
 """Types, call budget and HTTP calls shared by all clients of a platform's key-value service.
 
 Every call has a timeout and counts against a budget, so that a fleet does not overload a service
-that has just recovered. A connection may stop working without a reset; TCP keep-alive probes of
-the kernel detect that without a call to the service.
+that has just recovered.
 """
 
 import asyncio
-import socket
 from collections.abc import Callable
 from dataclasses import dataclass, field
 from math import inf
 from random import Random
 from typing import NamedTuple
 
-import aiohttp
 import msgspec
 
-from thorntray.errors import PlatformUnavailable, WriteUndetermined
+from thorntray.errors import NoReply, NotConnected, PlatformUnavailable, WriteUndetermined
+from thorntray.internal.connection.http_client import HttpClient
 from thorntray.internal.process.clock import Clock
 from thorntray.internal.store.store_epoch import StoreEpoch
 from thorntray.internal.telemetry.events import Event, log_event
@@ -24,9 +22,6 @@
 CALL_TIMEOUT = 2.0  # seconds
 CALLS_PER_SECOND = 1.0  # default limit for one node, on average
 CALL_BURST = 6.0  # calls that may be made at once
-KEEPALIVE_IDLE = 1  # seconds without traffic before the first probe
-KEEPALIVE_INTERVAL = 1  # seconds between probes
-KEEPALIVE_PROBES = 2  # unanswered probes until the connection is closed
 
 
 class StoreEntry(NamedTuple):
@@ -53,13 +48,7 @@
 
 
 # A body that is not JSON, or nested too deeply, is no answer.
-_NO_VALID_ANSWER = (
-    aiohttp.ClientError,
-    OSError,
-    TimeoutError,
-    msgspec.MsgspecError,
-    RecursionError,
-)
+_NO_VALID_ANSWER = (NoReply, msgspec.MsgspecError, RecursionError)
 
 
 class StoreReply(NamedTuple):
@@ -112,6 +101,7 @@
     def __init__(
         self,
         endpoints: list[str],
+        http: HttpClient,
         clock: Clock,
         rng: Random,
         rate: float = CALLS_PER_SECOND,
@@ -119,19 +109,18 @@
         epoch_header: str = "",
     ) -> None:
         self._endpoints = endpoints
+        self._http = http
         self._on_call = on_call
-        self._epoch_header = epoch_header
+        self._epoch_header = epoch_header.lower()
         self.epoch = StoreEpoch()
         self._rng = rng
         self._clock = clock
         self._budget = CallBudget(clock, rate=rate, updated_at=clock.monotonic())
-        self._session: aiohttp.ClientSession | None = None
         self.calls = 0
 
     async def close(self) -> None:
         """Close all connections."""
-        if self._session is not None:
-            await self._session.close()
+        await self._http.close()
 
     async def call(
         self,
@@ -149,19 +138,12 @@
         self.calls += 1
         sent_at = self._clock.boottime()
         url = self.endpoint() + path
-        client_timeout = aiohttp.ClientTimeout(
-            total=timeout, sock_connect=min(timeout, CALL_TIMEOUT)
-        )
+        body = None if request is None else msgspec.json.encode(request)
         try:
-            async with self.http().request(
-                method, url, json=request, timeout=client_timeout
-            ) as resp:
-                body = await resp.read()
-                self._on_call(method, str(resp.status))
-                decoded = msgspec.json.decode(body, type=dict) if resp.status == 200 else {}
-                reply = StoreReply(resp.status, decoded, sent_at)
-                epoch = resp.headers.get(self._epoch_header, "")
-        except (aiohttp.ClientConnectorError, aiohttp.ServerTimeoutError) as exc:
+            answer = await self._http.call(method, url, body, timeout)
+            self._on_call(method, str(answer.status))
+            decoded = msgspec.json.decode(answer.body, type=dict) if answer.status == 200 else {}
+        except NotConnected as exc:
             self._on_call(method, "no connection")
             raise PlatformUnavailable(f"no connection to {url}; is the service up?") from exc
         except _NO_VALID_ANSWER as exc:
@@ -169,8 +151,8 @@
             raise WriteUndetermined(
                 f"{path}: no answer ({exc!r}); read the key to see whether it took effect"
             ) from exc
-        self._check_epoch(path, epoch)
-        return reply
+        self._check_epoch(path, answer.headers.get(self._epoch_header, ""))
+        return StoreReply(answer.status, decoded, sent_at)
 
     def _check_epoch(self, path: str, epoch: str) -> None:
         if not epoch.isdigit():
@@ -190,24 +172,3 @@
     def endpoint(self) -> str:
         """Return the base URL for the next call."""
         return self._rng.choice(self._endpoints)
-
-    def http(self) -> aiohttp.ClientSession:
-        """Return the HTTP session, which is opened on first use."""
-        if self._session is None:
-            connector = aiohttp.TCPConnector(socket_factory=_keepalive_socket)
-            self._session = aiohttp.ClientSession(connector=connector)
-            # If aiohttp silently retried a transaction, the caller could not see that the first
-            # attempt had taken effect.
-            self._session._retry_connection = False
-        return self._session
-
-
-def _keepalive_socket(addr_info: tuple) -> socket.socket:
-    family, kind, proto, _, _ = addr_info
-    sock = socket.socket(family, kind, proto)
-    sock.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
-    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, KEEPALIVE_IDLE)
-    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, KEEPALIVE_INTERVAL)
-    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPCNT, KEEPALIVE_PROBES)
-    sock.setblocking(False)
-    return sock
--- a/tests/test_freshness_mesh.py
+++ b/tests/test_freshness_mesh.py
@@ -20,6 +20,7 @@
     make_route,
     request_bytes,
 )
+from thorntray.internal.connection.http_client import KeptConnections  # noqa: E402
 from thorntray.internal.process.clock import SystemClock  # noqa: E402
 from thorntray.internal.store.freshness_check import PERIOD_JITTER, WATCH_WAIT  # noqa: E402
 from thorntray.internal.store.store_calls import StoreCalls  # noqa: E402
@@ -49,6 +50,7 @@
     def make_store(self, name):
         calls = StoreCalls(
             [f"http://{HOST}:{self.port}"],
+            KeptConnections(SystemClock()),
             SystemClock(),
             Random(name),
             STORE_CALLS_PER_SECOND,
--- a/tests/test_kv_store.py
+++ b/tests/test_kv_store.py
@@ -14,6 +14,7 @@
 from standins.kv_store import KvStoreStandIn  # noqa: E402
 from tests.mesh_builders import HOST, make_policy  # noqa: E402
 from thorntray.errors import PlatformUnavailable, WriteUndetermined  # noqa: E402
+from thorntray.internal.connection.http_client import KeptConnections  # noqa: E402
 from thorntray.internal.connection.link import Links  # noqa: E402
 from thorntray.internal.process.clock import SystemClock  # noqa: E402
 from thorntray.internal.store.policy_watch import PolicyWatch  # noqa: E402
@@ -28,7 +29,9 @@
     async def main():
         stand_in, port = KvStoreStandIn(), free_port()
         await stand_in.start(HOST, port)
-        store = KvStore(StoreCalls([f"http://{HOST}:{port}"], SystemClock(), Random(1)))
+        clock = SystemClock()
+        http = KeptConnections(clock)
+        store = KvStore(StoreCalls([f"http://{HOST}:{port}"], http, clock, Random(1)))
         try:
             return await scenario(store, stand_in)
         finally:
--- a/tests/test_malformed_messages.py
+++ b/tests/test_malformed_messages.py
@@ -15,6 +15,7 @@
 from tests.builders import ManualClock
 from tests.mesh_builders import HOST
 from thorntray.errors import BadDocument, PlatformUnavailable, WriteUndetermined
+from thorntray.internal.connection.http_client import KeptConnections
 from thorntray.internal.connection.http_server import HttpRequest
 from thorntray.internal.process.clock import SystemClock
 from thorntray.internal.process.registration import Registration
@@ -99,7 +100,9 @@
     async def work():
         server = await asyncio.start_server(serve, HOST, 0)
         port = server.sockets[0].getsockname()[1]
-        calls = StoreCalls([f"http://{HOST}:{port}"], SystemClock(), Random(1))
+        clock = SystemClock()
+        http = KeptConnections(clock)
+        calls = StoreCalls([f"http://{HOST}:{port}"], http, clock, Random(1))
         try:
             await calls.call("GET", "/kv-key")
         finally:
--- a/tests/test_store_epoch.py
+++ b/tests/test_store_epoch.py
@@ -17,6 +17,7 @@
 from tests.fleet_builders import MemoryFleet  # noqa: E402
 from tests.mesh_builders import HOST, make_policy  # noqa: E402
 from thorntray.errors import PlatformUnavailable, WriteUndetermined  # noqa: E402
+from thorntray.internal.connection.http_client import KeptConnections  # noqa: E402
 from thorntray.internal.connection.link import Links  # noqa: E402
 from thorntray.internal.membership.membership import Membership  # noqa: E402
 from thorntray.internal.process.clock import SystemClock  # noqa: E402
@@ -35,6 +36,7 @@
 def make_store(port: int, seed: int = 1) -> KvStore:
     calls = StoreCalls(
         [f"http://{HOST}:{port}"],
+        KeptConnections(SystemClock()),
         SystemClock(),
         Random(seed),
         rate=50.0,
