A workspace's priority decides first, and the route's inside it

Cause: a workspace's priority replaced that of the route.

Change: the priority of the workspace takes precedence, as the users' page says, and the route's orders the requests of workspaces of equal priority. Worth is relative to the priority of most workspaces; without priorities it is that of the route, as before. The bonus of a nested call is a factor, so that it stays below each step.

--- a/packages/thorntray/src/thorntray/internal/overload/fair_share.py
+++ b/packages/thorntray/src/thorntray/internal/overload/fair_share.py
@@ -244,7 +244,7 @@
     def admits(self, group: Hashable, workspace: Workspace, share: float, now: float) -> bool:
         """Return whether a request may start, given the admitted share of its group.
 
-        A group is a route with a priority, since these determine the share. `now` is in monotonic
+        A group is a route with a worth, since these determine the share. `now` is in monotonic
         seconds.
         """
         known = self._groups.get(group)
--- a/packages/thorntray/src/thorntray/internal/overload/root_admission.py
+++ b/packages/thorntray/src/thorntray/internal/overload/root_admission.py
@@ -34,15 +34,6 @@
 MIN_SHARE = 0.3  # least admitted share of a route's requests, up to `MIN_SHARE_RATIO`
 FLOOR_SHARE = 0.03  # least admitted share of a route's requests at any price
 MIN_SHARE_RATIO = 3.0  # price / worth above which the least admitted share shrinks too
-# Worth of one request by priority, most important first; priorities beyond the last entry count
-# as the last. The first is far above the others, so that its requests are still admitted when all
-# others are down to their least shares.
-WORTH_BY_PRIORITY = (8.0, 2.0, 1.0)
-
-
-def worth_of(priority: int) -> float:
-    """Return the worth of a request with a priority; 0 is the most important."""
-    return WORTH_BY_PRIORITY[min(max(priority, 0), len(WORTH_BY_PRIORITY) - 1)]
 
 
 class RouteCosts:
@@ -175,17 +166,17 @@
         return price
 
     def admit(
-        self, route: str, priority: int, now: float, workspace: Workspace | None = None
+        self, route: str, worth: float, now: float, workspace: Workspace | None = None
     ) -> bool:
-        """Return whether a request may start.
+        """Return whether a request of this worth may start.
 
         The share is kept exactly by accumulating credit, not by random choice.
         """
-        worth = worth_of(priority) * self.costs.success_share(route)
-        share = admitted_share(self.tree_price(route, now), worth)
+        expected_worth = worth * self.costs.success_share(route)
+        share = admitted_share(self.tree_price(route, now), expected_worth)
         self.shares[route] = share
         if workspace is not None:
-            return self.fair_share.admits((route, priority), workspace, share, now)
+            return self.fair_share.admits((route, worth), workspace, share, now)
         credit = self._credit.get(route, 0.5) + share
         if credit >= 1.0:
             self._credit[route] = credit - 1.0
--- a/packages/thorntray/src/thorntray/internal/overload/slot_queue.py
+++ b/packages/thorntray/src/thorntray/internal/overload/slot_queue.py
@@ -34,7 +34,7 @@
 NESTED_SLOTS = 1  # slots that only nested calls get, while they are usual
 NESTED_WEIGHT = 0.1  # weight of the newest request in the share of nested calls
 USUAL_NESTED_SHARE = 0.3  # share of nested calls from which they are usual
-NESTED_BONUS = 0.5  # worth added for a nested call; half the smallest step between priorities
+NESTED_FACTOR = 1.2  # of the worth of a nested call; below the smallest ratio of two worths
 
 
 def _always() -> bool:
@@ -100,7 +100,7 @@
             self._assign_slot(ticket)
             return True
         self._sequence += 1
-        rank = ticket.worth + (NESTED_BONUS if ticket.nested else 0.0)
+        rank = ticket.worth * (NESTED_FACTOR if ticket.nested else 1.0)
         ticket.sort_key = (-rank, ticket.expiry, self._sequence)
         self._waiting.add(ticket)
         self.start_waiting()
--- a/packages/thorntray/src/thorntray/internal/request/origin_request.py
+++ b/packages/thorntray/src/thorntray/internal/request/origin_request.py
@@ -13,8 +13,9 @@
 from thorntray.internal.membership.member import Member
 from thorntray.internal.overload.call_parents import RunningRequest
 from thorntray.internal.overload.crash_isolation import choose_instance
-from thorntray.internal.overload.root_admission import CLOSED_PRICE, worth_of
+from thorntray.internal.overload.root_admission import CLOSED_PRICE
 from thorntray.internal.overload.slot_wait import longest_wait
+from thorntray.internal.overload.worth import Priority
 from thorntray.internal.request.fingerprint import fingerprint
 from thorntray.internal.request.origin_context import OriginContext, RequestHead
 from thorntray.internal.request.owner_request import OwnerRequest
@@ -50,7 +51,7 @@
     """One request at its origin, from its arrival to its response."""
 
     __slots__ = ("context", "exchange", "head", "route", "service", "route_key", "parent", "worth")
-    __slots__ += ("workspace", "priority")
+    __slots__ += ("workspace",)
     __slots__ += (
         "arrived_at",
         "expiry",
@@ -98,10 +99,8 @@
         self.expiry = self.arrived_at + min(deadline, route.timeout)
         self.parent: RunningRequest | None = None
         self.nested = False  # whether the own instance sent it for a request that it is running
-        self.priority = route.priority
-        if workspace is not None and workspace.priority is not None:
-            self.priority = workspace.priority
-        self.worth = worth_of(self.priority)
+        steps = 0 if workspace is None else workspace.steps_above_usual
+        self.worth = Priority(route.priority, steps).worth
         self.timer: asyncio.TimerHandle | None = None
         self.tried: set[str] = set()  # members not to send it to again
         self.full: set[str] = set()  # members that had no free slot in time
@@ -131,7 +130,7 @@
         if not self.nested:
             deps.budget.deposit(self.service)
             if not deps.admission.admit(
-                self.route_key, self.priority, self.arrived_at, self.workspace
+                self.route_key, self.worth, self.arrived_at, self.workspace
             ):
                 self.finish(not_run(Cause.PRICED_OUT, self.route.target_latency / 2))
                 return
--- a/packages/thorntray/src/thorntray/internal/version/workspaces.py
+++ b/packages/thorntray/src/thorntray/internal/version/workspaces.py
@@ -4,6 +4,7 @@
 takes the same time for each key, known or not.
 """
 
+from collections import Counter
 from collections.abc import Iterable, Mapping
 from hashlib import sha256
 from typing import NamedTuple, Self
@@ -14,12 +15,14 @@
 
     `priority` is a rank, where 0 is the most important; None leaves the rank to the route. `rate`
     is in requests a second and `burst` in requests, over all nodes; rate 0 means no limit.
+    `steps_above_usual` compares its priority with that of most workspaces of the policy.
     """
 
     name: str
     priority: int | None = None
     rate: float = 0.0
     burst: float = 0.0
+    steps_above_usual: int = 0
 
     @property
     def limited(self) -> bool:
@@ -42,7 +45,11 @@
         """
         by_name: dict[str, Workspace] = {}
         names_by_digest: dict[bytes, str] = {}
+        entries = list(entries)
+        usual = _usual_priority(workspace for workspace, _ in entries)
         for workspace, keys in entries:
+            if workspace.priority is not None:
+                workspace = workspace._replace(steps_above_usual=usual - workspace.priority)
             name = workspace.name
             if not name or name in by_name:
                 raise ValueError(f"workspace {name!r}: give each workspace a name of its own")
@@ -76,5 +83,11 @@
 NO_WORKSPACES = Workspaces({}, {})
 
 
+def _usual_priority(workspaces: Iterable[Workspace]) -> int:
+    """Return the priority that most workspaces have, of several the most important; else 0."""
+    counts = Counter(w.priority for w in workspaces if w.priority is not None)
+    return min(counts, key=lambda priority: (-counts[priority], priority), default=0)
+
+
 def _digest(key: bytes) -> bytes:
     return sha256(key).digest()
--- a/tests/test_fair_backlog.py
+++ b/tests/test_fair_backlog.py
@@ -9,7 +9,7 @@
 from tests.builders import ManualClock
 from tests.workspace_replay import usual_time
 from thorntray.internal.overload.rate_limit import InstanceState, RateLimit
-from thorntray.internal.overload.slot_queue import NESTED_BONUS, SlotQueue, Ticket
+from thorntray.internal.overload.slot_queue import NESTED_FACTOR, SlotQueue, Ticket
 
 MAX_DECISION_TIME = 50e-6  # seconds
 
@@ -127,7 +127,7 @@
 
 
 def _rank(ticket):
-    return ticket.worth + NESTED_BONUS * ticket.nested
+    return ticket.worth * (NESTED_FACTOR if ticket.nested else 1.0)
 
 
 def _add_all(instance, fields):
--- a/tests/test_fair_share.py
+++ b/tests/test_fair_share.py
@@ -214,11 +214,11 @@
         credit[route] += admitted_share(admission.tree_price(route, 1.0), worth)
         expected = credit[route] >= 1.0
         credit[route] -= expected
-        assert admission.admit(route, priority, 1.0) == expected
+        assert admission.admit(route, worth, 1.0) == expected
     assert not len(admission.fair_share)
 
 
-def test_workspaces_of_each_priority_share_what_is_admitted_of_that_priority():
+def test_workspaces_of_each_worth_share_what_is_admitted_of_that_worth():
     """Guards against one level for requests of different worth.
 
     The workspace that sends less would be admitted in full, at the cost of the other's priority.
@@ -228,16 +228,16 @@
     for _ in range(30):
         admission.prices.update("stock", {"stock": 5.0}, 1.0)
     price = admission.tree_price("a", 1.0)
-    shares = {1: admitted_share(price, 2.0), 2: admitted_share(price, 1.0)}
-    assert shares[2] + 0.2 < shares[1] < 1.0
+    shares = {2.0: admitted_share(price, 2.0), 1.0: admitted_share(price, 1.0)}
+    assert shares[1.0] + 0.2 < shares[2.0] < 1.0
     admitted, sent = Counter(), Counter()
     for index in range(6000):  # within the time for which a price holds
-        priority = 1 if index % 10 == 0 else 2
-        workspace = Workspace(f"w{priority}", priority)
-        sent[priority] += 1
-        admitted[priority] += admission.admit("a", priority, 1.0 + index / 50_000, workspace)
-    for priority, share in shares.items():
-        assert abs(admitted[priority] / sent[priority] - share) < 0.03
+        worth = 2.0 if index % 10 == 0 else 1.0
+        workspace = Workspace(f"w{worth}")
+        sent[worth] += 1
+        admitted[worth] += admission.admit("a", worth, 1.0 + index / 50_000, workspace)
+    for worth, share in shares.items():
+        assert abs(admitted[worth] / sent[worth] - share) < 0.03
 
 
 def test_a_share_that_changes_faster_than_a_pass_is_followed():
--- a/tests/test_slot_decisions.py
+++ b/tests/test_slot_decisions.py
@@ -19,6 +19,7 @@
     admitted_share,
 )
 from thorntray.internal.overload.slot_price import MIN_PRICE, SlotPrice
+from thorntray.internal.overload.worth import Priority
 from thorntray.internal.request.result import (
     Cause,
     LoadReport,
@@ -60,7 +61,8 @@
 
 
 def measured_share(admission, route, priority, count, now):
-    return sum(admission.admit(route, priority, now) for _ in range(count)) / count
+    worth = Priority(priority).worth
+    return sum(admission.admit(route, worth, now) for _ in range(count)) / count
 
 
 def test_a_shortage_deep_in_the_graph_sheds_the_least_worth_per_slot_first_and_payouts_last():
--- a/tests/workspace_replay.py
+++ b/tests/workspace_replay.py
@@ -10,13 +10,13 @@
 from random import Random
 from typing import NamedTuple
 
-from thorntray.internal.overload.root_admission import RootAdmission, worth_of
+from thorntray.internal.overload.root_admission import RootAdmission
 from thorntray.internal.overload.slot_price import SlotPrice
 from thorntray.internal.overload.slot_queue import SlotQueue, Ticket
 from thorntray.internal.request.result import SlotUse
 from thorntray.internal.version.workspaces import Workspace
 
-ROUTE, SERVICE, PRIORITY = "prices>tariff", "tariff", 2
+ROUTE, SERVICE, WORTH = "prices>tariff", "tariff", 1.0
 SERVICE_TIME = 0.1  # seconds
 MAX_WAIT = 0.1  # seconds that a request may wait for a slot
 TIMEOUT = 1.0  # seconds
@@ -104,10 +104,10 @@
         self.sent[name] += counted
         node = self.rng.choice(self.nodes)
         workspace = Workspace(name) if replay.fair_admission else None
-        if not node.admit(ROUTE, PRIORITY, self.now, workspace):
+        if not node.admit(ROUTE, WORTH, self.now, workspace):
             return
         ticket = Ticket(
-            worth_of(PRIORITY),
+            WORTH,
             False,
             lambda: self.at(self.now + SERVICE_TIME, lambda: self.end(ticket, node, counted, name)),
             self.now + TIMEOUT,
