Quotas are served sooner after all nodes have restarted

Cause: after all nodes are killed, a node refused requests with a quota (QUOTA_UNKNOWN) until its view had settled for the choice of seed holders: rounds of 0.25 to 0.75 s without growth, 1.7 s after the processes were back; then its buckets granted nothing for 0.5 s more. Callers were told to return after 0.5 s and were refused a second time.

Change: quotas have a rule of their own: the view is complete when it has not grown for 0.25 s after the first look for peers, and the time without grants counts from then. Nodes ask for all members every 0.3 s. Until the fleet is known, the retry time is the rest of the usual start.

--- a/packages/thorntray/src/thorntray/internal/overload/quota_members.py
+++ b/packages/thorntray/src/thorntray/internal/overload/quota_members.py
@@ -10,6 +10,11 @@
 taken for unreachable too, `TREND_FACTOR` for each one suspected in `TREND_TIME`. When the partition
 heals, one side learns of the other's members before the other side has given up its coordinator. A
 share that rises is therefore used only after `RISE_DELAY`.
+
+When a whole fleet starts at once, each node learns of the others over about a second, and nothing
+can be granted before that. A node knows the fleet when its view has not grown for `STABLE_TIME`.
+Two nodes that still disagree then are covered by the time for which a new coordinator grants
+nothing (`quota_ledger.QUIET_TIME`).
 """
 
 from collections import deque
@@ -23,6 +28,7 @@
 # Further members taken for unreachable for each one suspected in TREND_TIME. Without them, a small
 # side of a partition grants too much until it has suspected all others.
 TREND_FACTOR = 2.0
+STABLE_TIME = 0.25  # seconds without a new member after which the view after a start is complete
 ALONE_TIME = 10.0  # seconds after which a node that knows no other member takes itself for all
 REMOVAL_MEMORY = 2 * 3600.0  # seconds, as long as dead members are remembered
 MAX_CACHED = 20_000  # workspaces whose coordinator is kept; above that, all are found anew
@@ -45,25 +51,26 @@
         )  # (last seen, share), both rising
         self._trend = 1.0
         self._alone_since = now
+        self._grown_at = now
+        self._converged = False  # whether the view has been complete since the start
         self.known = False  # whether this node knows the fleet
         self.since = now  # since when this node takes part without a break
         self.count = 1  # members that have not left
 
-    def update(self, members: Iterable[Member], settled: bool, now: float) -> bool:
+    def update(self, members: Iterable[Member], joined: bool, now: float) -> bool:
         """Take over the current members; return whether the alive ones have changed.
 
-        `settled` is whether the view has converged after the start. Call this several times a
-        second.
+        `joined` is whether this node takes part and has asked for the members after its start.
+        Call this several times a second.
         """
         members = list(members)
         present = [m for m in members if m.health is not Health.LEFT]
         alive = {m.name for m in present if m.health is Health.ALIVE} | {self._own}
-        self.count = max(1, len(present))
-        if self.count > 1:
-            self._alone_since = now
-        known = settled and (self.count > 1 or now - self._alone_since >= ALONE_TIME)
+        just_converged = self._record_count(max(1, len(present)), joined, now)
+        known = joined and self._converged
         if known and not self.known:
-            self.since = now
+            complete_for = STABLE_TIME if just_converged and self.count > 1 else 0.0
+            self.since = now - complete_for
         self.known = known
         changed = alive != self._alive
         if changed:
@@ -75,6 +82,20 @@
         self._trend = max(0.0, (len(alive) - TREND_FACTOR * suspected) / self.count)
         return changed
 
+    def _record_count(self, count: int, joined: bool, now: float) -> bool:
+        """Take over the number of members; return whether the view has just become complete."""
+        if count > self.count:
+            self._grown_at = now
+        if count > 1:
+            self._alone_since = now
+        self.count = count
+        if self._converged or not joined:
+            return False
+        stable = now - self._grown_at >= STABLE_TIME
+        alone = now - self._alone_since >= ALONE_TIME
+        self._converged = stable and (count > 1 or alone)
+        return self._converged
+
     def restart(self, now: float) -> None:
         """Begin anew as coordinator: others may have taken this node for dead."""
         self.since = now
--- a/packages/thorntray/src/thorntray/internal/request/quotas.py
+++ b/packages/thorntray/src/thorntray/internal/request/quotas.py
@@ -47,7 +47,8 @@
 SEQUENCE_SHIFT = 2  # bits, so that sequence numbers stay in the range of 64-bit integers
 # Seconds between extra probes of a silent coordinator; shorter than quota_tokens.SHARE_DELAY.
 PROBE_INTERVAL = 0.15
-UNKNOWN_RETRY_AFTER = 0.5  # seconds, before jitter; the view converges in about this time
+UNKNOWN_RETRY_AFTER = 0.5  # seconds, before jitter; least time told while a quota is unknown
+START_TIME = 1.5  # seconds after its start in which a node of a starting fleet gets tokens
 NAMED_WORKSPACES = 20  # workspaces with a metric of their own
 OTHER = "other"
 MAX_COUNTED = 20_000  # workspaces whose refusals are counted; above that only the named ones stay
@@ -129,20 +130,21 @@
 class Quotas:
     """Admits the requests of limited workspaces at this node, and coordinates some of their quotas.
 
-    `settled` returns whether the view of the members has converged after the start.
+    `joined` returns whether this node has asked for the members after its start.
     """
 
     def __init__(
         self,
         membership: Membership,
         policy: Callable[[], Policy | None],
-        settled: Callable[[], bool],
+        joined: Callable[[], bool],
         clock: Clock,
     ) -> None:
         now = clock.boottime()
         self._membership = membership
         self._policy = policy
-        self._settled = settled
+        self._joined = joined
+        self._started_at = now
         self._clock = clock
         self._members = QuotaMembers(membership.own.name, now)
         self._ledger = QuotaLedger(self._members)
@@ -230,7 +232,8 @@
         account = entry.account
         self._refusals[account.workspace.name] += 1
         if not self._members.known:
-            return QuotaRefusal(QuotaReason.QUOTA_UNKNOWN, UNKNOWN_RETRY_AFTER)
+            retry_after = max(UNKNOWN_RETRY_AFTER, self._started_at + START_TIME - now)
+            return QuotaRefusal(QuotaReason.QUOTA_UNKNOWN, retry_after)
         if now < account.back_off_until + MAX_WAIT:  # the next reply has not come in time
             retry_after = max(MIN_BACK_OFF, account.back_off_until - now)
             return QuotaRefusal(QuotaReason.OVER_QUOTA, retry_after)
@@ -411,7 +414,7 @@
     def _update_members(self, now: float) -> None:
         was_known = self._members.known
         view = self._membership.view
-        taking_part = self._settled() and view.own.health is Health.ALIVE
+        taking_part = self._joined() and view.own.health is Health.ALIVE
         changed = self._members.update(view.all(), taking_part, now)
         if self._members.known and not was_known:
             self._ledger.restart()
--- a/packages/thorntray/src/thorntray/internal/store/seeds.py
+++ b/packages/thorntray/src/thorntray/internal/store/seeds.py
@@ -27,8 +27,8 @@
 ROLE_CHECK_PERIOD = 2.0  # seconds between checks whether this node is chosen for a role
 JOIN_REPLY_WAIT = 0.2  # seconds to wait for replies to a join
 MAX_JOIN_SEEDS = 5  # seeds that one join is sent to
-CATCH_UP_PERIOD = 0.5  # seconds between requests for all members after the start, jittered
-CATCH_UP_REQUESTS = 8  # most such requests
+CATCH_UP_PERIOD = 0.3  # seconds between requests for all members after the start, jittered
+CATCH_UP_REQUESTS = 12  # most such requests
 MAX_PORT = 65535
 REJOIN_PERIOD = 30.0  # seconds between the joins of a node that holds a seed entry
 
@@ -122,6 +122,11 @@
         self.settled = False  # whether the view has stopped growing after the start
         self._tasks = BackgroundTasks()
 
+    @property
+    def looked_up(self) -> bool:
+        """Return whether this node has looked for peers after its start."""
+        return self._first_lookup_done.is_set()
+
     @property
     def holds_entry(self) -> bool:
         """Return whether this node holds a seed entry."""
