--- a/packages/thorntray/src/thorntray/errors.py
+++ b/packages/thorntray/src/thorntray/errors.py
@@ -41,6 +41,10 @@
     """Raised when a message from another node is malformed or has an unknown version."""
 
 
+class UnknownMessage(BadMessage):
+    """Raised when a well-formed message is of a type that this version does not know."""
+
+
 class GrantRejected(ThorntrayError):
     """Raised when a grant is forged, has expired, or belongs to another request."""
 
--- a/packages/thorntray/src/thorntray/internal/connection/frame.py
+++ b/packages/thorntray/src/thorntray/internal/connection/frame.py
@@ -3,13 +3,17 @@
 These are the messages of a `MeshNode`; a `Node` uses those of `connection.message`.
 
 Header fields are sent as complete HTTP header lines, so that neither side parses them again. A
-frame that cannot be decoded closes its connection, since the rest of the stream is unreliable.
+frame that cannot be decoded closes its connection, since the rest of the stream is unreliable. One
+of an unknown type comes from a newer version and is skipped.
 """
 
+from typing import get_args
+
 import msgspec
 
-from thorntray.errors import BadMessage
+from thorntray.errors import BadMessage, UnknownMessage
 from thorntray.internal.membership.instance_notices import InstanceNotice
+from thorntray.internal.telemetry.events import Event, log_event
 
 LENGTH_BYTES = 4
 MAX_FRAME_BYTES = 80 * 1024 * 1024
@@ -120,6 +124,7 @@
 
 _encoder = msgspec.msgpack.Encoder()
 _decoder = msgspec.msgpack.Decoder(Frame)
+_KNOWN_TAGS = frozenset(kind.__struct_config__.tag for kind in get_args(Frame))
 
 
 def encode_frame(frame: Frame) -> bytes:
@@ -152,7 +157,10 @@
             end = start + LENGTH_BYTES + length
             if len(buffer) < end:
                 break
-            frames.append(decode_frame(bytes(buffer[start + LENGTH_BYTES : end])))
+            try:
+                frames.append(decode_frame(bytes(buffer[start + LENGTH_BYTES : end])))
+            except UnknownMessage as exc:
+                log_event(Event.BAD_MESSAGE, detail=str(exc))
             start = end
         if start:
             del buffer[:start]
@@ -160,8 +168,26 @@
 
 
 def decode_frame(payload: bytes) -> Frame:
-    """Decode a frame without its length prefix; raises `BadMessage` if it is malformed."""
+    """Decode a frame without its length prefix.
+
+    Raises `BadMessage` if it is malformed, and `UnknownMessage` if its type is unknown.
+    """
     try:
         return _decoder.decode(payload)
     except (msgspec.MsgspecError, ValueError, RecursionError) as exc:
+        tag = _unknown_tag(payload)
+        if tag is not None:
+            raise UnknownMessage(
+                f"frame of the unknown type {tag}; upgrade this node if it stays"
+            ) from exc
         raise BadMessage(f"malformed frame: {exc}; check what sends to the link port") from exc
+
+
+def _unknown_tag(payload: bytes) -> int | None:
+    """Return the type of a well-formed frame if no frame here has it, else None."""
+    try:
+        fields = msgspec.msgpack.decode(payload, type=list[msgspec.Raw])
+        tag = msgspec.msgpack.decode(fields[0], type=int)
+    except (msgspec.MsgspecError, ValueError, RecursionError, IndexError):
+        return None
+    return None if tag in _KNOWN_TAGS else tag
--- a/packages/thorntray/src/thorntray/internal/request/result.py
+++ b/packages/thorntray/src/thorntray/internal/request/result.py
@@ -37,6 +37,7 @@
     TOO_LARGE = 12
     CRASHED = 13  # the instance crashed while it ran this request alone
     BLOCKED = 14  # refused: instances that run the request crash
+    UNRECOGNIZED = 15  # never sent: the node that gave the result is newer and knows more causes
 
 
 class SlotUse(NamedTuple):
--- a/packages/thorntray/src/thorntray/internal/request/result_frames.py
+++ b/packages/thorntray/src/thorntray/internal/request/result_frames.py
@@ -3,15 +3,22 @@
 from thorntray.internal.connection.frame import ResultFrame
 from thorntray.internal.request.result import Cause, LoadReport, Result, ResultKind
 
+_KINDS = {kind.value: kind for kind in ResultKind}
+_CAUSES = {cause.value: cause for cause in Cause}
+
 
 def result_from_frame(frame: ResultFrame) -> Result:
-    """Return the result in a frame; raises `ValueError` for an unknown kind or cause."""
+    """Return the result in a frame, which may come from a node of a newer version.
+
+    With a kind that this version does not know, the request may have run. A cause only explains,
+    so the guarantee of a known kind holds with an unknown one too.
+    """
     report = LoadReport(
         frame.queue_wait, frame.service_time, frame.in_flight, frame.limit, frame.failing
     )
     return Result(
-        ResultKind(frame.end),
-        Cause(frame.reason),
+        _KINDS.get(frame.end, ResultKind.UNKNOWN),
+        _CAUSES.get(frame.reason, Cause.UNRECOGNIZED),
         frame.retry_after,
         frame.status,
         frame.header_lines,
