The gauges name the components that they read, instead of importing the node

Cause: mesh_gauges and mesh_node imported each other, the one under TYPE_CHECKING.

Change: mesh_gauges owns the protocol GaugeSources with the components whose state it shows; mesh_node depends on it and not the other way. No behaviour changes; the test of the metrics page passes.

--- a/packages/thorntray-node/src/thorntray_node/mesh_gauges.py
+++ b/packages/thorntray-node/src/thorntray_node/mesh_gauges.py
@@ -2,22 +2,51 @@
 
 from collections.abc import Callable
 from math import isfinite
-from typing import TYPE_CHECKING
+from typing import Protocol
 
-if TYPE_CHECKING:
-    from thorntray_node.mesh_node import MeshNode
+from thorntray.internal.connection.instance_pool import InstancePool
+from thorntray.internal.membership.membership import Membership
+from thorntray.internal.overload.crash_isolation import CrashIsolation
+from thorntray.internal.overload.crash_suspects import CrashSuspects
+from thorntray.internal.overload.rate_limit import RateLimit
+from thorntray.internal.overload.retry_budget import RetryBudget
+from thorntray.internal.overload.slot_queue import SlotQueue
+from thorntray.internal.request.owner import Owner
+from thorntray.internal.request.quotas import Quotas
+from thorntray.internal.store.policy_watch import PolicyWatch
+from thorntray.internal.telemetry.node_metrics import NodeMetrics
+from thorntray.internal.version.freshness import Freshness
+from thorntray.internal.version.policy import PolicyHolder
+
+
+class GaugeSources(Protocol):
+    """The components of a node whose state the gauges show."""
+
+    metrics: NodeMetrics
+    queue: SlotQueue
+    rate_limit: RateLimit
+    owner: Owner
+    suspects: CrashSuspects
+    isolation: CrashIsolation
+    membership: Membership
+    holder: PolicyHolder
+    policy_watch: PolicyWatch
+    freshness: Freshness
+    quotas: Quotas
+    pool: InstancePool
+    budget: RetryBudget
 
 
 def _or_minus_one(value: float | None) -> float:
     return -1.0 if value is None else value
 
 
-def _evidence_age(node: "MeshNode") -> float:
+def _evidence_age(node: GaugeSources) -> float:
     age = node.freshness.age(node.holder.version)
     return age if node.freshness.is_needed(node.holder.policy) and isfinite(age) else -1.0
 
 
-def register_gauges(node: "MeshNode") -> None:
+def register_gauges(node: GaugeSources) -> None:
     """Register the gauges of a node; call once, after all its components are created."""
     gauges: dict[str, Callable[[], float]] = {
         "thorntray_in_flight": lambda: node.queue.in_flight,
