--- a/packages/thorntray/src/thorntray/internal/request/quotas.py
+++ b/packages/thorntray/src/thorntray/internal/request/quotas.py
@@ -47,8 +47,8 @@
 SEQUENCE_SHIFT = 2  # bits, so that sequence numbers stay in the range of 64-bit integers
 # Seconds between extra probes of a silent coordinator; shorter than quota_tokens.SHARE_DELAY.
 PROBE_INTERVAL = 0.15
-UNKNOWN_RETRY_AFTER = 0.5  # seconds, before jitter; least time told while a quota is unknown
-START_TIME = 1.5  # seconds after its start in which a node of a starting fleet gets tokens
+UNKNOWN_RETRY_AFTER = 0.5  # seconds, before jitter; shortest retry time while a quota is unknown
+START_TIME = 1.5  # seconds that a node usually needs to get tokens when a whole fleet starts
 NAMED_WORKSPACES = 20  # workspaces with a metric of their own
 OTHER = "other"
 MAX_COUNTED = 20_000  # workspaces whose refusals are counted; above that only the named ones stay
