The test of unreadable results makes one unreadable; an answer with a newer cause is delivered

Cause: test_a_result_that_this_version_cannot_read used an unknown cause, which is read now, so the caller gets the answer that was ready (200) instead of 502.

Change: the test makes the reading itself raise and expects the same as before; a new one expects the answer with an unknown cause to be delivered, and fails before (502).

--- a/tests/test_handler_failures.py
+++ b/tests/test_handler_failures.py
@@ -8,7 +8,9 @@
 from tests.instance_replies import answer_slowly
 from tests.mesh_builders import LinkPeer, make_call, make_links, run_scenario, send_call
 from thorntray.internal.connection.frame import ResultFrame
+from thorntray.internal.request import origin_request
 from thorntray.internal.request.result import Cause, ResultKind
+from thorntray.internal.request.result_frames import result_from_frame
 from thorntray_node import peer_requests
 
 UNKNOWN_CAUSE = 999  # number of a cause that only a newer version knows
@@ -88,31 +90,48 @@
     assert asyncio.run(scenario()) == expected[end]
 
 
-def test_a_result_that_this_version_cannot_read_fails_only_its_own_request(monkeypatch):
-    encode_result = peer_requests.frame_from_result
+async def mark_results_of_the_faulty_request(fleet, monkeypatch):
+    """Let the owner send the results of the request with the ID `faulty` with an unknown cause."""
+    owner, _ = await add_nodes(fleet)
+    encode_result, submit = peer_requests.frame_from_result, owner.owner.submit
+    owner_ids = {}
 
-    async def scenario(fleet):
-        owner, _ = await add_nodes(fleet)
+    def encode(number, result):
+        frame = encode_result(number, result)
+        faulty = owner_ids[number] == b"faulty"
+        return msgspec.structs.replace(frame, reason=UNKNOWN_CAUSE) if faulty else frame
 
-        def encode(number, result):
-            frame = encode_result(number, result)
-            faulty = owner_ids[number] == b"faulty"
-            return msgspec.structs.replace(frame, reason=UNKNOWN_CAUSE) if faulty else frame
+    def submit_and_record(call, on_result):
+        owner_ids[call.number] = call.request_id
+        return submit(call, on_result)
 
-        owner_ids = {}
-        submit = owner.owner.submit
+    owner.owner.submit = submit_and_record
+    monkeypatch.setattr(peer_requests, "frame_from_result", encode)
 
-        def submit_and_record(call, on_result):
-            owner_ids[call.number] = call.request_id
-            return submit(call, on_result)
 
-        owner.owner.submit = submit_and_record
-        monkeypatch.setattr(peer_requests, "frame_from_result", encode)
+def test_a_result_that_this_version_cannot_read_fails_only_its_own_request(monkeypatch):
+    def read(frame):
+        if frame.reason == UNKNOWN_CAUSE:
+            raise ValueError("unreadable")
+        return result_from_frame(frame)
+
+    async def scenario(fleet):
+        await mark_results_of_the_faulty_request(fleet, monkeypatch)
+        monkeypatch.setattr(origin_request, "result_from_frame", read)
         return await send_two(fleet)
 
     assert run_scenario(scenario) == ONLY_THE_FAULTY_ONE_FAILS
 
 
+def test_an_answer_with_a_cause_of_a_newer_version_is_delivered(monkeypatch):
+    # Failure: an answer that is ready is replaced by 502 while two releases run side by side.
+    async def scenario(fleet):
+        await mark_results_of_the_faulty_request(fleet, monkeypatch)
+        return await send_two(fleet)
+
+    assert run_scenario(scenario) == [b"HTTP/1.1 200 OK"] * 2
+
+
 def test_an_answer_is_delivered_though_the_next_request_in_the_queue_fails_to_start():
     async def scenario(fleet):
         owner, _ = await add_nodes(fleet)
--- a/tests/test_version_skew.py
+++ b/tests/test_version_skew.py
@@ -25,7 +25,7 @@
 
 
 def test_an_unknown_cause_keeps_the_guarantee_of_its_kind():
-    # Failure: the result is dropped, and the request hangs until its deadline.
+    # Failure: the result cannot be read, and the caller of a ready answer gets 502.
     result = result_from_frame(frame_with(reason=NEWER))
     assert (result.kind, result.cause) == (ResultKind.NOT_RUN, Cause.UNRECOGNIZED)
     assert result.retry_after == 0.5
