--- a/review/support/store.py
+++ b/review/support/store.py
@@ -25,6 +25,8 @@
         self._changed = asyncio.Event()
         self._server: asyncio.Server | None = None
         self._writers: set[asyncio.StreamWriter] = set()
+        self._outages = 0  # that have begun
+        self._down = False
 
     async def start(self, host: str, port: int) -> None:
         """Listen."""
@@ -37,6 +39,16 @@
         for writer in self._writers:
             writer.close()
 
+    async def be_silent(self, seconds: float) -> None:
+        """Answer nothing for a time; connections whose answer is lost return nothing further.
+
+        Calls are not executed meanwhile. New connections work when the outage is over.
+        """
+        self._outages += 1
+        self._down = True
+        await asyncio.sleep(seconds)
+        self._down = False
+
     def write(self, key: str, value: bytes, lease: int = 0) -> None:
         """Write a key, as the operator or a call does."""
         self.revision += 1
@@ -77,8 +89,13 @@
             while True:
                 message = await read_message(reader)
                 method, target, _ = message.start_line.split(" ")
-                self._end_leases()
-                status, body = await self._answer(method, target, message.body)
+                outages = self._outages
+                if not self._down:
+                    self._end_leases()
+                    status, body = await self._answer(method, target, message.body)
+                if self._down or self._outages > outages:
+                    await reader.read()  # until the caller closes the connection
+                    break
                 headers = {"Content-Type": "application/json", "Store-Era": "1"}
                 writer.write(encode(f"HTTP/1.1 {status} X", headers, json.dumps(body).encode()))
         self._writers.discard(writer)
