--- a/review/support/fleet.py
+++ b/review/support/fleet.py
@@ -9,6 +9,7 @@
 import os
 import random
 import shlex
+import shutil
 import signal
 import socket
 import subprocess
@@ -75,6 +76,7 @@
         self.store = Store()
         self.links = Links() if relayed else None
         self.version = 0
+        self.worker_settings: dict[str, Any] = {}  # further ones, for all workers
         self._routes = routes
         self._bounds = bounds
 
@@ -141,6 +143,7 @@
             "slots": slots,
             "record": str(self.folder / "workers.jsonl"),
             "routes": self._routes,
+            **self.worker_settings,
         }
         command = [sys.executable, str(SUPPORT / "worker.py"), json.dumps(cfg)]
         machine.worker = subprocess.Popen(command)
@@ -167,7 +170,7 @@
             return None
 
     def close(self) -> None:
-        """End all processes that were started."""
+        """End all processes that were started, and remove their files."""
         processes = [p for m in self.machines for p in (m.node, m.worker) if p is not None]
         for process in processes:
             if process.poll() is None:
@@ -180,6 +183,7 @@
         self.store.close()
         if self.links is not None:
             self.links.close()
+        shutil.rmtree(self.folder)
 
     def _settings(self, machine: Machine) -> str:
         host, zones = machine.host, sorted({m.zone for m in self.machines})
--- a/review/support/worker.py
+++ b/review/support/worker.py
@@ -4,7 +4,12 @@
 `outbound` (addresses), `slots`, `record` (a file), and `routes`, which maps the first segment of a
 path to `work_ms` and `calls`, a list of paths that a run calls through its node, all at once. The
 calls have IDs of their own, carry no key, and expire with the request that makes them. Each line of
-the record is a JSON array: `run`, `rejected` or `call` with its time, and what belongs to it.
+the record is a JSON array: `run`, `rejected`, `call`, `left` or `beat` with its time, and what
+belongs to it.
+
+At SIGUSR1 a worker leaves without reporting `draining`, with `late_s` and `serve_s` of the object:
+its newest heartbeat is held up on the way and arrives `late_s` later, it deregisters and sends no
+further ones, serves for `serve_s` after the confirmation, and ends.
 """
 
 import asyncio
@@ -55,13 +60,32 @@
         self._record.write(json.dumps(line) + "\n")
 
     async def run(self) -> None:
-        """Serve until the process is ended."""
+        """Serve until the process is ended or has left."""
         await asyncio.start_server(self._serve, *address(self._cfg["listen"]))
-        while True:
-            await self._heartbeat()
-            await asyncio.sleep(HEARTBEAT_PERIOD)
+        leaving = asyncio.Event()
+        asyncio.get_running_loop().add_signal_handler(signal.SIGUSR1, leaving.set)
+        while not leaving.is_set():
+            await self._post_heartbeat(self._next_heartbeat())
+            with suppress(TimeoutError):
+                async with asyncio.timeout(HEARTBEAT_PERIOD):
+                    await leaving.wait()
+        await self._leave()
+
+    async def _leave(self) -> None:
+        late = asyncio.create_task(self._post_late(self._next_heartbeat()))
+        path, body = f"/Instances.Deregister/{self._cfg['id']}", {"born": self._born}
+        headers = {"Host": "node", "Content-Type": "application/json"}
+        answer = await self._control.send("POST", path, headers, json.dumps(body).encode(), 1.0)
+        self.note("left", status=answer.status)
+        await asyncio.sleep(self._cfg["serve_s"])
+        late.cancel()
 
-    async def _heartbeat(self) -> None:
+    async def _post_late(self, beat: dict[str, Any]) -> None:
+        await asyncio.sleep(self._cfg["late_s"])
+        await self._post_heartbeat(beat)
+        self.note("beat", sequence=beat["Status"]["Sequence"])
+
+    def _next_heartbeat(self) -> dict[str, Any]:
         cfg = self._cfg
         self._sequence += 1
         info = {
@@ -71,9 +95,11 @@
             "Slots": cfg["slots"],
         }
         status = {"Phase": "ready", "Sequence": self._sequence, "ColdRemainingS": 0}
-        beat = {"Address": cfg["listen"], "Info": info, "Status": status, "born": self._born}
+        return {"Address": cfg["listen"], "Info": info, "Status": status, "born": self._born}
+
+    async def _post_heartbeat(self, beat: dict[str, Any]) -> None:
         headers = {"Host": "node", "Content-Type": "application/json"}
-        path = f"/Instances.Heartbeat/{cfg['id']}"
+        path = f"/Instances.Heartbeat/{self._cfg['id']}"
         with suppress(OSError, EOFError, TimeoutError):
             await self._control.send("POST", path, headers, json.dumps(beat).encode(), 1.0)
 
