--- a/review/support/fleet.py
+++ b/review/support/fleet.py
@@ -93,7 +93,7 @@
                 await self.links.add(machine.name, machine.peer_host, machine.host, FIRST_PEER_PORT)
         for machine in self.machines:
             self.start_node(machine)
-            self._start_worker(machine, slots)
+            self.start_worker(machine, slots)
         async with asyncio.timeout(START_TIMEOUT):
             for machine in self.machines:
                 while not await self.is_ready(machine):
@@ -132,7 +132,8 @@
                 cwd=REPOSITORY,
             )
 
-    def _start_worker(self, machine: Machine, slots: int) -> None:
+    def start_worker(self, machine: Machine, slots: int) -> None:
+        """Start the process of a worker."""
         cfg = {
             "id": f"i-{machine.name}",
             "service": machine.service,
--- a/review/support/worker.py
+++ b/review/support/worker.py
@@ -15,6 +15,7 @@
 import asyncio
 import hashlib
 import json
+import os
 import signal
 import sys
 import time
@@ -29,6 +30,7 @@
 
 HEARTBEAT_PERIOD = 1.5  # seconds; HeartbeatS
 HOST_NAME = "calls.example"
+DEADLY = "/deadly"  # end of the path of a request that crashes each worker that begins to run it
 
 
 def signature(request_id: str) -> str:
@@ -124,6 +126,8 @@
             self.note("rejected", id=request_id, path=path, status=status)
             return encode(f"HTTP/1.1 {status} X", {**fields, "X-Not-Executed": "1"})
         self.note("run", id=request_id, path=path, tenant=headers.get("x-tenant-id", ""))
+        if path.endswith(DEADLY):
+            os._exit(1)
         self._running += 1
         try:
             status = await self._work(path, int(headers["x-request-deadline"]), received_at)
