--- a/review/support/fleet.py
+++ b/review/support/fleet.py
@@ -29,6 +29,7 @@
 HOST_NAME = "calls.example"
 APP, INBOUND, READY, OUTBOUND, CONTROL, STORE = 8301, 8300, 8302, 8304, 8306, 8309
 FIRST_PEER_PORT, LAST_PEER_PORT = 7620, 7635
+PORTS = (APP, READY, OUTBOUND, CONTROL, STORE, FIRST_PEER_PORT, LAST_PEER_PORT)
 START_TIMEOUT = 30.0  # seconds
 
 
@@ -36,7 +37,7 @@
     """Return the first three numbers of loopback addresses that nobody listens on."""
     while True:
         network = f"127.{random.randrange(10, 250)}.{random.randrange(250)}"
-        probes = [(f"{network}.{n}", port) for n in (1, 2, 101) for port in (STORE, OUTBOUND, APP)]
+        probes = [(f"{network}.{n}", port) for n in (1, 2, 102) for port in PORTS]
         try:
             for host, port in probes:
                 with socket.socket() as sock:
