Calls of the instance are accepted again after a node has run late

Callers saw: after 5.5 s in which one node got a fifth of its processor time, that node answered 401 to every call that its instance made, until it was restarted. All requests that the instance ran ended with 500.

Cause: a call without a key was accepted if its route was judged to be called by the instance, by the share of calls that matched a running request. A node that runs late reads calls late and matches few. Refused calls were not recorded, so the share could never rise again. A single request with a key on a route that the node had not seen did the same.

Ruled out: wrong deadlines of the instance, and missing knowledge of its running requests.

Change: every call without a key is evidence, also a refused one, except what a late node reads and a match that is chance. Requests with a key are no evidence beyond the first five. 401 needs certainty, else 503.

--- a/packages/thorntray-node/src/thorntray_node/mesh_node.py
+++ b/packages/thorntray-node/src/thorntray_node/mesh_node.py
@@ -28,7 +28,7 @@
 from thorntray.internal.overload.slot_queue import SlotQueue
 from thorntray.internal.process.clock import Clock
 from thorntray.internal.process.drain import Drain
-from thorntray.internal.process.pauses import Pauses
+from thorntray.internal.process.pauses import Pauses, varied_factors
 from thorntray.internal.process.registration import Registration
 from thorntray.internal.process.tasks import BackgroundTasks
 from thorntray.internal.request.caller_identity import CallerIdentity
@@ -59,7 +59,7 @@
 from thorntray_node.platform_store import PlatformStore, StoreKeys
 from thorntray_node.request_drain import RequestDrain
 
-PRICE_UPDATE_PERIOD = 0.1  # seconds between updates of the slot price
+PRICE_UPDATE_PERIOD = 0.1  # mean seconds between updates of the slot price
 LINK_FAILURE_PAUSE = 1.0  # seconds without new requests to a member after a link failure
 HOUSEKEEPING_PERIOD = 0.5  # seconds
 LOOPBACK_HOST = "127.0.0.1"
@@ -176,6 +176,7 @@
             budget=self.budget,
             drain=self.drain,
             clock=self.clock,
+            pauses=self.pauses,
             rng=self.rng,
             identity=CallerIdentity(self.freshness, self.clock),
             suspects=self.suspects,
@@ -385,14 +386,17 @@
     # Periodic tasks.
 
     async def _tick(self) -> None:
+        factors = varied_factors()
         while True:
+            period = PRICE_UPDATE_PERIOD * next(factors)
             began = self.clock.monotonic()
-            await asyncio.sleep(PRICE_UPDATE_PERIOD)
+            self.pauses.expect(period)
+            await asyncio.sleep(period)
             self.pauses.observe()
             now = self.clock.monotonic()
             if self.pauses.has_backlog(now):
                 self.owner.reject_queued(Cause.FULL)
-            self.metrics.observe_loop_lag(now - began - PRICE_UPDATE_PERIOD)
+            self.metrics.observe_loop_lag(now - began - period)
             self.owner.update_price(now)
 
     def _log_load(self) -> None:
--- a/packages/thorntray/src/thorntray/internal/overload/call_parents.py
+++ b/packages/thorntray/src/thorntray/internal/overload/call_parents.py
@@ -10,15 +10,22 @@
 A call may expire before its parent if the called route has a shorter time limit of its own.
 Then no expiry matches. If other calls on that route were matched, the route is a nested one
 (`NestedRoutes`), and the call is attributed to a running request that expires after it.
+
+An equal expiry may be chance, the more often the more requests run. `RunningRequests.matches` thus
+looks at a shifted expiry as well, which no call has: if that matches too, the match says nothing.
 """
 
 import re
+from enum import Enum
 
 from sortedcontainers import SortedKeyList
 
 _LAST_ID_SEGMENT = re.compile(rb"[^0-9A-Za-z][0-9A-Za-z]+$")
 MATCH_TOLERANCE = 0.006  # seconds
-MATCH_WEIGHT = 0.05  # weight of the newest request in a route's moving average of matches
+MAX_LATENESS = 0.1  # seconds; period in which a processor's allotment is given
+CONTROL_SHIFT = 0.02  # seconds; more than twice the tolerance, less than most requests run
+MATCH_WEIGHT = 0.05  # least weight of the newest request in a route's average of matches
+MIN_JUDGED = 5  # requests from which a route is judged by its average
 NESTED_ROUTE_THRESHOLD = 0.3  # share of matched requests above which a route counts as nested
 EXPIRY_STEP = 0.004  # seconds; width of the steps in which expiries count as equal
 
@@ -124,27 +131,82 @@
             index += 1
         return closest
 
-    def first_expiring_after(self, expiry: float) -> RunningRequest | None:
-        """Return the running request with the first expiry at or after `expiry`, or None."""
+    def matches(self, expiry: float) -> bool | None:
+        """Return whether a request expires as a running one does, None if that may be chance."""
+        if self.parent_of(expiry) is None:
+            return False
+        return True if self.parent_of(expiry - CONTROL_SHIFT) is None else None
+
+    def matches_late(self, expiry: float) -> bool:
+        """Return whether a call that was read late may expire with a running request."""
+        index = self._requests.bisect_key_left(expiry - MAX_LATENESS)
+        return index < len(self._requests) and self._requests[index].expiry < expiry
+
+    def nearest_of_unmatched(self, expiry: float) -> RunningRequest | None:
+        """Return a running request for a nested call that matches none, None if nothing runs.
+
+        It is the first one that expires after the call, which may have a shorter time limit. If
+        there is none, the call was read late, and it is the last one that expires before.
+        """
+        if not self._requests:
+            return None
         index = self._requests.bisect_key_left(expiry)
-        return self._requests[index] if index < len(self._requests) else None
+        return self._requests[min(index, len(self._requests) - 1)]
+
+
+class CallOrigin(Enum):
+    """Who has sent a request without an API key, as far as its node can tell."""
+
+    INSTANCE = "the instance, for a request that it runs"
+    UNCERTAIN = "the instance or another program"
+    OTHER = "another program"
+
+
+class _Judgement:
+    """The requests of one route that were judged: their number and the share that matched."""
+
+    __slots__ = ("count", "share")
+
+    def __init__(self) -> None:
+        self.count = 0
+        self.share = 0.0
+
+    def add(self, matched: bool) -> None:
+        """Add a request; the first ones have equal weights."""
+        self.count += 1
+        self.share += max(1 / self.count, MATCH_WEIGHT) * (matched - self.share)
 
 
 class NestedRoutes:
-    """Which routes this node's instance calls on behalf of the requests it runs."""
+    """Which routes this node's instance calls on behalf of the requests it runs.
+
+    The fault: a node that runs late, was paused or has just started matches few calls. If it
+    refuses them and does not look at refused calls, it never learns that they match again. So every
+    request without a key is evidence, whether it is refused or not, unless the node cannot judge
+    it at that time (`OriginContext.record_call`).
+
+    Requests with a key say nothing of those without one. They only are the first `MIN_JUDGED`
+    records of a route, so that a route that callers use is open to no other program by chance.
+    """
 
     def __init__(self) -> None:
-        self._matched_shares: dict[str, float] = {}
+        self._judgements: dict[str, _Judgement] = {}
 
     def record(self, route: str, matched: bool) -> None:
-        """Record whether a request on a route was matched to a running request."""
-        share = self._matched_shares.get(route, float(matched))
-        self._matched_shares[route] = share + MATCH_WEIGHT * (matched - share)
+        """Record whether a request without a key was matched to a running request."""
+        self._judgements.setdefault(route, _Judgement()).add(matched)
+
+    def record_key(self, route: str) -> None:
+        """Record a request with a key, which no instance sends."""
+        judgement = self._judgements.setdefault(route, _Judgement())
+        if judgement.count < MIN_JUDGED:
+            judgement.add(False)
 
-    def is_known(self, route: str) -> bool:
-        """Return whether a request on a route has been recorded."""
-        return route in self._matched_shares
+    def is_judged(self, route: str) -> bool:
+        """Return whether enough requests on a route have been recorded."""
+        judgement = self._judgements.get(route)
+        return judgement is not None and judgement.count >= MIN_JUDGED
 
     def is_nested(self, route: str) -> bool:
         """Return whether requests on a route are taken for nested calls, by the matched share."""
-        return self._matched_shares.get(route, 0.0) > NESTED_ROUTE_THRESHOLD
+        return self.is_judged(route) and self._judgements[route].share > NESTED_ROUTE_THRESHOLD
--- a/packages/thorntray/src/thorntray/internal/request/origin.py
+++ b/packages/thorntray/src/thorntray/internal/request/origin.py
@@ -7,6 +7,7 @@
 
 from thorntray.internal.connection.header_names import FieldClassifier, FieldKind
 from thorntray.internal.connection.http_server import Exchange
+from thorntray.internal.overload.call_parents import CallOrigin
 from thorntray.internal.request.caller_identity import IdentityRefusal
 from thorntray.internal.request.origin_context import (
     OriginContext,
@@ -132,11 +133,15 @@
     def _identify(
         self, exchange: Exchange, policy: Policy, head: RequestHead, route: Route
     ) -> Workspace | None | IdentityRefusal:
-        def is_nested_call() -> bool:
-            local = exchange.peer_host in self._deps.own_hosts
-            return local and self._context.is_nested_call(head, route)
+        local = exchange.peer_host in self._deps.own_hosts
 
-        return self._deps.identity.identify(policy, route, head.authorization, is_nested_call)
+        def origin_of_call() -> CallOrigin:
+            return self._context.origin_of_call(head, route) if local else CallOrigin.OTHER
+
+        caller = self._deps.identity.identify(policy, route, head.authorization, origin_of_call)
+        if local and not head.authorization and isinstance(caller, IdentityRefusal):
+            self._context.record_call(head, route)  # an accepted one is recorded at its start
+        return caller
 
     def _refuse_caller(
         self, exchange: Exchange, head: RequestHead, route: Route, refusal: IdentityRefusal
--- a/packages/thorntray/src/thorntray/internal/request/origin_context.py
+++ b/packages/thorntray/src/thorntray/internal/request/origin_context.py
@@ -9,6 +9,7 @@
 from thorntray.internal.membership.instance_notices import InstanceNotices
 from thorntray.internal.membership.member import Member
 from thorntray.internal.overload.call_parents import (
+    CallOrigin,
     NestedRoutes,
     RunningRequest,
     RunningRequests,
@@ -21,6 +22,7 @@
 from thorntray.internal.overload.root_admission import RootAdmission
 from thorntray.internal.process.clock import Clock
 from thorntray.internal.process.drain import Drain
+from thorntray.internal.process.pauses import Pauses
 from thorntray.internal.request.caller_identity import CallerIdentity
 from thorntray.internal.request.owner import Owner
 from thorntray.internal.request.quotas import Quotas
@@ -70,6 +72,7 @@
     budget: RetryBudget
     drain: Drain
     clock: Clock
+    pauses: Pauses
     rng: Random
     identity: CallerIdentity
     suspects: CrashSuspects
@@ -100,16 +103,47 @@
             parent = running.parent_of(self.deps.clock.monotonic() + head.deadline)
         return parent
 
-    def is_nested_call(self, head: RequestHead, route: Route) -> bool:
-        """Return whether the own instance makes this call for a request that it is running.
+    def origin_of_call(self, head: RequestHead, route: Route) -> CallOrigin:
+        """Return who has sent a request without a key from this machine.
 
-        On a route that callers use, an equal expiry may be chance, and only the id counts.
+        A match of the ID decides at once. On a route that has been judged, an equal expiry may be
+        chance, and the judgement decides; before that, the match of this request does.
         """
-        if self.deps.running.parent_by_id(head.request_id) is not None:
-            return True
-        if self.nested_routes.is_known(route.name):
-            return self.nested_routes.is_nested(route.name)
-        return self.find_parent(head) is not None
+        running, now = self.deps.running, self.deps.clock.monotonic()
+        if running.parent_by_id(head.request_id) is not None:
+            return CallOrigin.INSTANCE
+        matched = self.find_parent(head) is not None
+        can_judge = self._can_judge(now)
+        if self.nested_routes.is_judged(route.name):
+            accepted = self.nested_routes.is_nested(route.name)
+            uncertain = matched or not can_judge
+        else:
+            read_late = head.deadline is not None and running.matches_late(now + head.deadline)
+            accepted = matched or (read_late and self.deps.pauses.ran_late(now))
+            uncertain = read_late or not can_judge
+        if accepted:
+            return CallOrigin.INSTANCE
+        return CallOrigin.UNCERTAIN if uncertain else CallOrigin.OTHER
+
+    def record_call(self, head: RequestHead, route: Route) -> None:
+        """Record a request without a key, accepted or refused, as evidence on its route.
+
+        A node that runs late records no expiry: its calls match too rarely, and those of others as
+        often as ever.
+        """
+        running, now = self.deps.running, self.deps.clock.monotonic()
+        if running.parent_by_id(head.request_id) is not None:
+            self.nested_routes.record(route.name, True)
+            return
+        if head.deadline is None or self.deps.pauses.ran_late(now):
+            return
+        matched = running.matches(now + head.deadline)
+        if matched or (matched is False and not self.deps.identity.is_starting):
+            self.nested_routes.record(route.name, matched)
+
+    def _can_judge(self, now: float) -> bool:
+        """Return whether a request without a match belongs to no request of the instance."""
+        return not self.deps.pauses.ran_late(now) and not self.deps.identity.is_starting
 
     def choose_service(self, route: Route) -> str:
         """Choose the target service of one request by smooth weighted round-robin."""
--- a/packages/thorntray/src/thorntray/internal/request/origin_request.py
+++ b/packages/thorntray/src/thorntray/internal/request/origin_request.py
@@ -148,17 +148,24 @@
         """Detect whether this is a nested call of a request that the own instance is running."""
         running, nested_routes = self.context.deps.running, self.context.nested_routes
         if self.workspace is not None:  # instances have no key
-            nested_routes.record(self.route.name, False)
+            nested_routes.record_key(self.route.name)
             return
         deadline = self.head.deadline
         if deadline is None:
             return
         expiry = self.arrived_at + deadline
         self.parent = self.context.find_parent(self.head)
-        nested_routes.record(self.route.name, self.parent is not None)
-        self.nested = self.parent is not None or nested_routes.is_nested(self.route.name)
+        policy = self.context.deps.policy()
+        if policy is None or not policy.workspaces:
+            nested_routes.record(self.route.name, self.parent is not None)
+            self.nested = self.parent is not None or nested_routes.is_nested(self.route.name)
+        else:
+            self.context.record_call(self.head, self.route)
+            # Where a key is needed, only the instance's calls are accepted without one.
+            needs_key = not self.route.anonymous
+            self.nested = self.parent is not None or needs_key
         if self.nested and self.parent is None:
-            self.parent = running.first_expiring_after(expiry)
+            self.parent = running.nearest_of_unmatched(expiry)
         if self.parent is not None:
             self.parent.made_nested_calls = True
             self.worth = self.parent.worth
--- a/tests/test_caller_identity.py
+++ b/tests/test_caller_identity.py
@@ -6,6 +6,7 @@
 from tests.builders import ManualClock
 from tests.mesh_builders import make_policy, make_route
 from thorntray.errors import BadDocument
+from thorntray.internal.overload.call_parents import CallOrigin
 from thorntray.internal.request.caller_identity import (
     RUN_MARGIN,
     CallerIdentity,
@@ -21,11 +22,13 @@
 POLICY = make_policy()._replace(workspaces=Workspaces.from_keys([(DEPOTS, ["k-1", "k-2"])]))
 
 
-def identify(authorization=b"", route=KEYED, policy=POLICY, nested=False, seconds=LONGEST_RUN):
+def identify(
+    authorization=b"", route=KEYED, policy=POLICY, origin=CallOrigin.OTHER, seconds=LONGEST_RUN
+):
     clock = ManualClock()
     identity = CallerIdentity(Freshness(clock, None), clock)
     clock.now += seconds
-    return identity.identify(policy, route, authorization, lambda: nested)
+    return identity.identify(policy, route, authorization, lambda: origin)
 
 
 @pytest.mark.parametrize("key", [b"Bearer k-1", b"bearer k-2", b"Bearer  k-2 "])
@@ -48,7 +51,7 @@
 
 
 def test_a_nested_call_needs_no_key():
-    assert identify(nested=True) is None
+    assert identify(origin=CallOrigin.INSTANCE) is None
 
 
 def test_a_call_that_a_restarted_node_cannot_match_is_not_rejected_for_good():
@@ -56,6 +59,11 @@
     assert identify(seconds=1.0) is IdentityRefusal.UNMATCHED_CALL
 
 
+def test_a_call_that_may_belong_to_the_instance_is_not_rejected_for_good():
+    # A 401 is final, so it needs certainty; the node may be running late.
+    assert identify(origin=CallOrigin.UNCERTAIN) is IdentityRefusal.UNMATCHED_CALL
+
+
 def test_without_workspaces_nobody_needs_a_key():
     assert identify(policy=make_policy()) is None
     assert identify(b"Bearer k-9", policy=make_policy()) is None
--- a/tests/test_slot_decisions.py
+++ b/tests/test_slot_decisions.py
@@ -238,7 +238,7 @@
     running.begin(10.5, 1.0)
     assert running.parent_of(10.003) is payout
     assert running.parent_of(10.2) is None
-    assert running.first_expiring_after(9.0) is payout
+    assert running.nearest_of_unmatched(9.0) is payout
     running.end(payout)
     assert running.parent_of(10.003) is None
 
