A confirmed leaving of an instance survives the process of its node

Callers saw: a node confirmed that its instance leaves, was killed 0.3 s later and started again. An announcement from before the leaving arrived 2.5 s late, and the new process sent the instance all payouts of its machine for six seconds. Two were lost when the instance ended.

Cause: that a boot has left was kept in the memory of one process, and the first announcement after a start was always accepted. Peers knew of the leaving only if a result after it had gone to them.

Ruled out: the order of announcements, which rejects the late one as long as the process lives.

Change: a leaving is confirmed once the store and two peers know of it, or one of the two if the other does not answer. A new process asks both before it uses an instance, and without any answer uses only one that goes on announcing itself. New work stops at once, as before.

--- a/packages/thorntray-node/src/thorntray_node/mesh_node.py
+++ b/packages/thorntray-node/src/thorntray_node/mesh_node.py
@@ -11,6 +11,7 @@
 from thorntray.internal.connection.instance_pool import InstancePool
 from thorntray.internal.connection.link import LinkListener, Links
 from thorntray.internal.membership.crash_reports import CrashReports
+from thorntray.internal.membership.departures import Departures
 from thorntray.internal.membership.gossip import Address
 from thorntray.internal.membership.instance_notices import InstanceNotices
 from thorntray.internal.membership.member import SESSION_BYTES, Health, Member
@@ -42,6 +43,7 @@
 from thorntray.internal.request.request_log import RequestLog
 from thorntray.internal.request.result import Cause, Result
 from thorntray.internal.store.freshness_check import FreshnessCheck
+from thorntray.internal.store.kept_entries import KeptEntries
 from thorntray.internal.store.policy_watch import (
     POLICY_REVISION_KEY,
     PolicyDecoder,
@@ -91,6 +93,7 @@
         self._decode_policy = decode_policy
         self._session = rng.randbytes(SESSION_BYTES)
         self._tasks = BackgroundTasks()
+        self.departures: Departures | None = None  # None before the start
         self._create_owner_components()
         self._create_origin_components()
 
@@ -212,6 +215,17 @@
             self._member_removed,
         )
         self.crash_reports = CrashReports(self.suspects, self.membership, self.clock, self.rng)
+        self.entries = KeptEntries(self._store, self.clock, self.rng)
+        self.departures = Departures(
+            self.registration,
+            self.membership,
+            self._store,
+            self.entries,
+            self._store_keys.departures_prefix,
+            self.clock,
+            self._tasks,
+        )
+        self.registration.hold()
         udp.receive = self.membership.on_datagram
         self.seeds = Seeds(
             self.membership,
@@ -245,6 +259,7 @@
         self.seeds.start()
         loops = (
             self.policy_watch.run,
+            self.entries.run,
             self.links.watch,
             self.crash_reports.run,
             self.quotas.run,
@@ -253,6 +268,7 @@
         )
         for loop in loops:
             self._tasks.spawn(loop())
+        self._tasks.spawn(self.departures.recall(lambda: self.seeds.looked_up))
         if self.freshness_check is not None:
             self._tasks.spawn(self.freshness_check.query_peers())
             self._tasks.spawn(self.freshness_check.check_store())
@@ -349,6 +365,8 @@
         restarted = member is not None and member.health is Health.ALIVE
         if restarted and self.notices.of_member(name):
             self.links.link_to(member).open()  # tells the new process what it has lost
+        if restarted:
+            self.departures.tell_restarted(member)
 
     def _link_failed(self, member: Member) -> None:
         """Pause new requests to the member, and have the membership probe it now."""
@@ -421,6 +439,7 @@
             self.registration.check_timeout()
             self.pool.close_idle()
             self.notices.remove_expired()
+            self.departures.remove_expired()
             self.budget.set_nodes(len(self.membership.alive()))
             policy = self.holder.policy
             if policy is not None:
--- a/packages/thorntray-node/src/thorntray_node/platform_store.py
+++ b/packages/thorntray-node/src/thorntray_node/platform_store.py
@@ -2,11 +2,11 @@
 
 from typing import NamedTuple, Protocol
 
+from thorntray.internal.store.kept_entries import EntryStore
 from thorntray.internal.store.policy_watch import PolicyStore
-from thorntray.internal.store.seeds import SeedStore
 
 
-class PlatformStore(SeedStore, PolicyStore, Protocol):
+class PlatformStore(EntryStore, PolicyStore, Protocol):
     """The operations of the platform's key-value store that the node needs."""
 
     async def close(self) -> None:
@@ -15,7 +15,8 @@
 
 
 class StoreKeys(NamedTuple):
-    """Key prefix of the seeds, and key of the policy, in the platform's key-value store."""
+    """Keys and key prefixes in the platform's key-value store."""
 
     seeds_prefix: str
     policy_key: str
+    departures_prefix: str = "departures/"
--- a/packages/thorntray/src/thorntray/internal/membership/gossip.py
+++ b/packages/thorntray/src/thorntray/internal/membership/gossip.py
@@ -126,7 +126,46 @@
     is_reply: bool = False
 
 
-ServiceDatagram = PolicyCheck | PolicyChecked | QuotaAsk | QuotaGrant | CrashReport | CrashQuery
+class DepartureReport(msgspec.Struct, tag="l", array_like=True, frozen=True):
+    """Asks to keep that boots of the instance of `member`, the sender, leave.
+
+    `boots` holds (instance ID, start in milliseconds since 1970, whether all earlier boots of that
+    ID are meant too).
+    """
+
+    sequence: int
+    member: str
+    boots: tuple[tuple[str, int, bool], ...]
+
+
+class DepartureRecorded(msgspec.Struct, tag="L", array_like=True, frozen=True):
+    """Answers a `DepartureReport`: it is kept."""
+
+    sequence: int
+
+
+class DepartureQuery(msgspec.Struct, tag="k", array_like=True, frozen=True):
+    """Asks for the departures that are kept for `member`, whose new process is the sender."""
+
+    member: str
+
+
+class DepartureReply(msgspec.Struct, tag="K", array_like=True, frozen=True):
+    """Answers a `DepartureQuery`, or tells a restarted process without a query."""
+
+    boots: tuple[tuple[str, int, bool], ...]
+
+
+DepartureDatagram = DepartureReport | DepartureRecorded | DepartureQuery | DepartureReply
+ServiceDatagram = (
+    PolicyCheck
+    | PolicyChecked
+    | QuotaAsk
+    | QuotaGrant
+    | CrashReport
+    | CrashQuery
+    | DepartureDatagram
+)
 MembershipDatagram = Ping | Ack | PingRequest | Spread | Join | Digest
 Datagram = MembershipDatagram | ServiceDatagram
 
--- a/packages/thorntray/src/thorntray/internal/process/registration.py
+++ b/packages/thorntray/src/thorntray/internal/process/registration.py
@@ -4,13 +4,16 @@
 `boot_order` decides which of them count. A boot that has left stays so, whatever announcement
 arrives late. One that crashed, or in whose place another instance answers, gets no new work until
 that decision is revised by further announcements.
+
+A process that has just started does not know which boots have left (`membership.departures`). Until
+it does, no instance gets work; if nobody can tell, one does that goes on announcing itself.
 """
 
 from collections.abc import Callable
 from enum import Enum
 from typing import NamedTuple
 
-from thorntray.internal.process.boot_order import Boot, BootOrder
+from thorntray.internal.process.boot_order import CLAIM_TIME, Boot, BootOrder
 from thorntray.internal.process.clock import Clock
 from thorntray.internal.telemetry.events import Event, log_event
 
@@ -50,6 +53,22 @@
         return self.boot, self.phase, self.slots
 
 
+class Departure(NamedTuple):
+    """A boot that leaves; if `earlier_too` is set, all boots of the ID that started before."""
+
+    instance_id: str
+    started_ms: int
+    earlier_too: bool = False
+
+
+class _Trust(Enum):
+    """Which announcements bring work to an instance."""
+
+    ALL = "all"
+    PROVEN = "those of a boot that goes on announcing itself"
+    NONE = "none"
+
+
 class Registration:
     """The newest boot of the instance, and whether new work may be sent to it."""
 
@@ -67,6 +86,9 @@
         self.accepting = False
         self.node_draining = False
         self._announced_at = clock.monotonic()
+        self._trust = _Trust.ALL
+        self._first_announced: tuple[Announcement, float] | None = None  # with its monotonic time
+        self.on_left: Callable[[Departure], None] = lambda departure: None
 
     @property
     def available(self) -> bool:
@@ -84,6 +106,34 @@
             self._order.reset()
             self._set_accepting(False)
 
+    def hold(self) -> None:
+        """Let no instance get work before `release` is called."""
+        self._trust = _Trust.NONE
+
+    def require_proof(self) -> None:
+        """Let an instance get work that goes on announcing itself, before `release` is called."""
+        self._trust = _Trust.PROVEN
+
+    def release(self) -> None:
+        """Let instances get work: all departures from before the start are known."""
+        if self._trust is _Trust.ALL:
+            return
+        self._trust = _Trust.ALL
+        current = self.current
+        if current is not None and current.phase is Phase.READY:
+            self._set_accepting(not self.has_left(current.boot))
+
+    def recall(self, departure: Departure) -> None:
+        """Record a departure that this process or its predecessor has confirmed before."""
+        if departure.earlier_too:
+            known = self._left_at.get(departure.instance_id, 0)
+            self._left_at[departure.instance_id] = max(known, departure.started_ms)
+        else:
+            self._left_boots[Boot(*departure[:2])] = None
+            self._drop_oldest_left()
+        if self.current is not None and self.has_left(self.current.boot):
+            self._set_accepting(False)
+
     def apply(self, announcement: Announcement) -> bool:
         """Apply an announcement; return False if it is for another service or address."""
         if announcement.service != self._service or announcement.address != self._address:
@@ -107,7 +157,8 @@
                 sequence=announcement.sequence,
                 slots=announcement.slots,
             )
-        self._set_accepting(announcement.phase is Phase.READY, changed)
+        ready = announcement.phase is Phase.READY and self._is_trusted(announcement)
+        self._set_accepting(ready, changed)
         return True
 
     def deregister(self, instance_id: str, started_ms: int | None) -> None:
@@ -120,8 +171,10 @@
                 self._set_accepting(False)
         elif started_ms is None:
             # This node has restarted and knows no boot of the id: all started before now have left.
-            self._left_at[instance_id] = self._clock.time() * MS_PER_SECOND
+            now_ms = int(self._clock.time() * MS_PER_SECOND)
+            self._left_at[instance_id] = now_ms
             log_event(Event.INSTANCE_LEFT, instance=instance_id)
+            self.on_left(Departure(instance_id, now_ms, earlier_too=True))
         if started_ms is not None:
             self._record_left(Boot(instance_id, started_ms))
 
@@ -173,8 +226,27 @@
                 known=(*current.boot, current.sequence),
             )
 
+    def _is_trusted(self, announcement: Announcement) -> bool:
+        """Return whether an announcement brings work to its instance."""
+        now = self._clock.monotonic()
+        match self._trust:
+            case _Trust.ALL:
+                return True
+            case _Trust.NONE | _Trust.PROVEN:
+                first = self._first_announced
+                if first is None or first[0].boot != announcement.boot:
+                    self._first_announced = (announcement, now)
+                    return False
+                return self._trust is _Trust.PROVEN and now - first[1] >= CLAIM_TIME
+
     def _record_left(self, boot: Boot) -> None:
+        if boot in self._left_boots:
+            return
         self._left_boots[boot] = None
+        self._drop_oldest_left()
+        self.on_left(Departure(*boot))
+
+    def _drop_oldest_left(self) -> None:
         while len(self._left_boots) > MAX_LEFT_BOOTS:
             del self._left_boots[next(iter(self._left_boots))]
 
--- a/packages/thorntray/src/thorntray/internal/process/tasks.py
+++ b/packages/thorntray/src/thorntray/internal/process/tasks.py
@@ -7,19 +7,22 @@
 
 import asyncio
 from collections.abc import Coroutine
+from typing import Any, TypeVar
 
 from absl import logging
 
 from thorntray.internal.telemetry.events import Event, log_event
 
+_T = TypeVar("_T")
+
 
 class BackgroundTasks:
     """The running background tasks of one component."""
 
     def __init__(self) -> None:
-        self._tasks: set[asyncio.Task[None]] = set()
+        self._tasks: set[asyncio.Task[Any]] = set()
 
-    def spawn(self, coroutine: Coroutine[None, None, None]) -> "asyncio.Task[None]":
+    def spawn(self, coroutine: Coroutine[None, None, _T]) -> "asyncio.Task[_T]":
         """Start a task and keep a reference to it until it ends."""
         task = asyncio.ensure_future(coroutine)
         self._tasks.add(task)
@@ -33,7 +36,7 @@
             task.cancel()
         await asyncio.gather(*tasks, return_exceptions=True)
 
-    def _on_done(self, task: "asyncio.Task[None]") -> None:
+    def _on_done(self, task: "asyncio.Task[Any]") -> None:
         self._tasks.discard(task)
         if task.cancelled() or task.exception() is None:
             return
--- /dev/null
+++ b/packages/thorntray/src/thorntray/internal/store/kept_entries.py
@@ -0,0 +1,116 @@
+"""Entries that a node keeps in the platform's store, so that not only its process knows them.
+
+The fault: what a process has confirmed or learnt dies with it, and what a fleet has learnt dies if
+all its processes are killed at once. An entry in the store outlives both. The store may be down
+when the entry is written, so the write is repeated until it succeeds or the entry has expired, and
+it is repeated after the store was restored from an older copy (`StoreEpoch`).
+
+Entries have leases, so that none is left behind by a process that has ended.
+"""
+
+import asyncio
+from random import Random
+from typing import Protocol
+
+from thorntray.errors import PlatformUnavailable, WriteUndetermined
+from thorntray.internal.process.clock import Clock
+from thorntray.internal.store.seeds import SeedStore
+
+MIN_RETRY_PAUSE, MAX_RETRY_PAUSE = 0.1, 2.0  # seconds, jittered
+MIN_TTL, MAX_TTL = 1, 600  # seconds, of a lease
+
+
+class EntryStore(SeedStore, Protocol):
+    """The operations of the platform's store that kept entries need."""
+
+    async def remove(self, key: str) -> None:
+        """Remove a key, if it exists."""
+        ...
+
+
+class _Entry:
+    """An entry that is to be in the store."""
+
+    __slots__ = ("value", "expires_at", "epoch", "written")
+
+    def __init__(self, value: bytes, expires_at: float) -> None:
+        self.value = value
+        self.expires_at = expires_at  # boot time
+        self.epoch = -1  # of the store in which it was written
+        self.written = asyncio.Event()
+
+
+class KeptEntries:
+    """Writes entries to the store and removes them, in the background."""
+
+    def __init__(self, store: EntryStore, clock: Clock, rng: Random) -> None:
+        self._store = store
+        self._clock = clock
+        self._rng = rng
+        self._entries: dict[str, _Entry] = {}
+        self._removed: set[str] = set()
+        self._changed = asyncio.Event()
+
+    def keep(self, key: str, value: bytes, seconds: float) -> None:
+        """Write an entry that expires after `seconds`, in place of an earlier one."""
+        self._entries[key] = _Entry(value, self._clock.boottime() + seconds)
+        self._removed.discard(key)
+        self._changed.set()
+
+    def drop(self, key: str) -> None:
+        """Remove an entry, whoever has written it."""
+        self._entries.pop(key, None)
+        self._removed.add(key)
+        self._changed.set()
+
+    def is_written(self, key: str) -> bool:
+        """Return whether the store holds the newest value of an entry."""
+        entry = self._entries.get(key)
+        return entry is not None and entry.epoch == self._store.epoch.current
+
+    async def wait_written(self, key: str) -> None:
+        """Wait until the store has taken the newest value of an entry."""
+        await self._entries[key].written.wait()
+
+    async def run(self) -> None:
+        """Write and remove what has to be, until cancelled."""
+        pause = MIN_RETRY_PAUSE
+        while True:
+            self._changed.clear()
+            epoch = self._store.epoch.current
+            try:
+                await self._write_all()
+            except (PlatformUnavailable, WriteUndetermined):
+                await asyncio.sleep(pause * (0.5 + self._rng.random()))
+                pause = min(MAX_RETRY_PAUSE, 2 * pause)
+                continue
+            pause = MIN_RETRY_PAUSE
+            await self._wait_for_work(epoch)
+
+    async def _write_all(self) -> None:
+        now = self._clock.boottime()
+        for key in [k for k, entry in self._entries.items() if entry.expires_at <= now]:
+            del self._entries[key]
+        for key in list(self._removed):
+            await self._store.remove(key)
+            self._removed.discard(key)
+        for key, entry in list(self._entries.items()):
+            if entry.epoch != self._store.epoch.current and self._entries.get(key) is entry:
+                await self._write(key, entry)
+
+    async def _write(self, key: str, entry: _Entry) -> None:
+        left = entry.expires_at - self._clock.boottime()
+        lease = await self._store.lease_grant(min(MAX_TTL, max(MIN_TTL, round(left))))
+        await self._store.put(key, entry.value, lease)
+        entry.epoch = self._store.epoch.current
+        entry.written.set()
+
+    async def _wait_for_work(self, epoch: int) -> None:
+        """Wait until an entry has changed or the store was restored."""
+        changed = asyncio.ensure_future(self._changed.wait())
+        restored = asyncio.ensure_future(self._store.epoch.wait_beyond(epoch))
+        try:
+            await asyncio.wait({changed, restored}, return_when=asyncio.FIRST_COMPLETED)
+        finally:
+            changed.cancel()
+            restored.cancel()
--- a/packages/thorntray/src/thorntray/internal/telemetry/events.py
+++ b/packages/thorntray/src/thorntray/internal/telemetry/events.py
@@ -54,6 +54,9 @@
     INSTANCE_LAPSED = EventKind(112, Level.WARNING, "upstream instance stopped sending heartbeats")
     INSTANCE_ANNOUNCED = EventKind(113, Level.INFO, "upstream instance announced itself")
     ANNOUNCEMENT_REFUSED = EventKind(114, Level.WARNING, "announcement refused")
+    DEPARTURE_NOT_RECORDED = EventKind(
+        120, Level.WARNING, "leaving of the instance not confirmed, as nobody else knows of it"
+    )
     INSTANCE_LIMIT = EventKind(116, Level.WARNING, "rate limit of the upstream instance changed")
     ANNOUNCEMENT_OUTDATED = EventKind(118, Level.INFO, "announcement of another boot ignored")
     INSTANCE_MISMATCH = EventKind(
--- a/tests/mesh_builders.py
+++ b/tests/mesh_builders.py
@@ -232,6 +232,10 @@
         """Store a value; the lease is ignored."""
         self.entries[key] = value
 
+    async def remove(self, key: str) -> None:
+        """Remove a key."""
+        self.entries.pop(key, None)
+
     async def lease_grant(self, ttl: int) -> int:
         """Return lease 1."""
         return 1
@@ -284,6 +288,7 @@
         self.nodes: dict[str, MeshNode] = {}
         self.instances: dict[str, FakeInstance] = {}
         self.stopped: list[str] = []  # names of the nodes that were restarted
+        self.recall = False  # whether nodes that start ask first which instances have left
 
     async def add(
         self, name: str, service: str, reply: Reply | None = None, domain: str = "a", **announced
@@ -314,6 +319,8 @@
             rng,
         )
         await node.start(lambda exchange: exchange.respond(200, b"", b""))
+        if not self.recall:
+            node.registration.release()
         self.nodes[cfg.name] = node
         return node
 
