A coordinator of a quota grants only for those who answer it

Callers saw: while the coordinator of a workspace's quota was cut off for 5.5 s, 857 requests of the workspace ran in 5 s where 702 are allowed.

Cause: the coordinator lowered its grants only as it suspected members, two a second, and needed no answer to go on. The others used their own shares after 0.5 s, and another coordinator took over after about a second.

Ruled out: counts of the ledger; a paused coordinator kept the bound.

Change: the coordinator checks a member of each failure domain every 0.2 s. An answer lets it grant for that domain until 0.6 s after the check was sent, by its own clock. Others use their shares after 0.8 s, when its right has ended and its tokens are spent. Members that suspect it do not answer. Domains of the release before count as reached while they are heard of.

--- a/packages/thorntray-node/src/thorntray_node/mesh_node.py
+++ b/packages/thorntray-node/src/thorntray_node/mesh_node.py
@@ -241,7 +241,11 @@
         if self.freshness.strict:
             self._create_freshness_check(duty)
         self.quotas = Quotas(
-            self.membership, lambda: self.holder.policy, lambda: self.seeds.looked_up, self.clock
+            self.membership,
+            lambda: self.holder.policy,
+            lambda: self.seeds.looked_up,
+            self.clock,
+            self.rng,
         )
         self.origin = Origin(self._origin_dependencies())
         self.callers = HttpServer(self.origin.handle, self.clock)
--- a/packages/thorntray/src/thorntray/internal/membership/gossip.py
+++ b/packages/thorntray/src/thorntray/internal/membership/gossip.py
@@ -103,6 +103,23 @@
     retry_after: float
 
 
+class QuotaCheck(msgspec.Struct, tag="h", array_like=True, frozen=True):
+    """Asks whether the receiver takes `member`, a coordinator of quotas, for alive.
+
+    The answer is a promise not to use the receiver's own share of a quota for some time.
+    """
+
+    sequence: int
+    member: str
+    session: bytes
+
+
+class QuotaChecked(msgspec.Struct, tag="H", array_like=True, frozen=True):
+    """Answers a `QuotaCheck`: the coordinator is taken for alive."""
+
+    sequence: int
+
+
 class CrashReport(msgspec.Struct, tag="x", array_like=True, frozen=True):
     """Tells of requests that ran when instances crashed; `overload.crash_suspects` has the terms.
 
@@ -157,14 +174,9 @@
 
 
 DepartureDatagram = DepartureReport | DepartureRecorded | DepartureQuery | DepartureReply
+QuotaDatagram = QuotaAsk | QuotaGrant | QuotaCheck | QuotaChecked
 ServiceDatagram = (
-    PolicyCheck
-    | PolicyChecked
-    | QuotaAsk
-    | QuotaGrant
-    | CrashReport
-    | CrashQuery
-    | DepartureDatagram
+    PolicyCheck | PolicyChecked | QuotaDatagram | CrashReport | CrashQuery | DepartureDatagram
 )
 MembershipDatagram = Ping | Ack | PingRequest | Spread | Join | Digest
 Datagram = MembershipDatagram | ServiceDatagram
--- a/packages/thorntray/src/thorntray/internal/overload/quota_ledger.py
+++ b/packages/thorntray/src/thorntray/internal/overload/quota_ledger.py
@@ -194,11 +194,13 @@
         return len(self._buckets)
 
     def grant(self, workspace: Workspace, query: Query, now: float) -> Grant | None:
-        """Answer a query; None if this node may not, or if the query is outdated."""
+        """Answer a query; None if this node may not now, or if the query is outdated."""
         members, name = self._members, workspace.name
         if not members.known or not workspace.limited or not members.coordinates(name):
             return None
-        share = members.alive_share
+        if not members.may_answer(now):
+            return None
+        share = members.granted_share(now)
         rate, burst = workspace.rate * share, workspace.burst * share
         bucket = self._buckets.get(name)
         if bucket is None:
--- a/packages/thorntray/src/thorntray/internal/overload/quota_members.py
+++ b/packages/thorntray/src/thorntray/internal/overload/quota_members.py
@@ -6,10 +6,11 @@
 the coordinator when the last member before it in the workspace's order was suspected, died or left.
 
 In a partition each side counts the alive members among all that have not left, and grants that
-share. It takes a small side some seconds to suspect all members of a larger one, so others are
-taken for unreachable too, `TREND_FACTOR` for each one suspected in `TREND_TIME`. When the partition
-heals, one side learns of the other's members before the other side has given up its coordinator. A
-share that rises is therefore used only after `RISE_DELAY`.
+share, as far as it reaches them (`quota_reach`). It takes a small side some seconds to suspect all
+members of a larger one, so others are taken for unreachable too, `TREND_FACTOR` for each one
+suspected in `TREND_TIME`. When the partition heals, one side learns of the other's members before
+the other side has given up its coordinator. A share that rises is therefore used only after
+`RISE_DELAY`.
 
 When a whole fleet starts at once, each node learns of the others over about a second, and nothing
 can be granted before that. A node knows the fleet when its view has not grown for `STABLE_TIME`.
@@ -22,6 +23,7 @@
 
 from thorntray.internal.membership.hashing import hash64
 from thorntray.internal.membership.member import Health, Member
+from thorntray.internal.overload.quota_reach import QuotaReach
 
 RISE_DELAY = 3.0  # seconds after which a risen share of alive members is used
 TREND_TIME = 1.0  # seconds
@@ -41,8 +43,9 @@
 class QuotaMembers:
     """The members that may coordinate a quota. All times are boot times in seconds."""
 
-    def __init__(self, own_name: str, now: float) -> None:
+    def __init__(self, own_name: str, now: float, reach: QuotaReach | None = None) -> None:
         self._own = own_name
+        self._reach = reach  # None: all alive members are reached
         self._alive: set[str] = {own_name}
         self._coordinators: dict[str, tuple[int, str]] = {}
         self._removed_at: dict[str, float] = {}
@@ -64,6 +67,8 @@
         Call this several times a second.
         """
         members = list(members)
+        if self._reach is not None:
+            self._reach.update(members)
         present = [m for m in members if m.health is not Health.LEFT]
         alive = {m.name for m in present if m.health is Health.ALIVE} | {self._own}
         just_converged = self._record_count(max(1, len(present)), joined, now)
@@ -100,10 +105,16 @@
         """Begin anew as coordinator: others may have taken this node for dead."""
         self.since = now
 
-    @property
-    def alive_share(self) -> float:
+    def granted_share(self, now: float) -> float:
         """Return the share of the rate that this side of a partition may grant."""
-        return min(self._shares[0][1], max(self._trend, 1 / self.count))
+        share = min(self._shares[0][1], max(self._trend, 1 / self.count))
+        if self._reach is None:
+            return share
+        return min(share, self._reach.reached(now) / self.count)
+
+    def may_answer(self, now: float) -> bool:
+        """Return whether this node knows what it may grant; to be called with each query."""
+        return self._reach is None or self._reach.use(now)
 
     def coordinator(self, workspace: str) -> str:
         """Return the name of the member that coordinates a workspace."""
--- a/packages/thorntray/src/thorntray/internal/overload/quota_tokens.py
+++ b/packages/thorntray/src/thorntray/internal/overload/quota_tokens.py
@@ -33,7 +33,9 @@
 RESEND_AFTER = 0.02
 SILENT_AFTER = 0.06  # seconds without a reply after which the coordinator counts as silent
 MAX_BACK_OFF = 3600.0  # seconds, also for a workspace with a request a day
-SHARE_DELAY = 0.5  # seconds of silence after which the own share grows
+# Seconds of silence after which the own share grows: by then the coordinator may no longer grant
+# for this node (`quota_reach.RIGHT_TIME`), and what it had granted is spent (`TOKEN_LIFETIME`).
+SHARE_DELAY = 0.8
 SILENCE_MEMORY = 2.0  # seconds without a query after which the coordinator may have come back
 
 
--- a/packages/thorntray/src/thorntray/internal/request/quotas.py
+++ b/packages/thorntray/src/thorntray/internal/request/quotas.py
@@ -12,11 +12,18 @@
 from collections import Counter, deque
 from collections.abc import Callable
 from enum import Enum
+from random import Random
 from typing import NamedTuple
 
 import msgspec
 
-from thorntray.internal.membership.gossip import Address, QuotaAsk, QuotaGrant
+from thorntray.internal.membership.gossip import (
+    Address,
+    QuotaAsk,
+    QuotaCheck,
+    QuotaChecked,
+    QuotaGrant,
+)
 from thorntray.internal.membership.member import Health
 from thorntray.internal.membership.membership import Membership
 from thorntray.internal.overload.quota_ledger import (
@@ -27,6 +34,7 @@
     QuotaLedger,
 )
 from thorntray.internal.overload.quota_members import QuotaMembers
+from thorntray.internal.overload.quota_reach import QuotaReach
 from thorntray.internal.overload.quota_tokens import (
     MAX_WAIT,
     RESEND_AFTER,
@@ -139,6 +147,7 @@
         policy: Callable[[], Policy | None],
         joined: Callable[[], bool],
         clock: Clock,
+        rng: Random,
     ) -> None:
         now = clock.boottime()
         self._membership = membership
@@ -146,7 +155,8 @@
         self._joined = joined
         self._started_at = now
         self._clock = clock
-        self._members = QuotaMembers(membership.own.name, now)
+        self._reach = QuotaReach(membership.own.name, rng, membership.heard_at)
+        self._members = QuotaMembers(membership.own.name, now, self._reach)
         self._ledger = QuotaLedger(self._members)
         self._entries: dict[str, _Entry] = {}
         self._holding: dict[str, _Entry] = {}  # entries whose tokens may expire
@@ -158,6 +168,9 @@
         self._refusals: Counter[str] = Counter()
         self._other_refusals = 0
         self.asks_sent = 0
+        self._checked_at: dict[str, float] = {}  # newest check of each coordinator
+        membership.handlers[QuotaCheck] = self._on_check
+        membership.handlers[QuotaChecked] = self._on_checked
         membership.handlers[QuotaAsk] = self._on_ask
         membership.handlers[QuotaGrant] = self._on_grant
 
@@ -224,7 +237,8 @@
     def _spend_share(self, account: TokenAccount, now: float) -> bool:
         if not self._members.known:
             return False
-        heard_at = self._membership.heard_at(account.coordinator)
+        name = account.coordinator
+        heard_at = max(self._membership.heard_at(name), self._checked_at.get(name, float("-inf")))
         return account.spend_share(self._members.count, heard_at, now)
 
     def _refuse(self, entry: _Entry, now: float) -> QuotaRefusal:
@@ -374,7 +388,30 @@
         self._observe(now)
         policy = self._policy()
         workspace = policy.workspaces.find(name) if policy is not None else None
-        return self._ledger.grant(workspace, query, now) if workspace is not None else None
+        if workspace is None:
+            return None
+        grant = self._ledger.grant(workspace, query, now)
+        self._send_checks(now)
+        return grant
+
+    # The part of the fleet that this node reaches as a coordinator.
+
+    def _send_checks(self, now: float) -> None:
+        own = self._membership.own
+        for sequence, member in self._reach.due_checks(now):
+            check = QuotaCheck(sequence, own.name, own.session)
+            self._membership.send_datagram(check, Address(member.address, member.gossip_port))
+
+    def _on_check(self, check: QuotaCheck, address: Address) -> None:
+        """Assent to a coordinator, unless this node takes it for another process or suspects it."""
+        member = self._membership.view.get(check.member)
+        if member is None or member.health is not Health.ALIVE or member.session != check.session:
+            return
+        self._checked_at[check.member] = self._clock.boottime()
+        self._membership.send_datagram(QuotaChecked(check.sequence), address)
+
+    def _on_checked(self, answer: QuotaChecked, address: Address) -> None:
+        self._reach.record_answer(answer.sequence)
 
     def _observe(self, now: float) -> None:
         """Begin anew as coordinator if this process has not run for a while or was suspected."""
@@ -396,6 +433,7 @@
                 continue
             now = self._clock.boottime()
             self._observe(now)
+            self._send_checks(now)
             if now - updated_at >= UPDATE_PERIOD:
                 updated_at = now
                 self._update_members(now)
@@ -436,6 +474,8 @@
                 del self._entries[name]
         for name in [n for n, at in self._probed_at.items() if now - at > PROBE_INTERVAL]:
             del self._probed_at[name]
+        for name in [n for n, at in self._checked_at.items() if now - at > IDLE_TIME]:
+            del self._checked_at[name]
         if len(self._refusals) > MAX_COUNTED:
             kept = Counter(dict(self._refusals.most_common(NAMED_WORKSPACES)))
             self._other_refusals += self._refusals.total() - kept.total()
--- a/tests/quota_fleet.py
+++ b/tests/quota_fleet.py
@@ -30,6 +30,7 @@
             lambda: POLICY._replace(workspaces=self.workspaces),
             lambda: self.seeds.looked_up,
             self.clock,
+            Random(f"quota {name}"),
         )
 
     def start(self) -> None:
--- a/tests/test_quota_decisions.py
+++ b/tests/test_quota_decisions.py
@@ -372,14 +372,16 @@
     ]
     now = LATER
     members.update(records, True, now)
-    assert members.alive_share == pytest.approx(30 / 60)
+    assert members.granted_share(START) == pytest.approx(30 / 60)
     members.update(records, True, now + TREND_TIME + 0.1)
-    assert members.alive_share == pytest.approx(50 / 60)
+    assert members.granted_share(START) == pytest.approx(50 / 60)
     healed = [make_member(n) for n in [OWN, *names]]
     members.update(records, True, now + 10)
     for step in range(1, 100):
         members.update(healed, True, now + 10 + step / 10)
-        assert members.alive_share == pytest.approx(1.0 if step / 10 >= RISE_DELAY else 50 / 60)
+        assert members.granted_share(START) == pytest.approx(
+            1.0 if step / 10 >= RISE_DELAY else 50 / 60
+        )
 
 
 def test_members_that_left_are_not_counted():
@@ -389,4 +391,4 @@
     records = [make_member(n, health=Health.LEFT) for n in names[:5]]
     records += [make_member(n) for n in [OWN, *names[5:]]]
     members.update(records, True, LATER)
-    assert members.alive_share == 1.0 and members.count == 5
+    assert members.granted_share(START) == 1.0 and members.count == 5
