Both sides of a partition share the slack of retries out once

In a partition each side took the other for dead, so that the sides together could use the whole slack once each, and a node that was cut off all of it.

Change: members that died without notice in the last ten minutes are counted too, as they may be cut off only. Nodes that have left are not.

The test in test_membership.py fails without the change: nine nodes in two sides count 3 and 6 members.

--- a/packages/thorntray-node/src/thorntray_node/mesh_node.py
+++ b/packages/thorntray-node/src/thorntray_node/mesh_node.py
@@ -444,7 +444,7 @@
             self.pool.close_idle()
             self.notices.remove_expired()
             self.departures.remove_expired()
-            self.budget.set_nodes(len(self.membership.alive()))
+            self.budget.set_nodes(self.membership.count_possible())
             policy = self.holder.policy
             if policy is not None:
                 self.budget.refill(list(policy.services), self.clock.monotonic())
--- a/packages/thorntray/src/thorntray/internal/membership/membership.py
+++ b/packages/thorntray/src/thorntray/internal/membership/membership.py
@@ -57,6 +57,7 @@
 RECENT_PERIOD = 0.5  # seconds between pings to a random member that has recently died or left
 RECENT_WINDOW = 15.0  # seconds in which a death or leave counts as recent
 GONE_RETENTION = 2 * 3600.0  # seconds for which a member that died or left is kept
+PARTITION_MEMORY = 600.0  # seconds after its death for which a member may only be cut off
 LEAVE_DATAGRAMS = 12  # members to which a stopping node sends its record
 
 
@@ -143,6 +144,18 @@
         """Return the alive and suspect members, including this node."""
         return [m for m in self.view.all() if m.health in (Health.ALIVE, Health.SUSPECT)]
 
+    def count_possible(self) -> int:
+        """Return the number of members that may be running, including this node.
+
+        A member that died without notice may be cut off only, and act on its own side.
+        """
+        cutoff = self._clock.monotonic() - PARTITION_MEMORY
+        recently_dead = sum(
+            member.health is Health.DEAD and self._gone_at.get(member.name, cutoff) > cutoff
+            for member in self.view.all()
+        )
+        return len(self.alive()) + recently_dead
+
     @property
     def connected(self) -> bool:
         """Return whether other members are known and any of the newest probes was answered."""
--- a/packages/thorntray/src/thorntray/internal/overload/retry_budget.py
+++ b/packages/thorntray/src/thorntray/internal/overload/retry_budget.py
@@ -3,8 +3,9 @@
 Load pattern: a service fails or refuses requests, every node retries them, and the retries keep
 the service overloaded. The bound holds over all nodes together without a shared counter: each node
 earns a ratio of the requests that it originates, plus its share of the slack that all nodes
-together may use in one window. A restarted node begins without slack, since the process before it
-may have spent it.
+together may use in one window. Nodes that are cut off share it too, as they may go on with their
+part (`Membership.count_possible`). A restarted node begins without slack, since the process before
+it may have spent it.
 
 Retrying a request also repeats the calls it makes, so a retry is charged at every service of its
 call tree.
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -311,3 +311,23 @@
         return {n.holder.revision(TEAM) for n in fleet.nodes.values()}
 
     assert run_virtual(scenario()) == {1}
+
+
+def test_the_sides_of_a_partition_together_count_each_member_on_both_sides():
+    """Guards against slack of the retry budget that each side of a partition hands out whole."""
+
+    async def scenario():
+        fleet = await _start_fleet(9)
+        for index in range(3):
+            fleet.partition_of[f"n00{index}"] = 1
+        await asyncio.sleep(20)
+        counts = [node.membership.count_possible() for node in fleet.nodes.values()]
+        alive = [len(node.membership.alive()) for node in fleet.nodes.values()]
+        fleet.nodes["n008"].membership.leave()
+        await asyncio.sleep(3)
+        return counts, alive, fleet.nodes["n005"].membership.count_possible()
+
+    counts, alive, after_leave = run_virtual(scenario())
+    assert alive == [3] * 3 + [6] * 6
+    assert counts == [9] * 9
+    assert after_leave == 8
