Requests that crash instances stay refused after a kill of all nodes

Callers saw: a request that was refused for crashing its instances crashed four more after all nodes had been killed at once, and other requests failed with them.

Cause: blocks and crash reports were in the memory of the nodes only.

Ruled out: a wrong decision of the new processes, which had no report at all.

Change: the node that sees a crash keeps the report in the store, and two nodes keep each block. A process reads them after its start. Reports from before its start alone block nothing, because the successes that cleared other requests are not kept. No request waits for the store.

Without the read at the start three tests of test_crash_archive.py fail.

--- a/packages/thorntray-node/src/thorntray_node/mesh_node.py
+++ b/packages/thorntray-node/src/thorntray_node/mesh_node.py
@@ -42,6 +42,7 @@
 from thorntray.internal.request.quotas import Quotas
 from thorntray.internal.request.request_log import RequestLog
 from thorntray.internal.request.result import Cause, Result
+from thorntray.internal.store.crash_archive import CrashArchive
 from thorntray.internal.store.freshness_check import FreshnessCheck
 from thorntray.internal.store.kept_entries import KeptEntries
 from thorntray.internal.store.policy_watch import (
@@ -226,6 +227,15 @@
             self._tasks,
         )
         self.registration.hold()
+        self.crash_archive = CrashArchive(
+            self.suspects,
+            self.membership,
+            self._store,
+            self.entries,
+            self._store_keys.crashes_prefix,
+            self.clock,
+            self.rng,
+        )
         udp.receive = self.membership.on_datagram
         self.seeds = Seeds(
             self.membership,
@@ -264,6 +274,7 @@
         loops = (
             self.policy_watch.run,
             self.entries.run,
+            self.crash_archive.restore,
             self.links.watch,
             self.crash_reports.run,
             self.quotas.run,
@@ -352,6 +363,7 @@
     def _instance_crashed(self, crash: Crash) -> None:
         self.metrics.instance_crashed()
         self.crash_reports.report_crash(crash)
+        self.crash_archive.keep_crash(crash)
 
     def _request_blocked(self, fingerprint: int, crashes: int, seconds: float) -> None:
         log_event(
@@ -360,6 +372,7 @@
             crashes=crashes,
             seconds=round(seconds, 1),
         )
+        self.crash_archive.update_blocks()
 
     def _member_removed(self, name: str) -> None:
         self.links.drain_link(name)
@@ -444,6 +457,7 @@
             self.pool.close_idle()
             self.notices.remove_expired()
             self.departures.remove_expired()
+            self.crash_archive.update_blocks()
             self.budget.set_nodes(self.membership.count_possible())
             policy = self.holder.policy
             if policy is not None:
--- a/packages/thorntray-node/src/thorntray_node/platform_store.py
+++ b/packages/thorntray-node/src/thorntray_node/platform_store.py
@@ -20,3 +20,4 @@
     seeds_prefix: str
     policy_key: str
     departures_prefix: str = "departures/"
+    crashes_prefix: str = "crashed/"
--- a/packages/thorntray/src/thorntray/internal/overload/crash_suspects.py
+++ b/packages/thorntray/src/thorntray/internal/overload/crash_suspects.py
@@ -19,6 +19,9 @@
   instances crash at once, as when a failure domain loses power, they count only for a fingerprint
   that ran in many of them.
 
+* A node decides on a block only after a crash since its own start. What happened before may have
+  been cleared by successes that it does not know of (`store.crash_archive`). Blocks of others hold.
+
 A block ends `BLOCK_TIME` after the newest crash. The reports are kept for longer, so that a single
 further crash blocks the request again.
 
@@ -73,6 +76,7 @@
     def __init__(self, clock: Clock, on_block: Callable[[int, int, float], None]) -> None:
         self._clock = clock
         self._on_block = on_block
+        self._started_at = clock.boottime()
         self._crashes: dict[int, Crash] = {}
         self._crashes_of: dict[int, set[int]] = {}  # crash IDs by suspected fingerprint
         self._known_since: dict[int, float] = {}
@@ -169,11 +173,16 @@
         if not self._review_due:
             return []
         self._moments.clear()
-        candidates = [f for f, ids in self._crashes_of.items() if len(ids) >= CRASHES_TO_BLOCK]
+        candidates = [f for f, ids in self._crashes_of.items() if self._may_block(ids)]
         watched = [f for f in candidates if self._known_since[f] + WATCH_TIME <= now]
         self._review_due = len(watched) < len(candidates)
         return [f for f in watched if self.add_block(f, self._block_end(f))]
 
+    def _may_block(self, crash_ids: set[int]) -> bool:
+        if len(crash_ids) < CRASHES_TO_BLOCK:
+            return False
+        return any(self._crashes[crash_id].at >= self._started_at for crash_id in crash_ids)
+
     # What peers are told, and what operators see.
 
     @property
