A lost watch call delays no change of the policy for long

Callers saw: 5 s after the store had answered nothing for 4.5 s, a new desired state reached none of 12 nodes for 16 s.

Cause: a watch call waits for 30 s, and one whose answer is lost is given up after 32 s. Nothing else reads the key, and all watchers wait in the same way.

With a stand-in that loses one watch call, the version is not in force 5 s later. Ruled out: TCP keep-alive, as the connection is alive.

Change: the first watcher of each failure domain lets the store hold its call for 2 s only, so a lost one is repeated after 4 s. The others learn of the version from it.

--- a/packages/thorntray/src/thorntray/internal/store/policy_watch.py
+++ b/packages/thorntray/src/thorntray/internal/store/policy_watch.py
@@ -244,8 +244,7 @@
 
     async def _watch(self, start_revision: int) -> None:
         """Apply the changes of the key until the watch ends or this node is no longer on duty."""
-        wait = self.evidence.watch_wait
-        async for batch in self._store.watch(self._key, start_revision, wait):
+        async for batch in self._store.watch(self._key, start_revision, self._watch_wait):
             self._state.record(True)
             if batch.compacted:
                 return  # changes may have been missed: the key is to be read again
@@ -256,6 +255,10 @@
             if not self.duty.on_duty():
                 return
 
+    def _watch_wait(self) -> float | None:
+        wait = self.evidence.watch_wait()
+        return self.duty.watch_wait() if wait is None else wait
+
     async def _wait_until_needed(self) -> None:
         """Wait until this node is on duty or misses a version that it has heard of."""
         while not self.duty.on_duty() and not self._fetch_overdue():
--- a/packages/thorntray/src/thorntray/internal/store/watch_duty.py
+++ b/packages/thorntray/src/thorntray/internal/store/watch_duty.py
@@ -6,6 +6,11 @@
 stalled watch, or a node that the store refuses, delays nobody. The others learn of a new version
 from datagrams and fetch it from a peer, preferably one in their own domain.
 
+A watch call whose answer is lost looks like one without changes: the connection is alive, and other
+calls are answered again. So the first watcher of each failure domain lets the store wait for
+`CHECKED_WAIT` only and notices soon that no answer comes; its call is then repeated. It learns of a
+new version for the others, whose own watches may be lost for as long as they wait.
+
 A node cannot rely on its peers while its probes of them are not answered. It then watches the store
 itself, and continues to do so for `ISOLATION_HOLD` after the probes are answered again.
 """
@@ -19,6 +24,9 @@
 
 WATCHERS_PER_DOMAIN = 4
 EVIDENCE_WATCHERS = 2  # of these, watchers that renew evidence in calls with a short wait
+# Seconds for which the store may hold the watch call of the first watcher. With the margin of the
+# call's timeout, a lost one is repeated before a change is due that comes three seconds later.
+CHECKED_WAIT = 2.0
 POLICY_WATCH_ROLE = "policy"
 START_PATIENCE = 3.0  # seconds after its start for which a node waits for a complete view
 ISOLATION_HOLD = 5.0  # seconds
@@ -53,6 +61,13 @@
         isolated = self.on_duty() and self._clock.monotonic() < self._isolated_until
         return isolated or own.name in self._watchers(own.domain, EVIDENCE_WATCHERS)
 
+    def watch_wait(self) -> float | None:
+        """Return after how many seconds a watch is to be answered; None: whenever it suits."""
+        own = self._membership.own
+        alone = self._clock.monotonic() < self._isolated_until
+        first = own.name in self._watchers(own.domain, 1)
+        return CHECKED_WAIT if alone or first else None
+
     def source_for(self, sender: Member) -> Member:
         """Return the peer from which to fetch a version that `sender` has told of."""
         own = self._membership.own
@@ -85,6 +100,10 @@
         """Return True."""
         return True
 
+    def watch_wait(self) -> float | None:
+        """Return None."""
+        return None
+
     def source_for(self, sender: Member) -> Member:
         """Return `sender`."""
         return sender
--- a/standins/kv_store.py
+++ b/standins/kv_store.py
@@ -1,10 +1,11 @@
 """Stand-in for the users' key-value store: its HTTP interface, in memory, with fault injection.
 
-Set `fault_mode` to "busy" (status 503), "many" (status 429) or "silent" (no response). The next
-`responses_to_drop` transactions and lease grants are applied without a response. `compact()` drops
-the event history. `restore()` returns the store to an older copy of its data: newer writes and
-leases are lost, their revisions and lease ids are given out again, and the epoch in all responses
-rises. `call_counts` has the number of calls by the first segment of the path.
+Set `fault_mode` to "busy" (status 503), "many" (status 429), "silent" (no response) or "silent
+watches" (no response to watch calls). The next `responses_to_drop` transactions and lease grants
+are applied without a response. `compact()` drops the event history. `restore()` returns the store
+to an older copy of its data: newer writes and leases are lost, their revisions and lease ids are
+given out again, and the epoch in all responses rises. `call_counts` has the number of calls by the
+first segment of the path.
 """
 
 import asyncio
@@ -147,6 +148,8 @@
                 return web.Response(status=429)
             case "silent":
                 await asyncio.sleep(3600)
+            case "silent watches" if req.path == "/kv-watch":
+                await asyncio.sleep(3600)
         for lease in [
             n for n, (expires_at, _) in self.leases.items() if expires_at < time.monotonic()
         ]:
