--- a/packages/thorntray/src/thorntray/internal/overload/quota_reach.py
+++ b/packages/thorntray/src/thorntray/internal/overload/quota_reach.py
@@ -13,11 +13,11 @@
 use their shares `quota_tokens.SHARE_DELAY` after their last sign of the coordinator. That is the
 sum of the two times, so the right of one side ends before that of the other begins.
 
-Nodes of the release before do not answer checks. Where none of a failure domain ever did, it counts
-as reached for `HEARD_TIME` after any of its members was heard of.
+Nodes of the release before do not answer checks. A failure domain in which no process ever did
+counts as reached while its members are taken for alive, as in that release.
 """
 
-from collections.abc import Callable, Iterable
+from collections.abc import Iterable
 from random import Random
 from typing import NamedTuple
 
@@ -25,7 +25,6 @@
 
 CHECK_PERIOD = 0.2  # seconds
 RIGHT_TIME = 0.6  # seconds after a check was sent; two of three may be lost
-HEARD_TIME = 1.5  # seconds; members send something every second
 MAX_CHECKS = 6  # in each period, so that the load does not grow with the failure domains
 DISCOVERY_SHARE = 0.2  # of the checks, to members that have not answered any yet
 ACTIVE_TIME = 5.0  # seconds after the last query for which the checks go on
@@ -50,10 +49,9 @@
 class QuotaReach:
     """The failure domains that this node reaches as a coordinator. Times are boot times."""
 
-    def __init__(self, own_name: str, rng: Random, heard_at: Callable[[str], float]) -> None:
+    def __init__(self, own_name: str, rng: Random) -> None:
         self._own = own_name
         self._rng = rng
-        self._heard_at = heard_at  # boot time of the newest datagram of a member
         self._others: dict[str, list[Member]] = {}  # alive ones, by failure domain
         self._reached_until: dict[str, float] = {}  # by failure domain
         self._checks: dict[int, _Check] = {}
@@ -121,10 +119,7 @@
     def _reaches(self, domain: str, now: float) -> bool:
         if now < self._reached_until.get(domain, 0.0):
             return True
-        group = self._others[domain]
-        if any(_process(member) in self._answering for member in group):
-            return False
-        return any(now - self._heard_at(member.name) < HEARD_TIME for member in group)
+        return not any(_process(member) in self._answering for member in self._others[domain])
 
     def _domains_to_check(self) -> list[str]:
         """Return the failure domains of this period, in turn if there are many."""
--- a/packages/thorntray/src/thorntray/internal/request/quotas.py
+++ b/packages/thorntray/src/thorntray/internal/request/quotas.py
@@ -155,7 +155,7 @@
         self._joined = joined
         self._started_at = now
         self._clock = clock
-        self._reach = QuotaReach(membership.own.name, rng, membership.heard_at)
+        self._reach = QuotaReach(membership.own.name, rng)
         self._members = QuotaMembers(membership.own.name, now, self._reach)
         self._ledger = QuotaLedger(self._members)
         self._entries: dict[str, _Entry] = {}
--- a/tests/test_quota_cuts.py
+++ b/tests/test_quota_cuts.py
@@ -9,6 +9,7 @@
 import pytest
 
 from tests.quota_fleet import WINDOW, bound, run_fleet
+from thorntray.internal.membership.gossip import QuotaCheck
 from thorntray.internal.request.quotas import QuotaReason
 from thorntray.internal.version.workspaces import Workspace
 
@@ -170,6 +171,43 @@
     assert calm >= USABLE * QUOTA.rate * (end - ended - RETURN_TIME)
 
 
+@pytest.mark.parametrize("older", [1.0, 0.5, 0.1])
+def test_the_quota_is_usable_beside_nodes_of_the_release_before(older):
+    """Guards against a coordinator that takes nodes for cut off that know no checks."""
+
+    async def disturb(fleet, coordinator):
+        others = [name for name in sorted(fleet.nodes) if name != coordinator]
+        for name in others[: round(older * len(others))]:
+            del fleet.nodes[name].membership.handlers[QuotaCheck]
+        fleet.nodes[coordinator].quotas._reach._answering.clear()
+        await asyncio.sleep(10.0)
+
+    fleet, times = run_cut(disturb)
+    usable = fleet.admitted_between(times[1] + 1.0, times[3])
+    assert usable >= USABLE * QUOTA.rate * (times[3] - times[1] - 1.0)
+    assert_within_bound(fleet, times)
+
+
+def test_a_node_of_the_release_before_that_is_restarted_as_a_new_one_is_checked():
+    """Guards against a step back after which members count as cut off, since they answered once."""
+
+    async def disturb(fleet, coordinator):
+        reach = fleet.nodes[coordinator].quotas._reach
+        known = len(reach._answering)
+        assert known
+        names = [name for name in fleet.nodes if name != coordinator]
+        for name in names:
+            node = fleet.nodes[name]
+            del node.membership.handlers[QuotaCheck]
+            own = node.membership.own
+            node.membership._publish(own._replace(session=b"restart!", version=own.version + 1))
+        await asyncio.sleep(10.0)
+
+    fleet, times = run_cut(disturb)
+    usable = fleet.admitted_between(times[1] + 3.0, times[3])
+    assert usable >= USABLE * QUOTA.rate * (times[3] - times[1] - 3.0)
+
+
 def test_a_coordinator_that_nobody_reaches_refuses_with_a_retry_time():
     """Guards against refusals that look like a quota that is used up for long."""
 
