The work for kept blocks and reached members is bounded in large fleets

Found by reading: finding the keepers of a block takes a hash for each member, twice a second for each block at every node that is no keeper; now one block is looked at twice a second. A coordinator looked at all members ten times a second beside what it did before; now twice.

--- a/packages/thorntray-node/src/thorntray_node/mesh_node.py
+++ b/packages/thorntray-node/src/thorntray_node/mesh_node.py
@@ -372,7 +372,7 @@
             crashes=crashes,
             seconds=round(seconds, 1),
         )
-        self.crash_archive.update_blocks()
+        self.crash_archive.keep_block(fingerprint)
 
     def _member_removed(self, name: str) -> None:
         self.links.drain_link(name)
@@ -457,7 +457,7 @@
             self.pool.close_idle()
             self.notices.remove_expired()
             self.departures.remove_expired()
-            self.crash_archive.update_blocks()
+            self.crash_archive.review()
             self.budget.set_nodes(self.membership.count_possible())
             policy = self.holder.policy
             if policy is not None:
--- a/packages/thorntray/src/thorntray/internal/overload/quota_members.py
+++ b/packages/thorntray/src/thorntray/internal/overload/quota_members.py
@@ -68,7 +68,7 @@
         """
         members = list(members)
         if self._reach is not None:
-            self._reach.update(members)
+            self._reach.update(members, now)
         present = [m for m in members if m.health is not Health.LEFT]
         alive = {m.name for m in present if m.health is Health.ALIVE} | {self._own}
         just_converged = self._record_count(max(1, len(present)), joined, now)
--- a/packages/thorntray/src/thorntray/internal/overload/quota_reach.py
+++ b/packages/thorntray/src/thorntray/internal/overload/quota_reach.py
@@ -27,6 +27,8 @@
 RIGHT_TIME = 0.6  # seconds after a check was sent; two of three may be lost
 MAX_CHECKS = 6  # in each period, so that the load does not grow with the failure domains
 DISCOVERY_SHARE = 0.2  # of the checks, to members that have not answered any yet
+# Seconds between looks at all members. Their health in between is in the share of alive members.
+UPDATE_PERIOD = 0.5
 ACTIVE_TIME = 5.0  # seconds after the last query for which the checks go on
 FIRST_ANSWER_TIME = 0.03  # seconds in which answers to the first checks may come
 
@@ -61,9 +63,13 @@
         self._used_at = float("-inf")
         self._began_at = float("-inf")  # when the checks began
         self._next_at = float("-inf")
+        self._next_update = float("-inf")
 
-    def update(self, members: Iterable[Member]) -> None:
-        """Take over the current members."""
+    def update(self, members: Iterable[Member], now: float) -> None:
+        """Take over the current members, not at each call."""
+        if now < self._next_update:
+            return
+        self._next_update = now + UPDATE_PERIOD
         others: dict[str, list[Member]] = {}
         for member in members:
             if member.health is Health.ALIVE and member.name != self._own:
--- a/packages/thorntray/src/thorntray/internal/request/origin_request.py
+++ b/packages/thorntray/src/thorntray/internal/request/origin_request.py
@@ -163,7 +163,8 @@
             self.context.record_call(self.head, self.route)
             # Where a key is needed, only the instance's calls are accepted without one.
             needs_key = not self.route.anonymous
-            self.nested = self.parent is not None or needs_key
+            by_route = nested_routes.is_nested(self.route.name)
+            self.nested = self.parent is not None or needs_key or by_route
         if self.nested and self.parent is None:
             self.parent = running.nearest_of_unmatched(expiry)
         if self.parent is not None:
--- a/packages/thorntray/src/thorntray/internal/store/crash_archive.py
+++ b/packages/thorntray/src/thorntray/internal/store/crash_archive.py
@@ -71,6 +71,7 @@
         self._prefix = key_prefix
         self._clock = clock
         self._rng = rng
+        self._to_review: list[int] = []  # fingerprints
         self._stored_until: dict[int, float] = {}  # boot times, by fingerprint known to be stored
 
     def keep_crash(self, crash: Crash) -> None:
@@ -80,17 +81,28 @@
         key = f"{self._prefix}{CRASHES}{crash.crash_id:016x}"
         self._entries.keep(key, msgspec.msgpack.encode(stored), KEPT_CRASH_TIME)
 
-    def update_blocks(self) -> None:
-        """Keep the blocks that this node is to keep; to be called at changes and regularly."""
+    def keep_block(self, fingerprint: int) -> None:
+        """Keep a block that has just been decided, if this node is to."""
         now = self._clock.boottime()
-        blocked = self._suspects.blocked
-        for fingerprint, until in blocked.items():
-            known = self._stored_until.get(fingerprint, 0.0)
-            if until > max(now, known + MIN_EXTENSION) and self._is_keeper(fingerprint):
-                self._keep_block(fingerprint, until, now)
+        until = self._suspects.blocked.get(fingerprint, 0.0)
+        known = self._stored_until.get(fingerprint, 0.0)
+        if until > max(now, known + MIN_EXTENSION) and self._is_keeper(fingerprint):
+            self._keep_block(fingerprint, until, now)
+
+    def review(self) -> None:
+        """Remove what is no longer blocked, and look at one block anew; to be called regularly.
+
+        The members may have changed, or the block may have been extended. To find the keepers of
+        one takes a hash for each member.
+        """
+        now, blocked = self._clock.boottime(), self._suspects.blocked
         for fingerprint in [f for f in self._stored_until if f not in blocked]:
             if self._stored_until.pop(fingerprint) > now and self._is_keeper(fingerprint):
                 self._entries.drop(self._block_key(fingerprint))
+        if not self._to_review:
+            self._to_review = list(blocked)
+        if self._to_review:
+            self.keep_block(self._to_review.pop())
 
     async def restore(self) -> None:
         """Learn what the store holds; tried again until the store has answered."""
