The sender of a call without a key has a name of its own

The code calls the entry node of a request its origin, so CallOrigin was taken for that. The longest timeout is found once for each policy, not for each call.

--- a/packages/thorntray/src/thorntray/internal/overload/call_parents.py
+++ b/packages/thorntray/src/thorntray/internal/overload/call_parents.py
@@ -154,7 +154,7 @@
         return self._requests[min(index, len(self._requests) - 1)]
 
 
-class CallOrigin(Enum):
+class CallSender(Enum):
     """Who has sent a request without an API key, as far as its node can tell."""
 
     INSTANCE = "the instance, for a request that it runs"
--- a/packages/thorntray/src/thorntray/internal/request/caller_identity.py
+++ b/packages/thorntray/src/thorntray/internal/request/caller_identity.py
@@ -14,7 +14,7 @@
 from collections.abc import Callable
 from enum import Enum
 
-from thorntray.internal.overload.call_parents import CallOrigin
+from thorntray.internal.overload.call_parents import CallSender
 from thorntray.internal.process.clock import Clock
 from thorntray.internal.version.freshness import Freshness
 from thorntray.internal.version.policy import Policy, Route
@@ -41,6 +41,7 @@
         self._freshness = freshness
         self._clock = clock
         self._started_at = clock.monotonic()
+        self._policy: Policy | None = None  # to which the next one belongs
         self._longest_run = 0.0  # seconds for which the instance may run a request
 
     @property
@@ -53,36 +54,39 @@
         policy: Policy,
         route: Route,
         authorization: bytes,
-        origin_of_call: Callable[[], CallOrigin],
+        sender_of_call: Callable[[], CallSender],
     ) -> Workspace | None | IdentityRefusal:
         """Return the workspace, None for a request without one, or why it is refused.
 
         `authorization` is the value of the Authorization field, empty if there is none.
-        `origin_of_call` is called only if the route needs a key and there is none.
+        `sender_of_call` is called only if the route needs a key and there is none.
         """
         workspaces = policy.workspaces
         if not workspaces:
             return None
         if not authorization:
             self._set_longest_run(policy)
-            return None if route.anonymous else self._refusal_without_key(origin_of_call())
+            return None if route.anonymous else self._refusal_without_key(sender_of_call())
         # Freshness first: a key that is not known yet may be in a version that has not arrived.
         if not self._freshness.allows_keys(policy):
             return IdentityRefusal.STALE_POLICY
         workspace = workspaces.of_key(_key(authorization))
         return workspace if workspace is not None else IdentityRefusal.UNKNOWN_KEY
 
-    def _refusal_without_key(self, origin: CallOrigin) -> IdentityRefusal | None:
-        match origin:
-            case CallOrigin.INSTANCE:
+    def _refusal_without_key(self, sender: CallSender) -> IdentityRefusal | None:
+        match sender:
+            case CallSender.INSTANCE:
                 return None
-            case CallOrigin.UNCERTAIN:
+            case CallSender.UNCERTAIN:
                 return IdentityRefusal.UNMATCHED_CALL
-            case CallOrigin.OTHER:
+            case CallSender.OTHER:
                 starting = self.is_starting
                 return IdentityRefusal.UNMATCHED_CALL if starting else IdentityRefusal.MISSING_KEY
 
     def _set_longest_run(self, policy: Policy) -> None:
+        if policy is self._policy:
+            return
+        self._policy = policy
         self._longest_run = max(route.timeout for route in policy.routes.values()) + RUN_MARGIN
 
 
--- a/packages/thorntray/src/thorntray/internal/request/origin.py
+++ b/packages/thorntray/src/thorntray/internal/request/origin.py
@@ -7,7 +7,7 @@
 
 from thorntray.internal.connection.header_names import FieldClassifier, FieldKind
 from thorntray.internal.connection.http_server import Exchange
-from thorntray.internal.overload.call_parents import CallOrigin
+from thorntray.internal.overload.call_parents import CallSender
 from thorntray.internal.request.caller_identity import IdentityRefusal
 from thorntray.internal.request.origin_context import (
     OriginContext,
@@ -135,10 +135,10 @@
     ) -> Workspace | None | IdentityRefusal:
         local = exchange.peer_host in self._deps.own_hosts
 
-        def origin_of_call() -> CallOrigin:
-            return self._context.origin_of_call(head, route) if local else CallOrigin.OTHER
+        def sender_of_call() -> CallSender:
+            return self._context.sender_of_call(head, route) if local else CallSender.OTHER
 
-        caller = self._deps.identity.identify(policy, route, head.authorization, origin_of_call)
+        caller = self._deps.identity.identify(policy, route, head.authorization, sender_of_call)
         if local and not head.authorization and isinstance(caller, IdentityRefusal):
             self._context.record_call(head, route)  # an accepted one is recorded at its start
         return caller
--- a/packages/thorntray/src/thorntray/internal/request/origin_context.py
+++ b/packages/thorntray/src/thorntray/internal/request/origin_context.py
@@ -9,7 +9,7 @@
 from thorntray.internal.membership.instance_notices import InstanceNotices
 from thorntray.internal.membership.member import Member
 from thorntray.internal.overload.call_parents import (
-    CallOrigin,
+    CallSender,
     NestedRoutes,
     RunningRequest,
     RunningRequests,
@@ -103,7 +103,7 @@
             parent = running.parent_of(self.deps.clock.monotonic() + head.deadline)
         return parent
 
-    def origin_of_call(self, head: RequestHead, route: Route) -> CallOrigin:
+    def sender_of_call(self, head: RequestHead, route: Route) -> CallSender:
         """Return who has sent a request without a key from this machine.
 
         A match of the ID decides at once. On a route that has been judged, an equal expiry may be
@@ -111,19 +111,20 @@
         """
         running, now = self.deps.running, self.deps.clock.monotonic()
         if running.parent_by_id(head.request_id) is not None:
-            return CallOrigin.INSTANCE
-        matched = self.find_parent(head) is not None
+            return CallSender.INSTANCE
+        expiry = None if head.deadline is None else now + head.deadline
+        matched = expiry is not None and running.parent_of(expiry) is not None
         can_judge = self._can_judge(now)
         if self.nested_routes.is_judged(route.name):
             accepted = self.nested_routes.is_nested(route.name)
             uncertain = matched or not can_judge
         else:
-            read_late = head.deadline is not None and running.matches_late(now + head.deadline)
+            read_late = expiry is not None and running.matches_late(expiry)
             accepted = matched or (read_late and self.deps.pauses.ran_late(now))
             uncertain = read_late or not can_judge
         if accepted:
-            return CallOrigin.INSTANCE
-        return CallOrigin.UNCERTAIN if uncertain else CallOrigin.OTHER
+            return CallSender.INSTANCE
+        return CallSender.UNCERTAIN if uncertain else CallSender.OTHER
 
     def record_call(self, head: RequestHead, route: Route) -> None:
         """Record a request without a key, accepted or refused, as evidence on its route.
--- a/tests/test_caller_identity.py
+++ b/tests/test_caller_identity.py
@@ -6,7 +6,7 @@
 from tests.builders import ManualClock
 from tests.mesh_builders import make_policy, make_route
 from thorntray.errors import BadDocument
-from thorntray.internal.overload.call_parents import CallOrigin
+from thorntray.internal.overload.call_parents import CallSender
 from thorntray.internal.request.caller_identity import (
     RUN_MARGIN,
     CallerIdentity,
@@ -23,12 +23,12 @@
 
 
 def identify(
-    authorization=b"", route=KEYED, policy=POLICY, origin=CallOrigin.OTHER, seconds=LONGEST_RUN
+    authorization=b"", route=KEYED, policy=POLICY, sender=CallSender.OTHER, seconds=LONGEST_RUN
 ):
     clock = ManualClock()
     identity = CallerIdentity(Freshness(clock, None), clock)
     clock.now += seconds
-    return identity.identify(policy, route, authorization, lambda: origin)
+    return identity.identify(policy, route, authorization, lambda: sender)
 
 
 @pytest.mark.parametrize("key", [b"Bearer k-1", b"bearer k-2", b"Bearer  k-2 "])
@@ -51,7 +51,7 @@
 
 
 def test_a_nested_call_needs_no_key():
-    assert identify(origin=CallOrigin.INSTANCE) is None
+    assert identify(sender=CallSender.INSTANCE) is None
 
 
 def test_a_call_that_a_restarted_node_cannot_match_is_not_rejected_for_good():
@@ -61,7 +61,7 @@
 
 def test_a_call_that_may_belong_to_the_instance_is_not_rejected_for_good():
     # A 401 is final, so it needs certainty; the node may be running late.
-    assert identify(origin=CallOrigin.UNCERTAIN) is IdentityRefusal.UNMATCHED_CALL
+    assert identify(sender=CallSender.UNCERTAIN) is IdentityRefusal.UNMATCHED_CALL
 
 
 def test_without_workspaces_nobody_needs_a_key():
