--- a/tests/test_crash_archive.py
+++ b/tests/test_crash_archive.py
@@ -12,10 +12,8 @@
 
 from tests.builders import ManualClock
 from tests.crash_fleet import CULPRIT, Run, get, report_crash, start_fleet
-from tests.mesh_builders import MemoryStore
-from tests.test_departures import OutageStore
+from tests.outage_store import OutageStore
 from tests.virtual_mesh import run_virtual_scenario
-from thorntray.errors import PlatformUnavailable
 from thorntray.internal.overload.crash_isolation import SECOND_CRASH_PAUSE
 from thorntray.internal.overload.crash_suspects import Crash, CrashSuspects
 from thorntray.internal.request.fingerprint import fingerprint
@@ -201,23 +199,9 @@
     assert suspects.update() == [7]
 
 
-class RestoredStore(MemoryStore):
-    """A store that fails and is restored from an older copy."""
-
-    def __init__(self):
-        super().__init__()
-        self.writes = 0
-
-    async def put(self, key, value, lease):
-        self.writes += 1
-        if not self.up:
-            raise PlatformUnavailable("down")
-        await super().put(key, value, lease)
-
-
 def run_entries(scenario):
     async def with_entries(fleet):
-        store = RestoredStore()
+        store = OutageStore()
         entries = KeptEntries(store, fleet.clock, Random(3))
         task = asyncio.ensure_future(entries.run())
         try:
@@ -248,7 +232,7 @@
         entries.keep("short", b"1", 1.0)
         entries.keep("long", b"2", 60.0)
         await asyncio.sleep(5.0)
-        tries = store.writes
+        tries = store.failures
         store.up = True
         await asyncio.sleep(4.0)
         return tries, store.entries
--- a/tests/test_departures.py
+++ b/tests/test_departures.py
@@ -9,9 +9,8 @@
 
 import pytest
 
-from tests.mesh_builders import MemoryStore
+from tests.outage_store import OutageStore
 from tests.virtual_mesh import run_virtual_scenario
-from thorntray.errors import PlatformUnavailable
 from thorntray.internal.membership.departures import CONFIRM_TIME, RECALL_TIME
 from thorntray.internal.membership.gossip import (
     DepartureQuery,
@@ -29,26 +28,6 @@
 DEPARTURE_DATAGRAMS = (DepartureReport, DepartureRecorded, DepartureQuery, DepartureReply)
 
 
-class OutageStore(MemoryStore):
-    """A store that can be down."""
-
-    def _check(self):
-        if not self.up:
-            raise PlatformUnavailable("the store is down")
-
-    async def read(self, key, *, prefix=False):
-        self._check()
-        return await super().read(key, prefix=prefix)
-
-    async def put(self, key, value, lease):
-        self._check()
-        await super().put(key, value, lease)
-
-    async def lease_grant(self, ttl):
-        self._check()
-        return await super().lease_grant(ttl)
-
-
 def loop_time():
     return asyncio.get_running_loop().time()
 
