Fewer calls to the store: one watcher of all, one read after a start

Now one watcher of all alive members repeats its call, which leaves one on each side of a partition, and all kept entries are read in one call.

--- a/packages/thorntray-node/src/thorntray_node/mesh_node.py
+++ b/packages/thorntray-node/src/thorntray_node/mesh_node.py
@@ -216,13 +216,11 @@
             self._member_removed,
         )
         self.crash_reports = CrashReports(self.suspects, self.membership, self.clock, self.rng)
-        self.entries = KeptEntries(self._store, self.clock, self.rng)
+        self.entries = KeptEntries(self._store, self._store_keys.kept_prefix, self.clock, self.rng)
         self.departures = Departures(
             self.registration,
             self.membership,
-            self._store,
             self.entries,
-            self._store_keys.departures_prefix,
             self.clock,
             self._tasks,
         )
@@ -230,11 +228,8 @@
         self.crash_archive = CrashArchive(
             self.suspects,
             self.membership,
-            self._store,
             self.entries,
-            self._store_keys.crashes_prefix,
             self.clock,
-            self.rng,
         )
         udp.receive = self.membership.on_datagram
         self.seeds = Seeds(
--- a/packages/thorntray-node/src/thorntray_node/platform_store.py
+++ b/packages/thorntray-node/src/thorntray_node/platform_store.py
@@ -19,5 +19,4 @@
 
     seeds_prefix: str
     policy_key: str
-    departures_prefix: str = "departures/"
-    crashes_prefix: str = "crashed/"
+    kept_prefix: str = "kept/"  # of the entries of `KeptEntries`
--- a/packages/thorntray/src/thorntray/internal/membership/departures.py
+++ b/packages/thorntray/src/thorntray/internal/membership/departures.py
@@ -20,7 +20,6 @@
 
 import msgspec
 
-from thorntray.errors import PlatformUnavailable
 from thorntray.internal.membership.gossip import (
     Address,
     DepartureQuery,
@@ -34,9 +33,10 @@
 from thorntray.internal.process.clock import Clock
 from thorntray.internal.process.registration import Departure, Registration
 from thorntray.internal.process.tasks import BackgroundTasks
-from thorntray.internal.store.kept_entries import EntryStore, KeptEntries
+from thorntray.internal.store.kept_entries import KeptEntries
 from thorntray.internal.telemetry.events import Event, log_event
 
+KEY_PREFIX = "departures/"
 LIFETIME = 600.0  # seconds for which a departure is kept, longer than announcements are late
 MAX_KEPT = 8  # newest departures that are kept for each node
 LOCAL_HOLDERS, REMOTE_HOLDERS = 3, 2  # members that are told
@@ -44,7 +44,6 @@
 # known yet.
 LOCAL_ASKED, REMOTE_ASKED = 6, 4
 RESEND_PERIOD = 0.05  # seconds until datagrams are sent again
-MIN_READ_PAUSE, MAX_READ_PAUSE = 0.2, 2.0  # seconds between tries to read the store
 MIN_COPIES = 2  # members that must know a departure, or answer a query, without the store
 STORE_PATIENCE = 0.15  # seconds for the members' answers once the store has answered
 CONFIRM_TIME = 0.7  # seconds until a confirmation is refused; a late one is worth nothing
@@ -63,17 +62,14 @@
         self,
         registration: Registration,
         membership: Membership,
-        store: EntryStore,
         entries: KeptEntries,
-        key_prefix: str,
         clock: Clock,
         tasks: BackgroundTasks,
     ) -> None:
         self._registration = registration
         self._membership = membership
-        self._store = store
         self._entries = entries
-        self._key = f"{key_prefix}{membership.own.name}"
+        self._key = f"{KEY_PREFIX}{membership.own.name}"
         self._clock = clock
         self._tasks = tasks
         self._own: list[Departure] = []
@@ -194,18 +190,9 @@
             await asyncio.sleep(RECALL_PATIENCE)
 
     async def _recall_from_store(self) -> None:
-        pause = MIN_READ_PAUSE
-        while True:
-            try:
-                entries, _ = await self._store.read(self._key)
-            except PlatformUnavailable:
-                await asyncio.sleep(pause)
-                pause = min(MAX_READ_PAUSE, 2 * pause)
-                continue
-            for entry in entries:
-                if entry.key == self._key:
-                    self._learn_stored(entry.value)
-            return
+        for entry in await self._entries.recover():
+            if entry.key == self._key:
+                self._learn_stored(entry.value)
 
     def _learn_stored(self, value: bytes) -> None:
         try:
--- a/packages/thorntray/src/thorntray/internal/store/crash_archive.py
+++ b/packages/thorntray/src/thorntray/internal/store/crash_archive.py
@@ -15,25 +15,21 @@
 An entry names times by the time of day, since boot times do not outlive a machine.
 """
 
-import asyncio
 from collections.abc import Iterable
-from random import Random
 
 import msgspec
 
-from thorntray.errors import PlatformUnavailable
 from thorntray.internal.membership.hashing import hash64
 from thorntray.internal.membership.membership import Membership
 from thorntray.internal.overload.crash_suspects import BLOCK_TIME, Crash, CrashSuspects
 from thorntray.internal.process.clock import Clock
-from thorntray.internal.store.kept_entries import EntryStore, KeptEntries
+from thorntray.internal.store.kept_entries import KeptEntries
 from thorntray.internal.store.store_calls import StoreEntry
 from thorntray.internal.telemetry.events import Event, log_event
 
 BLOCK_KEEPERS = 2  # members that keep a block in the store
 KEPT_CRASH_TIME = 600.0  # seconds; longest lease
 MIN_EXTENSION = 5.0  # seconds by which a kept block must be extended to be written again
-MIN_RETRY_PAUSE, MAX_RETRY_PAUSE = 0.1, 2.0  # seconds between tries to read, jittered
 CRASHES, BLOCKS = "crashes/", "blocks/"  # parts of the key
 
 
@@ -58,19 +54,13 @@
         self,
         suspects: CrashSuspects,
         membership: Membership,
-        store: EntryStore,
         entries: KeptEntries,
-        key_prefix: str,
         clock: Clock,
-        rng: Random,
     ) -> None:
         self._suspects = suspects
         self._membership = membership
-        self._store = store
         self._entries = entries
-        self._prefix = key_prefix
         self._clock = clock
-        self._rng = rng
         self._to_review: list[int] = []  # fingerprints
         self._stored_until: dict[int, float] = {}  # boot times, by fingerprint known to be stored
 
@@ -78,7 +68,7 @@
         """Keep the report of a crash of the own instance."""
         at = self._clock.time() - (self._clock.boottime() - crash.at)
         stored = _StoredCrash(at, crash.running, tuple(crash.fingerprints))
-        key = f"{self._prefix}{CRASHES}{crash.crash_id:016x}"
+        key = f"{CRASHES}{crash.crash_id:016x}"
         self._entries.keep(key, msgspec.msgpack.encode(stored), KEPT_CRASH_TIME)
 
     def keep_block(self, fingerprint: int) -> None:
@@ -105,20 +95,14 @@
             self.keep_block(self._to_review.pop())
 
     async def restore(self) -> None:
-        """Learn what the store holds; tried again until the store has answered."""
-        pause = MIN_RETRY_PAUSE
-        while True:
-            try:
-                entries, _ = await self._store.read(self._prefix, prefix=True)
-                break
-            except PlatformUnavailable:
-                await asyncio.sleep(pause * (0.5 + self._rng.random()))
-                pause = min(MAX_RETRY_PAUSE, 2 * pause)
-        self._apply(entries)
+        """Learn what the store holds, once it has answered."""
+        self._apply(await self._entries.recover())
 
     def _apply(self, entries: Iterable[StoreEntry]) -> None:
         for entry in entries:
-            kind, _, number = entry.key.removeprefix(self._prefix).partition("/")
+            kind, _, number = entry.key.partition("/")
+            if f"{kind}/" not in (CRASHES, BLOCKS):
+                continue
             try:
                 self._apply_entry(f"{kind}/", int(number, 16), entry.value)
             except (msgspec.MsgspecError, ValueError, OverflowError) as exc:
@@ -145,7 +129,7 @@
         self._stored_until[fingerprint] = until
 
     def _block_key(self, fingerprint: int) -> str:
-        return f"{self._prefix}{BLOCKS}{fingerprint:016x}"
+        return f"{BLOCKS}{fingerprint:016x}"
 
     def _is_keeper(self, fingerprint: int) -> bool:
         names = [member.name for member in self._membership.alive()]
--- a/packages/thorntray/src/thorntray/internal/store/kept_entries.py
+++ b/packages/thorntray/src/thorntray/internal/store/kept_entries.py
@@ -5,7 +5,8 @@
 when the entry is written, so the write is repeated until it succeeds or the entry has expired, and
 it is repeated after the store was restored from an older copy (`StoreEpoch`).
 
-Entries have leases, so that none is left behind by a process that has ended.
+Entries have leases, so that none is left behind by a process that has ended. A process reads those
+of the whole fleet once after its start, in one call for all who need them.
 """
 
 import asyncio
@@ -15,6 +16,7 @@
 from thorntray.errors import PlatformUnavailable, WriteUndetermined
 from thorntray.internal.process.clock import Clock
 from thorntray.internal.store.seeds import SeedStore
+from thorntray.internal.store.store_calls import StoreEntry
 
 MIN_RETRY_PAUSE, MAX_RETRY_PAUSE = 0.1, 2.0  # seconds, jittered
 MIN_TTL, MAX_TTL = 1, 600  # seconds, of a lease
@@ -43,13 +45,35 @@
 class KeptEntries:
     """Writes entries to the store and removes them, in the background."""
 
-    def __init__(self, store: EntryStore, clock: Clock, rng: Random) -> None:
+    def __init__(self, store: EntryStore, prefix: str, clock: Clock, rng: Random) -> None:
         self._store = store
+        self._prefix = prefix  # of the keys in the store
         self._clock = clock
         self._rng = rng
         self._entries: dict[str, _Entry] = {}
         self._removed: set[str] = set()
         self._changed = asyncio.Event()
+        self._recovered: asyncio.Future[list[StoreEntry]] | None = None
+
+    async def recover(self) -> list[StoreEntry]:
+        """Return all entries that the store held after the start, once it has answered.
+
+        Their keys are without the prefix.
+        """
+        if self._recovered is None:
+            self._recovered = asyncio.ensure_future(self._read_all())
+        return await asyncio.shield(self._recovered)
+
+    async def _read_all(self) -> list[StoreEntry]:
+        pause = MIN_RETRY_PAUSE
+        while True:
+            try:
+                entries, _ = await self._store.read(self._prefix, prefix=True)
+            except PlatformUnavailable:
+                await asyncio.sleep(pause * (0.5 + self._rng.random()))
+                pause = min(MAX_RETRY_PAUSE, 2 * pause)
+                continue
+            return [entry._replace(key=entry.key.removeprefix(self._prefix)) for entry in entries]
 
     def keep(self, key: str, value: bytes, seconds: float) -> None:
         """Write an entry that expires after `seconds`, in place of an earlier one."""
@@ -92,7 +116,7 @@
         for key in [k for k, entry in self._entries.items() if entry.expires_at <= now]:
             del self._entries[key]
         for key in list(self._removed):
-            await self._store.remove(key)
+            await self._store.remove(self._prefix + key)
             self._removed.discard(key)
         for key, entry in list(self._entries.items()):
             if entry.epoch != self._store.epoch.current and self._entries.get(key) is entry:
@@ -101,7 +125,7 @@
     async def _write(self, key: str, entry: _Entry) -> None:
         left = entry.expires_at - self._clock.boottime()
         lease = await self._store.lease_grant(min(MAX_TTL, max(MIN_TTL, round(left))))
-        await self._store.put(key, entry.value, lease)
+        await self._store.put(self._prefix + key, entry.value, lease)
         entry.epoch = self._store.epoch.current
         entry.written.set()
 
--- a/packages/thorntray/src/thorntray/internal/store/seeds.py
+++ b/packages/thorntray/src/thorntray/internal/store/seeds.py
@@ -90,9 +90,9 @@
         self.up = up
 
 
-def role_holders(members: list[Member], domain: str, role: str, count: int) -> set[str]:
-    """Return the names of the `count` members of a failure domain that hold a role."""
-    in_domain = [m.name for m in members if m.domain == domain]
+def role_holders(members: list[Member], domain: str | None, role: str, count: int) -> set[str]:
+    """Return the names of the `count` members of a failure domain, or of all, that hold a role."""
+    in_domain = [m.name for m in members if domain is None or m.domain == domain]
     in_domain.sort(key=lambda name: hash64(f"{role}\0{name}"), reverse=True)
     return set(in_domain[:count])
 
--- a/packages/thorntray/src/thorntray/internal/store/watch_duty.py
+++ b/packages/thorntray/src/thorntray/internal/store/watch_duty.py
@@ -7,9 +7,10 @@
 from datagrams and fetch it from a peer, preferably one in their own domain.
 
 A watch call whose answer is lost looks like one without changes: the connection is alive, and other
-calls are answered again. So the first watcher of each failure domain lets the store wait for
+calls are answered again. So the first watcher of all alive members lets the store wait for
 `CHECKED_WAIT` only and notices soon that no answer comes; its call is then repeated. It learns of a
-new version for the others, whose own watches may be lost for as long as they wait.
+new version for the others, whose own watches may be lost for as long as they wait. Each side of a
+partition has such a watcher.
 
 A node cannot rely on its peers while its probes of them are not answered. It then watches the store
 itself, and continues to do so for `ISOLATION_HOLD` after the probes are answered again.
@@ -24,7 +25,7 @@
 
 WATCHERS_PER_DOMAIN = 4
 EVIDENCE_WATCHERS = 2  # of these, watchers that renew evidence in calls with a short wait
-# Seconds for which the store may hold the watch call of the first watcher. With the margin of the
+# Seconds for which the store may hold the watch call of that watcher. With the margin of the
 # call's timeout, a lost one is repeated before a change is due that comes three seconds later.
 CHECKED_WAIT = 2.0
 POLICY_WATCH_ROLE = "policy"
@@ -65,8 +66,7 @@
         """Return after how many seconds a watch is to be answered; None: whenever it suits."""
         own = self._membership.own
         alone = self._clock.monotonic() < self._isolated_until
-        first = own.name in self._watchers(own.domain, 1)
-        return CHECKED_WAIT if alone or first else None
+        return CHECKED_WAIT if alone or own.name == self._first_watcher() else None
 
     def source_for(self, sender: Member) -> Member:
         """Return the peer from which to fetch a version that `sender` has told of."""
@@ -89,6 +89,10 @@
         own = self._membership.own.name
         return [member for member in members if member is not None and member.name != own]
 
+    def _first_watcher(self) -> str:
+        firsts = role_holders(self._membership.alive(), None, POLICY_WATCH_ROLE, 1)
+        return next(iter(firsts), "")
+
     def _watchers(self, domain: str, count: int = WATCHERS_PER_DOMAIN) -> set[str]:
         return role_holders(self._membership.alive(), domain, POLICY_WATCH_ROLE, count)
 
