--- a/packages/thorntray-node/src/thorntray_node/mesh_node.py
+++ b/packages/thorntray-node/src/thorntray_node/mesh_node.py
@@ -51,6 +51,7 @@
     PolicyWatch,
 )
 from thorntray.internal.store.seeds import PlatformState, Seeds, SeedTiming
+from thorntray.internal.store.start_read import StartRead
 from thorntray.internal.store.watch_duty import WatchDuty
 from thorntray.internal.telemetry.events import Event, log_event
 from thorntray.internal.telemetry.node_metrics import NodeMetrics
@@ -216,7 +217,10 @@
             self._member_removed,
         )
         self.crash_reports = CrashReports(self.suspects, self.membership, self.clock, self.rng)
-        self.entries = KeptEntries(self._store, self._store_keys.kept_prefix, self.clock, self.rng)
+        start_read = StartRead(self._store, self._store_keys.root_prefix)
+        self.entries = KeptEntries(
+            self._store, start_read, self._store_keys.kept_prefix, self.clock, self.rng
+        )
         self.departures = Departures(
             self.registration,
             self.membership,
@@ -240,6 +244,7 @@
             [Address(*seed) for seed in cfg.seeds],
             SEED_TIMING,
             self.rng,
+            start_read,
         )
         duty = WatchDuty(self.membership, self.seeds, self.clock, self.rng)
         self.policy_watch.duty = duty
--- a/packages/thorntray-node/src/thorntray_node/platform_store.py
+++ b/packages/thorntray-node/src/thorntray_node/platform_store.py
@@ -20,3 +20,4 @@
     seeds_prefix: str
     policy_key: str
     kept_prefix: str = "kept/"  # of the entries of `KeptEntries`
+    root_prefix: str = ""  # that all other prefixes have in common
--- a/packages/thorntray/src/thorntray/internal/store/kept_entries.py
+++ b/packages/thorntray/src/thorntray/internal/store/kept_entries.py
@@ -16,6 +16,7 @@
 from thorntray.errors import PlatformUnavailable, WriteUndetermined
 from thorntray.internal.process.clock import Clock
 from thorntray.internal.store.seeds import SeedStore
+from thorntray.internal.store.start_read import StartRead
 from thorntray.internal.store.store_calls import StoreEntry
 
 MIN_RETRY_PAUSE, MAX_RETRY_PAUSE = 0.1, 2.0  # seconds, jittered
@@ -45,8 +46,16 @@
 class KeptEntries:
     """Writes entries to the store and removes them, in the background."""
 
-    def __init__(self, store: EntryStore, prefix: str, clock: Clock, rng: Random) -> None:
+    def __init__(
+        self,
+        store: EntryStore,
+        start_read: StartRead,
+        prefix: str,
+        clock: Clock,
+        rng: Random,
+    ) -> None:
         self._store = store
+        self._start_read = start_read
         self._prefix = prefix  # of the keys in the store
         self._clock = clock
         self._rng = rng
@@ -68,7 +77,7 @@
         pause = MIN_RETRY_PAUSE
         while True:
             try:
-                entries, _ = await self._store.read(self._prefix, prefix=True)
+                entries = await self._start_read.read(self._prefix)
             except PlatformUnavailable:
                 await asyncio.sleep(pause * (0.5 + self._rng.random()))
                 pause = min(MAX_RETRY_PAUSE, 2 * pause)
--- a/packages/thorntray/src/thorntray/internal/store/seeds.py
+++ b/packages/thorntray/src/thorntray/internal/store/seeds.py
@@ -19,6 +19,7 @@
 from thorntray.internal.membership.member import Member
 from thorntray.internal.membership.membership import Membership
 from thorntray.internal.process.tasks import BackgroundTasks
+from thorntray.internal.store.start_read import StartRead
 from thorntray.internal.store.store_calls import StoreEntry
 from thorntray.internal.store.store_epoch import RESTORE_SPREAD, StoreEpoch
 from thorntray.internal.telemetry.events import Event, log_event
@@ -109,9 +110,11 @@
         configured: list[Address],
         timing: SeedTiming,
         rng: Random,
+        start_read: StartRead | None = None,
     ) -> None:
         self._membership = membership
         self._platform = store
+        self._start_read = start_read or StartRead(store, prefix)
         self._state = state
         self._prefix = prefix
         self._configured_seeds = configured
@@ -191,7 +194,7 @@
 
     async def _join_listed_seeds(self) -> None:
         try:
-            entries, _ = await self._platform.read(self._prefix, prefix=True)
+            entries = await self._start_read.read(self._prefix)
         except PlatformUnavailable as exc:
             self._state.record(False, str(exc))
             self._membership.join(self._configured_seeds)
--- a/tests/test_crash_archive.py
+++ b/tests/test_crash_archive.py
@@ -18,6 +18,7 @@
 from thorntray.internal.overload.crash_suspects import Crash, CrashSuspects
 from thorntray.internal.request.fingerprint import fingerprint
 from thorntray.internal.store.kept_entries import KeptEntries
+from thorntray.internal.store.start_read import StartRead
 
 PERIOD = 1.0  # seconds between the sends of the culprit
 MAX_RETRIES = 3  # of a culprit after its third crash, over all nodes and processes
@@ -202,7 +203,7 @@
 def run_entries(scenario):
     async def with_entries(fleet):
         store = OutageStore()
-        entries = KeptEntries(store, "", fleet.clock, Random(3))
+        entries = KeptEntries(store, StartRead(store, ""), "", fleet.clock, Random(3))
         task = asyncio.ensure_future(entries.run())
         try:
             return await scenario(store, entries)
@@ -226,6 +227,26 @@
     assert first == second == {"a": b"1"}
 
 
+def test_seeds_and_kept_entries_are_read_in_one_call_at_the_start():
+    """Guards against a call more for each node when a whole fleet starts."""
+
+    async def scenario(store, entries):
+        store.entries.update({"a/1": b"1", "b/1": b"2"})
+        read, calls = store.read, []
+
+        async def count(key, *, prefix=False):
+            calls.append(key)
+            return await read(key, prefix=prefix)
+
+        store.read = count
+        start_read = StartRead(store, "")
+        found = await asyncio.gather(start_read.read("a/"), start_read.read("b/"))
+        again = await start_read.read("a/")
+        return [[entry.key for entry in part] for part in [*found, again]], calls
+
+    assert run_entries(scenario) == ([["a/1"], ["b/1"], ["a/1"]], ["", "a/"])
+
+
 def test_an_entry_is_written_once_the_store_is_back_unless_it_has_expired():
     async def scenario(store, entries):
         store.up = False
