Logs tell when a node heard of a newer policy, and explain names the version that it used

Cause: a node logged only that a policy came into force; a request that no route matches had no line at all. Change: event 304 and the field behind of 302; NO_ROUTE and the policy version in 513; the gauge thorntray_policy_behind_seconds; thorntrayctl explain names the node that used an older version and whether it had heard. LogLine has a module of its own. Before: explain of a request with 404 found no line. After: test_explain.py, two new tests.

--- a/packages/thorntray-node/src/thorntray_node/mesh_gauges.py
+++ b/packages/thorntray-node/src/thorntray_node/mesh_gauges.py
@@ -60,6 +60,7 @@
         "thorntray_blocked_fingerprints": lambda: len(node.suspects.blocked),
         "thorntray_members": lambda: len(node.membership.alive()),
         "thorntray_policy_version": lambda: node.holder.version,
+        "thorntray_policy_behind_seconds": lambda: node.policy_watch.behind,
         "thorntray_policy_watch": lambda: float(node.policy_watch.duty.on_duty()),
         "thorntray_policy_evidence_age_seconds": lambda: _evidence_age(node),
         "thorntray_gossip_sent_bytes": lambda: node.membership.bytes_sent,
--- a/packages/thorntray-node/src/thorntray_node/mesh_node.py
+++ b/packages/thorntray-node/src/thorntray_node/mesh_node.py
@@ -399,8 +399,8 @@
         seconds = self.clock.monotonic() - req.arrived_at
         self.metrics.request_ended("origin", req.route_key, result, seconds)
 
-    def _caller_refused(self, head: RequestHead, route: Route, reason: str) -> None:
-        self.log.refused(head, route, reason)
+    def _caller_refused(self, head: RequestHead, route: Route | None, reason: str) -> None:
+        self.log.refused(head, route, reason, self.holder.version)
         self.metrics.caller_refused(reason)
 
     def _request_unanswered(self, exchange: Exchange, closed_by: ClosedBy) -> None:
--- a/packages/thorntray/src/thorntray/internal/request/origin.py
+++ b/packages/thorntray/src/thorntray/internal/request/origin.py
@@ -22,6 +22,7 @@
 NO_POLICY_RETRY_AFTER = 0.5  # seconds, before jitter
 UNKNOWN_CALLER_RETRY_AFTER = 0.5  # seconds, before jitter
 NOT_FOUND, BAD_REQUEST, UNAUTHORIZED, TOO_MANY_REQUESTS = 404, 400, 401, 429
+NO_ROUTE = "NO_ROUTE"  # reason in the log of a request that no route matches
 INTERNAL_ERROR, UNAVAILABLE = 500, 503
 _CHALLENGE = b"WWW-Authenticate: Bearer\r\n"
 
@@ -68,6 +69,7 @@
         path = target.partition(b"?")[0].decode("latin-1")
         route = policy.find_route(head.host, path)
         if route is None:
+            self._deps.on_refused(head, None, NO_ROUTE)
             self._refuse(exchange, NOT_FOUND)
             return
         caller = self._identify(exchange, policy, head, route)
--- a/packages/thorntray/src/thorntray/internal/request/origin_context.py
+++ b/packages/thorntray/src/thorntray/internal/request/origin_context.py
@@ -79,7 +79,8 @@
     isolation: CrashIsolation
     on_success: Callable[[int], None]  # with the fingerprint; called while there are suspects
     quotas: Quotas
-    on_refused: Callable[[RequestHead, Route, str], None]  # str: name of the reason
+    # Called with the route, None if none matches, and the name of the reason.
+    on_refused: Callable[[RequestHead, Route | None, str], None]
     on_finish: Callable[["OriginRequest", Result], None]
     on_retry: Callable[
         ["OriginRequest", Result, bool], None
--- a/packages/thorntray/src/thorntray/internal/request/request_log.py
+++ b/packages/thorntray/src/thorntray/internal/request/request_log.py
@@ -68,13 +68,17 @@
             **fields,
         )
 
-    def refused(self, head: RequestHead, route: Route, reason: str) -> None:
-        """Log a request that its caller may not send; the key itself is never logged."""
+    def refused(self, head: RequestHead, route: Route | None, reason: str, policy: int) -> None:
+        """Log a request that its caller may not send; the key itself is never logged.
+
+        `policy` is the version of the policy in force.
+        """
         log_event(
             Event.CALLER_REFUSED,
             id=head.request_id.decode("latin-1"),
-            route=route.name,
+            route=route.name if route is not None else "",
             reason=reason,
+            policy=policy,
         )
 
     def unanswered(self, request_id: bytes, closed_by: ClosedBy) -> None:
--- a/packages/thorntray/src/thorntray/internal/store/policy_watch.py
+++ b/packages/thorntray/src/thorntray/internal/store/policy_watch.py
@@ -129,6 +129,13 @@
         self.duty: WatchDuty | EveryNode = EveryNode()
         self.evidence: EvidenceSink = NoEvidence()
 
+    @property
+    def behind(self) -> float:
+        """Return for how many seconds a version above the one in force has been known, else 0."""
+        if self._behind_since is None:
+            return 0.0
+        return asyncio.get_running_loop().time() - self._behind_since
+
     def revisions(self) -> Revisions:
         """Return the version in force, in the form in which datagrams carry it."""
         return {POLICY_REVISION_KEY: self._holder.version}
@@ -142,6 +149,12 @@
             return
         if self._behind_since is None:
             self._behind_since = now
+            log_event(
+                Event.POLICY_HEARD,
+                version=version,
+                known=self._holder.version,
+                source=sender.name,
+            )
         source = sender
         if version > requested_version:
             source = self.duty.source_for(sender)
@@ -172,6 +185,7 @@
         except BadDocument as exc:
             log_event(Event.POLICY_REFUSED, source=source, detail=str(exc))
             return None
+        behind = self.behind
         if self._holder.replace_if_newer(policy):
             self._behind_since = None
             log_event(
@@ -179,6 +193,7 @@
                 version=policy.version,
                 source=source,
                 routes=len(policy.routes),
+                behind=round(behind, 3),
             )
         return policy.version
 
--- a/packages/thorntray/src/thorntray/internal/telemetry/events.py
+++ b/packages/thorntray/src/thorntray/internal/telemetry/events.py
@@ -74,6 +74,7 @@
     DOCUMENT_REFUSED = EventKind(301, Level.ERROR, "document refused, last valid one kept")
     POLICY_IN_FORCE = EventKind(302, Level.INFO, "policy in force")
     POLICY_REFUSED = EventKind(303, Level.ERROR, "policy refused, last valid one kept")
+    POLICY_HEARD = EventKind(304, Level.INFO, "newer policy heard of")
     PLATFORM_DOWN = EventKind(310, Level.WARNING, "platform service unavailable")
     PLATFORM_BACK = EventKind(311, Level.INFO, "platform service available again")
     PLATFORM_RESTORED = EventKind(
--- a/packages/thorntray/src/thorntray/internal/telemetry/node_metrics.py
+++ b/packages/thorntray/src/thorntray/internal/telemetry/node_metrics.py
@@ -70,6 +70,10 @@
     "thorntray_blocked_fingerprints": ("gauge", "requests refused since instances crash of them"),
     "thorntray_members": ("gauge", "members considered alive"),
     "thorntray_policy_version": ("gauge", "version of the policy in force, 0 for none"),
+    "thorntray_policy_behind_seconds": (
+        "gauge",
+        "time since this node has heard of a policy above the one in force, 0 if it has not",
+    ),
     "thorntray_policy_watch": ("gauge", "1 if this node watches the policy in the store, else 0"),
     "thorntray_policy_evidence_age_seconds": (
         "gauge",
--- a/packages/thorntrayctl/src/thorntrayctl/request_trace.py
+++ b/packages/thorntrayctl/src/thorntrayctl/request_trace.py
@@ -1,15 +1,17 @@
 """Assembles the trace of one request from the log lines of all nodes.
 
-A log line is JSON, possibly after a text prefix. A request is logged by its origin and by each
+A request is logged by its origin and by each
 owner that it was sent to; a call that it made has its own id and refers to it as `parent`. One that
 is refused for its caller has a single line. The trace includes the state that the nodes logged at
 that time (lost links, changes of instances, load), since this usually shows the cause.
 """
 
-import json
 from collections.abc import Iterable
 from typing import Any, NamedTuple
 
+from thorntrayctl.log_line import LogLine
+from thorntrayctl.policy_trace import outdated_policies
+
 # Numbers of log events, as in `thorntray.internal.telemetry.events`.
 REQUEST_ENDED, REQUEST_REPEATED, REQUEST_UNANSWERED = 510, 511, 512
 CALLER_REFUSED = 513
@@ -24,36 +26,6 @@
 STATE_EVENTS = (frozenset({STORE_DOWN, STORE_UP}), frozenset({KEYS_REFUSED, KEYS_SERVED}))
 CONTEXT_SECONDS = 1.5  # seconds before the start and after the end of the request
 MAX_CALL_DEPTH = 8  # levels of nested calls that are followed
-_HIDDEN_FIELDS = frozenset({"time", "event", "name", "level", "node", "text"})
-
-
-class LogLine(NamedTuple):
-    """An event logged by a node. `time` is a Unix timestamp in seconds."""
-
-    time: float
-    node: str
-    event: int
-    name: str
-    fields: dict[str, Any]
-
-    @classmethod
-    def from_text(cls, text: str) -> "LogLine | None":
-        """Parse a log line; return None if it holds no event."""
-        start = text.find("{")
-        if start < 0:
-            return None
-        try:
-            data = json.loads(text[start:])
-            return cls(
-                float(data["time"]), str(data["node"]), int(data["event"]), data["name"], data
-            )
-        except (ValueError, KeyError, TypeError):
-            return None
-
-    def text(self) -> str:
-        """Return the event as one line of text: time, node, event number, name and fields."""
-        shown = (f"{k}={v}" for k, v in self.fields.items() if k not in _HIDDEN_FIELDS and v != "")
-        return f"{self.time:.3f} {self.node} {self.event} {self.name} {' '.join(shown)}"
 
 
 class RequestTrace(NamedTuple):
@@ -72,7 +44,8 @@
     if not lines:
         return RequestTrace([], [], [])
     context = _context_lines(events, lines)
-    return RequestTrace(lines, context, _causes(lines, context, request_id))
+    causes = _causes(lines, context, request_id) + outdated_policies(events, lines)
+    return RequestTrace(lines, context, causes)
 
 
 def _request_lines(events: list[LogLine], request_id: str) -> list[LogLine]:
@@ -163,6 +136,8 @@
             )
         case "STALE_POLICY":
             return _stale_policy_cause(line, context)
+        case "NO_ROUTE":
+            return f"refused by {line.node}: no route matched its host and path"
     return f"refused by {line.node} for its caller: {reason}"
 
 
--- a/tests/test_explain.py
+++ b/tests/test_explain.py
@@ -14,7 +14,8 @@
 
 from standins.mesh_fleet import HOST_NAME, MeshFleet, RouteConfig
 from standins.worker import PathBehavior, send_request
-from thorntrayctl.request_trace import LogLine, trace_request
+from thorntrayctl.log_line import LogLine
+from thorntrayctl.request_trace import trace_request
 
 ROUTES = [
     RouteConfig("prices", "tariff"),
@@ -263,3 +264,34 @@
 def test_lines_that_are_not_events_are_skipped():
     assert LogLine.from_text('{"time": "soon", "node": "n", "event": 1}') is None
     assert LogLine.from_text("[]") is None
+
+
+def policy_line(time, node, event, name, version, **fields):
+    return log_line(time, node, event, name, version=version, **fields)
+
+
+@pytest.mark.parametrize("heard", [True, False])
+def test_the_explanation_tells_that_a_node_used_an_older_policy_and_whether_it_had_heard(heard):
+    """Guards against a late policy that nobody can trace: the incident left no line about it."""
+    lines = [
+        policy_line(1.0, "n2", 302, "POLICY_IN_FORCE", 5),
+        policy_line(1.1, "n1", 302, "POLICY_IN_FORCE", 5),
+        policy_line(3.0, "n2", 302, "POLICY_IN_FORCE", 8),
+        log_line(6.0, "n1", 513, "CALLER_REFUSED", id="id-1", reason="NO_ROUTE", policy=5),
+        policy_line(7.0, "n1", 302, "POLICY_IN_FORCE", 8),
+    ]
+    if heard:
+        lines.append(policy_line(5.5, "n1", 304, "POLICY_HEARD", 8, known=5, source="n3"))
+    refusal, policy = trace_request(lines, "id-1").causes
+    assert refusal == "request: refused by n1: no route matched its host and path"
+    assert "n1 used version 5; version 8 was in force at n2 3.0 s before" in policy
+    expected = "heard of version 8 from n3 0.5 s before" if heard else "had not heard of it"
+    assert expected in policy
+
+
+def test_a_policy_that_came_a_moment_later_needs_no_explanation():
+    lines = [
+        policy_line(3.0, "n2", 302, "POLICY_IN_FORCE", 8),
+        request_ended_line(3.2, "n1", "origin", "id-1", status=500, member="n1", policy=5),
+    ]
+    assert len(trace_request(lines, "id-1").causes) == 1
