A node asks one peer after the other for a policy version that it has heard of

Cause: the request went to one peer, which may be dead, paused or behind, and was repeated only when a further datagram told of the version; a failed read of the store ended the attempt. The class: a wait that only somebody else can end. Change: store/policy_fetch.py asks the next holder by the node's own clock until the version is in force, and reads the store at falling rates. Before: no test of it; the decisions did not exist apart from the watch.

--- a/packages/thorntray/src/thorntray/internal/store/policy_watch.py
+++ b/packages/thorntray/src/thorntray/internal/store/policy_watch.py
@@ -3,8 +3,8 @@
 Each node reads the policy when it starts. Afterwards only the nodes on duty (`store.watch_duty`)
 watch it, so that a change does not cause a call of every node. Membership datagrams carry the
 policy version of the sender, and a node fetches a newer one from a peer, also while it cannot reach
-the service. A node that has heard of a version and has not received it within `FETCH_PATIENCE`
-reads the service again.
+the service (`store.policy_fetch`). A node that has heard of a version and has not received it in
+time reads the service again.
 
 Each answer of the service, also one without changes, shows which version was the newest when the
 call was sent; `EvidenceSink` is told of it. An invalid document never comes into force, so the
@@ -22,6 +22,7 @@
 from thorntray.internal.connection.link import Links
 from thorntray.internal.membership.gossip import Revisions
 from thorntray.internal.membership.member import Member
+from thorntray.internal.store.policy_fetch import PolicyFetch
 from thorntray.internal.store.seeds import PlatformState
 from thorntray.internal.store.store_calls import StoreEntry, WatchBatch
 from thorntray.internal.store.store_epoch import RESTORE_SPREAD, StoreEpoch
@@ -32,8 +33,6 @@
 POLICY_REVISION_KEY = "policy"  # key of the policy version in `Revisions`
 INITIAL_BACKOFF = 0.25  # seconds after a failed call, doubled for each further one
 MAX_BACKOFF = 1.0  # seconds
-FETCH_RETRY_DELAY = 0.5  # seconds until a version that has not arrived is requested again
-FETCH_PATIENCE = 1.0  # seconds until a version that has not arrived is read from the service
 DUTY_CHECK_PERIOD = 0.25  # seconds
 
 PolicyDecoder = Callable[[bytes], Policy]
@@ -123,8 +122,7 @@
         self._links = links
         self._state = state
         self._rng = rng
-        self._last_request: tuple[int, float] = (0, 0.0)  # version, event loop time
-        self._behind_since: float | None = None  # event loop time; None if no newer one is known
+        self._fetch = PolicyFetch(holder, links, lambda sender: self.duty.source_for(sender), rng)
         self._stored: _StoredVersion | None = None  # None: not known
         self.duty: WatchDuty | EveryNode = EveryNode()
         self.evidence: EvidenceSink = NoEvidence()
@@ -132,41 +130,20 @@
     @property
     def behind(self) -> float:
         """Return for how many seconds a version above the one in force has been known, else 0."""
-        if self._behind_since is None:
-            return 0.0
-        return asyncio.get_running_loop().time() - self._behind_since
+        return self._fetch.behind
 
     def revisions(self) -> Revisions:
-        """Return the version in force, in the form in which datagrams carry it."""
+        """Return the version in force and the age of the store's newest answer, for datagrams."""
         return {POLICY_REVISION_KEY: self._holder.version}
 
     def on_revisions(self, sender: Member, revisions: Revisions) -> None:
-        """Request the policy of a peer if it is newer than the one in force."""
-        version = revisions.get(POLICY_REVISION_KEY, 0)
-        now = asyncio.get_running_loop().time()
-        requested_version, requested_at = self._last_request
-        if version <= self._holder.version:
-            return
-        if self._behind_since is None:
-            self._behind_since = now
-            log_event(
-                Event.POLICY_HEARD,
-                version=version,
-                known=self._holder.version,
-                source=sender.name,
-            )
-        source = sender
-        if version > requested_version:
-            source = self.duty.source_for(sender)
-        elif now - requested_at < FETCH_RETRY_DELAY:
-            return
-        self._last_request = (version, now)
-        self._links.link_to(source).send(FetchPolicy(self._holder.version))
+        """Take what a peer's datagram tells; fetch its policy if it is newer."""
+        self._fetch.hear(sender, revisions.get(POLICY_REVISION_KEY, 0))
 
     def on_peer_frame(self, member: Member, frame: Frame) -> None:
         """Offer the policy in a peer's frame to the holder; other frames are ignored."""
-        if isinstance(frame, PolicyFrame):
-            self.offer(frame.document, member.name)
+        if isinstance(frame, PolicyFrame) and self.offer(frame.document, member.name) is None:
+            self._fetch.refuse(frame.version)
 
     def reply_to_fetch(self, request: FetchPolicy) -> PolicyFrame | None:
         """Return the policy in force if the requesting peer has an older one, else None."""
@@ -187,7 +164,6 @@
             return None
         behind = self.behind
         if self._holder.replace_if_newer(policy):
-            self._behind_since = None
             log_event(
                 Event.POLICY_IN_FORCE,
                 version=policy.version,
@@ -202,6 +178,7 @@
         backoff = INITIAL_BACKOFF
         while True:
             try:
+                self._fetch.store_read()
                 revision = await self.read()
                 epoch = self._store.epoch.current
                 backoff = INITIAL_BACKOFF
@@ -215,7 +192,6 @@
                 backoff = min(MAX_BACKOFF, backoff * 2)
                 if self._holder.policy is None:
                     continue
-            self._behind_since = None
             await self._wait_until_needed()
 
     async def read(self) -> int:
@@ -276,14 +252,9 @@
 
     async def _wait_until_needed(self) -> None:
         """Wait until this node is on duty or misses a version that it has heard of."""
-        while not self.duty.on_duty() and not self._fetch_overdue():
+        while not self.duty.on_duty() and not self._fetch.is_read_due:
             await asyncio.sleep(DUTY_CHECK_PERIOD * (0.5 + self._rng.random()))
 
-    def _fetch_overdue(self) -> bool:
-        if self._behind_since is None:
-            return False
-        return asyncio.get_running_loop().time() - self._behind_since > FETCH_PATIENCE
-
     def _apply_changes(self, batch: WatchBatch) -> None:
         """Offer the changes of the key, of which none was missed."""
         for entry in batch.entries:
