Watchers notice by their own clocks that the watch of the policy is lost

Cause: only the first watcher's call was answered soon. If it died, the next one became first, but its own call, lost in the same silence, stayed open for up to 32 s. The class: knowledge without an age. Evidence: 12 nodes in 3 domains in virtual time, 4.5 s of silence, all other domains killed, a change 5 s later: 17.6 and 17.4 s for two of the three domains, 0.3 s for the third. Change: the checked watcher's calls wait for 1 s instead of 2 s and it tells the other watchers of each answer; datagrams carry the age of the newest answer that is known (policy-age in the revisions, which older builds ignore). A watcher that has heard of none for 1.6 s takes its call for lost and reads the store, one watcher after the other; the first one answered is checked from then on. Calls lost in a silence are renewed within a second. Why it works: the wait of every watcher ends by its own clock, whoever was to check. Event 305 and the gauge thorntray_policy_store_age_seconds show it.

Also: the evidence watch's read has the name read_again, as check is the new component.

--- a/packages/thorntray-node/src/thorntray_node/mesh_gauges.py
+++ b/packages/thorntray-node/src/thorntray_node/mesh_gauges.py
@@ -1,7 +1,7 @@
 """Gauges for the state of a `MeshNode`, evaluated when the metrics are scraped."""
 
 from collections.abc import Callable
-from math import isfinite
+from math import inf, isfinite
 from typing import Protocol
 
 from thorntray.internal.connection.instance_pool import InstancePool
@@ -46,6 +46,11 @@
     return age if node.freshness.is_needed(node.holder.policy) and isfinite(age) else -1.0
 
 
+def _store_age(watch: PolicyWatch) -> float:
+    age = inf if watch.check is None else watch.check.contact.age
+    return age if isfinite(age) else -1.0
+
+
 def register_gauges(node: GaugeSources) -> None:
     """Register the gauges of a node; call once, after all its components are created."""
     gauges: dict[str, Callable[[], float]] = {
@@ -61,6 +66,7 @@
         "thorntray_members": lambda: len(node.membership.alive()),
         "thorntray_policy_version": lambda: node.holder.version,
         "thorntray_policy_behind_seconds": lambda: node.policy_watch.behind,
+        "thorntray_policy_store_age_seconds": lambda: _store_age(node.policy_watch),
         "thorntray_policy_watch": lambda: float(node.policy_watch.duty.on_duty()),
         "thorntray_policy_evidence_age_seconds": lambda: _evidence_age(node),
         "thorntray_gossip_sent_bytes": lambda: node.membership.bytes_sent,
--- a/packages/thorntray-node/src/thorntray_node/mesh_node.py
+++ b/packages/thorntray-node/src/thorntray_node/mesh_node.py
@@ -52,6 +52,7 @@
 )
 from thorntray.internal.store.seeds import PlatformState, Seeds, SeedTiming
 from thorntray.internal.store.start_read import StartRead
+from thorntray.internal.store.watch_check import WatchCheck
 from thorntray.internal.store.watch_duty import WatchDuty
 from thorntray.internal.telemetry.events import Event, log_event
 from thorntray.internal.telemetry.node_metrics import NodeMetrics
@@ -248,6 +249,7 @@
         )
         duty = WatchDuty(self.membership, self.seeds, self.clock, self.rng)
         self.policy_watch.duty = duty
+        self.policy_watch.check = WatchCheck(self.membership, duty, self.clock, self.rng)
         if self.freshness.strict:
             self._create_freshness_check(duty)
         self.quotas = Quotas(
@@ -299,7 +301,7 @@
             self.holder,
             self.membership,
             duty,
-            watch.check,
+            watch.read_again,
             lambda member, version: watch.on_revisions(member, {POLICY_REVISION_KEY: version}),
             self.clock,
             self.rng,
--- a/packages/thorntray/src/thorntray/internal/membership/membership.py
+++ b/packages/thorntray/src/thorntray/internal/membership/membership.py
@@ -119,6 +119,11 @@
         """Gossip the settings revisions to other members, after one has changed."""
         self._revisions_sent = 0
 
+    def tell_revisions(self, members: list[Member]) -> None:
+        """Send the settings revisions to members at once, outside the budget of gossip."""
+        for member in members:
+            self._sender.spread((), member)
+
     def leave(self) -> None:
         """Publish that this node stops, and send it at once to a few members."""
         self._publish(
--- a/packages/thorntray/src/thorntray/internal/store/policy_watch.py
+++ b/packages/thorntray/src/thorntray/internal/store/policy_watch.py
@@ -4,7 +4,7 @@
 watch it, so that a change does not cause a call of every node. Membership datagrams carry the
 policy version of the sender, and a node fetches a newer one from a peer, also while it cannot reach
 the service (`store.policy_fetch`). A node that has heard of a version and has not received it in
-time reads the service again.
+time reads the service again, and so does a watcher whose call may be lost (`store.watch_check`).
 
 Each answer of the service, also one without changes, shows which version was the newest when the
 call was sent; `EvidenceSink` is told of it. An invalid document never comes into force, so the
@@ -26,13 +26,18 @@
 from thorntray.internal.store.seeds import PlatformState
 from thorntray.internal.store.store_calls import StoreEntry, WatchBatch
 from thorntray.internal.store.store_epoch import RESTORE_SPREAD, StoreEpoch
-from thorntray.internal.store.watch_duty import EveryNode, WatchDuty
+from thorntray.internal.store.watch_check import WatchCheck
+from thorntray.internal.store.watch_duty import CHECKED_WAIT, EveryNode, WatchDuty
 from thorntray.internal.telemetry.events import Event, log_event
 from thorntray.internal.version.policy import Policy, PolicyHolder
 
 POLICY_REVISION_KEY = "policy"  # key of the policy version in `Revisions`
 INITIAL_BACKOFF = 0.25  # seconds after a failed call, doubled for each further one
 MAX_BACKOFF = 1.0  # seconds
+# Seconds until a read that may be lost is made anew. Every other read has the whole timeout of the
+# store's client, for a store that is only slow.
+SHORT_READ = 1.0
+MIN_PAUSE = 0.1  # seconds after a failed read
 DUTY_CHECK_PERIOD = 0.25  # seconds
 
 PolicyDecoder = Callable[[bytes], Policy]
@@ -123,8 +128,10 @@
         self._state = state
         self._rng = rng
         self._fetch = PolicyFetch(holder, links, lambda sender: self.duty.source_for(sender), rng)
+        self._short_read = True  # whether the next read may be lost
         self._stored: _StoredVersion | None = None  # None: not known
         self.duty: WatchDuty | EveryNode = EveryNode()
+        self.check: WatchCheck | None = None  # None: this node's watch is never taken for lost
         self.evidence: EvidenceSink = NoEvidence()
 
     @property
@@ -134,10 +141,13 @@
 
     def revisions(self) -> Revisions:
         """Return the version in force and the age of the store's newest answer, for datagrams."""
-        return {POLICY_REVISION_KEY: self._holder.version}
+        told = {POLICY_REVISION_KEY: self._holder.version}
+        return told if self.check is None else told | self.check.contact.revisions()
 
     def on_revisions(self, sender: Member, revisions: Revisions) -> None:
         """Take what a peer's datagram tells; fetch its policy if it is newer."""
+        if self.check is not None:
+            self.check.hear(sender, revisions)
         self._fetch.hear(sender, revisions.get(POLICY_REVISION_KEY, 0))
 
     def on_peer_frame(self, member: Member, frame: Frame) -> None:
@@ -178,22 +188,60 @@
         backoff = INITIAL_BACKOFF
         while True:
             try:
-                self._fetch.store_read()
-                revision = await self.read()
+                began = asyncio.get_running_loop().time()
+                revision = await self._read_soon()
                 epoch = self._store.epoch.current
                 backoff = INITIAL_BACKOFF
                 if self.duty.on_duty():
-                    await self._watch(revision + 1)
+                    await self._watch_until_overdue(revision + 1)
                 if self._store.epoch.current > epoch:
                     await asyncio.sleep(RESTORE_SPREAD * self._rng.random())
             except PlatformUnavailable as exc:
                 self._state.record(False, str(exc))
-                await asyncio.sleep(backoff * (0.5 + self._rng.random()))
+                taken = asyncio.get_running_loop().time() - began
+                await asyncio.sleep(max(MIN_PAUSE, backoff * (0.5 + self._rng.random()) - taken))
                 backoff = min(MAX_BACKOFF, backoff * 2)
                 if self._holder.policy is None:
                     continue
             await self._wait_until_needed()
 
+    async def _read_soon(self) -> int:
+        """Read the policy; a read without an answer ends early every other time."""
+        short = self._short_read and self._holder.policy is not None
+        self._short_read = not self._short_read
+        self._fetch.store_read()
+        try:
+            async with asyncio.timeout(SHORT_READ if short else None):
+                revision = await self.read()
+        except TimeoutError as exc:
+            raise PlatformUnavailable(f"no answer within {SHORT_READ} s") from exc
+        self._short_read = True
+        return revision
+
+    async def _watch_until_overdue(self, start_revision: int) -> None:
+        """Watch until the watch ends, or until its open call has to be taken for lost."""
+        watch = asyncio.ensure_future(self._watch(start_revision))
+        overdue = asyncio.ensure_future(self._wait_overdue())
+        try:
+            await asyncio.wait({watch, overdue}, return_when=asyncio.FIRST_COMPLETED)
+            if watch.done():
+                watch.result()
+        finally:
+            watch.cancel()
+            overdue.cancel()
+
+    async def _wait_overdue(self) -> None:
+        """Wait until the watch has to be taken for lost, or peers have what it has not brought."""
+        while not self._fetch.is_read_due:
+            pause = DUTY_CHECK_PERIOD
+            if self.check is not None:
+                if self.check.is_overdue:
+                    log_event(Event.WATCH_OVERDUE, age=round(self.check.contact.age, 3))
+                    return
+                self.check.ask_peers()
+                pause = min(pause, self.check.until_next_step)
+            await asyncio.sleep(pause)
+
     async def read(self) -> int:
         """Read the policy from the store, offer it, and return the store's revision.
 
@@ -210,7 +258,7 @@
         self._record_evidence(sent_at)
         return revision
 
-    async def check(self) -> None:
+    async def read_again(self) -> None:
         """Read the policy from the store once more, whether or not this node is on duty."""
         try:
             await self.read()
@@ -248,6 +296,8 @@
 
     def _watch_wait(self) -> float | None:
         wait = self.evidence.watch_wait()
+        if wait is None and self.check is not None and self.check.is_checked:
+            return CHECKED_WAIT
         return self.duty.watch_wait() if wait is None else wait
 
     async def _wait_until_needed(self) -> None:
@@ -268,6 +318,8 @@
                 self._set_stored(_StoredVersion(epoch, entry.mod_revision, version))
 
     def _record_evidence(self, sent_at: float) -> None:
+        if self.check is not None:
+            self.check.answered(self._holder.version)
         stored, epoch = self._stored, self._store.epoch.current
         if stored is not None and stored.epoch == epoch:
             self.evidence.store_answered(stored.version, sent_at, epoch)
--- a/packages/thorntray/src/thorntray/internal/store/seeds.py
+++ b/packages/thorntray/src/thorntray/internal/store/seeds.py
@@ -91,10 +91,15 @@
         self.up = up
 
 
+def role_rank(role: str, name: str) -> int:
+    """Return the rank of a member for a role; the highest ones hold it."""
+    return hash64(f"{role}\0{name}")
+
+
 def role_holders(members: list[Member], domain: str | None, role: str, count: int) -> set[str]:
     """Return the names of the `count` members of a failure domain, or of all, that hold a role."""
     in_domain = [m.name for m in members if domain is None or m.domain == domain]
-    in_domain.sort(key=lambda name: hash64(f"{role}\0{name}"), reverse=True)
+    in_domain.sort(key=lambda name: role_rank(role, name), reverse=True)
     return set(in_domain[:count])
 
 
--- a/packages/thorntray/src/thorntray/internal/store/watch_duty.py
+++ b/packages/thorntray/src/thorntray/internal/store/watch_duty.py
@@ -8,8 +8,7 @@
 
 A watch call whose answer is lost looks like one without changes: the connection is alive, and other
 calls are answered again. So the first watcher of all alive members lets the store wait for
-`CHECKED_WAIT` only and notices soon that no answer comes; its call is then repeated. It learns of a
-new version for the others, whose own watches may be lost for as long as they wait. Each side of a
+`CHECKED_WAIT` only, and tells the others that it was answered (`store.watch_check`). Each side of a
 partition has such a watcher.
 
 A node cannot rely on its peers while its probes of them are not answered. It then watches the store
@@ -21,13 +20,13 @@
 from thorntray.internal.membership.member import Member
 from thorntray.internal.membership.membership import Membership
 from thorntray.internal.process.clock import Clock
-from thorntray.internal.store.seeds import Seeds, role_holders
+from thorntray.internal.store.seeds import Seeds, role_holders, role_rank
 
 WATCHERS_PER_DOMAIN = 4
 EVIDENCE_WATCHERS = 2  # of these, watchers that renew evidence in calls with a short wait
-# Seconds for which the store may hold the watch call of that watcher. With the margin of the
-# call's timeout, a lost one is repeated before a change is due that comes three seconds later.
-CHECKED_WAIT = 2.0
+# Seconds for which the store may hold the watch call of that watcher: the others have to notice
+# that no answer came, and to read the store, within two seconds.
+CHECKED_WAIT = 1.0
 POLICY_WATCH_ROLE = "policy"
 START_PATIENCE = 3.0  # seconds after its start for which a node waits for a complete view
 ISOLATION_HOLD = 5.0  # seconds
@@ -64,9 +63,27 @@
 
     def watch_wait(self) -> float | None:
         """Return after how many seconds a watch is to be answered; None: whenever it suits."""
-        own = self._membership.own
         alone = self._clock.monotonic() < self._isolated_until
-        return CHECKED_WAIT if alone or own.name == self._first_watcher() else None
+        return CHECKED_WAIT if alone or self.is_first else None
+
+    @property
+    def is_first(self) -> bool:
+        """Return whether this node is the first watcher of all alive members."""
+        firsts = role_holders(self._membership.alive(), None, POLICY_WATCH_ROLE, 1)
+        return self._membership.own.name in firsts
+
+    def watchers(self) -> list[Member]:
+        """Return the watchers of all failure domains, this node included, the first one first."""
+        alive = self._membership.alive()
+        names: set[str] = set()
+        for domain in {member.domain for member in alive}:
+            names |= role_holders(alive, domain, POLICY_WATCH_ROLE, WATCHERS_PER_DOMAIN)
+        watchers = [member for member in alive if member.name in names]
+        return sorted(watchers, key=lambda m: role_rank(POLICY_WATCH_ROLE, m.name), reverse=True)
+
+    def precedes(self, name: str, other: str) -> bool:
+        """Return whether a watcher comes before another one in that order."""
+        return role_rank(POLICY_WATCH_ROLE, name) > role_rank(POLICY_WATCH_ROLE, other)
 
     def source_for(self, sender: Member) -> Member:
         """Return the peer from which to fetch a version that `sender` has told of."""
@@ -89,10 +106,6 @@
         own = self._membership.own.name
         return [member for member in members if member is not None and member.name != own]
 
-    def _first_watcher(self) -> str:
-        firsts = role_holders(self._membership.alive(), None, POLICY_WATCH_ROLE, 1)
-        return next(iter(firsts), "")
-
     def _watchers(self, domain: str, count: int = WATCHERS_PER_DOMAIN) -> set[str]:
         return role_holders(self._membership.alive(), domain, POLICY_WATCH_ROLE, count)
 
--- a/packages/thorntray/src/thorntray/internal/telemetry/events.py
+++ b/packages/thorntray/src/thorntray/internal/telemetry/events.py
@@ -75,6 +75,7 @@
     POLICY_IN_FORCE = EventKind(302, Level.INFO, "policy in force")
     POLICY_REFUSED = EventKind(303, Level.ERROR, "policy refused, last valid one kept")
     POLICY_HEARD = EventKind(304, Level.INFO, "newer policy heard of")
+    WATCH_OVERDUE = EventKind(305, Level.WARNING, "watch of the policy taken for lost")
     PLATFORM_DOWN = EventKind(310, Level.WARNING, "platform service unavailable")
     PLATFORM_BACK = EventKind(311, Level.INFO, "platform service available again")
     PLATFORM_RESTORED = EventKind(
--- a/packages/thorntray/src/thorntray/internal/telemetry/node_metrics.py
+++ b/packages/thorntray/src/thorntray/internal/telemetry/node_metrics.py
@@ -74,6 +74,10 @@
         "gauge",
         "time since this node has heard of a policy above the one in force, 0 if it has not",
     ),
+    "thorntray_policy_store_age_seconds": (
+        "gauge",
+        "time since the newest answer of the store to any watcher that is known, -1: none",
+    ),
     "thorntray_policy_watch": ("gauge", "1 if this node watches the policy in the store, else 0"),
     "thorntray_policy_evidence_age_seconds": (
         "gauge",
--- a/tests/freshness_fleet.py
+++ b/tests/freshness_fleet.py
@@ -103,7 +103,7 @@
             self.holder,
             self.membership,
             self.watch.duty,
-            self.watch.check,
+            self.watch.read_again,
             lambda peer, v: self.watch.on_revisions(peer, {POLICY_REVISION_KEY: v}),
             self.clock,
             self.rng,
--- a/tests/policy_fleet.py
+++ b/tests/policy_fleet.py
@@ -14,6 +14,7 @@
 from thorntray.internal.membership.membership import Membership
 from thorntray.internal.store.policy_watch import PolicyWatch, WatchWait
 from thorntray.internal.store.seeds import PlatformState, Seeds, SeedTiming
+from thorntray.internal.store.watch_check import WatchCheck
 from thorntray.internal.store.watch_duty import WatchDuty
 from thorntray.internal.version.policy import Policy, PolicyHolder
 
@@ -136,6 +137,7 @@
         timing = SeedTiming(10, 3.0, 0.5, 0.2, 1.0, 0.5)
         self.seeds = Seeds(self.membership, view, state, "seeds/", [], timing, rng)
         self.watch.duty = WatchDuty(self.membership, self.seeds, self.clock, rng)
+        self.watch.check = WatchCheck(self.membership, self.watch.duty, self.clock, rng)
 
     def start(self) -> None:
         """Start all background tasks."""
