A node fetches from all peers that have a newer policy, not only from those with the highest

Callers saw: nothing yet; found while searching for odd values. Cause: a single peer that tells of a version far too high was the only one that was asked from then on, and real changes waited for the store's rare reads. Change: all peers with any version above the one in force are asked in turn.

--- a/packages/thorntray/src/thorntray/internal/store/policy_fetch.py
+++ b/packages/thorntray/src/thorntray/internal/store/policy_fetch.py
@@ -44,9 +44,9 @@
         self._links = links
         self._source_for = source_for
         self._rng = rng
-        self._wanted = 0  # highest version that any peer has told of
+        self._wanted = 0  # highest version that any peer has told of since the node fell behind
         self._heard_at = 0.0  # event loop time at which the node fell behind
-        self._tellers: dict[str, Member] = {}  # holders of the wanted version, by name
+        self._tellers: dict[str, Member] = {}  # peers with a newer version, by name
         self._asked: set[str] = set()  # names of those asked since all had been asked
         self._delay = RETRY_DELAY
         self._timer: asyncio.TimerHandle | None = None
@@ -75,17 +75,20 @@
             return
         if not self.is_behind:
             self._fall_behind(sender, version)
-        if version > self._wanted:
-            self._wanted = version
-            self._tellers.clear()
-            self._asked.clear()
-        if version == self._wanted and len(self._tellers) < MAX_TELLERS:
-            self._tellers[sender.name] = sender
+        self._wanted = max(self._wanted, version)
+        # All that have any newer version: the highest one may be a mistake of a single peer.
+        self._tellers.pop(sender.name, None)
+        self._tellers[sender.name] = sender
+        while len(self._tellers) > MAX_TELLERS:
+            del self._tellers[next(iter(self._tellers))]
         if self._timer is None:
             self._ask(self._source_for(sender))
 
     def _fall_behind(self, sender: Member, version: int) -> None:
         self._heard_at = _now()
+        self._wanted = version
+        self._tellers.clear()
+        self._asked.clear()
         self._delay, self._patience = RETRY_DELAY, STORE_PATIENCE
         self._read_after = self._heard_at + STORE_PATIENCE
         log_event(
