One odd value stops nothing: each reader bounds the numbers and names that it takes in

Other operators saw: machines that read a list with one odd entry ended, or stopped following it. Here: a node that got a leaving with a start time of 10^30 confirmed no leaving any more. Cause: readers took in more than is later written, sent or computed with. JSON decoding takes integers past 64 bits and encoding does not; UDP takes no port above 65535. The value failed far from its message, and each time the list with it was written. Of a datagram only the odd members are left out, as older builds pass them on. No datagram is sent to an address that is none. Why it works: nothing is kept that cannot be sent, stored or computed with.

--- a/packages/thorntray-node/src/thorntray_node/mesh_config.py
+++ b/packages/thorntray-node/src/thorntray_node/mesh_config.py
@@ -4,11 +4,10 @@
 from typing import NamedTuple
 
 from thorntray.errors import Fault, InvalidSettings
+from thorntray.internal.bounded import MAX_NAME_LENGTH, MAX_PORT
 from thorntray.internal.connection.header_names import HeaderNames
 from thorntray.internal.overload.retry_budget import RetryBudgetSettings
 
-MAX_PORT = 65535
-
 
 class Endpoint(NamedTuple):
     """An IP address and a port."""
@@ -49,8 +48,10 @@
         """Return these settings; raises `InvalidSettings` with all faults."""
         faults: list[Fault] = []
         for key in ("name", "service", "domain", "host"):
-            if not getattr(self, key):
-                faults.append(Fault("node", key, "", "give a non-empty value"))
+            value = getattr(self, key)
+            if not isinstance(value, str) or not 0 < len(value) <= MAX_NAME_LENGTH:
+                hint = f"give a text of 1 to {MAX_NAME_LENGTH} characters"
+                faults.append(Fault("node", key, str(value)[:MAX_NAME_LENGTH], hint))
         ports = {
             "instance": self.instance.port,
             "callers": self.callers.port,
@@ -60,13 +61,17 @@
             "gossip_port": self.gossip_port,
         }
         for key, port in ports.items():
-            if not 0 < port <= MAX_PORT:
+            if not isinstance(port, int) or not 0 < port <= MAX_PORT:
                 faults.append(Fault("node", key, str(port), f"give a port from 1 to {MAX_PORT}"))
         if not 0 < self.stop_limit < inf:
             faults.append(Fault("node", "stop_limit", str(self.stop_limit), "give seconds above 0"))
         if self.max_policy_age is not None and not 0 < self.max_policy_age < inf:
             value = str(self.max_policy_age)
             faults.append(Fault("node", "max_policy_age", value, "give seconds above 0"))
+        budget = self.budget
+        if not (0 <= budget.ratio < inf and 0 <= budget.slack < inf and 0 < budget.window < inf):
+            hint = "give a ratio and a slack of 0 or more, and a window above 0"
+            faults.append(Fault("node", "budget", str(tuple(budget)), hint))
         if faults:
             raise InvalidSettings(source, faults)
         return self
--- a/packages/thorntray/src/thorntray/internal/membership/departures.py
+++ b/packages/thorntray/src/thorntray/internal/membership/departures.py
@@ -20,6 +20,7 @@
 
 import msgspec
 
+from thorntray.internal.bounded import Count, Name
 from thorntray.internal.membership.gossip import (
     Address,
     DepartureQuery,
@@ -50,7 +51,7 @@
 RECALL_PATIENCE = 0.5  # seconds after the start for answers of members that are not known yet
 RECALL_TIME = 1.5  # seconds after the start without any answer
 
-_Boots = tuple[tuple[str, int, bool], ...]
+_Boots = tuple[tuple[Name, Count, bool], ...]
 _encode = msgspec.json.Encoder().encode
 _decode = msgspec.json.Decoder(_Boots).decode
 
--- a/packages/thorntray/src/thorntray/internal/membership/gossip.py
+++ b/packages/thorntray/src/thorntray/internal/membership/gossip.py
@@ -9,12 +9,13 @@
 import msgspec
 
 from thorntray.errors import BadMessage
+from thorntray.internal.bounded import Count, Name
 from thorntray.internal.membership.member import Member
 
 GOSSIP_VERSION = 1
 MAX_DATAGRAM_BYTES = 1200  # below the usual path MTU, so that IP does not fragment it
 
-Revisions = dict[str, int]  # settings revision by team, or the version of the policy
+Revisions = dict[str, Count]  # settings revision by team, or the version of the policy
 
 
 class Ping(msgspec.Struct, tag="p", array_like=True, frozen=True):
@@ -152,7 +153,7 @@
 
     sequence: int
     member: str
-    boots: tuple[tuple[str, int, bool], ...]
+    boots: tuple[tuple[Name, Count, bool], ...]
 
 
 class DepartureRecorded(msgspec.Struct, tag="L", array_like=True, frozen=True):
@@ -170,7 +171,7 @@
 class DepartureReply(msgspec.Struct, tag="K", array_like=True, frozen=True):
     """Answers a `DepartureQuery`, or tells a restarted process without a query."""
 
-    boots: tuple[tuple[str, int, bool], ...]
+    boots: tuple[tuple[Name, Count, bool], ...]
 
 
 DepartureDatagram = DepartureReport | DepartureRecorded | DepartureQuery | DepartureReply
@@ -183,6 +184,7 @@
 
 _encoder = msgspec.msgpack.Encoder()
 _decoder = msgspec.msgpack.Decoder(Datagram)
+_TAGS_WITH_UPDATES = frozenset(kind.__struct_config__.tag for kind in (Ping, Ack, Spread))
 _VERSION_BYTE = bytes([GOSSIP_VERSION])
 
 
@@ -202,14 +204,38 @@
     """Return the decoded datagram; raises `BadMessage` if the version or the encoding is wrong."""
     if not data or data[0] != GOSSIP_VERSION:
         raise BadMessage("datagram has an unsupported protocol version; upgrade the older node")
+    payload = memoryview(data)[1:]
     try:
-        return _decoder.decode(memoryview(data)[1:])
+        try:
+            return _decoder.decode(payload)
+        except msgspec.ValidationError:
+            return _without_odd_updates(payload)
     except (msgspec.MsgspecError, ValueError, RecursionError) as exc:
         raise BadMessage(
             f"malformed datagram: {exc}; check which process sends to the gossip port"
         ) from exc
 
 
+def _without_odd_updates(payload: memoryview) -> Datagram:
+    """Return a datagram without the updates that are no members; raises `MsgspecError`.
+
+    A node of an older release passes on an odd record among sound ones.
+    """
+    fields = msgspec.msgpack.decode(payload, type=list)
+    if not fields or fields[0] not in _TAGS_WITH_UPDATES or not isinstance(fields[-1], list):
+        raise msgspec.ValidationError("a field is missing or out of its range")
+    fields[-1] = [update for update in fields[-1] if _is_member(update)]
+    return msgspec.convert(fields, Datagram)
+
+
+def _is_member(update: object) -> bool:
+    try:
+        msgspec.convert(update, Member)
+    except msgspec.ValidationError:
+        return False
+    return True
+
+
 def encoded_size(member: Member) -> int:
     """Return the encoded size of one update in bytes."""
     return len(_encoder.encode(member))
--- a/packages/thorntray/src/thorntray/internal/membership/member.py
+++ b/packages/thorntray/src/thorntray/internal/membership/member.py
@@ -9,6 +9,8 @@
 from enum import IntEnum
 from typing import NamedTuple
 
+from thorntray.internal.bounded import Count, Name, Port
+
 SESSION_BYTES = 8
 
 
@@ -24,17 +26,17 @@
 class Member(NamedTuple):
     """One node: its addresses, its location and the service of its upstream instance."""
 
-    name: str
+    name: Name
     session: bytes
-    version: int
-    address: str
-    http_port: int
-    peer_port: int
-    document_port: int
-    gossip_port: int
-    service: str
-    domain: str
-    region: str
+    version: Count
+    address: Name
+    http_port: Port
+    peer_port: Port
+    document_port: Port
+    gossip_port: Port
+    service: Name
+    domain: Name
+    region: Name
     ready: bool = False
     health: Health = Health.ALIVE
 
--- a/packages/thorntray/src/thorntray/internal/membership/udp.py
+++ b/packages/thorntray/src/thorntray/internal/membership/udp.py
@@ -2,9 +2,24 @@
 
 import asyncio
 from collections.abc import Callable
+from functools import lru_cache
+from ipaddress import ip_address
 from typing import Self
 
 from thorntray.internal.membership.gossip import Address
+from thorntray.internal.telemetry.events import Event, log_event
+
+KNOWN_HOSTS = 4096  # whose addresses are not parsed again
+
+
+@lru_cache(maxsize=KNOWN_HOSTS)
+def _is_ip(host: str) -> bool:
+    """Return whether a host is an IP address; a name would be looked up for each datagram."""
+    try:
+        ip_address(host)
+    except ValueError:
+        return False
+    return True
 
 
 class UdpTransport(asyncio.DatagramProtocol):
@@ -33,9 +48,13 @@
         """Ignore errors of earlier sends: the protocol tolerates lost datagrams."""
 
     def send(self, data: bytes, address: Address) -> None:
-        """Send one datagram, or drop it if the port is not open."""
-        if self._endpoint is not None and not self._endpoint.is_closing():
+        """Send one datagram, or drop it if the port is not open or the address is none."""
+        if self._endpoint is None or self._endpoint.is_closing() or not _is_ip(address.host):
+            return
+        try:
             self._endpoint.sendto(data, tuple(address))
+        except (OSError, OverflowError, ValueError) as exc:
+            log_event(Event.BAD_MESSAGE, detail=f"no datagram can be sent to {address}: {exc!r}")
 
     def close(self) -> None:
         """Close the port."""
--- a/packages/thorntray/src/thorntray/internal/store/crash_archive.py
+++ b/packages/thorntray/src/thorntray/internal/store/crash_archive.py
@@ -19,6 +19,7 @@
 
 import msgspec
 
+from thorntray.internal.bounded import Count, UnixTime
 from thorntray.internal.membership.hashing import hash64
 from thorntray.internal.membership.membership import Membership
 from thorntray.internal.overload.crash_suspects import BLOCK_TIME, Crash, CrashSuspects
@@ -30,21 +31,22 @@
 BLOCK_KEEPERS = 2  # members that keep a block in the store
 KEPT_CRASH_TIME = 600.0  # seconds; longest lease
 MIN_EXTENSION = 5.0  # seconds by which a kept block must be extended to be written again
+MAX_HEX_DIGITS = 16
 CRASHES, BLOCKS = "crashes/", "blocks/"  # parts of the key
 
 
 class _StoredCrash(msgspec.Struct, array_like=True):
     """A crash; `at` is in seconds since 1970."""
 
-    at: float
-    running: int
+    at: UnixTime
+    running: Count
     fingerprints: tuple[int, ...]
 
 
 class _StoredBlock(msgspec.Struct, array_like=True):
     """A block; `until` is in seconds since 1970."""
 
-    until: float
+    until: UnixTime
 
 
 class CrashArchive:
@@ -104,7 +106,7 @@
             if f"{kind}/" not in (CRASHES, BLOCKS):
                 continue
             try:
-                self._apply_entry(f"{kind}/", int(number, 16), entry.value)
+                self._apply_entry(f"{kind}/", _number(number), entry.value)
             except (msgspec.MsgspecError, ValueError, OverflowError) as exc:
                 log_event(Event.BAD_MESSAGE, detail=f"malformed entry {entry.key!r}: {exc}")
 
@@ -135,3 +137,10 @@
         names = [member.name for member in self._membership.alive()]
         names.sort(key=lambda name: hash64(f"block {fingerprint} {name}"))
         return self._membership.own.name in names[:BLOCK_KEEPERS]
+
+
+def _number(text: str) -> int:
+    """Return the number in a key; raises `ValueError` if it is none or has more than 64 bits."""
+    if not 0 < len(text) <= MAX_HEX_DIGITS or not text.isalnum():
+        raise ValueError("the key does not end with up to 16 hexadecimal digits")
+    return int(text, 16)
--- a/packages/thorntray/src/thorntray/internal/store/seeds.py
+++ b/packages/thorntray/src/thorntray/internal/store/seeds.py
@@ -14,6 +14,7 @@
 from absl import logging
 
 from thorntray.errors import PlatformUnavailable, WriteUndetermined
+from thorntray.internal.bounded import MAX_PORT
 from thorntray.internal.membership.gossip import Address
 from thorntray.internal.membership.hashing import hash64
 from thorntray.internal.membership.member import Member
@@ -30,7 +31,6 @@
 MAX_JOIN_SEEDS = 5  # seeds that one join is sent to
 CATCH_UP_PERIOD = 0.3  # seconds between requests for all members after the start, jittered
 CATCH_UP_REQUESTS = 12  # most such requests
-MAX_PORT = 65535
 REJOIN_PERIOD = 30.0  # seconds between the joins of a node that holds a seed entry
 
 
--- a/packages/thorntray/src/thorntray/internal/store/store_calls.py
+++ b/packages/thorntray/src/thorntray/internal/store/store_calls.py
@@ -47,8 +47,9 @@
     complete: bool = True
 
 
-# A body that is not JSON, or nested too deeply, is no answer.
-_NO_VALID_ANSWER = (NoReply, msgspec.MsgspecError, RecursionError)
+# A body that is not JSON, nested too deeply, or has a number of thousands of digits is no answer.
+_NO_VALID_ANSWER = (NoReply, ValueError, RecursionError)
+MAX_EPOCH_DIGITS = 18
 
 
 class StoreReply(NamedTuple):
@@ -155,7 +156,7 @@
         return StoreReply(answer.status, decoded, sent_at)
 
     def _check_epoch(self, path: str, epoch: str) -> None:
-        if not epoch.isdigit():
+        if not (epoch.isascii() and epoch.isdigit() and len(epoch) <= MAX_EPOCH_DIGITS):
             return
         if int(epoch) > self.epoch.current > 0:
             log_event(Event.PLATFORM_RESTORED, epoch=int(epoch))
