Soak: a silence of the store, and the kill of a node with a role around it

Change: about half of the plans have a silence of 0.2 to 4.5 s, the kill of the first watcher, of a holder of a seed entry or of a quota's coordinator meanwhile or just after, and a change of a route within 4 s. Drawn apart, so the other faults of a seed stay. Before and after: tests/test_soak.py; the series is run by hand.

--- a/soak/plan.py
+++ b/soak/plan.py
@@ -4,6 +4,8 @@
 from random import Random
 from typing import NamedTuple
 
+from thorntray.internal.store.seeds import role_rank
+
 
 class FaultKind(Enum):
     """Kinds of faults; the values describe them."""
@@ -69,6 +71,13 @@
 DRAWN_KINDS = [kind for kind in FaultKind if kind is not FaultKind.WORKER_DIES]
 DEADLY_SHARE = 0.4  # of the plans that have one fault `WORKER_DIES`
 DEADLY_DURATION = 9.0  # seconds; longer than three crashes and the time to learn of them
+STRIKE_SHARE = 0.5  # of the plans that kill a node with a role around a silence of the store
+# As the nodes rank their members: first watcher of the policy, holder of a seed entry, coordinator
+# of the quota of the workspace `LIMITED`.
+ROLES = ("policy", "seed", "quota\0limited")
+MIN_SILENCE, MAX_SILENCE = 0.2, 4.5  # seconds
+MAX_STRIKE_DELAY = 0.5  # seconds from the end of the silence
+MAX_CHANGE_DELAY = 4.0  # seconds from the kill
 MIN_DURATION, MAX_DURATION = 0.5, 4.0  # seconds
 FAULTS_PER_SECOND = 0.5  # average, at least two faults in a run
 STOP_SERIES_SHARE = 0.6  # of the plans
@@ -113,9 +122,32 @@
         start = round(deadly_rng.uniform(1.0, duration), 2)
         node = deadly_rng.choice(nodes)
         faults.append(Fault(start, FaultKind.WORKER_DIES, node, DEADLY_DURATION))
+    strike_rng = Random(f"strike {faults!r}")
+    if strike_rng.random() < STRIKE_SHARE:
+        faults += draw_strike(strike_rng, nodes, duration)
     return sorted(faults, key=lambda fault: fault.start)
 
 
+def draw_strike(rng: Random, nodes: list[str], duration: float) -> list[Fault]:
+    """Return a silence of the store and the kill of a node with a role, meanwhile or just after.
+
+    The node is the first one in the order of the role, as long as all are alive. A route is changed
+    soon, as other nodes have to take the role over by then.
+    """
+    role = rng.choice(ROLES)
+    holder = max(nodes, key=lambda name: role_rank(role, name))
+    start = round(rng.uniform(0.5, duration), 2)
+    silence = round(rng.uniform(MIN_SILENCE, MAX_SILENCE), 2)
+    killed_at = start + silence * rng.uniform(0.2, 1.0) + rng.choice([0.0, MAX_STRIKE_DELAY])
+    changed_at = killed_at + rng.uniform(0.0, MAX_CHANGE_DELAY)
+    restart_delay = round(rng.uniform(MIN_DURATION, MAX_DURATION), 2)
+    return [
+        Fault(start, FaultKind.STORE_SILENT, holder, silence),
+        Fault(round(killed_at, 2), FaultKind.NODE_KILL, holder, restart_delay),
+        Fault(round(changed_at, 2), FaultKind.CHANGE, holder, 0.0),
+    ]
+
+
 def draw_stop_series(rng: Random, nodes: list[str], duration: float) -> list[Fault]:
     """Return stops of two nodes to half of them, shortly one after the other, in a store outage.
 
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -16,7 +16,7 @@
 from soak.clients import Attempt, AttemptEnd
 from soak.idle_workers import MIN_REQUESTS, RETURN_TIME
 from soak.observation import Observation, RouteChange
-from soak.plan import MAX_STOP_GAP, Fault, FaultKind, draw_plan
+from soak.plan import MAX_STOP_GAP, MAX_STRIKE_DELAY, Fault, FaultKind, draw_plan
 from soak.run import run_seed
 from standins.mesh_fleet import RouteConfig
 from standins.worker import Arrival, Death, FleetRecord
@@ -180,6 +180,25 @@
     assert sum(has_stops_in_an_outage(plan) for plan in plans) >= 50
 
 
+def test_about_half_of_the_plans_kill_a_node_with_a_role_around_a_silence_of_the_store():
+    """Guards against a soak that cannot show a role that passes on without its duty (issue 53)."""
+    nodes = [f"n{n}" for n in range(9)]
+    plans = [draw_plan(Random(seed), nodes, 12.0) for seed in range(100)]
+    assert 35 <= sum(has_strike(plan) for plan in plans) <= 75
+
+
+def has_strike(plan):
+    silences = [f for f in plan if f.kind is FaultKind.STORE_SILENT]
+    kills = [f for f in plan if f.kind is FaultKind.NODE_KILL]
+    return any(
+        silence.node == kill.node
+        and silence.start <= kill.start <= silence.end + MAX_STRIKE_DELAY
+        and any(f.kind is FaultKind.CHANGE and f.node == kill.node for f in plan)
+        for silence in silences
+        for kill in kills
+    )
+
+
 def has_stops_in_an_outage(plan):
     outages = [f for f in plan if f.kind in (FaultKind.STORE_BUSY, FaultKind.STORE_SILENT)]
     stops = [f for f in plan if f.kind is FaultKind.NODE_STOP]
