The version of a member's record is bounded, so that the node itself can refute it

Callers saw: nothing yet; found by the search for odd values. Cause: a node that finds a false record of itself counts on from its version. After a record with the highest version that is taken in, its own one was above the bound, and its peers refused all its datagrams; before the bounds it could not be encoded (2^64). Change: versions of records end at 3 * 2^50, and a node's own one may go beyond. Before: 4 of 32 cases of test_a_node_goes_on_with_gossip_after_any_member_that_it_takes_in fail. After: all pass.

--- a/packages/thorntray/src/thorntray/internal/bounded.py
+++ b/packages/thorntray/src/thorntray/internal/bounded.py
@@ -11,12 +11,16 @@
 import msgspec
 
 MAX_INT = 2**62  # leaves room for additions below the 64 bits that messages can carry
+# Milliseconds since 1970 plus the changes of a record, some 100,000 years ahead. A node that
+# refutes a record counts on from its version, so the bound is no number that others would write.
+MAX_RECORD_VERSION = 3 * 2**50
 MAX_SECONDS = 1e9  # about 30 years; the event loop takes no timers of any length
 MAX_SLOTS = 1_000_000
 MAX_PORT = 65535
 MAX_NAME_LENGTH = 255
 
 Count = Annotated[int, msgspec.Meta(ge=0, le=MAX_INT)]
+RecordVersion = Annotated[int, msgspec.Meta(ge=0, le=MAX_RECORD_VERSION)]
 Port = Annotated[int, msgspec.Meta(ge=0, le=MAX_PORT)]
 Slots = Annotated[int, msgspec.Meta(ge=1, le=MAX_SLOTS)]
 Seconds = Annotated[float, msgspec.Meta(ge=0, le=MAX_SECONDS)]
--- a/packages/thorntray/src/thorntray/internal/membership/member.py
+++ b/packages/thorntray/src/thorntray/internal/membership/member.py
@@ -9,7 +9,7 @@
 from enum import IntEnum
 from typing import NamedTuple
 
-from thorntray.internal.bounded import Count, Name, Port
+from thorntray.internal.bounded import Name, Port, RecordVersion
 
 SESSION_BYTES = 8
 
@@ -28,7 +28,7 @@
 
     name: Name
     session: bytes
-    version: Count
+    version: RecordVersion
     address: Name
     http_port: Port
     peer_port: Port
--- a/tests/test_lost_watches.py
+++ b/tests/test_lost_watches.py
@@ -101,6 +101,25 @@
     assert seconds <= APPLY_TIME
 
 
+@pytest.mark.parametrize("domain", DOMAINS)
+@pytest.mark.parametrize("newer", [0, 1])
+def test_beside_nodes_of_the_release_before_the_newer_ones_notice_for_all(domain, newer):
+    """Every other node neither tells nor takes ages, as builds before issue 53."""
+
+    async def scenario():
+        fleet = LosingFleet(24, len(DOMAINS))
+        for index, node in enumerate(fleet.nodes.values()):
+            if index % 2 != newer:
+                node.watch.check = None
+        await fleet.start()
+        await fleet.silence(4.5)
+        await fleet.kill(fleet.outside(domain))
+        await asyncio.sleep(5.0)
+        return await fleet.slowest(2)
+
+    assert run_virtual(scenario()) <= APPLY_TIME
+
+
 @pytest.mark.parametrize("nodes, domains", [(26, 12), (200, 5)])
 def test_in_calm_one_watcher_is_checked_and_the_calls_do_not_grow_with_the_fleet(nodes, domains):
     """Guards against checks by many nodes, whose calls would grow with the fleet."""
--- a/tests/test_odd_values.py
+++ b/tests/test_odd_values.py
@@ -23,7 +23,7 @@
 from desired_state import decode_desired_state
 from kv_store import KvStore
 from settings_file import read_settings
-from tests.builders import ManualClock, make_member, run_virtual
+from tests.builders import LoopClock, ManualClock, make_member, run_virtual
 from tests.mesh_builders import HOST
 from tests.test_malformed_messages import FakeExchange
 from thorntray.errors import (
@@ -33,17 +33,24 @@
     PlatformUnavailable,
     WriteUndetermined,
 )
+from thorntray.internal.bounded import MAX_INT, MAX_NAME_LENGTH
 from thorntray.internal.connection.frame import decode_frame, encode_frame
 from thorntray.internal.connection.http_client import HttpReply
 from thorntray.internal.connection.instance_pool import _idle_timeout_from
 from thorntray.internal.membership.departures import _decode as decode_departures
 from thorntray.internal.membership.gossip import (
+    Ack,
     Address,
+    Digest,
+    Join,
     Ping,
+    PingRequest,
     Spread,
     decode_datagram,
     encode_datagram,
 )
+from thorntray.internal.membership.member import Health
+from thorntray.internal.membership.membership import Membership
 from thorntray.internal.membership.udp import UdpTransport
 from thorntray.internal.overload.crash_suspects import CrashSuspects
 from thorntray.internal.overload.rate_limit import parse_rate_limit
@@ -222,6 +229,63 @@
         encode_datagram(decoded)
 
 
+ODD_MEMBERS = [
+    {"gossip_port": 0, "peer_port": 0},
+    {"gossip_port": 65535, "address": ""},
+    {"address": "no address"},
+    {"version": MAX_INT},
+    {"name": ""},
+    {"name": "own"},
+    {"name": "own", "version": MAX_INT},
+    {"domain": "x" * MAX_NAME_LENGTH, "service": ""},
+]
+
+
+@pytest.mark.parametrize("odd", ODD_MEMBERS, ids=repr)
+@pytest.mark.parametrize("health", Health)
+def test_a_node_goes_on_with_gossip_after_any_member_that_it_takes_in(odd, health):
+    """Guards against a loop of the protocol that ends when it meets a member of another writer."""
+    member = make_member("n2", address=HOST)._replace(health=health, **odd)
+    revisions = {"policy": MAX_INT, "policy-age": MAX_INT}
+    received = []
+
+    async def scenario():
+        loop = asyncio.get_running_loop()
+        loop.set_exception_handler(lambda loop, context: failures.append(context))
+        udp = await UdpTransport.open(Address(HOST, 0))
+        own = make_member("own", address=HOST, version=5)
+        node = Membership(
+            own, udp, LoopClock(), Random(1), dict, lambda *args: None, lambda name: None
+        )
+        udp.receive = node.on_datagram
+        node.start()
+        for datagram in (
+            Ping(MAX_INT, member, revisions, (member,)),
+            Ack(MAX_INT, member, revisions, (member,)),
+            PingRequest(1, member, "n9"),
+            Spread(member, revisions, (member, member)),
+            Join(member),
+            Digest(member, revisions, (MAX_INT, 0)),
+        ):
+            node.on_datagram(encode_datagram(datagram), Address(HOST, 9))
+        await asyncio.sleep(1.5)
+        peer = await UdpTransport.open(Address(HOST, 0))
+        peer.receive = lambda data, address: received.append(decode_datagram(data))
+        port = peer._endpoint.get_extra_info("sockname")[1]
+        sound = make_member("n3", address=HOST, gossip_port=port)
+        node.on_datagram(encode_datagram(Ping(7, sound, {}, ())), Address(HOST, port))
+        await asyncio.sleep(0.1)
+        failed = [task for task in node._tasks._tasks if task.done()]
+        await node.stop()
+        udp.close()
+        peer.close()
+        return failed
+
+    failures = []
+    assert asyncio.run(scenario()) == [] and failures == []
+    assert any(isinstance(datagram, Ack) and datagram.sequence == 7 for datagram in received)
+
+
 @given(st.binary(max_size=120))
 def test_any_bytes_are_a_frame_that_can_be_sent_on_or_refused(data):
     try:
