A silence of the store costs the reads of few watchers

Cause: all watchers read the store within half a second of a silence, and each renewed its lost watch after it: two calls and more for each of 26 nodes. Change: the first four living watchers, in as many domains, read at once and renew; the others wait 0.8 s and 0.5 s each more, and pause longer after a read in vain. A node that is suspected of being dead does not count, so the next ones go ahead soon.

--- a/packages/thorntray/src/thorntray/internal/store/policy_watch.py
+++ b/packages/thorntray/src/thorntray/internal/store/policy_watch.py
@@ -38,6 +38,7 @@
 # store's client, for a store that is only slow.
 SHORT_READ = 1.0
 MIN_PAUSE = 0.1  # seconds after a failed read
+LATER_PAUSE = 1.5  # seconds more, jittered, where others read the store at the same time
 DUTY_CHECK_PERIOD = 0.25  # seconds
 
 PolicyDecoder = Callable[[bytes], Policy]
@@ -199,12 +200,21 @@
             except PlatformUnavailable as exc:
                 self._state.record(False, str(exc))
                 taken = asyncio.get_running_loop().time() - began
-                await asyncio.sleep(max(MIN_PAUSE, backoff * (0.5 + self._rng.random()) - taken))
+                await self._pause(max(MIN_PAUSE, backoff * (0.5 + self._rng.random()) - taken))
                 backoff = min(MAX_BACKOFF, backoff * 2)
                 if self._holder.policy is None:
                     continue
             await self._wait_until_needed()
 
+    async def _pause(self, seconds: float) -> None:
+        """Wait after a failed read; longer while other watchers go before this one."""
+        await asyncio.sleep(seconds)
+        if self.check is None or self._holder.policy is None:
+            return
+        end = asyncio.get_running_loop().time() + LATER_PAUSE * (0.5 + self._rng.random())
+        while not self.check.is_among_first and asyncio.get_running_loop().time() < end:
+            await asyncio.sleep(DUTY_CHECK_PERIOD)
+
     async def _read_soon(self) -> int:
         """Read the policy; a read without an answer ends early every other time."""
         short = self._short_read and self._holder.policy is not None
--- a/packages/thorntray/src/thorntray/internal/store/watch_check.py
+++ b/packages/thorntray/src/thorntray/internal/store/watch_check.py
@@ -6,12 +6,13 @@
 
 So one watcher is checked: its calls wait for `CHECKED_WAIT` only, and it tells all watchers of each
 answer (`store.store_contact`). A watcher that has heard of none for `PROBE_AGE` asks others by
-datagram; at `MAX_AGE` it takes its own call for lost and reads the store. The watchers do so one
-after the other, and the first that is answered tells the others and is checked from then on, until
-one that comes before it in the order of the duty is answered again. So the wait of every watcher
-ends by its own clock, whoever was to check and whatever has become of it.
+datagram; at `MAX_AGE` it takes its own call for lost and reads the store. The first `FIRST_TURNS`
+living watchers do so at once, one after the other, and the others later, so that a long silence
+costs few calls. Whoever is answered first tells the others and is checked from then on, until one
+that comes before it in the order of the duty is answered again. So the wait of every watcher ends
+by its own clock, whoever was to check and whatever has become of it.
 
-A watcher that hears of an answer after such a silence has a lost call too. It renews it within
+The first watchers that hear of an answer after such a silence renew their lost calls within
 `RENEWAL_SPREAD`, so that the next death of a checked watcher finds other watches open.
 """
 
@@ -31,10 +32,13 @@
 PROBE_AGE = 1.2  # soon after the answer of the checked watcher was due
 MAX_AGE = 1.5  # leaves the rest of a bound of two seconds for the read and for the peers
 TURN_STEP = 0.03  # between the turns of two watchers; more than the time of a read and a datagram
-TURN_STEPS = 8  # further watchers take turns at random within as much time again
+FIRST_TURNS = 4  # watchers that read at once; in as many domains, if there are
+# The others wait until the first ones have been answered, or are suspected of being dead.
+LATER_DELAY = 0.8
+LATER_STEP = 0.5
 RENEWAL_SPREAD = 1.0
 FRESH_AGE = HOP_TIME / 2  # at most, of an answer that the sender of a datagram has just got itself
-MIN_STEP = 0.02
+MIN_STEP, MAX_STEP = 0.02, 0.25  # between two looks at the state
 
 
 class WatchCheck:
@@ -50,7 +54,8 @@
         self._told_at = -inf  # boot time
         self._told_version = 0
         self._probed_for = -inf  # the newest answer, boot time, when others were asked for newer
-        self._turn: tuple[float, float] | None = None  # newest answer and own turn, boot times
+        self._turn_jitter = rng.random()
+        self._started_at = clock.boottime()
         self._renew_at = inf  # boot time
 
     @property
@@ -75,7 +80,8 @@
             return
         if age <= FRESH_AGE and self._duty.precedes(sender.name, self._membership.own.name):
             self._stands_in = False
-        if self.contact.newest - silence_began > MAX_AGE and self._renew_at == inf:
+        was_silent = self.contact.newest - silence_began > MAX_AGE
+        if was_silent and self._renew_at == inf and self.is_among_first:
             self._renew_at = self._clock.boottime() + RENEWAL_SPREAD * self._rng.random()
 
     @property
@@ -102,17 +108,21 @@
             pause = MAX_AGE - age
         else:
             pause = self._own_turn() - now
-        return max(MIN_STEP, min(pause, self._renew_at - now))
+        return max(MIN_STEP, min(pause, self._renew_at - now, MAX_STEP))
+
+    @property
+    def is_among_first(self) -> bool:
+        """Return whether this node is one of the few that read the store at once in a silence."""
+        return self._own_place() < FIRST_TURNS
 
     def _own_turn(self) -> float:
         """Return the boot time at which this node reads the store if nobody hears from it."""
-        newest = self.contact.newest
-        if self._turn is None or self._turn[0] != newest:
-            place = self._own_place()
-            steps = place if place < TURN_STEPS else TURN_STEPS * (1 + self._rng.random())
-            overdue_at = max(newest + MAX_AGE, self._clock.boottime())
-            self._turn = (newest, overdue_at + steps * TURN_STEP)
-        return self._turn[1]
+        place = self._own_place()
+        if place < FIRST_TURNS:
+            delay = place * TURN_STEP
+        else:
+            delay = LATER_DELAY + (place - FIRST_TURNS + self._turn_jitter) * LATER_STEP
+        return max(self.contact.newest, self._started_at) + MAX_AGE + delay
 
     def _own_place(self) -> int:
         """Return how many living watchers have their turn before this node.
