Watch check: the probes are named by their members

Cause: a comprehension over a mapping hid that names are probed. Change: plain names. Before and after: test_watch_check.py passes; the same members are probed.

--- a/packages/thorntray/src/thorntray/internal/store/watch_check.py
+++ b/packages/thorntray/src/thorntray/internal/store/watch_check.py
@@ -141,9 +141,10 @@
 
     def _probe_watchers(self) -> None:
         """Ping the first watcher and a random one, whose answers tell what they know."""
-        others = [m for m in self._duty.watchers() if m.name != self._membership.own.name]
-        for member in {m.name: m for m in [*others[:1], *self._rng.sample(others, bool(others))]}:
-            self._membership.probe_now(member)
+        own = self._membership.own.name
+        others = [member.name for member in self._duty.watchers() if member.name != own]
+        for name in {*others[:1], *self._rng.sample(others, min(1, len(others)))}:
+            self._membership.probe_now(name)
 
     def _tell(self, version: int) -> None:
         now = self._clock.boottime()
