--- a/tests/odd_values.py
+++ b/tests/odd_values.py
@@ -1,4 +1,4 @@
-"""Test data: values that readers take in more easily than they are sent, stored or computed with."""
+"""Test data: values that readers take in more easily than they are sent, stored or computed on."""
 
 import json
 
