--- a/tests/test_watch_check.py
+++ b/tests/test_watch_check.py
@@ -130,6 +130,7 @@
     while not check.is_overdue:
         clock.now += STEP
         waited += STEP
+        assert waited < 60.0
     return waited
 
 
