Nodes read the limits of their process: memory and sockets

Cause: the settings file names the memory at which a process is killed and the descriptors that it may open, and no component of a node knew them. Without limits in the settings nothing is bounded, as before.

--- a/packages/thorntray-node/src/thorntray_node/mesh_config.py
+++ b/packages/thorntray-node/src/thorntray_node/mesh_config.py
@@ -38,6 +38,8 @@
     # Seconds after which a withdrawn API key must be refused everywhere; None: without a bound.
     max_policy_age: float | None = None
     listen_host: str = ""  # bind address for peers; empty: `host`, the advertised one
+    memory_limit: int | None = None  # bytes above which the process is killed; None: unknown
+    descriptor_limit: int | None = None  # sockets that the process may open; None: unknown
 
     @property
     def bind_host(self) -> str:
@@ -68,6 +70,10 @@
         if self.max_policy_age is not None and not 0 < self.max_policy_age < inf:
             value = str(self.max_policy_age)
             faults.append(Fault("node", "max_policy_age", value, "give seconds above 0"))
+        for key in ("memory_limit", "descriptor_limit"):
+            value = getattr(self, key)
+            if value is not None and value <= 0:
+                faults.append(Fault("node", key, str(value), "give a number above 0, or none"))
         budget = self.budget
         if not (0 <= budget.ratio < inf and 0 <= budget.slack < inf and 0 < budget.window < inf):
             hint = "give a ratio and a slack of 0 or more, and a window above 0"
--- /dev/null
+++ b/packages/thorntray/src/thorntray/internal/process/memory_budget.py
@@ -0,0 +1,56 @@
+"""Bound on the bytes that a node holds for requests and answers.
+
+A process that exceeds its memory limit is killed, and every request that it has accepted is lost.
+Therefore the bytes are bounded before they are taken in: what does not fit is refused while it is
+certain that it has not run, or left unread with its sender.
+
+The bytes held are read from the components that hold them, so that nothing has to be given back.
+Components that hold many small buffers keep a running total.
+"""
+
+from collections.abc import Callable
+from enum import Enum
+
+PROGRAM_BYTES = 64 * 1024 * 1024  # code, policies, and state of hundreds of peers
+MIN_PAYLOAD_RATIO = 0.25  # least share of a small limit that is left for requests and answers
+COPIES = 2  # of a byte while it passes from one buffer into the next
+
+
+class Share(Enum):
+    """What bytes are taken in for; the value is the share of the budget that it may fill.
+
+    Answers to what was accepted come last to their limit, and requests that run at most once are
+    refused after those that may be repeated.
+    """
+
+    REPEATABLE_REQUEST = 0.5
+    REQUEST = 0.7
+    ANSWER = 1.0
+
+
+class MemoryBudget:
+    """The bytes that a process may hold for requests and answers; `limit` None: not bounded."""
+
+    def __init__(self, process_limit: int | None) -> None:
+        self.limit: int | None = None
+        if process_limit is not None:
+            payload = max(process_limit - PROGRAM_BYTES, int(process_limit * MIN_PAYLOAD_RATIO))
+            self.limit = payload // COPIES
+        self._sources: dict[str, Callable[[], int]] = {}
+
+    def add_source(self, kind: str, read_bytes: Callable[[], int]) -> None:
+        """Add a component that holds bytes of a kind."""
+        self._sources[kind] = read_bytes
+
+    def held_by_kind(self) -> dict[str, int]:
+        """Return the bytes held by kind."""
+        return {kind: read_bytes() for kind, read_bytes in self._sources.items()}
+
+    @property
+    def held(self) -> int:
+        """Return the bytes held by all components."""
+        return sum(read_bytes() for read_bytes in self._sources.values())
+
+    def has_room(self, count: int, share: Share) -> bool:
+        """Return whether `count` more bytes may be taken in."""
+        return self.limit is None or self.held + count <= self.limit * share.value
--- a/tests/test_odd_documents.py
+++ b/tests/test_odd_documents.py
@@ -231,8 +231,11 @@
         ("GraceS = 6", "GraceS = nan"),
         ("BudgetWindowS = 10", "BudgetWindowS = 0"),
         ("BudgetSlack = 48", "BudgetSlack = -1"),
+        ('Ip = "10.1.0.8"', 'Ip = "10.1.0.8"\nLimits = { MemoryMb = -1 }'),
+        ('Ip = "10.1.0.8"', 'Ip = "10.1.0.8"\nLimits = { MaxFds = 100 }'),
+        ('Ip = "10.1.0.8"', 'Ip = "10.1.0.8"\nLimits = { MaxFds = "many" }'),
     ],
-    ids=lambda text: text[:30],
+    ids=lambda text: text[-40:],
 )
 def test_a_settings_file_with_an_odd_value_is_refused_with_a_clear_error(sound, odd, tmp_path):
     """Guards against a node that ends, or reads no settings any more, for one odd value."""
@@ -242,3 +245,14 @@
         read_settings(path)
     path.write_text(SETTINGS, "utf-8")
     assert read_settings(path).mesh.name == "n"
+
+
+def test_the_limits_of_the_process_are_read_from_the_settings_file(tmp_path):
+    path = tmp_path / "boot.toml"
+    limits = 'Ip = "10.1.0.8"\nLimits = { MemoryMb = 300, MaxFds = 4100 }'
+    path.write_text(SETTINGS.replace('Ip = "10.1.0.8"', limits), "utf-8")
+    cfg = read_settings(path).mesh
+    assert (cfg.memory_limit, cfg.descriptor_limit) == (300_000_000, 3900)
+    path.write_text(SETTINGS, "utf-8")
+    cfg = read_settings(path).mesh
+    assert (cfg.memory_limit, cfg.descriptor_limit) == (None, None)
