An answer of an instance is passed on when the retry after it ends without one

What callers saw: 502, 503 or 504 of the node's own, although an instance had answered their request. Cause: a lookup that an instance answers with a server error is sent to another instance; the answer was dropped at that moment. If the retry found no instance, was refused, got no answer, or was cut by the deadline or the end of a stop, the node answered with an error of its own. Change: the origin keeps the newest failure that an instance has answered and finishes with it if nothing better comes. A refusal is still reported as not run only if no attempt arrived.

--- a/packages/thorntray/src/thorntray/internal/request/origin_request.py
+++ b/packages/thorntray/src/thorntray/internal/request/origin_request.py
@@ -3,6 +3,9 @@
 If any attempt may have run the request, the request is never reported as not run, whatever the
 results of later attempts are. A non-idempotent request is retried only if it is proven that no
 attempt ran it.
+
+A failure that an instance has answered is kept while the request is retried, and passed on if the
+retry ends without an answer: an answer that was received is owed to the caller.
 """
 
 import asyncio
@@ -75,6 +78,7 @@
         "return_after",
         "fingerprint",
         "suspected",
+        "kept_answer",
     )
 
     def __init__(
@@ -118,6 +122,7 @@
         self.finished = False
         self.fingerprint: int | None = None  # only while there are suspects
         self.suspected = False  # whether an instance had crashed with it before the last send
+        self.kept_answer: Result | None = None  # newest failure answered, while it is retried
 
     def start(self) -> None:
         """Decide on admission and start the first attempt."""
@@ -181,7 +186,7 @@
         """End the request because this node stops, as not run only if that is certain."""
         sent = self._cancel_attempt()
         if sent or self.maybe_ran:
-            self.finish(unknown(Cause.DRAINING))
+            self._finish_unknown(Cause.DRAINING)
         else:
             self.finish(not_run(Cause.DRAINING, STOPPING_RETRY_AFTER))
 
@@ -192,6 +197,10 @@
         self._mark_finished(result)
         self.exchange.respond(*self._http_answer(result))
 
+    def _finish_unknown(self, cause: Cause) -> None:
+        """End the request without a further answer."""
+        self.finish(self.kept_answer or unknown(cause))
+
     def _mark_finished(self, result: Result) -> None:
         self.finished = True
         self.context.active.discard(self)
@@ -381,8 +390,10 @@
         self._record_result(member, result, now)
         if result.kind is ResultKind.ANSWERED and not self._should_retry_answer(result):
             self.finish(result)
-        else:
-            self._handle_failed_attempt(result, now)
+            return
+        if result.kind is ResultKind.ANSWERED:
+            self.kept_answer = result
+        self._handle_failed_attempt(result, now)
 
     def _record_result(self, member: Member, result: Result, now: float) -> None:
         deps = self.context.deps
@@ -458,9 +469,10 @@
         return paid
 
     def _give_up(self, result: Result) -> None:
-        if result.kind is ResultKind.NOT_RUN and self.maybe_ran:
-            result = unknown(result.cause)
-        elif result.kind is ResultKind.NOT_RUN:
+        if result.kind is not ResultKind.ANSWERED and self.maybe_ran:
+            self._finish_unknown(result.cause)
+            return
+        if result.kind is ResultKind.NOT_RUN:
             usual = result.retry_after or self.route.target_latency / 4
             result = result._replace(retry_after=max(usual, self.return_after or 0.0))
         self.finish(result)
@@ -474,7 +486,7 @@
         self.timer = None
         sent = self._cancel_attempt()
         if sent or self.maybe_ran:
-            self.finish(unknown(Cause.EXPIRED))
+            self._finish_unknown(Cause.EXPIRED)
         else:
             self.finish(not_run(Cause.EXPIRED, self.route.target_latency / 4))
 
