Connections hold no bodies that were passed on, and large ones are not copied

Seen: the node where 150 bodies of 900 KB arrive peaks at 451 to 500 MB.

Cause: a caller's connection keeps the received parts of a body after they were joined, until its next request, so each pending request is held twice and each kept connection holds one body of a request that was answered. The connections to the instance do the same with answers. Heads and bodies are joined for one write, which copies the body once more.

Change: the parts are given up when they are joined (IncomingRequest, which also holds the other state of a request that is being received); heads and bodies above 64 KiB are written separately, which the transport sends without a copy.

--- a/packages/thorntray/src/thorntray/internal/connection/http_server.py
+++ b/packages/thorntray/src/thorntray/internal/connection/http_server.py
@@ -22,19 +22,19 @@
 import httptools
 
 from thorntray.internal.connection.connection_end import Linger, OutputProgress
+from thorntray.internal.connection.request_bodies import Header, IncomingRequest
 from thorntray.internal.process.clock import Clock
 from thorntray.internal.telemetry.events import log_handler_failure
 
 MAX_PIPELINED = 32  # pending requests on one connection at which reading pauses
 TIMEOUT_CHECK_PERIOD = 0.5  # seconds between checks for slow and idle connections
 LISTEN_BACKLOG = 1024  # connections waiting to be accepted
+COPIED_BODY_BYTES = 64 * 1024  # largest body that is copied into one write with its head
 
 _REASON_PHRASES = {status.value: status.phrase.encode() for status in HTTPStatus}
 _METHODS_WITHOUT_BODY = frozenset({b"GET", b"HEAD", b"DELETE", b"OPTIONS"})
 _CONTINUE = b"HTTP/1.1 100 Continue\r\n\r\n"
 
-Header = tuple[bytes, bytes]
-
 
 class ClosedBy(Enum):
     """Who ended a connection on which a response was still owed."""
@@ -97,11 +97,15 @@
             self._body = body
         self._connection.flush()
 
-    def encode_response(self, keep_alive: bool) -> bytes:
-        """Return the bytes of the response; it must have been set."""
+    def write_response(self, transport: asyncio.Transport, keep_alive: bool) -> None:
+        """Write the response; it must have been set."""
         assert self._head is not None
-        end = b"\r\n" if keep_alive else b"Connection: close\r\n\r\n"
-        return b"".join((self._head, end, self._body))
+        head = self._head + (b"\r\n" if keep_alive else b"Connection: close\r\n\r\n")
+        if len(self._body) <= COPIED_BODY_BYTES:
+            transport.write(head + self._body)
+        else:
+            transport.write(head)
+            transport.write(self._body)
 
 
 ExchangeHandler = Callable[[Exchange], None]
@@ -181,7 +185,7 @@
         self._writing_paused = False
         self._linger: Linger | None = None  # once the output has ended
         self._output_progress = OutputProgress(server.clock.monotonic())
-        self._reset_message()
+        self._incoming = IncomingRequest()
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Register the connection with the server."""
@@ -217,29 +221,27 @@
     # Called by the parser.
 
     def on_message_begin(self) -> None:
-        """Reset the state for a new request."""
+        """Start a new request."""
         self._receiving_since = self.server.clock.monotonic()
-        self._reset_message()
+        self._incoming = IncomingRequest()
 
     def on_url(self, target: bytes) -> None:
         """Append a part of the request target."""
-        self._target += target
+        self._incoming.target += target
 
     def on_header(self, name: bytes, value: bytes) -> None:
         """Add one header field."""
-        self._header_bytes += len(name) + len(value) + 4
         if self._last_request_read:
             return
-        if self._header_bytes > self.server.limits.header_bytes:
+        self._incoming.add_header(name, value)
+        if self._incoming.header_bytes > self.server.limits.header_bytes:
             self._reject(431)
-            return
-        self._headers.append((name, value))
 
     def on_headers_complete(self) -> None:
         """Send `100 Continue` to a caller that expects it."""
         if self._last_request_read or self._parser.get_method() in _METHODS_WITHOUT_BODY:
             return
-        for name, value in self._headers:
+        for name, value in self._incoming.headers:
             if name.lower() == b"expect" and value.lower() == b"100-continue":
                 if not self.pending and self._transport is not None:
                     self._transport.write(_CONTINUE)
@@ -248,19 +250,18 @@
         """Append a part of the body."""
         if self._last_request_read:
             return
-        self._body_bytes += len(body)
-        if self._body_bytes > self.server.limits.body_bytes:
+        self._incoming.add_body(body)
+        if self._incoming.body_bytes > self.server.limits.body_bytes:
             self._reject(413)
-            return
-        self._body.append(body)
 
     def on_message_complete(self) -> None:
         """Pass the complete request to the handler."""
         if self._last_request_read:
             return
         self._receiving_since = None
-        body = b"".join(self._body)
-        request = HttpRequest(self._parser.get_method(), self._target, self._headers, body)
+        target, headers = self._incoming.target, self._incoming.headers
+        body = self._incoming.take_body()
+        request = HttpRequest(self._parser.get_method(), target, headers, body)
         exchange = Exchange(self, request)
         exchange.keep_alive = self._parser.should_keep_alive()
         self.server.requests_read += 1
@@ -290,7 +291,7 @@
             # server is shutting down only the response to the last request read may be one.
             last = exchange.last or (self.server.closing and not self.pending)
             keep_alive = exchange.keep_alive and not last
-            transport.write(exchange.encode_response(keep_alive))
+            exchange.write_response(transport, keep_alive)
             if not keep_alive:
                 self._last_request_read = True
                 self._cancel_pending(ClosedBy.NODE)
@@ -347,7 +348,8 @@
     def _reject(self, status: int) -> None:
         """Respond to a request that was not fully read, and close the connection afterwards."""
         self._last_request_read = True
-        request = HttpRequest(b"GET", self._target, [], b"")
+        request = HttpRequest(b"GET", self._incoming.target, [], b"")
+        self._incoming.take_body()
         exchange = Exchange(self, request)
         exchange.last = True
         self.pending.append(exchange)
@@ -385,10 +387,3 @@
             transport.pause_reading()
         else:
             transport.resume_reading()
-
-    def _reset_message(self) -> None:
-        self._target = b""
-        self._headers: list[Header] = []
-        self._header_bytes = 0
-        self._body: list[bytes] = []
-        self._body_bytes = 0
--- a/packages/thorntray/src/thorntray/internal/connection/instance_pool.py
+++ b/packages/thorntray/src/thorntray/internal/connection/instance_pool.py
@@ -79,7 +79,12 @@
         return not (self.closed or self._transport is None or self._transport.is_closing())
 
     def send(
-        self, data: bytes, request_id: bytes, head_only: bool, on_response: ResponseHandler
+        self,
+        data: bytes,
+        request_id: bytes,
+        head_only: bool,
+        on_response: ResponseHandler,
+        body: bytes = b"",
     ) -> None:
         """Write a request; `on_response` is called with its response or the fault."""
         assert self._transport is not None
@@ -88,6 +93,8 @@
         self._head_only = head_only
         self._bounds.begin()
         self._transport.write(data)
+        if body:
+            self._transport.write(body)
 
     def abort(self) -> None:
         """Close the connection at once without calling the request's handler."""
@@ -181,8 +188,9 @@
         self._reusable = reusable
         if self._keep_alive is not None:
             self.idle_timeout = _idle_timeout_from(self._keep_alive)
+        parts, self._body = self._body, []
         self._response = InstanceResponse(
-            self._parser.get_status_code(), self._headers, b"".join(self._body)
+            self._parser.get_status_code(), self._headers, b"".join(parts)
         )
 
     def _deliver(self) -> None:
@@ -283,9 +291,11 @@
         method: bytes,
         fresh_only: bool,
         on_response: ResponseHandler,
+        body: bytes = b"",
     ) -> PendingSend:
         """Send a request; `on_response` is called with its response or the fault.
 
+        `data` is the head with a small body, or without a large one, which `body` holds then.
         With `fresh_only`, only a connection used within `FRESH_PERIOD` or a new one is used.
         """
         pending_send = PendingSend()
@@ -293,9 +303,11 @@
         connection = self._acquire(fresh_only)
         if connection is not None:
             pending_send.connection = connection
-            connection.send(data, request_id, head_only, on_response)
+            connection.send(data, request_id, head_only, on_response, body)
             return pending_send
-        connect = self._connect_and_send(pending_send, data, request_id, head_only, on_response)
+        connect = self._connect_and_send(
+            pending_send, data, request_id, head_only, on_response, body
+        )
         pending_send.connecting = asyncio.ensure_future(connect)
         return pending_send
 
@@ -351,6 +363,7 @@
         request_id: bytes,
         head_only: bool,
         on_response: ResponseHandler,
+        body: bytes,
     ) -> None:
         loop = asyncio.get_running_loop()
         self.connections_opened += 1
@@ -371,4 +384,4 @@
             on_response(ResponseFault.UNREACHABLE)
             return
         pending_send.connection = connection
-        connection.send(data, request_id, head_only, on_response)
+        connection.send(data, request_id, head_only, on_response, body)
--- a/packages/thorntray/src/thorntray/internal/request/owner.py
+++ b/packages/thorntray/src/thorntray/internal/request/owner.py
@@ -12,6 +12,7 @@
 
 from thorntray.internal.connection.frame import CallFrame
 from thorntray.internal.connection.header_names import HeaderNames
+from thorntray.internal.connection.http_server import COPIED_BODY_BYTES
 from thorntray.internal.connection.instance_pool import (
     InstancePool,
     InstanceResponse,
@@ -134,14 +135,20 @@
         request.run = deps.running.begin(
             now + budget_ms / 1000, call.worth, call.request_id, call.workspace
         )
-        data = self._request_bytes(call, budget_ms)
+        data = self._request_head(call, budget_ms)
+        large_body = call.body if len(call.body) > COPIED_BODY_BYTES else b""
         request.timer = asyncio.get_running_loop().call_later(
             budget_ms / 1000 + EXPIRY_GRACE, self._on_expiry, request
         )
         self.sends["nested" if call.nested else "root"] += 1
         deps.rate_limit.record_send(now)
         request.instance_call = deps.pool.send(
-            data, call.request_id, call.method, not call.idempotent, self._response_handler(request)
+            data if large_body else data + call.body,
+            call.request_id,
+            call.method,
+            not call.idempotent,
+            self._response_handler(request),
+            large_body,
         )
 
     @property
@@ -216,7 +223,7 @@
         distinct = self.deps.running.distinct_expiry(expiry, MAX_EXPIRY_STEPS)
         return max(1, int((distinct - now) * 1000))
 
-    def _request_bytes(self, call: CallFrame, budget_ms: int) -> bytes:
+    def _request_head(self, call: CallFrame, budget_ms: int) -> bytes:
         names = self.deps.names
         current = self.deps.registration.current
         instance_id = current.instance_id.encode() if current is not None else b""
@@ -230,7 +237,6 @@
         if call.body or call.method in _BODY_METHODS:
             chunks.append(b"Content-Length: %d\r\n" % len(call.body))
         chunks.append(b"\r\n")
-        chunks.append(call.body)
         return b"".join(chunks)
 
     def _response_handler(
