A request whose head or framing has no end is refused with 431

Seen: nothing by callers; a caller may send a URL, one header field, an extension of a chunk or a trailer of any length, and the parser keeps all of it until the element is complete.

Cause: the limit on header bytes is applied to complete fields, and not at all to the URL.

Change: the bytes received beside the body are counted for each request (IncomingRequest), as ResponseBounds does for answers. The read in which a request begins is not counted, since it may hold many requests; so at most one read is taken beyond the limit.

--- a/packages/thorntray/src/thorntray/internal/connection/http_server.py
+++ b/packages/thorntray/src/thorntray/internal/connection/http_server.py
@@ -200,6 +200,8 @@
             self._linger.record_input(self.server.clock.monotonic())
         if self._last_request_read:
             return
+        incoming = self._incoming
+        incoming.add_received(len(data))
         try:
             self._parser.feed_data(data)
         except httptools.HttpParserUpgrade:
@@ -207,6 +209,9 @@
         except httptools.HttpParserError:
             if not self._last_request_read:
                 self._reject(400)
+        if incoming is self._incoming and incoming.has_excess(self.server.limits.header_bytes):
+            if not self._last_request_read:
+                self._reject(431)
 
     def connection_lost(self, exc: Exception | None) -> None:
         """Cancel pending requests, since their caller has disconnected."""
--- a/tests/test_kept_buffers.py
+++ b/tests/test_kept_buffers.py
@@ -78,7 +78,6 @@
         data = b"GET /x HTTP/1.1\r\nThorntray-Request-Id: id-1\r\n\r\n"
         pool.send(data, b"id-1", b"GET", False, lambda r: end.set_result(len(r.body)))
         assert await end == BODY_BYTES
-        del end
         await asyncio.sleep(0.05)
         connection = pool._idle[0]
         held = sum(map(len, connection._body)) + len(getattr(connection._response, "body", b""))
