The bytes that requests and answers hold are counted, in one budget of the process

Cause: nothing in a node knows how many bytes it holds for requests, so nothing can refuse them before the platform kills the process.

Change: running totals of the requests of callers (head and announced body, from the end of the head until the answer is known), of the answers that callers have not taken, of calls held at the owner, and of answers that are being received. A body counts once for each node: at its caller's connection or, for a call of a peer or one whose caller has left, at the owner. MeshNode.memory adds them up; the gauges thorntray_held_bytes and thorntray_memory_budget_bytes show them.

--- a/packages/thorntray-node/src/thorntray_node/mesh_gauges.py
+++ b/packages/thorntray-node/src/thorntray_node/mesh_gauges.py
@@ -11,6 +11,7 @@
 from thorntray.internal.overload.rate_limit import RateLimit
 from thorntray.internal.overload.retry_budget import RetryBudget
 from thorntray.internal.overload.slot_queue import SlotQueue
+from thorntray.internal.process.memory_budget import MemoryBudget
 from thorntray.internal.request.owner import Owner
 from thorntray.internal.request.quotas import Quotas
 from thorntray.internal.store.policy_watch import PolicyWatch
@@ -35,6 +36,7 @@
     quotas: Quotas
     pool: InstancePool
     budget: RetryBudget
+    memory: MemoryBudget
 
 
 def _or_minus_one(value: float | None) -> float:
@@ -74,11 +76,13 @@
         "thorntray_quota_asks": lambda: node.quotas.asks_sent,
         "thorntray_quota_coordinated": lambda: node.quotas.coordinated,
         "thorntray_instance_connections": lambda: node.pool.connections_opened,
+        "thorntray_memory_budget_bytes": lambda: _or_minus_one(node.memory.limit),
     }
     for name, read_gauge in gauges.items():
         node.metrics.add_gauge(name, read_gauge)
     node.metrics.add_labelled_gauge(
         "thorntray_instance_sends", "kind", lambda: dict(node.owner.sends)
     )
+    node.metrics.add_labelled_gauge("thorntray_held_bytes", "kind", node.memory.held_by_kind)
     node.metrics.add_labelled_gauge("thorntray_quota_refusals", "workspace", node.quotas.refusals)
     node.metrics.add_labelled_gauge("thorntray_repeat_budget", "service", node.budget.remaining)
--- a/packages/thorntray-node/src/thorntray_node/mesh_node.py
+++ b/packages/thorntray-node/src/thorntray_node/mesh_node.py
@@ -6,8 +6,9 @@
 
 from absl import logging
 
+from thorntray.internal.connection.exchange import Exchange
 from thorntray.internal.connection.frame import CallFrame, Frame
-from thorntray.internal.connection.http_server import ClosedBy, Exchange, HttpServer
+from thorntray.internal.connection.http_server import ClosedBy, HttpServer
 from thorntray.internal.connection.instance_pool import InstancePool
 from thorntray.internal.connection.link import LinkListener, Links
 from thorntray.internal.membership.crash_reports import CrashReports
@@ -29,6 +30,7 @@
 from thorntray.internal.overload.slot_queue import SlotQueue
 from thorntray.internal.process.clock import Clock
 from thorntray.internal.process.drain import Drain
+from thorntray.internal.process.memory_budget import MemoryBudget
 from thorntray.internal.process.pauses import Pauses, varied_factors
 from thorntray.internal.process.registration import Registration
 from thorntray.internal.process.tasks import BackgroundTasks
@@ -95,6 +97,7 @@
         self._store_keys = store_keys
         self._decode_policy = decode_policy
         self._session = rng.randbytes(SESSION_BYTES)
+        self.memory = MemoryBudget(cfg.memory_limit)
         self._tasks = BackgroundTasks()
         self.departures: Departures | None = None  # None before the start
         self._create_owner_components()
@@ -262,6 +265,7 @@
         self.origin = Origin(self._origin_dependencies())
         self.callers = HttpServer(self.origin.handle, self.clock)
         self.callers.on_unanswered = self._request_unanswered
+        self._add_memory_sources()
         self.readiness = HttpServer(self._answer_readiness, self.clock)
         self.announcements = HttpServer(announcements, self.clock)
         await self.callers.start(*cfg.callers)
@@ -294,6 +298,13 @@
             self._tasks.spawn(server.sweep())
         log_event(Event.STARTED, service=cfg.service, domain=cfg.domain)
 
+    def _add_memory_sources(self) -> None:
+        memory, held = self.memory, self.callers.held
+        memory.add_source("requests", lambda: held.requests)
+        memory.add_source("answers", held.unsent)
+        memory.add_source("calls", lambda: self.owner.held_bytes)
+        memory.add_source("instance_answers", lambda: self.pool.held.total)
+
     def _create_freshness_check(self, duty: WatchDuty) -> None:
         watch = self.policy_watch
         self.freshness_check = watch.evidence = FreshnessCheck(
--- a/packages/thorntray/src/thorntray/internal/connection/http_server.py
+++ b/packages/thorntray/src/thorntray/internal/connection/http_server.py
@@ -22,16 +22,15 @@
 import httptools
 
 from thorntray.internal.connection.connection_end import Linger, OutputProgress
-from thorntray.internal.connection.request_bodies import Header, IncomingRequest
+from thorntray.internal.connection.exchange import Exchange, HttpRequest
+from thorntray.internal.connection.request_bodies import HeldBytes, IncomingRequest
 from thorntray.internal.process.clock import Clock
 from thorntray.internal.telemetry.events import log_handler_failure
 
 MAX_PIPELINED = 32  # pending requests on one connection at which reading pauses
 TIMEOUT_CHECK_PERIOD = 0.5  # seconds between checks for slow and idle connections
 LISTEN_BACKLOG = 1024  # connections waiting to be accepted
-COPIED_BODY_BYTES = 64 * 1024  # largest body that is copied into one write with its head
 
-_REASON_PHRASES = {status.value: status.phrase.encode() for status in HTTPStatus}
 _METHODS_WITHOUT_BODY = frozenset({b"GET", b"HEAD", b"DELETE", b"OPTIONS"})
 _CONTINUE = b"HTTP/1.1 100 Continue\r\n\r\n"
 
@@ -53,61 +52,6 @@
     idle_timeout: float = 60.0
 
 
-class HttpRequest(NamedTuple):
-    """A complete request as received. Header names keep the caller's case."""
-
-    method: bytes
-    target: bytes
-    headers: list[Header]
-    body: bytes
-
-
-class Exchange:
-    """One request on a connection and its response."""
-
-    __slots__ = ("request", "on_cancel", "_connection", "_head", "_body", "keep_alive", "last")
-
-    def __init__(self, connection: "HttpServerConnection", request: HttpRequest) -> None:
-        self.request = request
-        self.on_cancel: Callable[[], None] | None = None  # called when no response can be sent
-        self.keep_alive = True  # whether the caller keeps the connection open
-        self.last = False  # whether the server ends the connection with the response
-        self._connection = connection
-        self._head: bytes | None = None  # without the Connection field
-        self._body = b""
-
-    @property
-    def peer_host(self) -> str:
-        """Return the IP address of the caller, empty if it is unknown."""
-        return self._connection.peer_host
-
-    @property
-    def responded(self) -> bool:
-        """Return whether a response was set."""
-        return self._head is not None
-
-    def respond(self, status: int, header_lines: bytes, body: bytes) -> None:
-        """Set the response, sent after those of earlier requests. Later calls are ignored."""
-        if self._head is not None:
-            return
-        reason = _REASON_PHRASES.get(status, b"Unknown")
-        self._head = b"HTTP/1.1 %d %b\r\n%b" % (status, reason, header_lines)
-        if self.request.method != b"HEAD":
-            self._head += b"Content-Length: %d\r\n" % len(body)
-            self._body = body
-        self._connection.flush()
-
-    def write_response(self, transport: asyncio.Transport, keep_alive: bool) -> None:
-        """Write the response; it must have been set."""
-        assert self._head is not None
-        head = self._head + (b"\r\n" if keep_alive else b"Connection: close\r\n\r\n")
-        if len(self._body) <= COPIED_BODY_BYTES:
-            transport.write(head + self._body)
-        else:
-            transport.write(head)
-            transport.write(self._body)
-
-
 ExchangeHandler = Callable[[Exchange], None]
 UnansweredHandler = Callable[[Exchange, ClosedBy], None]
 
@@ -123,6 +67,7 @@
         self.handler = handler
         self.clock = clock
         self.limits = RequestLimits()
+        self.held = HeldBytes()
         self.closing = False
         self.connections: set[HttpServerConnection] = set()
         self.requests_read = 0  # complete requests, since the start
@@ -174,6 +119,7 @@
 
     def __init__(self, server: HttpServer) -> None:
         self.server = server
+        self.held = server.held
         self.pending: deque[Exchange] = deque()
         self.peer_host = ""  # IP address of the caller
         self._transport: asyncio.Transport | None = None
@@ -216,6 +162,8 @@
     def connection_lost(self, exc: Exception | None) -> None:
         """Cancel pending requests, since their caller has disconnected."""
         self.server.connections.discard(self)
+        self.held.slow.discard(self._transport)
+        self.held.release(self._incoming)
         self._cancel_pending(ClosedBy.CALLER)
 
     @property
@@ -244,7 +192,11 @@
 
     def on_headers_complete(self) -> None:
         """Send `100 Continue` to a caller that expects it."""
-        if self._last_request_read or self._parser.get_method() in _METHODS_WITHOUT_BODY:
+        if self._last_request_read:
+            return
+        incoming = self._incoming
+        self.held.hold(incoming, incoming.header_bytes + incoming.content_length)
+        if self._parser.get_method() in _METHODS_WITHOUT_BODY:
             return
         for name, value in self._incoming.headers:
             if name.lower() == b"expect" and value.lower() == b"100-continue":
@@ -258,6 +210,10 @@
         self._incoming.add_body(body)
         if self._incoming.body_bytes > self.server.limits.body_bytes:
             self._reject(413)
+            return
+        beyond = self._incoming.unannounced_bytes
+        if beyond > 0:
+            self.held.hold(self._incoming, beyond)
 
     def on_message_complete(self) -> None:
         """Pass the complete request to the handler."""
@@ -268,6 +224,7 @@
         body = self._incoming.take_body()
         request = HttpRequest(self._parser.get_method(), target, headers, body)
         exchange = Exchange(self, request)
+        self.held.hand_over(self._incoming, exchange)
         exchange.keep_alive = self._parser.should_keep_alive()
         self.server.requests_read += 1
         self.pending.append(exchange)
@@ -291,12 +248,14 @@
             exchange = self.pending.popleft()
             self._last_active_at = self.server.clock.monotonic()
             if transport is None or transport.is_closing():
+                exchange.release_response()
                 continue
             # A closing response ends the connection for all requests behind it, so while the
             # server is shutting down only the response to the last request read may be one.
             last = exchange.last or (self.server.closing and not self.pending)
             keep_alive = exchange.keep_alive and not last
             exchange.write_response(transport, keep_alive)
+            exchange.release_response()
             if not keep_alive:
                 self._last_request_read = True
                 self._cancel_pending(ClosedBy.NODE)
@@ -320,11 +279,13 @@
     def pause_writing(self) -> None:
         """Stop reading requests from a caller that does not read its responses."""
         self._writing_paused = True
+        self.held.slow.add(self._transport)
         self._update_reading()
 
     def resume_writing(self) -> None:
         """Resume reading when the write buffer has drained."""
         self._writing_paused = False
+        self.held.slow.discard(self._transport)
         self._update_reading()
 
     def enforce_timeouts(self, now: float) -> None:
@@ -355,6 +316,7 @@
         self._last_request_read = True
         request = HttpRequest(b"GET", self._incoming.target, [], b"")
         self._incoming.take_body()
+        self.held.release(self._incoming)
         exchange = Exchange(self, request)
         exchange.last = True
         self.pending.append(exchange)
@@ -374,6 +336,8 @@
             self.server.on_unanswered(exchange, closed_by)
             if not exchange.responded and exchange.on_cancel is not None:
                 exchange.on_cancel()
+            exchange.release_request()
+            exchange.release_response()
 
     def _update_reading(self) -> None:
         """Read unless the caller has too many pending requests or does not read its responses.
--- a/packages/thorntray/src/thorntray/internal/connection/instance_pool.py
+++ b/packages/thorntray/src/thorntray/internal/connection/instance_pool.py
@@ -19,7 +19,7 @@
 import httptools
 
 from thorntray.internal.connection.header_names import FieldClassifier, FieldKind
-from thorntray.internal.connection.http_server import Header
+from thorntray.internal.connection.request_bodies import Header
 from thorntray.internal.connection.response_bounds import HeldBodies, ResponseBounds
 from thorntray.internal.process.clock import Clock
 from thorntray.internal.telemetry.events import log_handler_failure
--- a/packages/thorntray/src/thorntray/internal/connection/request_bodies.py
+++ b/packages/thorntray/src/thorntray/internal/connection/request_bodies.py
@@ -1,7 +1,11 @@
 """A request of a caller while it is received, and the bytes that requests and answers hold."""
 
+import asyncio
+from typing import Protocol
+
 Header = tuple[bytes, bytes]
 
+_CONTENT_LENGTH = b"content-length"
 FIELD_SEPARATOR_BYTES = 4  # colon, space and line end of a header field
 # The parser reports a field, an extension of a chunk and a trailer only when they are complete.
 # What was received for them is bounded instead; it includes the framing of a chunked body.
@@ -12,13 +16,16 @@
 class IncomingRequest:
     """The parts of one request that have been received so far."""
 
-    __slots__ = ("target", "headers", "header_bytes", "body_bytes", "_body_parts", "_received")
+    __slots__ = ("target", "headers", "header_bytes", "body_bytes", "content_length")
+    __slots__ += ("held_bytes", "_body_parts", "_received")
 
     def __init__(self) -> None:
         self.target = b""
         self.headers: list[Header] = []
         self.header_bytes = 0
         self.body_bytes = 0
+        self.content_length = 0  # 0 also for a body whose length is not announced
+        self.held_bytes = 0  # counted in `HeldBytes`
         self._body_parts: list[bytes] = []
         self._received = 0  # bytes, without the read in which the request began
 
@@ -36,6 +43,14 @@
         """Add one header field."""
         self.header_bytes += len(name) + len(value) + FIELD_SEPARATOR_BYTES
         self.headers.append((name, value))
+        if len(name) == len(_CONTENT_LENGTH) and name.lower() == _CONTENT_LENGTH:
+            digits = value.strip()
+            self.content_length = int(digits) if digits.isdigit() else 0
+
+    @property
+    def unannounced_bytes(self) -> int:
+        """Return the bytes that were received and are not counted yet (a chunked body)."""
+        return self.header_bytes + self.body_bytes - self.held_bytes
 
     def add_body(self, part: bytes) -> None:
         """Append a part of the body."""
@@ -46,3 +61,44 @@
         """Return the whole body, which is no longer held here."""
         parts, self._body_parts = self._body_parts, []
         return b"".join(parts)
+
+
+class Holder(Protocol):
+    """Something whose bytes are counted in `HeldBytes`."""
+
+    held_bytes: int
+
+
+class HeldBytes:
+    """Bytes that the requests of a server's callers hold, and their answers.
+
+    A request counts with its head and the announced length of its body from the end of its head
+    until its answer is known. An answer counts until the transport has taken it; what transports
+    hold is counted for callers that are slower than their answers.
+    """
+
+    def __init__(self) -> None:
+        self.requests = 0
+        self.answers = 0
+        self.slow: set[asyncio.Transport] = set()  # transports above their high-water mark
+
+    def hold(self, holder: Holder, count: int) -> None:
+        """Count bytes of a request."""
+        holder.held_bytes += count
+        self.requests += count
+
+    def release(self, holder: Holder) -> None:
+        """Record that the bytes of a request are no longer held."""
+        self.requests -= holder.held_bytes
+        holder.held_bytes = 0
+
+    def hand_over(self, holder: Holder, successor: Holder) -> None:
+        """Count the bytes of a request for another object."""
+        successor.held_bytes, holder.held_bytes = holder.held_bytes, 0
+
+    def unsent(self) -> int:
+        """Return the bytes of answers that callers have not taken."""
+        if not self.slow:
+            return self.answers
+        buffered = sum(transport.get_write_buffer_size() for transport in self.slow)
+        return self.answers + buffered
--- a/packages/thorntray/src/thorntray/internal/request/origin.py
+++ b/packages/thorntray/src/thorntray/internal/request/origin.py
@@ -5,8 +5,8 @@
 from a caller that may not call, or exceed the quota of its workspace are answered here.
 """
 
+from thorntray.internal.connection.exchange import Exchange
 from thorntray.internal.connection.header_names import FieldClassifier, FieldKind
-from thorntray.internal.connection.http_server import Exchange
 from thorntray.internal.overload.call_parents import CallSender
 from thorntray.internal.request.caller_identity import IdentityRefusal
 from thorntray.internal.request.origin_context import (
--- a/packages/thorntray/src/thorntray/internal/request/origin_request.py
+++ b/packages/thorntray/src/thorntray/internal/request/origin_request.py
@@ -7,8 +7,8 @@
 
 import asyncio
 
+from thorntray.internal.connection.exchange import Exchange
 from thorntray.internal.connection.frame import CallFrame, ResultFrame
-from thorntray.internal.connection.http_server import Exchange
 from thorntray.internal.connection.link import Link
 from thorntray.internal.membership.member import Member
 from thorntray.internal.overload.call_parents import RunningRequest
@@ -18,7 +18,7 @@
 from thorntray.internal.overload.worth import Priority
 from thorntray.internal.request.fingerprint import fingerprint
 from thorntray.internal.request.origin_context import OriginContext, RequestHead
-from thorntray.internal.request.owner_request import OwnerRequest
+from thorntray.internal.request.owner_request import LOCAL_CALL_NUMBER, OwnerRequest
 from thorntray.internal.request.result import (
     NO_REPORT,
     Cause,
@@ -302,7 +302,7 @@
 
         if member.name == deps.own_name:
             self.link = None
-            call = self._call_frame(0, now)
+            call = self._call_frame(LOCAL_CALL_NUMBER, now)
             self.owner_request = deps.owner.submit(
                 call, lambda r: self._on_result(attempt, member, r)
             )
--- a/packages/thorntray/src/thorntray/internal/request/owner.py
+++ b/packages/thorntray/src/thorntray/internal/request/owner.py
@@ -10,9 +10,9 @@
 from collections.abc import Callable
 from typing import NamedTuple
 
+from thorntray.internal.connection.exchange import COPIED_BODY_BYTES
 from thorntray.internal.connection.frame import CallFrame
 from thorntray.internal.connection.header_names import HeaderNames
-from thorntray.internal.connection.http_server import COPIED_BODY_BYTES
 from thorntray.internal.connection.instance_pool import (
     InstancePool,
     InstanceResponse,
@@ -30,7 +30,12 @@
 from thorntray.internal.request.crash_watch import CrashWatch
 from thorntray.internal.request.instance_answers import AnswerReader
 from thorntray.internal.request.instance_tracker import InstanceTracker
-from thorntray.internal.request.owner_request import MIN_BUDGET, OwnerRequest, ResultCallback
+from thorntray.internal.request.owner_request import (
+    LOCAL_CALL_NUMBER,
+    MIN_BUDGET,
+    OwnerRequest,
+    ResultCallback,
+)
 from thorntray.internal.request.result import (
     Cause,
     LoadReport,
@@ -77,6 +82,7 @@
         self.requests: set[OwnerRequest] = set()
         self._answers = AnswerReader(deps.names)
         self.sends = {"root": 0, "nested": 0}  # requests sent to the instance
+        self.held_bytes = 0  # of the bodies of its requests, unless an origin here counts them
         self._queue_wait = 0.0  # seconds, moving average
         self.waiting = WaitingRequests(deps.queue, deps.rate_limit, deps.clock)
         self._failing_share = FailingShare()
@@ -91,6 +97,8 @@
         """Accept a request; `on_result` is called once, possibly before this method returns."""
         request = OwnerRequest(self, call, on_result)
         self.requests.add(request)
+        if call.number != LOCAL_CALL_NUMBER:
+            request.hold_body()
         try:
             self._start_or_queue(request)
         except Exception:
@@ -178,6 +186,7 @@
         deps = self.deps
         now = deps.clock.monotonic()
         self.requests.discard(request)
+        self.held_bytes -= request.held_bytes
         deps.queue.withdraw(request.ticket)
         if request.run is not None:
             deps.running.end(request.run)
--- a/packages/thorntray/src/thorntray/internal/request/owner_request.py
+++ b/packages/thorntray/src/thorntray/internal/request/owner_request.py
@@ -22,6 +22,7 @@
 
 DETACHED_TIMEOUT = 0.25  # seconds that a cancelled nested call may still run at the instance
 MIN_BUDGET = 0.002  # seconds; a request with less time left is not sent to the instance
+LOCAL_CALL_NUMBER = 0  # number of calls from the origin at this node; others count from 1
 ISOLATED_WAIT_RATIO = 0.5  # longest wait of a suspect of a crash / its budget
 
 ResultCallback = Callable[[Result], None]
@@ -32,7 +33,7 @@
 
     __slots__ = ("owner", "call", "on_result", "expiry", "ticket", "run", "instance_call", "timer")
     __slots__ += ("arrived_at", "started_at", "boot", "finished", "detached")
-    __slots__ += ("group_limit", "_fingerprint")
+    __slots__ += ("group_limit", "_fingerprint", "held_bytes")
 
     def __init__(self, owner: "Owner", call: CallFrame, on_result: ResultCallback) -> None:
         self.owner = owner
@@ -58,6 +59,13 @@
         self.detached = False  # whether it was cancelled while the instance ran it
         self.group_limit = 0  # if it runs as a suspect of a crash (`CrashIsolation`)
         self._fingerprint: int | None = None
+        self.held_bytes = 0  # counted in `Owner.held_bytes`
+
+    def hold_body(self) -> None:
+        """Count the body, which no caller's connection at this node counts (any more)."""
+        if not self.held_bytes:
+            self.held_bytes = len(self.call.body)
+            self.owner.held_bytes += self.held_bytes
 
     @property
     def fingerprint(self) -> int:
@@ -76,7 +84,9 @@
             return
         if self.instance_call is None:
             self.finish(not_run(Cause.CANCELLED))
-        elif self.call.idempotent and not self.detached:
+            return
+        self.hold_body()
+        if self.call.idempotent and not self.detached:
             self._detach()
 
     def _detach(self) -> None:
--- a/packages/thorntray/src/thorntray/internal/telemetry/node_metrics.py
+++ b/packages/thorntray/src/thorntray/internal/telemetry/node_metrics.py
@@ -86,6 +86,11 @@
     "thorntray_gossip_sent_bytes": ("gauge", "bytes of membership datagrams sent since the start"),
     "thorntray_gossip_received_bytes": ("gauge", "bytes of membership datagrams received"),
     "thorntray_instance_connections": ("gauge", "connections opened to the instance"),
+    "thorntray_held_bytes": ("gauge", "bytes held for requests and answers, by kind"),
+    "thorntray_memory_budget_bytes": (
+        "gauge",
+        "most bytes that may be held for requests and answers, -1: no limit",
+    ),
     "thorntray_log_lines_dropped": ("gauge", "dropped log lines not yet reported"),
 }
 
--- a/tests/test_malformed_messages.py
+++ b/tests/test_malformed_messages.py
@@ -15,8 +15,8 @@
 from tests.builders import ManualClock
 from tests.mesh_builders import HOST
 from thorntray.errors import BadDocument, PlatformUnavailable, WriteUndetermined
+from thorntray.internal.connection.exchange import HttpRequest
 from thorntray.internal.connection.http_client import KeptConnections
-from thorntray.internal.connection.http_server import HttpRequest
 from thorntray.internal.process.clock import SystemClock
 from thorntray.internal.process.registration import Registration
 from thorntray.internal.store.seeds import _parse_address
