--- a/packages/thorntray/src/thorntray/internal/connection/http_server.py
+++ b/packages/thorntray/src/thorntray/internal/connection/http_server.py
@@ -22,6 +22,8 @@
 import httptools
 
 from thorntray.internal.connection.connection_end import Linger, OutputProgress
+from thorntray.internal.connection.exchange import Exchange, HttpRequest
+from thorntray.internal.connection.request_bodies import HeldBytes, IncomingRequest
 from thorntray.internal.process.clock import Clock
 from thorntray.internal.telemetry.events import log_handler_failure
 
@@ -29,12 +31,9 @@
 TIMEOUT_CHECK_PERIOD = 0.5  # seconds between checks for slow and idle connections
 LISTEN_BACKLOG = 1024  # connections waiting to be accepted
 
-_REASON_PHRASES = {status.value: status.phrase.encode() for status in HTTPStatus}
 _METHODS_WITHOUT_BODY = frozenset({b"GET", b"HEAD", b"DELETE", b"OPTIONS"})
 _CONTINUE = b"HTTP/1.1 100 Continue\r\n\r\n"
 
-Header = tuple[bytes, bytes]
-
 
 class ClosedBy(Enum):
     """Who ended a connection on which a response was still owed."""
@@ -53,57 +52,6 @@
     idle_timeout: float = 60.0
 
 
-class HttpRequest(NamedTuple):
-    """A complete request as received. Header names keep the caller's case."""
-
-    method: bytes
-    target: bytes
-    headers: list[Header]
-    body: bytes
-
-
-class Exchange:
-    """One request on a connection and its response."""
-
-    __slots__ = ("request", "on_cancel", "_connection", "_head", "_body", "keep_alive", "last")
-
-    def __init__(self, connection: "HttpServerConnection", request: HttpRequest) -> None:
-        self.request = request
-        self.on_cancel: Callable[[], None] | None = None  # called when no response can be sent
-        self.keep_alive = True  # whether the caller keeps the connection open
-        self.last = False  # whether the server ends the connection with the response
-        self._connection = connection
-        self._head: bytes | None = None  # without the Connection field
-        self._body = b""
-
-    @property
-    def peer_host(self) -> str:
-        """Return the IP address of the caller, empty if it is unknown."""
-        return self._connection.peer_host
-
-    @property
-    def responded(self) -> bool:
-        """Return whether a response was set."""
-        return self._head is not None
-
-    def respond(self, status: int, header_lines: bytes, body: bytes) -> None:
-        """Set the response, sent after those of earlier requests. Later calls are ignored."""
-        if self._head is not None:
-            return
-        reason = _REASON_PHRASES.get(status, b"Unknown")
-        self._head = b"HTTP/1.1 %d %b\r\n%b" % (status, reason, header_lines)
-        if self.request.method != b"HEAD":
-            self._head += b"Content-Length: %d\r\n" % len(body)
-            self._body = body
-        self._connection.flush()
-
-    def encode_response(self, keep_alive: bool) -> bytes:
-        """Return the bytes of the response; it must have been set."""
-        assert self._head is not None
-        end = b"\r\n" if keep_alive else b"Connection: close\r\n\r\n"
-        return b"".join((self._head, end, self._body))
-
-
 ExchangeHandler = Callable[[Exchange], None]
 UnansweredHandler = Callable[[Exchange, ClosedBy], None]
 
@@ -119,6 +67,7 @@
         self.handler = handler
         self.clock = clock
         self.limits = RequestLimits()
+        self.held = HeldBytes()
         self.closing = False
         self.connections: set[HttpServerConnection] = set()
         self.requests_read = 0  # complete requests, since the start
@@ -170,6 +119,7 @@
 
     def __init__(self, server: HttpServer) -> None:
         self.server = server
+        self.held = server.held
         self.pending: deque[Exchange] = deque()
         self.peer_host = ""  # IP address of the caller
         self._transport: asyncio.Transport | None = None
@@ -181,7 +131,7 @@
         self._writing_paused = False
         self._linger: Linger | None = None  # once the output has ended
         self._output_progress = OutputProgress(server.clock.monotonic())
-        self._reset_message()
+        self._incoming = IncomingRequest()
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Register the connection with the server."""
@@ -196,6 +146,8 @@
             self._linger.record_input(self.server.clock.monotonic())
         if self._last_request_read:
             return
+        incoming = self._incoming
+        incoming.add_received(len(data))
         try:
             self._parser.feed_data(data)
         except httptools.HttpParserUpgrade:
@@ -203,10 +155,15 @@
         except httptools.HttpParserError:
             if not self._last_request_read:
                 self._reject(400)
+        if incoming is self._incoming and incoming.has_excess(self.server.limits.header_bytes):
+            if not self._last_request_read:
+                self._reject(431)
 
     def connection_lost(self, exc: Exception | None) -> None:
         """Cancel pending requests, since their caller has disconnected."""
         self.server.connections.discard(self)
+        self.held.slow.discard(self._transport)
+        self.held.release(self._incoming)
         self._cancel_pending(ClosedBy.CALLER)
 
     @property
@@ -217,29 +174,31 @@
     # Called by the parser.
 
     def on_message_begin(self) -> None:
-        """Reset the state for a new request."""
+        """Start a new request."""
         self._receiving_since = self.server.clock.monotonic()
-        self._reset_message()
+        self._incoming = IncomingRequest()
 
     def on_url(self, target: bytes) -> None:
         """Append a part of the request target."""
-        self._target += target
+        self._incoming.target += target
 
     def on_header(self, name: bytes, value: bytes) -> None:
         """Add one header field."""
-        self._header_bytes += len(name) + len(value) + 4
         if self._last_request_read:
             return
-        if self._header_bytes > self.server.limits.header_bytes:
+        self._incoming.add_header(name, value)
+        if self._incoming.header_bytes > self.server.limits.header_bytes:
             self._reject(431)
-            return
-        self._headers.append((name, value))
 
     def on_headers_complete(self) -> None:
         """Send `100 Continue` to a caller that expects it."""
-        if self._last_request_read or self._parser.get_method() in _METHODS_WITHOUT_BODY:
+        if self._last_request_read:
             return
-        for name, value in self._headers:
+        incoming = self._incoming
+        self.held.hold(incoming, incoming.header_bytes + incoming.content_length)
+        if self._parser.get_method() in _METHODS_WITHOUT_BODY:
+            return
+        for name, value in self._incoming.headers:
             if name.lower() == b"expect" and value.lower() == b"100-continue":
                 if not self.pending and self._transport is not None:
                     self._transport.write(_CONTINUE)
@@ -248,20 +207,24 @@
         """Append a part of the body."""
         if self._last_request_read:
             return
-        self._body_bytes += len(body)
-        if self._body_bytes > self.server.limits.body_bytes:
+        self._incoming.add_body(body)
+        if self._incoming.body_bytes > self.server.limits.body_bytes:
             self._reject(413)
             return
-        self._body.append(body)
+        beyond = self._incoming.unannounced_bytes
+        if beyond > 0:
+            self.held.hold(self._incoming, beyond)
 
     def on_message_complete(self) -> None:
         """Pass the complete request to the handler."""
         if self._last_request_read:
             return
         self._receiving_since = None
-        body = b"".join(self._body)
-        request = HttpRequest(self._parser.get_method(), self._target, self._headers, body)
+        target, headers = self._incoming.target, self._incoming.headers
+        body = self._incoming.take_body()
+        request = HttpRequest(self._parser.get_method(), target, headers, body)
         exchange = Exchange(self, request)
+        self.held.hand_over(self._incoming, exchange)
         exchange.keep_alive = self._parser.should_keep_alive()
         self.server.requests_read += 1
         self.pending.append(exchange)
@@ -285,12 +248,14 @@
             exchange = self.pending.popleft()
             self._last_active_at = self.server.clock.monotonic()
             if transport is None or transport.is_closing():
+                exchange.release_response()
                 continue
             # A closing response ends the connection for all requests behind it, so while the
             # server is shutting down only the response to the last request read may be one.
             last = exchange.last or (self.server.closing and not self.pending)
             keep_alive = exchange.keep_alive and not last
-            transport.write(exchange.encode_response(keep_alive))
+            exchange.write_response(transport, keep_alive)
+            exchange.release_response()
             if not keep_alive:
                 self._last_request_read = True
                 self._cancel_pending(ClosedBy.NODE)
@@ -314,11 +279,13 @@
     def pause_writing(self) -> None:
         """Stop reading requests from a caller that does not read its responses."""
         self._writing_paused = True
+        self.held.slow.add(self._transport)
         self._update_reading()
 
     def resume_writing(self) -> None:
         """Resume reading when the write buffer has drained."""
         self._writing_paused = False
+        self.held.slow.discard(self._transport)
         self._update_reading()
 
     def enforce_timeouts(self, now: float) -> None:
@@ -347,7 +314,9 @@
     def _reject(self, status: int) -> None:
         """Respond to a request that was not fully read, and close the connection afterwards."""
         self._last_request_read = True
-        request = HttpRequest(b"GET", self._target, [], b"")
+        request = HttpRequest(b"GET", self._incoming.target, [], b"")
+        self._incoming.take_body()
+        self.held.release(self._incoming)
         exchange = Exchange(self, request)
         exchange.last = True
         self.pending.append(exchange)
@@ -367,6 +336,8 @@
             self.server.on_unanswered(exchange, closed_by)
             if not exchange.responded and exchange.on_cancel is not None:
                 exchange.on_cancel()
+            exchange.release_request()
+            exchange.release_response()
 
     def _update_reading(self) -> None:
         """Read unless the caller has too many pending requests or does not read its responses.
@@ -385,10 +356,3 @@
             transport.pause_reading()
         else:
             transport.resume_reading()
-
-    def _reset_message(self) -> None:
-        self._target = b""
-        self._headers: list[Header] = []
-        self._header_bytes = 0
-        self._body: list[bytes] = []
-        self._body_bytes = 0
--- a/packages/thorntray/src/thorntray/internal/request/owner.py
+++ b/packages/thorntray/src/thorntray/internal/request/owner.py
@@ -10,6 +10,7 @@
 from collections.abc import Callable
 from typing import NamedTuple
 
+from thorntray.internal.connection.exchange import COPIED_BODY_BYTES
 from thorntray.internal.connection.frame import CallFrame
 from thorntray.internal.connection.header_names import HeaderNames
 from thorntray.internal.connection.instance_pool import (
@@ -29,7 +30,12 @@
 from thorntray.internal.request.crash_watch import CrashWatch
 from thorntray.internal.request.instance_answers import AnswerReader
 from thorntray.internal.request.instance_tracker import InstanceTracker
-from thorntray.internal.request.owner_request import MIN_BUDGET, OwnerRequest, ResultCallback
+from thorntray.internal.request.owner_request import (
+    LOCAL_CALL_NUMBER,
+    MIN_BUDGET,
+    OwnerRequest,
+    ResultCallback,
+)
 from thorntray.internal.request.result import (
     Cause,
     LoadReport,
@@ -76,6 +82,7 @@
         self.requests: set[OwnerRequest] = set()
         self._answers = AnswerReader(deps.names)
         self.sends = {"root": 0, "nested": 0}  # requests sent to the instance
+        self.held_bytes = 0  # of the bodies of its requests, unless an origin here counts them
         self._queue_wait = 0.0  # seconds, moving average
         self.waiting = WaitingRequests(deps.queue, deps.rate_limit, deps.clock)
         self._failing_share = FailingShare()
@@ -90,6 +97,8 @@
         """Accept a request; `on_result` is called once, possibly before this method returns."""
         request = OwnerRequest(self, call, on_result)
         self.requests.add(request)
+        if call.number != LOCAL_CALL_NUMBER:
+            request.hold_body()
         try:
             self._start_or_queue(request)
         except Exception:
@@ -134,14 +143,20 @@
         request.run = deps.running.begin(
             now + budget_ms / 1000, call.worth, call.request_id, call.workspace
         )
-        data = self._request_bytes(call, budget_ms)
+        data = self._request_head(call, budget_ms)
+        large_body = call.body if len(call.body) > COPIED_BODY_BYTES else b""
         request.timer = asyncio.get_running_loop().call_later(
             budget_ms / 1000 + EXPIRY_GRACE, self._on_expiry, request
         )
         self.sends["nested" if call.nested else "root"] += 1
         deps.rate_limit.record_send(now)
         request.instance_call = deps.pool.send(
-            data, call.request_id, call.method, not call.idempotent, self._response_handler(request)
+            data if large_body else data + call.body,
+            call.request_id,
+            call.method,
+            not call.idempotent,
+            self._response_handler(request),
+            large_body,
         )
 
     @property
@@ -171,6 +186,7 @@
         deps = self.deps
         now = deps.clock.monotonic()
         self.requests.discard(request)
+        self.held_bytes -= request.held_bytes
         deps.queue.withdraw(request.ticket)
         if request.run is not None:
             deps.running.end(request.run)
@@ -216,7 +232,7 @@
         distinct = self.deps.running.distinct_expiry(expiry, MAX_EXPIRY_STEPS)
         return max(1, int((distinct - now) * 1000))
 
-    def _request_bytes(self, call: CallFrame, budget_ms: int) -> bytes:
+    def _request_head(self, call: CallFrame, budget_ms: int) -> bytes:
         names = self.deps.names
         current = self.deps.registration.current
         instance_id = current.instance_id.encode() if current is not None else b""
@@ -230,7 +246,6 @@
         if call.body or call.method in _BODY_METHODS:
             chunks.append(b"Content-Length: %d\r\n" % len(call.body))
         chunks.append(b"\r\n")
-        chunks.append(call.body)
         return b"".join(chunks)
 
     def _response_handler(
