A stop waits until callers have acknowledged their answers

What callers saw: the rest of an answer is missing and the connection is reset, while DRAIN_ENDED and STOPPED report unsent 0. The kernel sends what it holds after the exit, but input that is unread at the close, or arrives after it, resets the connection, and the reset discards the output. The same happens in a running node: a connection whose caller pauses for more than LINGER_TIME is closed while the kernel holds its answer.

HttpServer.unsent_bytes counts what the kernel holds (TIOCOUTQ), so the drain goes on discarding input until it is acknowledged, until answers are due at the longest. Where the call is refused, an answer counts as not taken for 0.25 s.

test_stop_slow_readers and two tests of test_connection_end failed before.

--- a/packages/thorntray-node/src/thorntray_node/request_drain.py
+++ b/packages/thorntray-node/src/thorntray_node/request_drain.py
@@ -2,6 +2,7 @@
 
 The kernel closes all sockets when the process ends, so whoever still waits then sees a closed
 connection and cannot tell whether the request ran. Therefore the process ends when nothing is owed.
+What callers have not acknowledged is owed too, since later input would have the kernel discard it.
 What is left when answers are due is ended with the answer that is true by then, and
 `FINAL_FLUSH_TIME` is allowed for sending it.
 """
--- a/packages/thorntray/src/thorntray/internal/connection/connection_end.py
+++ b/packages/thorntray/src/thorntray/internal/connection/connection_end.py
@@ -1,12 +1,22 @@
-"""When a server closes a connection whose caller does not: two decisions, without I/O.
+"""When a server closes a connection whose caller does not.
 
-Closing a connection with unread input resets it, which discards output that the caller has not
-read yet. So the output is ended first, and input is discarded for a while (`Linger`). A caller that
-takes no output at all would hold its connection and memory forever (`OutputProgress`).
+Closing a connection with unread input resets it, and so does input that arrives after the close.
+A reset discards output that the caller has not read yet, also what the kernel alone still holds
+(`unacknowledged_bytes`). So the output is ended first, and input is discarded for a while
+(`Linger`). A caller that takes no output at all would hold its connection and memory forever
+(`OutputProgress`).
 """
 
+import asyncio
+import fcntl
+import struct
+import termios
+
 LINGER_TIME = 1.0  # seconds without input after which closing is safe
 MAX_LINGER_TIME = 30.0  # seconds; limits callers that never stop sending
+# Seconds after the last answer for which it counts as not taken where the kernel does not tell.
+ASSUMED_DELIVERY_TIME = 0.25
+_COUNT = struct.Struct("i")
 
 
 class Linger:
@@ -38,3 +48,18 @@
             self._unsent_bytes = unsent_bytes
             self._changed_at = now
         return now - self._changed_at
+
+
+def unacknowledged_bytes(transport: asyncio.BaseTransport, answered_at: float, now: float) -> int:
+    """Return the bytes of output that the kernel holds, as the caller has not acknowledged them.
+
+    Where the kernel does not tell, returns 1 for `ASSUMED_DELIVERY_TIME` after the last answer;
+    `answered_at` and `now` are monotonic seconds.
+    """
+    if transport.is_closing():
+        return 0
+    try:
+        descriptor = transport.get_extra_info("socket").fileno()
+        return int(*_COUNT.unpack(fcntl.ioctl(descriptor, termios.TIOCOUTQ, bytes(_COUNT.size))))
+    except (OSError, AttributeError):
+        return int(now - answered_at < ASSUMED_DELIVERY_TIME)
--- a/packages/thorntray/src/thorntray/internal/connection/http_server.py
+++ b/packages/thorntray/src/thorntray/internal/connection/http_server.py
@@ -15,13 +15,21 @@
 import asyncio
 from collections import deque
 from collections.abc import Callable
-from enum import Enum
 from http import HTTPStatus
-from typing import NamedTuple
 
 import httptools
 
-from thorntray.internal.connection.connection_end import Linger, OutputProgress
+from thorntray.internal.connection.connection_end import (
+    Linger,
+    OutputProgress,
+    unacknowledged_bytes,
+)
+from thorntray.internal.connection.http_request import (
+    ClosedBy,
+    Header,
+    HttpRequest,
+    RequestLimits,
+)
 from thorntray.internal.process.clock import Clock
 from thorntray.internal.telemetry.events import log_handler_failure
 
@@ -33,34 +41,6 @@
 _METHODS_WITHOUT_BODY = frozenset({b"GET", b"HEAD", b"DELETE", b"OPTIONS"})
 _CONTINUE = b"HTTP/1.1 100 Continue\r\n\r\n"
 
-Header = tuple[bytes, bytes]
-
-
-class ClosedBy(Enum):
-    """Who ended a connection on which a response was still owed."""
-
-    CALLER = "caller"  # also one that was disconnected because it took no output
-    NODE = "node"  # this node, while it continues running
-    EXIT = "exit"  # the end of this process
-
-
-class RequestLimits(NamedTuple):
-    """Limits on the size (bytes) and arrival time (seconds) of requests, and on idle time."""
-
-    header_bytes: int = 16 * 1024
-    body_bytes: int = 64 * 1024 * 1024
-    header_timeout: float = 10.0
-    idle_timeout: float = 60.0
-
-
-class HttpRequest(NamedTuple):
-    """A complete request as received. Header names keep the caller's case."""
-
-    method: bytes
-    target: bytes
-    headers: list[Header]
-    body: bytes
-
 
 class Exchange:
     """One request on a connection and its response."""
@@ -139,8 +119,8 @@
 
     @property
     def unsent_bytes(self) -> int:
-        """Return the number of response bytes that callers have not taken yet."""
-        return sum(connection.unsent_bytes for connection in self.connections)
+        """Return the number of response bytes that callers have not acknowledged yet."""
+        return sum(connection.untaken_bytes for connection in self.connections)
 
     def report_unanswered(self, closed_by: ClosedBy) -> int:
         """Report every request whose response has not been sent; returns their number."""
@@ -211,9 +191,17 @@
 
     @property
     def unsent_bytes(self) -> int:
-        """Return the number of response bytes that the caller has not taken yet."""
+        """Return the number of response bytes that the kernel has not taken yet."""
         return 0 if self._transport is None else self._transport.get_write_buffer_size()
 
+    @property
+    def untaken_bytes(self) -> int:
+        """Return the number of response bytes that the caller has not acknowledged yet."""
+        if self._transport is None:
+            return 0
+        now = self.server.clock.monotonic()
+        return self.unsent_bytes + unacknowledged_bytes(self._transport, self._last_active_at, now)
+
     # Called by the parser.
 
     def on_message_begin(self) -> None:
@@ -326,11 +314,12 @@
         limits, transport = self.server.limits, self._transport
         if transport is None:
             return
-        if self._output_progress.stalled_for(self.unsent_bytes, now) > limits.idle_timeout:
+        untaken = self.unsent_bytes if self._linger is None else self.untaken_bytes
+        if self._output_progress.stalled_for(untaken, now) > limits.idle_timeout:
             transport.abort()
             return
         if self._linger is not None:
-            if self._linger.is_over(now) and not self.unsent_bytes:
+            if self._linger.is_over(now) and not untaken:
                 transport.close()
             return
         if self._receiving_since is not None and not self.pending:
