--- a/packages/thorntray-node/src/thorntray_node/mesh_node.py
+++ b/packages/thorntray-node/src/thorntray_node/mesh_node.py
@@ -8,7 +8,8 @@
 
 from thorntray.internal.connection.exchange import Exchange
 from thorntray.internal.connection.frame import CallFrame, Frame
-from thorntray.internal.connection.http_server import ClosedBy, HttpServer
+from thorntray.internal.connection.http_request import ClosedBy
+from thorntray.internal.connection.http_server import HttpServer
 from thorntray.internal.connection.instance_pool import InstancePool
 from thorntray.internal.connection.link import LinkListener, Links
 from thorntray.internal.membership.crash_reports import CrashReports
--- a/packages/thorntray/src/thorntray/internal/connection/exchange.py
+++ b/packages/thorntray/src/thorntray/internal/connection/exchange.py
@@ -3,9 +3,10 @@
 import asyncio
 from collections.abc import Callable
 from http import HTTPStatus
-from typing import NamedTuple, Protocol
+from typing import Protocol
 
-from thorntray.internal.connection.request_bodies import Header, HeldBytes
+from thorntray.internal.connection.http_request import HttpRequest
+from thorntray.internal.connection.request_bodies import HeldBytes
 
 COPIED_BODY_BYTES = 64 * 1024  # largest body that is copied into one write with its head
 
@@ -23,15 +24,6 @@
         ...
 
 
-class HttpRequest(NamedTuple):
-    """A complete request as received. Header names keep the caller's case."""
-
-    method: bytes
-    target: bytes
-    headers: list[Header]
-    body: bytes
-
-
 class Exchange:
     """One request on a connection and its response."""
 
--- a/packages/thorntray/src/thorntray/internal/connection/request_bodies.py
+++ b/packages/thorntray/src/thorntray/internal/connection/request_bodies.py
@@ -3,7 +3,7 @@
 import asyncio
 from typing import Protocol
 
-Header = tuple[bytes, bytes]
+from thorntray.internal.connection.http_request import Header
 
 _CONTENT_LENGTH = b"content-length"
 FIELD_SEPARATOR_BYTES = 4  # colon, space and line end of a header field
--- a/packages/thorntray/src/thorntray/internal/request/request_log.py
+++ b/packages/thorntray/src/thorntray/internal/request/request_log.py
@@ -7,7 +7,7 @@
 from zlib import crc32
 
 from thorntray.internal.connection.frame import CallFrame
-from thorntray.internal.connection.http_server import ClosedBy
+from thorntray.internal.connection.http_request import ClosedBy
 from thorntray.internal.process.clock import Clock
 from thorntray.internal.request.origin_context import RequestHead
 from thorntray.internal.request.origin_request import OriginRequest
--- a/packages/thorntray/src/thorntray/internal/version/policy.py
+++ b/packages/thorntray/src/thorntray/internal/version/policy.py
@@ -8,7 +8,7 @@
 from collections.abc import Callable, Mapping
 from typing import NamedTuple, Self
 
-from thorntray.internal.connection.http_server import RequestLimits
+from thorntray.internal.connection.http_request import RequestLimits
 from thorntray.internal.version.workspaces import NO_WORKSPACES, Workspaces
 
 
--- a/tests/mesh_builders.py
+++ b/tests/mesh_builders.py
@@ -9,7 +9,7 @@
 from tests.instance_replies import answer_bytes
 from thorntray.internal.connection.frame import CallFrame, Frame, ResultFrame
 from thorntray.internal.connection.header_names import HeaderNames
-from thorntray.internal.connection.http_server import RequestLimits
+from thorntray.internal.connection.http_request import RequestLimits
 from thorntray.internal.connection.link import Link, LinkListener, Links
 from thorntray.internal.connection.link_connection import LinkConnection
 from thorntray.internal.membership.member import Member
--- a/tests/test_endless_requests.py
+++ b/tests/test_endless_requests.py
@@ -5,7 +5,7 @@
 import pytest
 
 from tests.test_http_server import REQUEST, connection_with, respond_ok, serving
-from thorntray.internal.connection.http_server import RequestLimits
+from thorntray.internal.connection.http_request import RequestLimits
 
 KIB, MIB = 1024, 1024 * 1024
 LONG = b"x" * (16 * KIB)
--- a/tests/test_lean_callers.py
+++ b/tests/test_lean_callers.py
@@ -6,7 +6,7 @@
 
 from tests.instance_replies import answer_bytes
 from tests.mesh_builders import request_bytes, run_scenario
-from thorntray.internal.connection.http_server import RequestLimits
+from thorntray.internal.connection.http_request import RequestLimits
 
 
 def test_pipelined_requests_are_answered_in_order():
