A link is given up only if its peer takes no bytes

Cause: `_limit_write_buffer` measured for how long the buffer had been above its limit, not whether the peer took bytes, and closed the link at a number of bytes whatever the peer did. The check for silence has the same fault: a ping and its pong wait behind large frames.

Change: `connection/peer_watch.py` decides without I/O. Received data and bytes taken from a backlog (the transport's buffer and the kernel's send queue, `TIOCOUTQ`) are evidence of life. A peer without either for 0.5 s while output waits is given up, also if no further frame is sent to it; one that sends but takes nothing, after 10 s. Bytes taken without a backlog don't count, since the kernel of a frozen process acknowledges a ping. A stall of the own process counts for at most 0.2 s.

--- a/packages/thorntray/src/thorntray/internal/connection/frame.py
+++ b/packages/thorntray/src/thorntray/internal/connection/frame.py
@@ -141,6 +141,11 @@
     def __init__(self) -> None:
         self._buffer = bytearray()
 
+    @property
+    def incomplete(self) -> bool:
+        """Return whether a frame has been received in part."""
+        return bool(self._buffer)
+
     def feed(self, data: bytes) -> list[Frame]:
         """Add received bytes and return the frames completed by them.
 
--- a/packages/thorntray/src/thorntray/internal/connection/link_connection.py
+++ b/packages/thorntray/src/thorntray/internal/connection/link_connection.py
@@ -5,18 +5,21 @@
 request repeat those of the previous one.
 
 A connection may stop carrying data without a reset. A connection that has received nothing for
-`PING_AFTER_SILENCE` sends a ping when its owner calls `check_liveness`; if it then receives
-nothing for `SILENCE_TIMEOUT`, it is closed as lost.
+`PING_AFTER_SILENCE` sends a ping when its owner calls `check_liveness`; if it then has no evidence
+of life for `SILENCE_TIMEOUT`, it is closed as lost (`connection.peer_watch`). While a large frame
+arrives, the receiving end sends pongs unasked, since its answer to a ping has to wait for the frame.
 """
 
 import asyncio
+import fcntl
+import sys
+import termios
 import zlib
 from typing import Protocol
 
 from thorntray.errors import BadMessage
 from thorntray.internal.connection.frame import (
     LENGTH_BYTES,
-    MAX_FRAME_BYTES,
     Frame,
     FrameReader,
     Hello,
@@ -25,16 +28,13 @@
     decode_frame,
     encode_frame,
 )
+from thorntray.internal.connection.peer_watch import OUTPUT_CHECK_PERIOD, PeerWatch, Step
 from thorntray.internal.process.clock import Clock
 from thorntray.internal.telemetry.events import Event, log_event, log_handler_failure
 
-PING_AFTER_SILENCE = 0.2  # seconds
-SILENCE_TIMEOUT = 0.5  # seconds after the ping
-# A connection is aborted if its buffer exceeds `MAX_WRITE_BUFFER`, or if a frame is sent while the
-# buffer has exceeded `WRITE_BUFFER_LIMIT` for longer than `FULL_BUFFER_TIMEOUT`.
-WRITE_BUFFER_LIMIT = 16 * 1024 * 1024  # bytes
-FULL_BUFFER_TIMEOUT = 0.5  # seconds
-MAX_WRITE_BUFFER = WRITE_BUFFER_LIMIT + MAX_FRAME_BYTES
+MIN_BACKLOG = 64 * 1024  # unsent bytes; fewer may be acknowledged by the kernel of a frozen peer
+SIGN_PERIOD = 0.1  # seconds between the pongs that are sent while a frame arrives
+INT_BYTES = 4
 COMPRESSION_LEVEL = 1
 PLAIN_STREAM, COMPRESSED_STREAM = b"\x00", b"\x01"  # the first byte of a connection
 RAW_DEFLATE_WBITS = -15  # raw deflate stream without zlib header
@@ -76,12 +76,18 @@
         self._outgoing: list[bytes] = []
         self._compressor: zlib._Compress | None = None
         self._decompressor: zlib._Decompress | None = None
-        self._full_since = 0.0  # monotonic seconds; valid while the buffer exceeds its limit
+        self._written_bytes = 0  # passed to the transport so far
+        self._output_check: asyncio.TimerHandle | None = None  # while output is waiting
         self._loop = asyncio.get_running_loop()
         self.peer = ""
         self.lost = False
-        self.ping_pending = False  # whether nothing was received since the last ping
-        self._silent_since = clock.monotonic()  # last receipt or ping
+        self._watch = PeerWatch(clock.monotonic())
+        self._last_sign_at = float("-inf")  # monotonic seconds
+
+    @property
+    def ping_pending(self) -> bool:
+        """Return whether nothing was received since the last ping."""
+        return self._watch.ping_pending
 
     @property
     def unsent_bytes(self) -> int:
@@ -103,8 +109,8 @@
 
     def data_received(self, data: bytes) -> None:
         """Decode received frames; a malformed stream closes the connection."""
-        self._silent_since = self._clock.monotonic()
-        self.ping_pending = False
+        now = self._clock.monotonic()
+        self._watch.record_receipt(now)
         try:
             if not self._mode_known:
                 self._mode_known = True
@@ -114,6 +120,8 @@
             if self._decompressor is not None:
                 data = self._decompressor.decompress(data)
             self._dispatch(data)
+            if self._reader.incomplete:
+                self._send_sign_of_life(now)
         except (BadMessage, zlib.error) as exc:
             log_event(Event.BAD_MESSAGE, detail=str(exc), peer=self.peer)
             self.abort()
@@ -129,6 +137,8 @@
             self.lost = True
             if self._registry is not None:
                 self._registry.discard(self)
+            if self._output_check is not None:
+                self._output_check.cancel()
             self._handler.on_lost(self)
             self._outgoing.clear()
 
@@ -145,14 +155,16 @@
         return [decode_frame(data[LENGTH_BYTES:]) for data in self._outgoing]
 
     def check_liveness(self, now: float) -> None:
-        """Ping a silent peer, or close the connection if a ping got no response."""
-        silence = now - self._silent_since
-        if silence > SILENCE_TIMEOUT and self.ping_pending:
-            self.abort()
-        elif silence > PING_AFTER_SILENCE and not self.ping_pending:
-            self.ping_pending = True
-            self._silent_since = now
-            self.send(PingFrame())
+        """Ping a silent peer, or close the connection if there is no evidence that it lives."""
+        if self._watch.ping_pending:
+            self._record_output(now)
+        match self._watch.next_step(now):
+            case Step.GIVE_UP:
+                self.abort()
+            case Step.PING:
+                self._record_output(now)
+                self._watch.record_ping(now)
+                self.send(PingFrame())
 
     def abort(self) -> None:
         """Close the connection at once."""
@@ -194,13 +206,51 @@
         if self._compressor is not None:
             data = self._compressor.compress(data) + self._compressor.flush(zlib.Z_SYNC_FLUSH)
         self._transport.write(data)
-        unsent = self._transport.get_write_buffer_size()
-        if unsent > WRITE_BUFFER_LIMIT:
-            self._limit_write_buffer(unsent, unsent - len(data))
+        self._written_bytes += len(data)
+        if self._transport.get_write_buffer_size() and self._output_check is None:
+            self._watch.restart_output(self._count_taken(), self._clock.monotonic())
+            self._schedule_output_check()
+
+    def _schedule_output_check(self) -> None:
+        self._output_check = self._loop.call_later(OUTPUT_CHECK_PERIOD, self._check_output)
 
-    def _limit_write_buffer(self, unsent: int, unsent_before: int) -> None:
+    def _check_output(self) -> None:
+        """Close the connection if its peer does not take the output that is waiting."""
+        self._output_check = None
+        if self.lost or self._transport is None or not self._transport.get_write_buffer_size():
+            return
         now = self._clock.monotonic()
-        if unsent_before <= WRITE_BUFFER_LIMIT:
-            self._full_since = now
-        if unsent > MAX_WRITE_BUFFER or now - self._full_since > FULL_BUFFER_TIMEOUT:
+        self._record_output(now)
+        if self._watch.output_stalled(now):
             self.abort()
+        else:
+            self._schedule_output_check()
+
+    def _record_output(self, now: float) -> None:
+        if self._transport is None:
+            return
+        taken = self._count_taken()
+        unsent = self._written_bytes - taken
+        backlog = unsent > MIN_BACKLOG or self._transport.get_write_buffer_size() > 0
+        self._watch.record_output(taken, backlog, now)
+
+    def _count_taken(self) -> int:
+        """Return how many of the written bytes the peer's machine has acknowledged."""
+        assert self._transport is not None
+        in_kernel = _unacknowledged_bytes(self._transport)
+        return self._written_bytes - self._transport.get_write_buffer_size() - in_kernel
+
+    def _send_sign_of_life(self, now: float) -> None:
+        if now - self._last_sign_at > SIGN_PERIOD:
+            self._last_sign_at = now
+            self.send(PongFrame())
+
+
+def _unacknowledged_bytes(transport: asyncio.Transport) -> int:
+    """Return the bytes in the kernel's send queue, 0 if the system does not tell."""
+    sock = transport.get_extra_info("socket")
+    try:
+        count = fcntl.ioctl(sock.fileno(), termios.TIOCOUTQ, bytes(INT_BYTES))
+    except (AttributeError, OSError, ValueError):  # ValueError: the socket is closed
+        return 0
+    return int.from_bytes(count, sys.byteorder)
--- /dev/null
+++ b/packages/thorntray/src/thorntray/internal/connection/peer_watch.py
@@ -0,0 +1,90 @@
+"""Whether the peer of a link lives and takes what is sent to it: decisions without I/O.
+
+A busy peer answers a ping late, since the ping waits behind the frames that were sent before it and
+the pong behind the peer's own. Silence alone is therefore no sign of a dead peer: received data and
+bytes taken from a backlog are both evidence of life. Bytes taken without a backlog are none,
+because the kernel of a frozen process acknowledges them too.
+
+Time in which this process did not run says nothing about the peer: an observation counts for at
+most `MAX_STEP`.
+"""
+
+from enum import Enum
+
+PING_AFTER_SILENCE = 0.2  # seconds
+SILENCE_TIMEOUT = 0.5  # seconds after the ping
+FULL_BUFFER_TIMEOUT = 0.5  # seconds without any evidence of life while output is waiting
+MAX_STALL_TIME = 10.0  # seconds in which a peer that sends may take nothing
+OUTPUT_CHECK_PERIOD = 0.1  # seconds
+MAX_STEP = 2 * OUTPUT_CHECK_PERIOD
+
+
+class Step(Enum):
+    """What to do after a check for silence."""
+
+    NONE = 0
+    PING = 1
+    GIVE_UP = 2
+
+
+class PeerWatch:
+    """Watches one connection; all times are in monotonic seconds."""
+
+    __slots__ = ("_silent_since", "ping_pending", "_taken", "_had_backlog")
+    __slots__ += ("_observed_at", "_evidence_at", "_without_evidence", "_without_progress")
+
+    def __init__(self, now: float) -> None:
+        self._silent_since = now  # last evidence of life, or last ping
+        self._evidence_at = now
+        self.ping_pending = False  # whether nothing was received since the last ping
+        self._taken = 0
+        self._had_backlog = False
+        self._observed_at = now
+        self._without_evidence = 0.0  # seconds observed while output was waiting
+        self._without_progress = 0.0
+
+    def record_receipt(self, now: float) -> None:
+        """Record that data was received."""
+        self._silent_since = self._evidence_at = now
+        self.ping_pending = False
+
+    def record_output(self, taken: int, backlog: bool, now: float) -> None:
+        """Record the bytes that the peer has taken so far, and whether further ones wait."""
+        if self._had_backlog and taken > self._taken:
+            self._silent_since = self._evidence_at = now
+            self._without_progress = 0.0
+        self._taken, self._had_backlog = taken, backlog
+
+    def restart_output(self, taken: int, now: float) -> None:
+        """Begin to watch output that has begun to wait."""
+        self.record_output(taken, True, now)
+        self._observed_at = now
+        self._without_evidence = self._without_progress = 0.0
+
+    def output_stalled(self, now: float) -> bool:
+        """Return whether to give up a peer that does not take the waiting output.
+
+        To be called each `OUTPUT_CHECK_PERIOD`, after `record_output`.
+        """
+        step = min(now - self._observed_at, MAX_STEP)
+        seen = self._evidence_at > self._observed_at
+        self._observed_at = now
+        self._without_evidence = 0.0 if seen else self._without_evidence + step
+        self._without_progress += step
+        return (
+            self._without_evidence > FULL_BUFFER_TIMEOUT or self._without_progress > MAX_STALL_TIME
+        )
+
+    def next_step(self, now: float) -> Step:
+        """Return what to do about the silence of the peer."""
+        silence = now - self._silent_since
+        if silence > SILENCE_TIMEOUT and self.ping_pending:
+            return Step.GIVE_UP
+        if silence > PING_AFTER_SILENCE and not self.ping_pending:
+            return Step.PING
+        return Step.NONE
+
+    def record_ping(self, now: float) -> None:
+        """Record that a ping is sent."""
+        self.ping_pending = True
+        self._silent_since = now
