A call that does not fit into a link is refused instead of ending the link

Callers saw 502 for requests that had been added to a full link: everything on it was lost at once.

Cause: a link had no bound before it took a call, only one that aborted it afterwards.

Change: `connection/call_bound.py` decides without I/O whether a call is put into a link: none above 16 MiB of unsent bytes, none while output waits and the peer has taken nothing for 0.3 s, none that the peer would refuse as too long a frame (which closed the link with all its calls). Whatever its length, a call is sent if nearly nothing waits. A refused call ends as NO_INSTANCE, never sent, so its origin tries another instance or answers 503; calls that wait for the connection count too. The end is reported in the next iteration of the loop, as an origin stores the call's number after `call` returns. Results, cancellations, pings and pongs are always sent. New event LINK_FULL (412). The bytes that are queued are a running total now; it was a sum over the queue.

--- a/packages/thorntray/src/thorntray/internal/connection/link.py
+++ b/packages/thorntray/src/thorntray/internal/connection/link.py
@@ -12,6 +12,7 @@
 import asyncio
 from collections.abc import Callable
 
+from thorntray.internal.connection.call_bound import call_bytes, may_add_call
 from thorntray.internal.connection.frame import (
     CallFrame,
     CancelFrame,
@@ -56,6 +57,8 @@
         self._connection: LinkConnection | None = None
         self._pending_calls: dict[int, ResultHandler] = {}
         self._unsent: list[Frame] = []
+        self._unsent_bytes = 0  # of the calls in `_unsent`
+        self._refused: set[int] = set()  # calls that were not put into the link
         self._last_number = 0
         self._connecting: asyncio.Task[None] | None = None
         self._draining = False
@@ -68,20 +71,30 @@
     def call(self, make_frame: Callable[[int], CallFrame], on_result: ResultHandler) -> int:
         """Send a call and return its number.
 
-        `on_result` is called with the result, or with a `Cause` if the call failed without one. If
-        it raises an exception, it is called once more with `Cause.GARBLED`.
+        `on_result` is called with the result, or with a `Cause` if the call failed without one:
+        `Cause.NO_INSTANCE`, soon but not before this method returns, if the link has no room for
+        it. If it raises an exception, it is called once more with `Cause.GARBLED`.
         """
         self._last_number += 1
-        self._pending_calls[self._last_number] = on_result
-        self.send(make_frame(self._last_number))
-        return self._last_number
+        number = self._last_number
+        frame = make_frame(number)
+        self._pending_calls[number] = on_result
+        if self._has_room(frame):
+            self.send(frame)
+        else:
+            self._refused.add(number)
+            asyncio.get_running_loop().call_soon(self._end_refused, number)
+        return number
 
     def cancel(self, number: int, *, notify_peer: bool = True) -> bool:
         """Withdraw a call and, by default, notify the peer; returns False if it was never sent."""
         self._pending_calls.pop(number, None)
+        if number in self._refused:
+            return False
         for frame in self._unsent:
             if isinstance(frame, CallFrame) and frame.number == number:
                 self._unsent.remove(frame)
+                self._unsent_bytes -= call_bytes(frame)
                 return False
         if notify_peer and self._connection is not None:
             self._connection.send(CancelFrame(number))
@@ -95,6 +108,8 @@
             self._connection.send(frame)
             return
         self._unsent.append(frame)
+        if isinstance(frame, CallFrame):
+            self._unsent_bytes += call_bytes(frame)
         self.open()
 
     def open(self) -> None:
@@ -143,7 +158,7 @@
         log_event(Event.LINK_LOST, peer=self.member.name, waiting=len(self._pending_calls))
         if not self._draining:  # a new process of the member may have replaced this one
             self._on_link_failure(self.member)
-        unsent = _call_numbers(self._unsent)
+        unsent = _call_numbers(self._unsent) | self._refused
         unwritten = _call_numbers(link.unwritten_frames())
         for number in [n for n in self._pending_calls if n not in unsent]:
             self._end_call(number, Cause.NO_INSTANCE if number in unwritten else Cause.LOST)
@@ -167,8 +182,7 @@
             return
         connection.peer = member.name
         self._connection = connection
-        frames, self._unsent = self._unsent, []
-        for frame in frames:
+        for frame in self._take_unsent():
             connection.send(frame)
 
     def _end_call(self, number: int, outcome: ResultFrame | Cause) -> None:
@@ -196,11 +210,29 @@
             connection.abort()
 
     def _fail_unsent(self) -> None:
-        frames, self._unsent = self._unsent, []
-        for frame in frames:
+        for frame in self._take_unsent():
             if isinstance(frame, CallFrame):
                 self._end_call(frame.number, Cause.NO_INSTANCE)
 
+    def _take_unsent(self) -> list[Frame]:
+        frames, self._unsent, self._unsent_bytes = self._unsent, [], 0
+        return frames
+
+    def _has_room(self, call: CallFrame) -> bool:
+        connection, size = self._connection, call_bytes(call)
+        if connection is None or connection.lost:
+            unsent, stalled = self._unsent_bytes, False
+        else:
+            unsent, stalled = connection.unsent_bytes, connection.stalled
+        if may_add_call(size, unsent, stalled):
+            return True
+        log_event(Event.LINK_FULL, peer=self.member.name, unsent=unsent, bytes=size)
+        return False
+
+    def _end_refused(self, number: int) -> None:
+        self._refused.discard(number)
+        self._end_call(number, Cause.NO_INSTANCE)
+
 
 def _call_numbers(frames: list[Frame]) -> set[int]:
     return {frame.number for frame in frames if isinstance(frame, CallFrame)}
--- a/packages/thorntray/src/thorntray/internal/connection/link_connection.py
+++ b/packages/thorntray/src/thorntray/internal/connection/link_connection.py
@@ -7,7 +7,7 @@
 A connection may stop carrying data without a reset. A connection that has received nothing for
 `PING_AFTER_SILENCE` sends a ping when its owner calls `check_liveness`; if it then has no evidence
 of life for `SILENCE_TIMEOUT`, it is closed as lost (`connection.peer_watch`). While a large frame
-arrives, the receiving end sends pongs unasked, since its answer to a ping has to wait for the frame.
+arrives, the receiving end sends pongs unasked, since its answer to a ping waits for the frame.
 """
 
 import asyncio
@@ -33,6 +33,7 @@
 from thorntray.internal.telemetry.events import Event, log_event, log_handler_failure
 
 MIN_BACKLOG = 64 * 1024  # unsent bytes; fewer may be acknowledged by the kernel of a frozen peer
+MAX_PROGRESS_GAP = 0.3  # seconds without progress after which no call is put into a full link
 SIGN_PERIOD = 0.1  # seconds between the pongs that are sent while a frame arrives
 INT_BYTES = 4
 COMPRESSION_LEVEL = 1
@@ -74,6 +75,7 @@
         self._transport: asyncio.Transport | None = None
         self._reader = FrameReader()
         self._outgoing: list[bytes] = []
+        self._queued_bytes = 0  # in `_outgoing`
         self._compressor: zlib._Compress | None = None
         self._decompressor: zlib._Decompress | None = None
         self._written_bytes = 0  # passed to the transport so far
@@ -94,7 +96,12 @@
         """Return the bytes of frames that the operating system has not yet taken; 0 once lost."""
         if self.lost or self._transport is None:
             return 0
-        return sum(map(len, self._outgoing)) + self._transport.get_write_buffer_size()
+        return self._queued_bytes + self._transport.get_write_buffer_size()
+
+    @property
+    def stalled(self) -> bool:
+        """Return whether output is waiting and the peer has taken none of it for a while."""
+        return self._output_check is not None and self._watch.without_progress > MAX_PROGRESS_GAP
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Send the mode byte and `Hello` if this node opened the connection."""
@@ -148,7 +155,9 @@
             return
         if not self._outgoing:
             self._loop.call_soon(self._flush)
-        self._outgoing.append(encode_frame(frame))
+        data = encode_frame(frame)
+        self._outgoing.append(data)
+        self._queued_bytes += len(data)
 
     def unwritten_frames(self) -> list[Frame]:
         """Return the queued frames; when the connection is lost, they are certainly never sent."""
@@ -203,6 +212,7 @@
             return
         data = b"".join(self._outgoing)
         self._outgoing.clear()
+        self._queued_bytes = 0
         if self._compressor is not None:
             data = self._compressor.compress(data) + self._compressor.flush(zlib.Z_SYNC_FLUSH)
         self._transport.write(data)
--- a/packages/thorntray/src/thorntray/internal/connection/peer_watch.py
+++ b/packages/thorntray/src/thorntray/internal/connection/peer_watch.py
@@ -31,7 +31,7 @@
     """Watches one connection; all times are in monotonic seconds."""
 
     __slots__ = ("_silent_since", "ping_pending", "_taken", "_had_backlog")
-    __slots__ += ("_observed_at", "_evidence_at", "_without_evidence", "_without_progress")
+    __slots__ += ("_observed_at", "_evidence_at", "_without_evidence", "without_progress")
 
     def __init__(self, now: float) -> None:
         self._silent_since = now  # last evidence of life, or last ping
@@ -41,7 +41,7 @@
         self._had_backlog = False
         self._observed_at = now
         self._without_evidence = 0.0  # seconds observed while output was waiting
-        self._without_progress = 0.0
+        self.without_progress = 0.0  # seconds since the peer has taken any of it
 
     def record_receipt(self, now: float) -> None:
         """Record that data was received."""
@@ -52,14 +52,14 @@
         """Record the bytes that the peer has taken so far, and whether further ones wait."""
         if self._had_backlog and taken > self._taken:
             self._silent_since = self._evidence_at = now
-            self._without_progress = 0.0
+            self.without_progress = 0.0
         self._taken, self._had_backlog = taken, backlog
 
     def restart_output(self, taken: int, now: float) -> None:
         """Begin to watch output that has begun to wait."""
         self.record_output(taken, True, now)
         self._observed_at = now
-        self._without_evidence = self._without_progress = 0.0
+        self._without_evidence = self.without_progress = 0.0
 
     def output_stalled(self, now: float) -> bool:
         """Return whether to give up a peer that does not take the waiting output.
@@ -70,9 +70,9 @@
         seen = self._evidence_at > self._observed_at
         self._observed_at = now
         self._without_evidence = 0.0 if seen else self._without_evidence + step
-        self._without_progress += step
+        self.without_progress += step
         return (
-            self._without_evidence > FULL_BUFFER_TIMEOUT or self._without_progress > MAX_STALL_TIME
+            self._without_evidence > FULL_BUFFER_TIMEOUT or self.without_progress > MAX_STALL_TIME
         )
 
     def next_step(self, now: float) -> Step:
--- a/packages/thorntray/src/thorntray/internal/telemetry/events.py
+++ b/packages/thorntray/src/thorntray/internal/telemetry/events.py
@@ -89,6 +89,7 @@
     HANDLER_FAILED = EventKind(401, Level.ERROR, "message handler failed")
     LINK_LOST = EventKind(410, Level.WARNING, "link to a peer lost")
     LINK_UNREACHABLE = EventKind(411, Level.WARNING, "no link to a peer")
+    LINK_FULL = EventKind(412, Level.WARNING, "call not put into a full link to a peer")
     TASK_FAILED = EventKind(402, Level.ERROR, "background task failed")
     LEVEL_RAISED = EventKind(500, Level.WARNING, "instance sheds requests")
     REQUEST_ENDED = EventKind(510, Level.INFO, "request ended", MAX_REQUEST_LINES_PER_SECOND)
--- a/tests/test_busy_links.py
+++ b/tests/test_busy_links.py
@@ -7,7 +7,10 @@
 
 from tests.link_builders import RecordingTransport, SlowOrigin, SlowOwner
 from tests.mesh_builders import HOST, LinkPeer, make_call, make_links
+from thorntray.internal.connection.call_bound import CALL_BUFFER_LIMIT
 from thorntray.internal.connection.frame import (
+    MAX_FRAME_BYTES,
+    CancelFrame,
     FrameReader,
     PongFrame,
     ResultFrame,
@@ -16,6 +19,7 @@
 from thorntray.internal.connection.link_connection import PLAIN_STREAM, LinkConnection
 from thorntray.internal.connection.peer_watch import FULL_BUFFER_TIMEOUT
 from thorntray.internal.process.clock import SystemClock
+from thorntray.internal.request.result import Cause
 
 BODY_BYTES = 3_000_000
 CALLS = 5  # sent at once; one more follows when the buffer has been full for a while
@@ -115,3 +119,111 @@
         return time.monotonic() - began
 
     assert FULL_BUFFER_TIMEOUT < run(scenario) < FULL_BUFFER_TIMEOUT + 1.5
+
+
+def calls_to_a_peer(scenario):
+    """Run a scenario with a link to a listening peer whose connection is open."""
+
+    async def work():
+        peer, links = LinkPeer(), make_links()
+        await peer.listener.start()
+        link = links.link_to(peer.member())
+        link.open()
+        await wait_until(lambda: peer.listener._connections)
+        try:
+            return await scenario(link, peer)
+        finally:
+            links.close()
+            peer.listener.close()
+
+    return run(work)
+
+
+def send_body(link, size, results):
+    return link.call(lambda n: make_call(number=n, body=bytes(size)), results.append)
+
+
+def test_a_call_that_does_not_fit_into_a_link_ends_as_not_run_and_the_others_with_results():
+    # Failure: the link is aborted for its full buffer, and every call on it ends as unknown.
+    async def scenario(link, peer):
+        results = []
+        (accepted,) = peer.listener._connections
+        accepted._transport.pause_reading()
+        for _ in range(12):
+            send_body(link, BODY_BYTES, results)
+        at_once = list(results)
+        await asyncio.sleep(0.2)
+        refused = list(results)
+        accepted._transport.resume_reading()
+        await wait_until(lambda: len(peer.calls) == 12 - len(refused))
+        for index in range(len(peer.calls)):
+            peer.answer(index)
+        await wait_until(lambda: len(results) == 12)
+        return at_once, refused, list(results), list(peer.lost)
+
+    at_once, refused, results, lost = calls_to_a_peer(scenario)
+    assert at_once == [] and lost == []
+    assert 3 <= len(refused) <= 8 and set(refused) == {Cause.NO_INSTANCE}
+    assert {type(r) for r in results[len(refused) :]} == {ResultFrame}
+
+
+def test_a_call_longer_than_the_bound_is_sent_on_an_idle_link():
+    # Failure: a body that the policy allows is refused by every link, whatever their load.
+    async def scenario(link, peer):
+        results = []
+        send_body(link, 2 * CALL_BUFFER_LIMIT, results)
+        await wait_until(lambda: peer.calls)
+        return list(results), len(peer.calls[0][1].body)
+
+    assert calls_to_a_peer(scenario) == ([], 2 * CALL_BUFFER_LIMIT)
+
+
+def test_a_call_too_long_for_any_frame_does_not_end_the_link():
+    # Failure: the peer refuses the frame by closing the link with every call on it.
+    async def scenario(link, peer):
+        results = []
+        send_body(link, 1, results)
+        await wait_until(lambda: peer.calls)
+        send_body(link, MAX_FRAME_BYTES, results)
+        await wait_until(lambda: results)
+        await asyncio.sleep(0.1)
+        peer.answer()
+        await wait_until(lambda: len(results) == 2)
+        return results
+
+    first, second = calls_to_a_peer(scenario)
+    assert first is Cause.NO_INSTANCE and isinstance(second, ResultFrame)
+
+
+def test_calls_made_before_the_connection_is_open_are_bounded_too():
+    # Failure: a peer that accepts late is sent more than its link may hold.
+    async def scenario():
+        peer, links, results = LinkPeer(), make_links(), []
+        await peer.listener.start()
+        link = links.link_to(peer.member())
+        numbers = [send_body(link, BODY_BYTES, results) for _ in range(12)]
+        cancelled_unsent = [link.cancel(numbers[0]), link.cancel(numbers[-1])]
+        await wait_until(lambda: len(peer.calls) + len(results) == 10)
+        links.close()
+        peer.listener.close()
+        return cancelled_unsent, len(peer.calls), {r for r in results if r is not Cause.LOST}
+
+    cancelled_unsent, sent, causes = run(scenario)
+    assert cancelled_unsent == [False, False]  # neither was sent
+    assert sent == 4 and causes == {Cause.NO_INSTANCE}
+
+
+def test_small_frames_pass_a_full_link():
+    # Failure: a call that its caller has left runs on, since its cancellation was refused.
+    async def scenario(link, peer):
+        frames, results = [], []
+        peer.on_frame = lambda link, frame: frames.append(frame)
+        (accepted,) = peer.listener._connections
+        accepted._transport.pause_reading()
+        numbers = [send_body(link, BODY_BYTES, results) for _ in range(8)]
+        link.cancel(numbers[0])
+        accepted._transport.resume_reading()
+        await wait_until(lambda: any(isinstance(f, CancelFrame) for f in frames))
+        return [f.number for f in frames if isinstance(f, CancelFrame)]
+
+    assert calls_to_a_peer(scenario) == [1]
