A large body is in memory once while it passes a link

Cause: a frame was copied when it was encoded, prefixed, joined with others, cut out of the reader's buffer (twice) and decoded.

Change: a frame with a body of 64 KiB or more is encoded around its body, the same bytes as before, and its parts are written one after another; the queue keeps the frames themselves, so that those not written need not be decoded. The reader decodes large frames from its buffer and whole frames from the received data, and replaces the buffer when it is empty, so that no capacity stays.

--- a/packages/thorntray/src/thorntray/internal/connection/frame.py
+++ b/packages/thorntray/src/thorntray/internal/connection/frame.py
@@ -7,7 +7,7 @@
 of an unknown type comes from a newer version and is skipped.
 """
 
-from typing import get_args
+from typing import Any, get_args
 
 import msgspec
 
@@ -17,6 +17,7 @@
 
 LENGTH_BYTES = 4
 MAX_FRAME_BYTES = 80 * 1024 * 1024
+LARGE_BODY_BYTES = 64 * 1024  # from here on copies of a body are avoided
 
 
 class Hello(msgspec.Struct, tag=0, array_like=True, frozen=True):
@@ -122,6 +123,11 @@
     | PolicyFrame
 )
 
+WITH_BODY = frozenset({CallFrame, ResultFrame})  # types of frames
+
+# Type bytes of MessagePack.
+MAX_FIXARRAY, FIXARRAY, ARRAY16, BIN32 = 15, 0x90, b"\xdc", b"\xc6"
+
 _encoder = msgspec.msgpack.Encoder()
 _decoder = msgspec.msgpack.Decoder(Frame)
 _KNOWN_TAGS = frozenset(kind.__struct_config__.tag for kind in get_args(Frame))
@@ -133,13 +139,47 @@
     return len(payload).to_bytes(LENGTH_BYTES, "big") + payload
 
 
+def encode_around_body(frame: CallFrame | ResultFrame) -> tuple[bytes, bytes, bytes]:
+    """Return what precedes a large body in the encoded frame, the body itself, and the rest.
+
+    Joined they are the same bytes as of `encode_frame`; the body is not copied.
+    """
+    names = frame.__struct_fields__
+    at = names.index("body")
+    before = [frame.__struct_config__.tag, *(getattr(frame, name) for name in names[:at])]
+    after = [getattr(frame, name) for name in names[at + 1 :]]
+    head = b"".join(
+        (
+            _array_header(len(names) + 1),
+            _encode_items(before),
+            BIN32,
+            len(frame.body).to_bytes(4, "big"),
+        )
+    )
+    tail = _encode_items(after)
+    length = len(head) + len(frame.body) + len(tail)
+    return length.to_bytes(LENGTH_BYTES, "big") + head, frame.body, tail
+
+
+def _encode_items(items: list[Any]) -> bytes:
+    """Return the encoded items of a short array, without the array's header of one byte."""
+    assert len(items) <= MAX_FIXARRAY
+    return _encoder.encode(items)[1:]
+
+
+def _array_header(length: int) -> bytes:
+    if length <= MAX_FIXARRAY:
+        return bytes((FIXARRAY | length,))
+    return ARRAY16 + length.to_bytes(2, "big")
+
+
 class FrameReader:
     """Splits a byte stream into frames."""
 
     __slots__ = ("_buffer",)
 
     def __init__(self) -> None:
-        self._buffer = bytearray()
+        self._buffer = bytearray()  # the beginning of a frame
 
     @property
     def incomplete(self) -> bool:
@@ -151,28 +191,41 @@
 
         Raises `BadMessage` for an oversized or malformed frame.
         """
-        buffer = self._buffer
-        buffer += data
+        source: bytes | bytearray = data
+        if self._buffer:
+            self._buffer += data
+            source = self._buffer
+        received = len(source)
         frames: list[Frame] = []
         start = 0
-        while len(buffer) - start >= LENGTH_BYTES:
-            length = int.from_bytes(buffer[start : start + LENGTH_BYTES], "big")
+        while received - start >= LENGTH_BYTES:
+            length = int.from_bytes(source[start : start + LENGTH_BYTES], "big")
             if length > MAX_FRAME_BYTES:
                 raise BadMessage(f"frame of {length} bytes; check what sends to the link port")
             end = start + LENGTH_BYTES + length
-            if len(buffer) < end:
+            if received < end:
                 break
             try:
-                frames.append(decode_frame(bytes(buffer[start + LENGTH_BYTES : end])))
+                frames.append(decode_frame(_slice(source, start + LENGTH_BYTES, end)))
             except UnknownMessage as exc:
                 log_event(Event.BAD_MESSAGE, detail=str(exc))
             start = end
-        if start:
-            del buffer[:start]
+        if start == received:
+            if source is not data:
+                self._buffer = bytearray()  # a new one, since the old one keeps its capacity
+        elif start or source is data:
+            self._buffer = bytearray(memoryview(source)[start:])
         return frames
 
 
-def decode_frame(payload: bytes) -> Frame:
+def _slice(source: bytes | bytearray, start: int, end: int) -> bytes | bytearray | memoryview:
+    """Return a part of received data, without a copy if it is large."""
+    if end - start < LARGE_BODY_BYTES:
+        return source[start:end]
+    return memoryview(source)[start:end]
+
+
+def decode_frame(payload: bytes | bytearray | memoryview) -> Frame:
     """Decode a frame without its length prefix.
 
     Raises `BadMessage` if it is malformed, and `UnknownMessage` if its type is unknown.
@@ -188,7 +241,7 @@
         raise BadMessage(f"malformed frame: {exc}; check what sends to the link port") from exc
 
 
-def _unknown_tag(payload: bytes) -> int | None:
+def _unknown_tag(payload: bytes | bytearray | memoryview) -> int | None:
     """Return the type of a well-formed frame if no frame here has it, else None."""
     try:
         fields = msgspec.msgpack.decode(payload, type=list[msgspec.Raw])
--- a/packages/thorntray/src/thorntray/internal/connection/link_connection.py
+++ b/packages/thorntray/src/thorntray/internal/connection/link_connection.py
@@ -19,13 +19,14 @@
 
 from thorntray.errors import BadMessage
 from thorntray.internal.connection.frame import (
-    LENGTH_BYTES,
+    LARGE_BODY_BYTES,
+    WITH_BODY,
     Frame,
     FrameReader,
     Hello,
     PingFrame,
     PongFrame,
-    decode_frame,
+    encode_around_body,
     encode_frame,
 )
 from thorntray.internal.connection.peer_watch import OUTPUT_CHECK_PERIOD, PeerWatch, Step
@@ -74,7 +75,9 @@
         self._mode_known = hello is not None  # whether the mode byte was sent or received
         self._transport: asyncio.Transport | None = None
         self._reader = FrameReader()
-        self._outgoing: list[bytes] = []
+        self._queued_frames: list[Frame] = []
+        self._outgoing: list[bytes] = []  # the encoded frames that are queued
+        self._has_large_part = False  # whether a part of `_outgoing` is a large body
         self._queued_bytes = 0  # in `_outgoing`
         self._compressor: zlib._Compress | None = None
         self._decompressor: zlib._Decompress | None = None
@@ -147,7 +150,9 @@
             if self._output_check is not None:
                 self._output_check.cancel()
             self._handler.on_lost(self)
+            self._queued_frames.clear()
             self._outgoing.clear()
+            self._queued_bytes = 0
 
     def send(self, frame: Frame) -> None:
         """Queue a frame; it is sent with the others of this iteration of the event loop."""
@@ -155,13 +160,20 @@
             return
         if not self._outgoing:
             self._loop.call_soon(self._flush)
-        data = encode_frame(frame)
-        self._outgoing.append(data)
-        self._queued_bytes += len(data)
+        if type(frame) in WITH_BODY and len(frame.body) >= LARGE_BODY_BYTES:
+            parts = encode_around_body(frame)
+            self._outgoing += parts
+            self._queued_bytes += sum(map(len, parts))
+            self._has_large_part = True
+        else:
+            data = encode_frame(frame)
+            self._outgoing.append(data)
+            self._queued_bytes += len(data)
+        self._queued_frames.append(frame)
 
     def unwritten_frames(self) -> list[Frame]:
         """Return the queued frames; when the connection is lost, they are certainly never sent."""
-        return [decode_frame(data[LENGTH_BYTES:]) for data in self._outgoing]
+        return list(self._queued_frames)
 
     def check_liveness(self, now: float) -> None:
         """Ping a silent peer, or close the connection if there is no evidence that it lives."""
@@ -210,17 +222,29 @@
     def _flush(self) -> None:
         if self.lost or self._transport is None or self._transport.is_closing():
             return
-        data = b"".join(self._outgoing)
+        if self._has_large_part or self._compressor is not None:
+            self._write_parts(self._transport)
+        else:
+            self._transport.write(b"".join(self._outgoing))
+            self._written_bytes += self._queued_bytes
+        self._queued_frames.clear()
         self._outgoing.clear()
         self._queued_bytes = 0
-        if self._compressor is not None:
-            data = self._compressor.compress(data) + self._compressor.flush(zlib.Z_SYNC_FLUSH)
-        self._transport.write(data)
-        self._written_bytes += len(data)
         if self._transport.get_write_buffer_size() and self._output_check is None:
             self._watch.restart_output(self._count_taken(), self._clock.monotonic())
             self._schedule_output_check()
 
+    def _write_parts(self, transport: asyncio.Transport) -> None:
+        """Write the queued parts, each by itself if one is large, and in one if compressed."""
+        parts = self._outgoing
+        if self._compressor is not None:
+            compressed = [self._compressor.compress(part) for part in parts]
+            parts = [b"".join((*compressed, self._compressor.flush(zlib.Z_SYNC_FLUSH)))]
+        for part in parts:
+            transport.write(part)
+            self._written_bytes += len(part)
+        self._has_large_part = False
+
     def _schedule_output_check(self) -> None:
         self._output_check = self._loop.call_later(OUTPUT_CHECK_PERIOD, self._check_output)
 
