Requests for which the process has no memory are refused before they are taken in

The platform kills such a process, and with it every request that it has accepted.

Cause: a body is taken in whatever the process holds already.

Change: when the head of a request is complete, its announced length is counted, or the request is refused with 503 and Retry-After, in its order behind earlier ones; a chunked body as it grows. The connection ends as after 413. Requests that may be repeated are refused at half of the budget, payouts and nested calls at 70 %, so that answers always find room. The route is looked up only when there is no room for a repeatable request. Small requests ask only while memory is scarce, which is looked up ten times a second. A body above its share is taken in while nothing else is held, as it would be refused forever otherwise. A Content-Length above MaxBodyBytes gets its 413 at once. Retry-After is the mean time for which bytes are held (Little's law), from 0.25 to 3 s with jitter: after that time about all that is held has been released. Event 523, thorntray_memory_refusals.

--- a/packages/thorntray-node/src/thorntray_node/mesh_node.py
+++ b/packages/thorntray-node/src/thorntray_node/mesh_node.py
@@ -30,6 +30,7 @@
 from thorntray.internal.overload.slot_queue import SlotQueue
 from thorntray.internal.process.clock import Clock
 from thorntray.internal.process.drain import Drain
+from thorntray.internal.process.hold_time import HoldTime
 from thorntray.internal.process.memory_budget import MemoryBudget
 from thorntray.internal.process.pauses import Pauses, varied_factors
 from thorntray.internal.process.registration import Registration
@@ -37,6 +38,7 @@
 from thorntray.internal.request.caller_identity import CallerIdentity
 from thorntray.internal.request.crash_watch import CrashWatch, CrashWatchDependencies
 from thorntray.internal.request.instance_tracker import InstanceTracker
+from thorntray.internal.request.memory_admission import MemoryAdmission, MemoryRefusal
 from thorntray.internal.request.origin import Origin
 from thorntray.internal.request.origin_context import OriginDependencies, RequestHead
 from thorntray.internal.request.origin_request import OriginRequest
@@ -98,6 +100,7 @@
         self._decode_policy = decode_policy
         self._session = rng.randbytes(SESSION_BYTES)
         self.memory = MemoryBudget(cfg.memory_limit)
+        self.hold_time = HoldTime(clock.monotonic())
         self._tasks = BackgroundTasks()
         self.departures: Departures | None = None  # None before the start
         self._create_owner_components()
@@ -265,7 +268,7 @@
         self.origin = Origin(self._origin_dependencies())
         self.callers = HttpServer(self.origin.handle, self.clock)
         self.callers.on_unanswered = self._request_unanswered
-        self._add_memory_sources()
+        self._bound_memory()
         self.readiness = HttpServer(self._answer_readiness, self.clock)
         self.announcements = HttpServer(announcements, self.clock)
         await self.callers.start(*cfg.callers)
@@ -298,12 +301,16 @@
             self._tasks.spawn(server.sweep())
         log_event(Event.STARTED, service=cfg.service, domain=cfg.domain)
 
-    def _add_memory_sources(self) -> None:
+    def _bound_memory(self) -> None:
         memory, held = self.memory, self.callers.held
         memory.add_source("requests", lambda: held.requests)
         memory.add_source("answers", held.unsent)
         memory.add_source("calls", lambda: self.owner.held_bytes)
         memory.add_source("instance_answers", lambda: self.pool.held.total)
+        if memory.limit is not None:
+            held.gate = MemoryAdmission(
+                memory, self.origin, self.hold_time, self._refused_for_memory
+            )
 
     def _create_freshness_check(self, duty: WatchDuty) -> None:
         watch = self.policy_watch
@@ -416,6 +423,20 @@
         self.log.refused(head, route, reason, self.holder.version)
         self.metrics.caller_refused(reason)
 
+    def _refused_for_memory(self, refusal: MemoryRefusal) -> None:
+        self.metrics.refused_for_memory("origin")
+        log_event(
+            Event.MEMORY_FULL,
+            side="origin",
+            id=refusal.request_id.decode("latin-1"),
+            route=refusal.route,
+            bytes=refusal.count,
+            share=refusal.share.name,
+            held=self.memory.held_by_kind(),
+            limit=self.memory.limit,
+            retry_after=round(refusal.retry_after, 2),
+        )
+
     def _request_unanswered(self, exchange: Exchange, closed_by: ClosedBy) -> None:
         self.log.unanswered(self._request_id(exchange), closed_by)
         self.metrics.request_unanswered(closed_by.value)
@@ -446,6 +467,9 @@
                 self.owner.reject_queued(Cause.FULL)
             self.metrics.observe_loop_lag(now - began - period)
             self.owner.update_price(now)
+            self.memory.review()
+            held = self.callers.held
+            self.hold_time.observe(held.requests, held.released, now)
 
     def _log_load(self) -> None:
         queue, price = self.queue, self.owner.deps.price.price
--- a/packages/thorntray/src/thorntray/internal/connection/http_server.py
+++ b/packages/thorntray/src/thorntray/internal/connection/http_server.py
@@ -191,11 +191,15 @@
             self._reject(431)
 
     def on_headers_complete(self) -> None:
-        """Send `100 Continue` to a caller that expects it."""
+        """Refuse a request for which there is no room; send `100 Continue` if it is expected."""
         if self._last_request_read:
             return
         incoming = self._incoming
-        self.held.hold(incoming, incoming.header_bytes + incoming.content_length)
+        if incoming.content_length > self.server.limits.body_bytes:
+            self._reject(413)
+            return
+        if not self._admit(incoming.header_bytes + incoming.content_length):
+            return
         if self._parser.get_method() in _METHODS_WITHOUT_BODY:
             return
         for name, value in self._incoming.headers:
@@ -213,7 +217,14 @@
             return
         beyond = self._incoming.unannounced_bytes
         if beyond > 0:
-            self.held.hold(self._incoming, beyond)
+            self._admit(beyond)
+
+    def _admit(self, count: int) -> bool:
+        """Count bytes of the request that is being received, or refuse it."""
+        refusal = self.held.admit(self._incoming, count)
+        if refusal is not None:
+            self._reject(HTTPStatus.SERVICE_UNAVAILABLE, refusal)
+        return refusal is None
 
     def on_message_complete(self) -> None:
         """Pass the complete request to the handler."""
@@ -311,7 +322,7 @@
         if not self.pending and self._receiving_since is None and self._transport is not None:
             self._transport.close()
 
-    def _reject(self, status: int) -> None:
+    def _reject(self, status: int, header_lines: bytes = b"") -> None:
         """Respond to a request that was not fully read, and close the connection afterwards."""
         self._last_request_read = True
         request = HttpRequest(b"GET", self._incoming.target, [], b"")
@@ -320,7 +331,7 @@
         exchange = Exchange(self, request)
         exchange.last = True
         self.pending.append(exchange)
-        exchange.respond(status, b"", b"")
+        exchange.respond(status, header_lines, b"")
 
     def _end_after_last_request(self) -> None:
         """Read nothing more, and close the connection with the response to the last request."""
--- a/packages/thorntray/src/thorntray/internal/connection/request_bodies.py
+++ b/packages/thorntray/src/thorntray/internal/connection/request_bodies.py
@@ -6,6 +6,7 @@
 Header = tuple[bytes, bytes]
 
 _CONTENT_LENGTH = b"content-length"
+UNCHECKED_BYTES = 4 * 1024  # of a request that is taken in unless memory is known to be scarce
 FIELD_SEPARATOR_BYTES = 4  # colon, space and line end of a header field
 # The parser reports a field, an extension of a chunk and a trailer only when they are complete.
 # What was received for them is bounded instead; it includes the framing of a chunked body.
@@ -69,6 +70,19 @@
     held_bytes: int
 
 
+class RequestGate(Protocol):
+    """Decides whether there is memory for a request."""
+
+    @property
+    def pressed(self) -> bool:
+        """Return whether it is to be asked for small requests, too."""
+        ...
+
+    def refusal(self, request: IncomingRequest, count: int) -> bytes | None:
+        """Return the header lines of a refusal, None if `count` more bytes may be held."""
+        ...
+
+
 class HeldBytes:
     """Bytes that the requests of a server's callers hold, and their answers.
 
@@ -80,8 +94,20 @@
     def __init__(self) -> None:
         self.requests = 0
         self.answers = 0
+        self.released = 0  # bytes of requests, since the start
+        self.gate: RequestGate | None = None
         self.slow: set[asyncio.Transport] = set()  # transports above their high-water mark
 
+    def admit(self, request: IncomingRequest, count: int) -> bytes | None:
+        """Count bytes of a request, or return the header lines with which to refuse it."""
+        gate = self.gate
+        if gate is not None and (request.held_bytes + count > UNCHECKED_BYTES or gate.pressed):
+            refusal = gate.refusal(request, count)
+            if refusal is not None:
+                return refusal
+        self.hold(request, count)
+        return None
+
     def hold(self, holder: Holder, count: int) -> None:
         """Count bytes of a request."""
         holder.held_bytes += count
@@ -90,6 +116,7 @@
     def release(self, holder: Holder) -> None:
         """Record that the bytes of a request are no longer held."""
         self.requests -= holder.held_bytes
+        self.released += holder.held_bytes
         holder.held_bytes = 0
 
     def hand_over(self, holder: Holder, successor: Holder) -> None:
--- a/packages/thorntray/src/thorntray/internal/process/memory_budget.py
+++ b/packages/thorntray/src/thorntray/internal/process/memory_budget.py
@@ -14,6 +14,9 @@
 PROGRAM_BYTES = 64 * 1024 * 1024  # code, policies, and state of hundreds of peers
 MIN_PAYLOAD_RATIO = 0.25  # least share of a small limit that is left for requests and answers
 COPIES = 2  # of a byte while it passes from one buffer into the next
+# Share of the budget up to which the node counts as empty. Only then is a single body that exceeds
+# its share taken in, which would otherwise be refused forever.
+EMPTY_RATIO = 0.1
 
 
 class Share(Enum):
@@ -36,6 +39,7 @@
         if process_limit is not None:
             payload = max(process_limit - PROGRAM_BYTES, int(process_limit * MIN_PAYLOAD_RATIO))
             self.limit = payload // COPIES
+        self.pressed = False  # whether requests without a body should ask for room, too
         self._sources: dict[str, Callable[[], int]] = {}
 
     def add_source(self, kind: str, read_bytes: Callable[[], int]) -> None:
@@ -53,4 +57,13 @@
 
     def has_room(self, count: int, share: Share) -> bool:
         """Return whether `count` more bytes may be taken in."""
-        return self.limit is None or self.held + count <= self.limit * share.value
+        if self.limit is None:
+            return True
+        held = self.held
+        if held + count <= self.limit * share.value:
+            return True
+        return held <= self.limit * EMPTY_RATIO and held + count <= self.limit
+
+    def review(self) -> None:
+        """Update `pressed`; to be called several times a second."""
+        self.pressed = not self.has_room(0, Share.REPEATABLE_REQUEST)
--- a/packages/thorntray/src/thorntray/internal/request/origin.py
+++ b/packages/thorntray/src/thorntray/internal/request/origin.py
@@ -5,9 +5,12 @@
 from a caller that may not call, or exceed the quota of its workspace are answered here.
 """
 
+from typing import NamedTuple
+
 from thorntray.internal.connection.exchange import Exchange
 from thorntray.internal.connection.header_names import FieldClassifier, FieldKind
 from thorntray.internal.overload.call_parents import CallSender
+from thorntray.internal.process.memory_budget import Share
 from thorntray.internal.request.caller_identity import IdentityRefusal
 from thorntray.internal.request.origin_context import (
     OriginContext,
@@ -34,6 +37,14 @@
     """Raised for missing or malformed header fields."""
 
 
+class RoutedHead(NamedTuple):
+    """The head of a request with its route, and the share of the memory that it may fill."""
+
+    head: RequestHead
+    route: Route
+    share: Share
+
+
 class Origin:
     """Handles requests from callers and from this node's own instance."""
 
@@ -65,9 +76,7 @@
         except InvalidRequestHead:
             self._refuse(exchange, BAD_REQUEST)
             return
-        target = exchange.request.target
-        path = target.partition(b"?")[0].decode("latin-1")
-        route = policy.find_route(head.host, path)
+        route = _find_route(policy, head, exchange.request.target)
         if route is None:
             self._deps.on_refused(head, None, NO_ROUTE)
             self._refuse(exchange, NOT_FOUND)
@@ -81,6 +90,27 @@
         else:
             self._start(OriginRequest(self._context, exchange, head, route, caller))
 
+    def look_up(self, target: bytes, headers: list[tuple[bytes, bytes]]) -> RoutedHead | None:
+        """Return what is known of a request from its head, None if it will be refused."""
+        policy = self._deps.policy()
+        if policy is None:
+            return None
+        try:
+            head = self.read_head(headers)
+        except InvalidRequestHead:
+            return None
+        route = _find_route(policy, head, target)
+        if route is None:
+            return None
+        # The request that a call belongs to has been accepted and would fail with it.
+        repeatable = route.idempotent and self._context.find_parent(head) is None
+        share = Share.REPEATABLE_REQUEST if repeatable else Share.REQUEST
+        return RoutedHead(head, route, share)
+
+    def retry_after_line(self, seconds: float) -> bytes:
+        """Return the Retry-After header line for `seconds` plus jitter."""
+        return self._context.retry_after_line(seconds)
+
     def _start(self, request: OriginRequest) -> None:
         try:
             request.start()
@@ -214,6 +244,11 @@
         exchange.respond(status, lines, b"")
 
 
+def _find_route(policy: Policy, head: RequestHead, target: bytes) -> Route | None:
+    path = target.partition(b"?")[0].decode("latin-1")
+    return policy.find_route(head.host, path)
+
+
 def _without_connection_fields(lines: list[bytes], connection_options: bytes) -> list[bytes]:
     """Return the header lines without the fields that the Connection field lists."""
     options = {part.strip() for part in connection_options.split(b",")}
--- a/packages/thorntray/src/thorntray/internal/telemetry/events.py
+++ b/packages/thorntray/src/thorntray/internal/telemetry/events.py
@@ -105,6 +105,7 @@
     LOAD = EventKind(520, Level.INFO, "load of the instance and prices received")
     INSTANCE_CRASHED = EventKind(521, Level.WARNING, "upstream instance crashed with requests")
     REQUEST_BLOCKED = EventKind(522, Level.WARNING, "requests that crash instances are refused")
+    MEMORY_FULL = EventKind(523, Level.WARNING, "request refused for lack of memory")
     LIMIT_LOWERED = EventKind(501, Level.WARNING, "concurrency limit lowered")
 
 
--- a/packages/thorntray/src/thorntray/internal/telemetry/node_metrics.py
+++ b/packages/thorntray/src/thorntray/internal/telemetry/node_metrics.py
@@ -86,6 +86,7 @@
     "thorntray_gossip_sent_bytes": ("gauge", "bytes of membership datagrams sent since the start"),
     "thorntray_gossip_received_bytes": ("gauge", "bytes of membership datagrams received"),
     "thorntray_instance_connections": ("gauge", "connections opened to the instance"),
+    "thorntray_memory_refusals": ("counter", "requests refused for lack of memory, by side"),
     "thorntray_held_bytes": ("gauge", "bytes held for requests and answers, by kind"),
     "thorntray_memory_budget_bytes": (
         "gauge",
@@ -112,6 +113,7 @@
         self._instance_crashes = self._counter("thorntray_instance_crashes")
         self._instance_mismatches = self._counter("thorntray_instance_mismatches")
         self._loop_lag = self._histogram("thorntray_loop_lag_seconds", LAG_BUCKETS)
+        self._memory_refusals = self._counter("thorntray_memory_refusals", "side")
         self._labelled_gauges: list[tuple[Gauge, Callable[[], dict[str, float]]]] = []
         self._request_children: dict[tuple[str, str, int, int], Counter] = {}
         self._duration_children: dict[tuple[str, str], Histogram] = {}
@@ -157,6 +159,10 @@
         """Count a request that the own instance rejected as sent to another one."""
         self._instance_mismatches.inc()
 
+    def refused_for_memory(self, side: str) -> None:
+        """Count a request that was refused for lack of memory; `side` is origin or owner."""
+        self._memory_refusals.labels(side).inc()
+
     def observe_loop_lag(self, seconds: float) -> None:
         """Record how late a timer of the event loop fired."""
         self._loop_lag.observe(max(0.0, seconds))
--- a/tests/mesh_builders.py
+++ b/tests/mesh_builders.py
@@ -288,6 +288,7 @@
         self.nodes: dict[str, MeshNode] = {}
         self.instances: dict[str, FakeInstance] = {}
         self.stopped: list[str] = []  # names of the nodes that were restarted
+        self.memory_limit: int | None = None  # bytes, of nodes that are added later
         self.recall = False  # whether nodes that start ask first which instances have left
 
     async def add(
@@ -296,7 +297,8 @@
         """Start an instance and its node, and announce the instance to the node."""
         instance = await FakeInstance(reply).start()
         self.instances[name] = instance
-        node = await self._start_node(make_mesh_config(name, service, instance.port, domain))
+        cfg = make_mesh_config(name, service, instance.port, domain)
+        node = await self._start_node(cfg._replace(memory_limit=self.memory_limit))
         self.announce(name, **announced)
         return node
 
