An owner refuses calls of peers for which it has no memory

Cause: an owner takes every call that it can queue, whatever its process holds.

Change: a call of a peer asks the budget as a caller's request does, also without a body while memory is scarce, since its answer needs memory. The body is not kept. Calls of the origin at the same node are counted at their caller's connection and were accepted there. The connection of the budget with its components moves to memory_bounds.py.

--- /dev/null
+++ b/packages/thorntray-node/src/thorntray_node/memory_bounds.py
@@ -0,0 +1,70 @@
+"""Connects the budget of memory of a node to the components that hold bytes and take them in."""
+
+from thorntray.internal.connection.frame import CallFrame
+from thorntray.internal.connection.http_server import HttpServer
+from thorntray.internal.connection.instance_pool import InstancePool
+from thorntray.internal.process.clock import Clock
+from thorntray.internal.process.hold_time import HoldTime
+from thorntray.internal.process.memory_budget import MemoryBudget
+from thorntray.internal.request.memory_admission import MemoryAdmission, MemoryRefusal
+from thorntray.internal.request.origin import Origin
+from thorntray.internal.request.owner import Owner
+from thorntray.internal.telemetry.events import Event, log_event
+from thorntray.internal.telemetry.node_metrics import NodeMetrics
+
+
+class MemoryBounds:
+    """The budget of a node, its sources and its refusals."""
+
+    def __init__(self, memory: MemoryBudget, metrics: NodeMetrics, clock: Clock) -> None:
+        self._memory = memory
+        self._metrics = metrics
+        self._clock = clock
+        self._hold_time = HoldTime(clock.monotonic())
+
+    def connect(
+        self, callers: HttpServer, origin: Origin, owner: Owner, pool: InstancePool
+    ) -> None:
+        """Read the bytes that the components hold, and have callers refused by them."""
+        self._held = held = callers.held
+        memory = self._memory
+        memory.add_source("requests", lambda: held.requests)
+        memory.add_source("answers", held.unsent)
+        memory.add_source("calls", lambda: owner.held_bytes)
+        memory.add_source("instance_answers", lambda: pool.held.total)
+        if memory.limit is not None:
+            held.gate = MemoryAdmission(memory, origin, self._hold_time, self._caller_refused)
+
+    def review(self) -> None:
+        """Update what changes with time; to be called several times a second."""
+        self._memory.review()
+        held = self._held
+        self._hold_time.observe(held.requests, held.released, self._clock.monotonic())
+
+    def call_refused(self, call: CallFrame, retry_after: float) -> None:
+        """Record that the owner has refused a call of a peer."""
+        self._record(
+            "owner", call.request_id, call.route, bytes=len(call.body), retry_after=retry_after
+        )
+
+    def _caller_refused(self, refusal: MemoryRefusal) -> None:
+        self._record(
+            "origin",
+            refusal.request_id,
+            refusal.route,
+            bytes=refusal.count,
+            share=refusal.share.name,
+            retry_after=refusal.retry_after,
+        )
+
+    def _record(self, side: str, request_id: bytes, route: str, **fields: object) -> None:
+        self._metrics.refused_for_memory(side)
+        log_event(
+            Event.MEMORY_FULL,
+            side=side,
+            id=request_id.decode("latin-1"),
+            route=route,
+            held=self._memory.held_by_kind(),
+            limit=self._memory.limit,
+            **fields,
+        )
--- a/packages/thorntray-node/src/thorntray_node/mesh_node.py
+++ b/packages/thorntray-node/src/thorntray_node/mesh_node.py
@@ -30,7 +30,6 @@
 from thorntray.internal.overload.slot_queue import SlotQueue
 from thorntray.internal.process.clock import Clock
 from thorntray.internal.process.drain import Drain
-from thorntray.internal.process.hold_time import HoldTime
 from thorntray.internal.process.memory_budget import MemoryBudget
 from thorntray.internal.process.pauses import Pauses, varied_factors
 from thorntray.internal.process.registration import Registration
@@ -38,7 +37,6 @@
 from thorntray.internal.request.caller_identity import CallerIdentity
 from thorntray.internal.request.crash_watch import CrashWatch, CrashWatchDependencies
 from thorntray.internal.request.instance_tracker import InstanceTracker
-from thorntray.internal.request.memory_admission import MemoryAdmission, MemoryRefusal
 from thorntray.internal.request.origin import Origin
 from thorntray.internal.request.origin_context import OriginDependencies, RequestHead
 from thorntray.internal.request.origin_request import OriginRequest
@@ -62,6 +60,7 @@
 from thorntray.internal.telemetry.node_metrics import NodeMetrics
 from thorntray.internal.version.freshness import Freshness
 from thorntray.internal.version.policy import Policy, PolicyHolder, Route
+from thorntray_node.memory_bounds import MemoryBounds
 from thorntray_node.mesh_config import MeshConfig
 from thorntray_node.mesh_gauges import register_gauges
 from thorntray_node.peer_requests import PeerRequests
@@ -100,7 +99,7 @@
         self._decode_policy = decode_policy
         self._session = rng.randbytes(SESSION_BYTES)
         self.memory = MemoryBudget(cfg.memory_limit)
-        self.hold_time = HoldTime(clock.monotonic())
+        self._memory_bounds = MemoryBounds(self.memory, self.metrics, clock)
         self._tasks = BackgroundTasks()
         self.departures: Departures | None = None  # None before the start
         self._create_owner_components()
@@ -151,6 +150,8 @@
                 clock=clock,
                 on_finish=self._owner_finished,
                 on_slot_wait=self.metrics.observe_queue_wait,
+                memory=self.memory,
+                on_memory_refused=self._memory_bounds.call_refused,
             )
         )
 
@@ -268,7 +269,7 @@
         self.origin = Origin(self._origin_dependencies())
         self.callers = HttpServer(self.origin.handle, self.clock)
         self.callers.on_unanswered = self._request_unanswered
-        self._bound_memory()
+        self._memory_bounds.connect(self.callers, self.origin, self.owner, self.pool)
         self.readiness = HttpServer(self._answer_readiness, self.clock)
         self.announcements = HttpServer(announcements, self.clock)
         await self.callers.start(*cfg.callers)
@@ -301,17 +302,6 @@
             self._tasks.spawn(server.sweep())
         log_event(Event.STARTED, service=cfg.service, domain=cfg.domain)
 
-    def _bound_memory(self) -> None:
-        memory, held = self.memory, self.callers.held
-        memory.add_source("requests", lambda: held.requests)
-        memory.add_source("answers", held.unsent)
-        memory.add_source("calls", lambda: self.owner.held_bytes)
-        memory.add_source("instance_answers", lambda: self.pool.held.total)
-        if memory.limit is not None:
-            held.gate = MemoryAdmission(
-                memory, self.origin, self.hold_time, self._refused_for_memory
-            )
-
     def _create_freshness_check(self, duty: WatchDuty) -> None:
         watch = self.policy_watch
         self.freshness_check = watch.evidence = FreshnessCheck(
@@ -423,20 +413,6 @@
         self.log.refused(head, route, reason, self.holder.version)
         self.metrics.caller_refused(reason)
 
-    def _refused_for_memory(self, refusal: MemoryRefusal) -> None:
-        self.metrics.refused_for_memory("origin")
-        log_event(
-            Event.MEMORY_FULL,
-            side="origin",
-            id=refusal.request_id.decode("latin-1"),
-            route=refusal.route,
-            bytes=refusal.count,
-            share=refusal.share.name,
-            held=self.memory.held_by_kind(),
-            limit=self.memory.limit,
-            retry_after=round(refusal.retry_after, 2),
-        )
-
     def _request_unanswered(self, exchange: Exchange, closed_by: ClosedBy) -> None:
         self.log.unanswered(self._request_id(exchange), closed_by)
         self.metrics.request_unanswered(closed_by.value)
@@ -467,9 +443,7 @@
                 self.owner.reject_queued(Cause.FULL)
             self.metrics.observe_loop_lag(now - began - period)
             self.owner.update_price(now)
-            self.memory.review()
-            held = self.callers.held
-            self.hold_time.observe(held.requests, held.released, now)
+            self._memory_bounds.review()
 
     def _log_load(self) -> None:
         queue, price = self.queue, self.owner.deps.price.price
--- a/packages/thorntray/src/thorntray/internal/request/memory_admission.py
+++ b/packages/thorntray/src/thorntray/internal/request/memory_admission.py
@@ -51,7 +51,7 @@
         share = Share.REPEATABLE_REQUEST if found is None else found.share
         if share is not Share.REPEATABLE_REQUEST and self._memory.has_room(count, share):
             return None
-        seconds = self._hold_time.seconds
+        seconds = round(self._hold_time.seconds, 3)
         request_id, route = (
             (b"", "") if found is None else (found.head.request_id, found.route.name)
         )
--- a/packages/thorntray/src/thorntray/internal/request/owner.py
+++ b/packages/thorntray/src/thorntray/internal/request/owner.py
@@ -25,6 +25,7 @@
 from thorntray.internal.overload.slot_price import MIN_PRICE, SlotPrice
 from thorntray.internal.overload.slot_queue import SlotQueue
 from thorntray.internal.process.clock import Clock
+from thorntray.internal.process.memory_budget import MemoryBudget, Share
 from thorntray.internal.process.pauses import Pauses
 from thorntray.internal.process.registration import Registration
 from thorntray.internal.request.crash_watch import CrashWatch
@@ -72,6 +73,8 @@
     clock: Clock
     on_finish: Callable[[CallFrame, Result, float], None]  # with the seconds at this node
     on_slot_wait: Callable[[float], None]  # with the seconds waited
+    memory: MemoryBudget
+    on_memory_refused: Callable[[CallFrame, float], None]  # with the seconds to return after
 
 
 class Owner:
@@ -97,8 +100,6 @@
         """Accept a request; `on_result` is called once, possibly before this method returns."""
         request = OwnerRequest(self, call, on_result)
         self.requests.add(request)
-        if call.number != LOCAL_CALL_NUMBER:
-            request.hold_body()
         try:
             self._start_or_queue(request)
         except Exception:
@@ -111,12 +112,32 @@
             refusal = Cause.FULL
         if refusal is not None:
             request.finish(not_run(refusal))
+        elif not self._take_in(request):
+            retry_after = self.waiting.memory_retry_after
+            self.deps.on_memory_refused(request.call, retry_after)
+            request.finish(not_run(Cause.FULL, retry_after))
         elif not self.deps.queue.submit(request.ticket) and not request.finished:
             if self.waiting.admit(request, self.requests):
                 request.start_queue_timer()
             else:
                 request.finish(self.waiting.full(request))
 
+    def _take_in(self, request: OwnerRequest) -> bool:
+        """Count the body of a peer's call, unless it exceeds the memory; return whether it fits.
+
+        The connection of its caller counts that of a call from this node.
+        """
+        call, memory = request.call, self.deps.memory
+        if call.number == LOCAL_CALL_NUMBER:
+            return True
+        if call.body or memory.pressed:
+            repeatable = call.idempotent and not call.nested
+            share = Share.REPEATABLE_REQUEST if repeatable else Share.REQUEST
+            if not memory.has_room(len(call.body), share):
+                return False
+        request.hold_body()
+        return True
+
     def start(self, request: OwnerRequest) -> None:
         """Send a request that holds a slot to the instance, or refuse it if it cannot run now."""
         deps, call = self.deps, request.call
--- a/packages/thorntray/src/thorntray/internal/request/waiting_requests.py
+++ b/packages/thorntray/src/thorntray/internal/request/waiting_requests.py
@@ -20,6 +20,7 @@
 MOVING_AVERAGE_WEIGHT = 0.1  # weight of the newest service time
 MIN_CAPACITY = 0.05  # requests in flight, for an instance with a small rate limit
 RATE_TIMER_MARGIN = 0.001  # seconds; timers fire at times slightly early
+MIN_MEMORY_RETRY_AFTER = 0.25  # seconds; short services still need time to read bodies
 
 
 class WaitingRequest(Protocol):
@@ -99,6 +100,11 @@
         refused_wait, self._refused_wait = self._refused_wait, 0.0
         return refused_wait / elapsed if elapsed > 0 else 0.0
 
+    @property
+    def memory_retry_after(self) -> float:
+        """Return the seconds after which requests that are held now will have ended."""
+        return max(MIN_MEMORY_RETRY_AFTER, self._service_time)
+
     @property
     def capacity(self) -> float:
         """Return the requests that can be in flight at once, by slots and by the rate limit."""
