--- a/packages/thorntray-node/src/thorntray_node/mesh_node.py
+++ b/packages/thorntray-node/src/thorntray_node/mesh_node.py
@@ -61,6 +61,7 @@
 from thorntray.internal.telemetry.node_metrics import NodeMetrics
 from thorntray.internal.version.freshness import Freshness
 from thorntray.internal.version.policy import Policy, PolicyHolder, Route
+from thorntray_node.memory_bounds import MemoryBounds
 from thorntray_node.mesh_config import MeshConfig
 from thorntray_node.mesh_gauges import register_gauges
 from thorntray_node.peer_requests import PeerRequests
@@ -99,6 +100,7 @@
         self._decode_policy = decode_policy
         self._session = rng.randbytes(SESSION_BYTES)
         self.memory = MemoryBudget(cfg.memory_limit)
+        self._memory_bounds = MemoryBounds(self.memory, self.metrics, clock)
         self._tasks = BackgroundTasks()
         self.departures: Departures | None = None  # None before the start
         self._create_owner_components()
@@ -149,6 +151,8 @@
                 clock=clock,
                 on_finish=self._owner_finished,
                 on_slot_wait=self.metrics.observe_queue_wait,
+                memory=self.memory,
+                on_memory_refused=self._memory_bounds.call_refused,
             )
         )
 
@@ -266,7 +270,7 @@
         self.origin = Origin(self._origin_dependencies())
         self.callers = HttpServer(self.origin.handle, self.clock)
         self.callers.on_unanswered = self._request_unanswered
-        self._add_memory_sources()
+        self._memory_bounds.connect(self.callers, self.origin, self.owner, self.pool)
         self.readiness = HttpServer(self._answer_readiness, self.clock)
         self.announcements = HttpServer(announcements, self.clock)
         await self.callers.start(*cfg.callers)
@@ -299,13 +303,6 @@
             self._tasks.spawn(server.sweep())
         log_event(Event.STARTED, service=cfg.service, domain=cfg.domain)
 
-    def _add_memory_sources(self) -> None:
-        memory, held = self.memory, self.callers.held
-        memory.add_source("requests", lambda: held.requests)
-        memory.add_source("answers", held.unsent)
-        memory.add_source("calls", lambda: self.owner.held_bytes)
-        memory.add_source("instance_answers", lambda: self.pool.held.total)
-
     def _create_freshness_check(self, duty: WatchDuty) -> None:
         watch = self.policy_watch
         self.freshness_check = watch.evidence = FreshnessCheck(
@@ -447,6 +444,7 @@
                 self.owner.reject_queued(Cause.FULL)
             self.metrics.observe_loop_lag(now - began - period)
             self.owner.update_price(now)
+            self._memory_bounds.review()
 
     def _log_load(self) -> None:
         queue, price = self.queue, self.owner.deps.price.price
