--- a/tests/process_builders.py
+++ b/tests/process_builders.py
@@ -8,6 +8,7 @@
 import socket
 import subprocess
 import sys
+import sysconfig
 import time
 from pathlib import Path
 from random import Random
@@ -22,12 +23,12 @@
 
 # A module that run.py imports, replaced by one that waits at a named pipe and then imports it.
 GATED_MODULE = "uvloop"
-GATE_SOURCE = f"""
+GATE_SOURCE = """
 import os, sys
 sys.path.remove(os.path.dirname(__file__))
 open(os.environ["IMPORT_GATE"]).read()
-del sys.modules["{GATED_MODULE}"]
-import {GATED_MODULE}
+del sys.modules["{module}"]
+import {module}
 """
 
 FAILURE = "RuntimeError('a fault of the test')"
@@ -42,18 +43,26 @@
 class PlatformProcess:
     """A node process; use as a context manager, which kills the process at its end.
 
-    With `gated`, the process waits during its imports for `send_while_importing`. With `piped`, its
-    stdout is a pipe. `failing_step` names a method of `MeshNode` that raises `FAILURE`.
+    With `gated`, the process waits during the import of `gated_module` for `send_while_importing`.
+    With `piped`, its stdout is a pipe. `failing_step` names a method of `MeshNode` that raises
+    `FAILURE`. `options` are those of the interpreter.
     """
 
     def __init__(
-        self, folder: Path, gated: bool = False, piped: bool = False, failing_step: str = ""
+        self,
+        folder: Path,
+        gated: bool = False,
+        piped: bool = False,
+        failing_step: str = "",
+        gated_module: str = GATED_MODULE,
+        options: tuple[str, ...] = (),
     ) -> None:
         fleet = MeshFleet([], {}, Random(0))
         self._node = NodeProcess("single-1", "single", "kalimati", 1)
         self._host = fleet._address(1, 1)
         self._folder = folder
         self._piped = piped
+        self._options = options
         self._gate = folder / "gate"
         settings = folder / "boot.toml"
         settings.write_text(fleet._settings(self._node), "utf-8")
@@ -61,11 +70,14 @@
         modules.mkdir()
         if gated:
             os.mkfifo(self._gate)
-            (modules / f"{GATED_MODULE}.py").write_text(GATE_SOURCE, "utf-8")
+            source = GATE_SOURCE.format(module=gated_module)
+            (modules / f"{gated_module}.py").write_text(source, "utf-8")
         if failing_step:
             source = FAILING_STEP_SOURCE.format(step=failing_step)
             (modules / "sitecustomize.py").write_text(source, "utf-8")
         paths = [str(modules), *(str(ROOT / path) for path in PACKAGES)]
+        if "-S" in options:  # the libraries are on the path, as `target/deps` is on the platform
+            paths.append(sysconfig.get_path("purelib"))
         self._env = {
             **os.environ,
             "THORNTRAY_BOOT": str(settings),
@@ -87,7 +99,7 @@
         """Start the process; unless it is piped, its output goes to the log."""
         with (self._folder / "node.log").open("ab") as log:
             self.process = subprocess.Popen(
-                [sys.executable, str(ROOT / "platform/run.py")],
+                [sys.executable, *self._options, str(ROOT / "platform/run.py")],
                 stdout=subprocess.PIPE if self._piped else log,
                 stderr=log,
                 env=self._env,
--- a/tests/test_process_signals.py
+++ b/tests/test_process_signals.py
@@ -15,8 +15,13 @@
 pytestmark = pytest.mark.process
 
 
-def test_a_change_of_settings_during_the_imports_does_not_end_the_process(tmp_path):
-    with PlatformProcess(tmp_path, gated=True) as node:
+# `signal` imports `enum`: SIGHUP is ignored before the first module that is not built in.
+@pytest.mark.parametrize("module", ["enum", "signal", "uvloop"])
+@pytest.mark.parametrize("options", [(), ("-S",)])
+def test_a_change_of_settings_during_the_imports_does_not_end_the_process(
+    tmp_path, module, options
+):
+    with PlatformProcess(tmp_path, gated=True, gated_module=module, options=options) as node:
         node.send_while_importing(signal.SIGHUP)
         node.connect().close()
         node.wait_for_log("STARTED")
