A stop that is overdue after a pause passes on the answers that arrived in it

What callers saw: 502 for requests that their instance had answered. A process that is paused (SIGSTOP) during its stop until its answers are due ends all that it holds at its first turn: the loop runs its timers before it reads, and the instance's answers still wait in the kernel.

RequestDrain reads for 0.1 s more if answers are overdue by more than two of its polls, which only a pause makes. A stop that reaches its limit without a pause is as before.

--- a/packages/thorntray-node/src/thorntray_node/request_drain.py
+++ b/packages/thorntray-node/src/thorntray_node/request_drain.py
@@ -17,6 +17,9 @@
 from thorntray.internal.request.owner import Owner
 
 POLL_PERIOD = 0.05  # seconds
+# Seconds by which answers are overdue at the first look only if the process was paused.
+PAUSE_LAG = 2 * POLL_PERIOD
+ARRIVED_READ_TIME = 0.1  # seconds for reading and passing on what arrived during a pause
 FINAL_FLUSH_TIME = 0.2  # seconds for sending the answers of the requests that were ended
 
 
@@ -48,6 +51,8 @@
         """Wait until nothing is owed or answers are due; end what is left, and send its answers."""
         while self._owes_answers and not self._drain.overdue:
             await asyncio.sleep(POLL_PERIOD)
+        if self._drain.overdue_by > PAUSE_LAG:
+            await self._read_arrived()
         self._drain.end()
         # Origins first: a request that its owner ends could be sent to another instance.
         ended = EndedRequests(self._origin.end_all(), self._owner.end_all())
@@ -62,6 +67,15 @@
     def _unsent_bytes(self) -> int:
         return self._callers.unsent_bytes + self._peers.unsent_bytes
 
+    async def _read_arrived(self) -> None:
+        """Let the loop read the answers that came while the process was paused.
+
+        After a pause the timers of the loop are due before it reads.
+        """
+        for _ in range(int(ARRIVED_READ_TIME / POLL_PERIOD)):
+            if self._owes_answers:
+                await asyncio.sleep(POLL_PERIOD)
+
     async def _flush(self) -> None:
         for _ in range(int(FINAL_FLUSH_TIME / POLL_PERIOD)):
             if not self._unsent_bytes:
--- a/packages/thorntray/src/thorntray/internal/process/drain.py
+++ b/packages/thorntray/src/thorntray/internal/process/drain.py
@@ -64,3 +64,8 @@
     def overdue(self) -> bool:
         """Return whether answers are due now."""
         return self._clock.monotonic() >= self.answers_due
+
+    @property
+    def overdue_by(self) -> float:
+        """Return the seconds since answers were due; negative before."""
+        return self._clock.monotonic() - self.answers_due
