Large frames that do not fit into the budget of the process are left unread

Cause: a peer's frame was read as fast as it arrived, whatever the process already held.

Change: the announced length decides. A link that pauses skips its own check for silence and sends pongs, so that neither end takes the pause for a dead peer; nothing is aborted. `Links` and `LinkListener` take the budget as `memory` (None: all frames are read) and report `unsent_bytes` and `received_bytes` as sources of it; MeshNode does not pass it yet.

--- a/packages/thorntray-node/src/thorntray_node/mesh_node.py
+++ b/packages/thorntray-node/src/thorntray_node/mesh_node.py
@@ -9,7 +9,8 @@
 from thorntray.internal.connection.frame import CallFrame, Frame
 from thorntray.internal.connection.http_server import ClosedBy, Exchange, HttpServer
 from thorntray.internal.connection.instance_pool import InstancePool
-from thorntray.internal.connection.link import LinkListener, Links
+from thorntray.internal.connection.link import Links
+from thorntray.internal.connection.link_listener import LinkListener
 from thorntray.internal.membership.crash_reports import CrashReports
 from thorntray.internal.membership.departures import Departures
 from thorntray.internal.membership.gossip import Address
--- a/packages/thorntray-node/src/thorntray_node/request_drain.py
+++ b/packages/thorntray-node/src/thorntray_node/request_drain.py
@@ -10,7 +10,7 @@
 from typing import NamedTuple
 
 from thorntray.internal.connection.http_server import HttpServer
-from thorntray.internal.connection.link import LinkListener
+from thorntray.internal.connection.link_listener import LinkListener
 from thorntray.internal.process.drain import Drain
 from thorntray.internal.request.origin import Origin
 from thorntray.internal.request.owner import Owner
--- a/packages/thorntray/src/thorntray/internal/connection/frame.py
+++ b/packages/thorntray/src/thorntray/internal/connection/frame.py
@@ -186,6 +186,19 @@
         """Return whether a frame has been received in part."""
         return bool(self._buffer)
 
+    @property
+    def received(self) -> int:
+        """Return the bytes held of the incomplete frame."""
+        return len(self._buffer)
+
+    @property
+    def missing(self) -> int:
+        """Return the bytes that the incomplete frame still needs, 0 if its length is not known."""
+        if len(self._buffer) < LENGTH_BYTES:
+            return 0
+        length = int.from_bytes(self._buffer[:LENGTH_BYTES], "big")
+        return LENGTH_BYTES + length - len(self._buffer)
+
     def feed(self, data: bytes) -> list[Frame]:
         """Add received bytes and return the frames completed by them.
 
--- a/packages/thorntray/src/thorntray/internal/connection/link.py
+++ b/packages/thorntray/src/thorntray/internal/connection/link.py
@@ -20,10 +20,12 @@
     Hello,
     ResultFrame,
 )
-from thorntray.internal.connection.link_connection import FrameHandler, LinkConnection
+from thorntray.internal.connection.link_connection import LinkConnection
+from thorntray.internal.connection.receive_gate import ReceiveGate
 from thorntray.internal.membership.instance_notices import InstanceNotice
 from thorntray.internal.membership.member import Member
 from thorntray.internal.process.clock import Clock
+from thorntray.internal.process.memory_budget import MemoryBudget, Share
 from thorntray.internal.request.result import Cause
 from thorntray.internal.telemetry.events import Event, log_event, log_handler_failure
 
@@ -47,6 +49,7 @@
         clock: Clock,
         on_non_result_frame: MemberFrameHandler,
         on_link_failure: LinkFailureHandler,
+        gate: ReceiveGate | None = None,
     ) -> None:
         self.member = member
         self._make_hello = make_hello
@@ -54,6 +57,7 @@
         self._clock = clock
         self._on_non_result_frame = on_non_result_frame
         self._on_link_failure = on_link_failure
+        self._gate = gate
         self._connection: LinkConnection | None = None
         self._pending_calls: dict[int, ResultHandler] = {}
         self._unsent: list[Frame] = []
@@ -68,6 +72,17 @@
         """Return whether the link was drained and its last call has ended."""
         return self._draining and self._connection is None
 
+    @property
+    def unsent_bytes(self) -> int:
+        """Return the bytes of frames that the operating system has not yet taken."""
+        in_connection = 0 if self._connection is None else self._connection.unsent_bytes
+        return self._unsent_bytes + in_connection
+
+    @property
+    def received_bytes(self) -> int:
+        """Return the bytes of an incomplete frame."""
+        return 0 if self._connection is None else self._connection.received_bytes
+
     def call(self, make_frame: Callable[[int], CallFrame], on_result: ResultHandler) -> int:
         """Send a call and return its number.
 
@@ -165,7 +180,9 @@
 
     async def _connect(self) -> None:
         member = self.member
-        connection = LinkConnection(self, self._clock, self._make_hello(), self._compressed)
+        connection = LinkConnection(
+            self, self._clock, self._make_hello(), self._compressed, gate=self._gate
+        )
         loop = asyncio.get_running_loop()
         try:
             async with asyncio.timeout(CONNECT_TIMEOUT):
@@ -239,19 +256,40 @@
 
 
 class Links:
-    """The outgoing links of this node, by peer name."""
+    """The outgoing links of this node, by peer name.
 
-    def __init__(self, name: str, session: bytes, domain: str, clock: Clock) -> None:
+    Results that do not fit into the budget `memory` are left with their senders until they do.
+    """
+
+    def __init__(
+        self,
+        name: str,
+        session: bytes,
+        domain: str,
+        clock: Clock,
+        memory: MemoryBudget | None = None,
+    ) -> None:
         self._name = name
         self._session = session
         self._domain = domain
         self._clock = clock
+        self._gate = ReceiveGate(memory, Share.ANSWER)
         self._links: dict[str, Link] = {}
         self._draining: list[Link] = []
         self.on_non_result_frame: MemberFrameHandler = lambda member, frame: None
         self.on_link_failure: LinkFailureHandler = lambda member: None
         self.notices_of: NoticeSource = lambda name: ()
 
+    @property
+    def unsent_bytes(self) -> int:
+        """Return the bytes of frames to peers that the operating system has not yet taken."""
+        return sum(link.unsent_bytes for link in self._all())
+
+    @property
+    def received_bytes(self) -> int:
+        """Return the bytes of incomplete frames."""
+        return sum(link.received_bytes for link in self._all())
+
     def link_to(self, member: Member) -> Link:
         """Return the link to a peer; the link to an earlier session of it is drained."""
         earlier = self._links.get(member.name)
@@ -265,6 +303,7 @@
             self._clock,
             lambda m, f: self.on_non_result_frame(m, f),
             lambda m: self.on_link_failure(m),
+            self._gate,
         )
         self._links[member.name] = link
         if earlier is not None:
@@ -284,51 +323,20 @@
             now = self._clock.monotonic()
             await asyncio.sleep(0)  # lets the loop read what arrived if the process has stalled
             self._draining = [link for link in self._draining if not link.drained]
-            for link in [*self._links.values(), *self._draining]:
+            for link in self._all():
                 link.check_liveness(now)
 
     def close(self) -> None:
         """Close all links at once, also those that are drained."""
-        links = [*self._links.values(), *self._draining]
+        links = self._all()
         self._links.clear()
         self._draining.clear()
         for link in links:
             link.close()
 
+    def _all(self) -> list[Link]:
+        return [*self._links.values(), *self._draining]
+
     def _drain(self, link: Link) -> None:
         self._draining.append(link)
         link.drain()
-
-
-class LinkListener:
-    """Accepts the links that peers open."""
-
-    def __init__(self, address: str, port: int, handler: FrameHandler, clock: Clock) -> None:
-        self._address = address
-        self._port = port
-        self._handler = handler
-        self._clock = clock
-        self._server: asyncio.Server | None = None
-        self._connections: set[LinkConnection] = set()
-
-    @property
-    def unsent_bytes(self) -> int:
-        """Return the bytes of frames to peers that the operating system has not yet taken.
-
-        An exit of the process drops them.
-        """
-        return sum(connection.unsent_bytes for connection in self._connections)
-
-    async def start(self) -> None:
-        """Start listening; raises `OSError` when the port is in use."""
-        loop = asyncio.get_running_loop()
-        self._server = await loop.create_server(
-            lambda: LinkConnection(self._handler, self._clock, registry=self._connections),
-            self._address,
-            self._port,
-        )
-
-    def close(self) -> None:
-        """Stop listening."""
-        if self._server is not None:
-            self._server.close()
--- a/packages/thorntray/src/thorntray/internal/connection/link_connection.py
+++ b/packages/thorntray/src/thorntray/internal/connection/link_connection.py
@@ -7,7 +7,8 @@
 A connection may stop carrying data without a reset. A connection that has received nothing for
 `PING_AFTER_SILENCE` sends a ping when its owner calls `check_liveness`; if it then has no evidence
 of life for `SILENCE_TIMEOUT`, it is closed as lost (`connection.peer_watch`). While a large frame
-arrives, the receiving end sends pongs unasked, since its answer to a ping waits for the frame.
+arrives, the receiving end sends pongs unasked, since its answer to a ping waits for the frame. It
+may pause its reading meanwhile (`connection.receive_gate`).
 """
 
 import asyncio
@@ -30,6 +31,7 @@
     encode_frame,
 )
 from thorntray.internal.connection.peer_watch import OUTPUT_CHECK_PERIOD, PeerWatch, Step
+from thorntray.internal.connection.receive_gate import RETRY_PERIOD, ReceiveGate
 from thorntray.internal.process.clock import Clock
 from thorntray.internal.telemetry.events import Event, log_event, log_handler_failure
 
@@ -66,12 +68,16 @@
         hello: Hello | None = None,
         compressed: bool = False,
         registry: set["LinkConnection"] | None = None,
+        gate: ReceiveGate | None = None,
     ) -> None:
         self._handler = handler
         self._clock = clock
         self._hello = hello  # None on the accepting side
         self._compressed = compressed
         self._registry = registry
+        self._gate = gate  # None: all frames are read
+        self._reading_paused = False
+        self._reading_large = False  # whether a frame was admitted by the gate
         self._mode_known = hello is not None  # whether the mode byte was sent or received
         self._transport: asyncio.Transport | None = None
         self._reader = FrameReader()
@@ -101,6 +107,11 @@
             return 0
         return self._queued_bytes + self._transport.get_write_buffer_size()
 
+    @property
+    def received_bytes(self) -> int:
+        """Return the bytes of an incomplete frame."""
+        return self._reader.received
+
     @property
     def stalled(self) -> bool:
         """Return whether output is waiting and the peer has taken none of it for a while."""
@@ -132,6 +143,11 @@
             self._dispatch(data)
             if self._reader.incomplete:
                 self._send_sign_of_life(now)
+                if not self._reading_paused:
+                    self._read_on_if_admitted(now)
+            elif self._reading_large and self._gate is not None:
+                self._reading_large = False
+                self._gate.release(self)
         except (BadMessage, zlib.error) as exc:
             log_event(Event.BAD_MESSAGE, detail=str(exc), peer=self.peer)
             self.abort()
@@ -149,6 +165,8 @@
                 self._registry.discard(self)
             if self._output_check is not None:
                 self._output_check.cancel()
+            if self._gate is not None:
+                self._gate.release(self)
             self._handler.on_lost(self)
             self._queued_frames.clear()
             self._outgoing.clear()
@@ -177,6 +195,8 @@
 
     def check_liveness(self, now: float) -> None:
         """Ping a silent peer, or close the connection if there is no evidence that it lives."""
+        if self._reading_paused:  # the peer's frames and pongs are left unread
+            return
         if self._watch.ping_pending:
             self._record_output(now)
         match self._watch.next_step(now):
@@ -255,6 +275,8 @@
             return
         now = self._clock.monotonic()
         self._record_output(now)
+        if self._reading_paused:
+            self._watch.record_receipt(now)
         if self._watch.output_stalled(now):
             self.abort()
         else:
@@ -274,6 +296,29 @@
         in_kernel = _unacknowledged_bytes(self._transport)
         return self._written_bytes - self._transport.get_write_buffer_size() - in_kernel
 
+    def _read_on_if_admitted(self, now: float) -> None:
+        """Pause reading while the gate does not admit the frame that is arriving."""
+        if self._gate is None or self._transport is None or self.lost:
+            return
+        missing = self._reader.missing
+        if not self._gate.admit(self, missing, now):
+            if not self._reading_paused:
+                self._reading_paused = True
+                self._transport.pause_reading()
+            self._loop.call_later(RETRY_PERIOD, self._retry_reading)
+            return
+        self._reading_large = True
+        if self._reading_paused:
+            self._reading_paused = False
+            self._watch.record_receipt(now)
+            self._transport.resume_reading()
+
+    def _retry_reading(self) -> None:
+        now = self._clock.monotonic()
+        if not self.lost:
+            self._send_sign_of_life(now)
+            self._read_on_if_admitted(now)
+
     def _send_sign_of_life(self, now: float) -> None:
         if now - self._last_sign_at > SIGN_PERIOD:
             self._last_sign_at = now
--- /dev/null
+++ b/packages/thorntray/src/thorntray/internal/connection/link_listener.py
@@ -0,0 +1,59 @@
+"""The accepting side of links: the connections that peers open to this node."""
+
+import asyncio
+
+from thorntray.internal.connection.link_connection import FrameHandler, LinkConnection
+from thorntray.internal.connection.receive_gate import ReceiveGate
+from thorntray.internal.process.clock import Clock
+from thorntray.internal.process.memory_budget import MemoryBudget, Share
+
+
+class LinkListener:
+    """Accepts the links that peers open.
+
+    Calls that do not fit into the budget `memory` are left with their senders until they do.
+    """
+
+    def __init__(
+        self,
+        address: str,
+        port: int,
+        handler: FrameHandler,
+        clock: Clock,
+        memory: MemoryBudget | None = None,
+    ) -> None:
+        self._address = address
+        self._port = port
+        self._handler = handler
+        self._clock = clock
+        self._gate = ReceiveGate(memory, Share.REQUEST)
+        self._server: asyncio.Server | None = None
+        self._connections: set[LinkConnection] = set()
+
+    @property
+    def unsent_bytes(self) -> int:
+        """Return the bytes of frames to peers that the operating system has not yet taken.
+
+        An exit of the process drops them.
+        """
+        return sum(connection.unsent_bytes for connection in self._connections)
+
+    @property
+    def received_bytes(self) -> int:
+        """Return the bytes of incomplete frames."""
+        return sum(connection.received_bytes for connection in self._connections)
+
+    async def start(self) -> None:
+        """Start listening; raises `OSError` when the port is in use."""
+        loop = asyncio.get_running_loop()
+        self._server = await loop.create_server(self._accept, self._address, self._port)
+
+    def _accept(self) -> LinkConnection:
+        return LinkConnection(
+            self._handler, self._clock, registry=self._connections, gate=self._gate
+        )
+
+    def close(self) -> None:
+        """Stop listening."""
+        if self._server is not None:
+            self._server.close()
--- a/tests/mesh_builders.py
+++ b/tests/mesh_builders.py
@@ -10,8 +10,9 @@
 from thorntray.internal.connection.frame import CallFrame, Frame, ResultFrame
 from thorntray.internal.connection.header_names import HeaderNames
 from thorntray.internal.connection.http_server import RequestLimits
-from thorntray.internal.connection.link import Link, LinkListener, Links
+from thorntray.internal.connection.link import Link, Links
 from thorntray.internal.connection.link_connection import LinkConnection
+from thorntray.internal.connection.link_listener import LinkListener
 from thorntray.internal.membership.member import Member
 from thorntray.internal.overload.retry_budget import RetryBudgetSettings
 from thorntray.internal.process.clock import Clock, SystemClock
