The soak closes its callers' connections before the event loop ends

The new test fails without the close with "RuntimeError: Event loop is closed"; the test's own stand-in node closes its writers too.

--- a/soak/clients.py
+++ b/soak/clients.py
@@ -168,6 +168,19 @@
         if self._tasks:
             await asyncio.wait(self._tasks, timeout=ATTEMPT_TIMEOUT)
 
+    async def close(self) -> None:
+        """Cancel the requests in flight and close all idle connections.
+
+        A writer that is open when the event loop ends prints a traceback.
+        """
+        for task in self._tasks:
+            task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+        for idle in self._idle_connections.values():
+            for conn in idle:
+                conn.writer.close()
+        self._idle_connections.clear()
+
     def _draw_use(self) -> ConnectionUse:
         shares = {
             ConnectionUse.PIPELINED: PIPELINED_SHARE,
@@ -212,6 +225,9 @@
                 unanswered_end = AttemptEnd.TIMED_OUT
         except (OSError, asyncio.IncompleteReadError):
             pass  # recorded as `unanswered_end`
+        except asyncio.CancelledError:
+            self._release(node, use, conn, keep=False)
+            raise
         self._release(node, use, conn, exchange.keep)
         ended_at = time.monotonic()
         time_limit = 0.0
--- a/soak/run.py
+++ b/soak/run.py
@@ -90,6 +90,11 @@
         await self._callers.wait_finished()
         return self._observation()
 
+    async def close(self) -> None:
+        """Close the callers' connections, and end all processes and stand-ins."""
+        await self._callers.close()
+        await self.fleet.close()
+
     def _observation(self) -> Observation:
         return Observation(
             self._load_started_at,
@@ -121,7 +126,7 @@
     try:
         observation = await soak.run()
     finally:
-        await soak.fleet.close()
+        await soak.close()
     violation_lines = violations(observation)
     if soak.ring is not None:
         violation_lines += key_violations(observation, soak.ring)
--- a/tests/test_soak_load.py
+++ b/tests/test_soak_load.py
@@ -1,10 +1,12 @@
 """The soak's callers use connections as intended, and its faults end independently."""
 
 import asyncio
+import gc
 import signal
 import subprocess
+import sys
 import time
-from contextlib import asynccontextmanager, suppress
+from contextlib import asynccontextmanager, closing, suppress
 from random import Random
 from types import SimpleNamespace
 
@@ -30,7 +32,7 @@
 
     async def serve(reader, writer):
         connections.append([])
-        with suppress(OSError, asyncio.IncompleteReadError):
+        with closing(writer), suppress(OSError, asyncio.IncompleteReadError):
             while True:
                 start_line, headers, _ = await read_message(reader)
                 path, request_id = start_line.split(" ")[1], headers["x-request-id"]
@@ -43,7 +45,7 @@
                     f"Content-Length: {len(body)}\r\n\r\n".encode() + body
                 )
                 if connection_header:
-                    return writer.close()
+                    return
 
     server = await asyncio.start_server(serve, *UNUSED)
     node = NodeProcess("n1", "tariff", "a", 1)
@@ -66,6 +68,7 @@
             await asyncio.sleep(seconds)
             load.cancel()
             await callers.wait_finished()
+            await callers.close()
             return callers.attempts, connections
 
     return asyncio.run(work())
@@ -87,6 +90,15 @@
     assert not any(a.reused for a in attempts)
 
 
+def test_callers_leave_no_connection_open_at_the_end_of_the_loop(monkeypatch):
+    """Guards against thousands of lines of tracebacks in which a real one is not noticed."""
+    seen = []
+    monkeypatch.setattr(sys, "unraisablehook", lambda args: seen.append(args.exc_value))
+    attempts, _ = run_callers(monkeypatch, ConnectionUse.SEQUENTIAL)
+    gc.collect()
+    assert attempts and seen == []
+
+
 def test_slow_readers_take_over_a_second_for_a_large_response(monkeypatch):
     attempts, _ = run_callers(monkeypatch, ConnectionUse.SLOW_READER)
     large = [a for a in attempts if a.route.name == "exports"]
