The soak brings nodes to the limits of their process, and reports each end

Half of the seeds now have further faults, drawn apart so that the other faults of a seed stay: bodies of 4 bytes to 1 MB, with a length or in chunks, and answers of 64 bytes to 4 MB, some of 10 to 30 MB; callers that read at a bounded rate, some of which go on sending; bursts of 100 to 150 bodies of 900 KB; as many idle connections as the node's descriptors allow, 600 at most; SIGHUP in the first 100 ms of a process; SIGSTOP and SIGCONT around a SIGTERM; two nodes that get SIGTERM in the same moment. Workers check the bodies that they get.

Each node has MemoryMb and MaxFds in its settings file, and RLIMIT_NOFILE to match; some runs have lower ones. A watcher reads the memory of all nodes twice a second and kills a node above its limit (violation MEMORY); a process that ends without a signal of the plan is the violation ENDED, with its last log lines. One that SIGHUP ends in its start is counted apart, as the platform starts it again.

--- a/soak/api_keys.py
+++ b/soak/api_keys.py
@@ -35,6 +35,10 @@
         rates = {FREE: (0.0, 0.0), LIMITED: (LIMITED_RATE, LIMITED_BURST)}
         return [WorkspaceConfig(name, tuple(self._keys[name]), *rates[name]) for name in rates]
 
+    def unlimited_key(self) -> str:
+        """Return the valid key of the workspace that has no quota."""
+        return self._keys[FREE][0]
+
     def replace_key(self, rng: Random) -> list[str]:
         """Replace the key of a workspace by a new one; return the old and the new key."""
         name = rng.choice(list(self._keys))
--- a/soak/checks.py
+++ b/soak/checks.py
@@ -56,9 +56,27 @@
     yield from beyond_named_limits(observation)
     yield from runs_after_named_leaving(observation)
     yield from sends_after_third_crash(observation)
+    yield from _process_ends(observation)
     yield from (f"ENDED: the process of {name} is not running" for name in observation.ended_nodes)
 
 
+def _process_ends(observation: Observation) -> Iterator[str]:
+    """Find processes that were killed for their memory, and those that ended by themselves."""
+    for kill in observation.memory_kills:
+        after = kill.at - observation.load_started_at
+        yield (
+            f"MEMORY: {kill.node} (boot {kill.boot}) was killed at {after:.1f} s, with a peak of "
+            f"{kill.peak_mb} MB of {kill.limit_mb} MB"
+        )
+    for end in observation.own_ends:
+        after = end.at - observation.load_started_at
+        last = " | ".join(end.last_lines)
+        yield (
+            f"ENDED: {end.node} (boot {end.boot}) ended by itself at {after:.1f} s with exit code "
+            f"{end.returncode}; last lines: {last}"
+        )
+
+
 def _run_counts(observation: Observation) -> Counter[str]:
     return Counter(a.request_id for a in observation.record.arrivals if a.executed)
 
@@ -90,6 +108,8 @@
     for arrival in observation.record.arrivals:
         if arrival.request_id.removesuffix(CALL_ID_SUFFIX) not in known:
             yield f"UNASKED: {arrival.request_id} reached {arrival.node}, no caller sent it"
+        if not arrival.body_matches:
+            yield f"UNASKED: {arrival.request_id} reached {arrival.node} with another body"
 
 
 def _runs_after_drain(observation: Observation) -> Iterator[str]:
--- a/soak/clients.py
+++ b/soak/clients.py
@@ -67,7 +67,7 @@
     the attempt, for slow readers the arrival of the response's head. `position` is the
     number of requests sent before it on its connection and not answered then. `time_limit` is in
     seconds: the longest timeout of the routes of this request and of those before it. `key` is the
-    API key, empty without one.
+    API key, empty without one. `body_bytes` is the size of a large body, 0 for the usual one.
     """
 
     sent_at: float
@@ -84,6 +84,7 @@
     position: int
     time_limit: float
     key: str = ""
+    body_bytes: int = 0
 
 
 class CallerRequest(NamedTuple):
@@ -217,7 +218,7 @@
         try:
             async with asyncio.timeout(ATTEMPT_TIMEOUT):
                 if conn is None:
-                    conn = await _connect(node.outbound, use)
+                    conn = await connect(node.outbound, use)
                 unanswered_end = AttemptEnd.CLOSED
                 await self._exchange(conn, use, exchange)
         except TimeoutError:
@@ -312,7 +313,8 @@
         )
 
 
-async def _connect(endpoint: Endpoint, use: ConnectionUse) -> Connection:
+async def connect(endpoint: Endpoint, use: ConnectionUse) -> Connection:
+    """Open a connection; that of a slow reader has small buffers in the kernel."""
     if use is not ConnectionUse.SLOW_READER:
         return Connection(*await asyncio.open_connection(*endpoint))
     sock = socket.socket()
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -8,7 +8,8 @@
 
 from soak.api_keys import KeyRing
 from soak.clients import Callers
-from soak.observation import NodeStop, RouteChange
+from soak.heavy_load import HeavyLoad
+from soak.observation import Hangup, NodeStop, RouteChange
 from soak.plan import Fault, FaultKind
 from soak.routes import SERVICES, build_routes
 from standins.mesh_fleet import HOST_NAME, STOP_TIMEOUT, MeshFleet, NodeProcess
@@ -23,6 +24,8 @@
 RATE_LIMITS = (0.0, 0.5, 2.0)  # requests a second that a worker names
 LIMIT_DURATION = 7.0  # seconds; longer than the window of the check
 EXIT_POLL_PERIOD = 0.05  # seconds
+EARLY_HANGUP_TIME = 0.1  # seconds after the start within which a SIGHUP is sent
+RESTART_DELAY = 1.0  # seconds from the end of a process to its start, if no fault draws it
 DEADLY_PERIOD = 0.3  # seconds between the requests that crash workers
 DEADLY_TIMEOUT = 3.0  # seconds
 DEADLY_PATH = "/views/1"
@@ -36,6 +39,8 @@
     ) -> None:
         self.stops: list[NodeStop] = []
         self.changes: list[RouteChange] = []
+        self.hangups: list[Hangup] = []
+        self.heavy_load: HeavyLoad | None = None
         self._fleet = fleet
         self._callers = callers
         self._rng = rng
@@ -49,7 +54,14 @@
             case FaultKind.NODE_KILL | FaultKind.NODE_STOP:
                 await self._end_process(node, fault)
             case FaultKind.NODE_HANGUP:
-                node.signal(signal.SIGHUP)
+                self._hang_up(node)
+            case FaultKind.NODE_EARLY_HANGUP:
+                await self._hang_up_early(node, fault)
+            case FaultKind.NODE_FROZEN_STOP:
+                await self._stop_frozen(node, fault)
+            case FaultKind.SIZES | FaultKind.BODY_BURST | FaultKind.IDLE_CONNECTIONS:
+                if self.heavy_load is not None:
+                    await self.heavy_load.run(fault)
             case FaultKind.WORKER_REPLACE:
                 await self._replace_worker(node, announced=True)
             case FaultKind.WORKER_LEAVES:
@@ -73,15 +85,50 @@
         if not node.running:
             return
         if fault.kind is FaultKind.NODE_STOP:
-            self.stops.append(NodeStop(node.name, node.boot, time.monotonic()))
-            node.signal(signal.SIGTERM)
+            self._terminate(node)
         else:
             node.signal(signal.SIGKILL)
+        await self._restart(node, fault.duration)
+
+    def _terminate(self, node: NodeProcess) -> None:
+        self.stops.append(NodeStop(node.name, node.boot, time.monotonic()))
+        node.signal(signal.SIGTERM)
+
+    def _hang_up(self, node: NodeProcess) -> None:
+        self.hangups.append(Hangup(node.name, node.boot, time.monotonic()))
+        node.signal(signal.SIGHUP)
+
+    async def _restart(self, node: NodeProcess, delay: float) -> None:
+        """Start a node again after its process has ended and a delay in seconds."""
         await _wait_exit(node)
-        await asyncio.sleep(fault.duration)
+        await asyncio.sleep(delay)
         if not node.running:
             self._fleet.start_node(node)
 
+    async def _hang_up_early(self, node: NodeProcess, fault: Fault) -> None:
+        if not node.running:
+            return
+        node.signal(signal.SIGKILL)
+        await self._restart(node, fault.duration)
+        await asyncio.sleep(Random(f"hang up {fault!r}").uniform(0.0, EARLY_HANGUP_TIME))
+        self._hang_up(node)
+
+    async def _stop_frozen(self, node: NodeProcess, fault: Fault) -> None:
+        if not node.running:
+            return
+        boot = node.boot
+        node.signal(signal.SIGSTOP)
+        await asyncio.sleep(fault.duration)
+        if node.boot != boot or not node.running:
+            return
+        if Random(f"order {fault!r}").random() < 0.5:
+            node.signal(signal.SIGCONT)
+            self._terminate(node)
+        else:
+            self._terminate(node)
+            node.signal(signal.SIGCONT)
+        await self._restart(node, RESTART_DELAY)
+
     async def _replace_worker(self, node: NodeProcess, announced: bool) -> None:
         if node.worker.listening:
             await node.worker.drain_and_restart(announced)
@@ -108,8 +155,9 @@
     async def _change_route(self) -> None:
         others = [s for s in SERVICES if s != self.changes[-1].service]
         service = self._rng.choice(others)
+        sent_at = time.monotonic()
         await self._fleet.publish(build_routes(service))
-        self.changes.append(RouteChange(time.monotonic(), service))
+        self.changes.append(RouteChange(time.monotonic(), service, sent_at))
 
     async def _withdraw_key(self) -> None:
         if self._ring is None:
@@ -196,6 +244,6 @@
             while process.poll() is None:
                 await asyncio.sleep(EXIT_POLL_PERIOD)
     if process.poll() is None:
-        process.kill()
+        node.signal(signal.SIGKILL)
     while process.poll() is None:
         await asyncio.sleep(EXIT_POLL_PERIOD)
--- a/soak/observation.py
+++ b/soak/observation.py
@@ -1,10 +1,11 @@
 """What one run has recorded, as the input of the checks."""
 
-from collections.abc import Mapping
+from collections.abc import Mapping, Sequence
 from typing import NamedTuple
 
 from soak.clients import Attempt
 from soak.plan import NODE_FAULTS, STORE_FAULTS, UNPLANNED_FAULTS, Fault
+from soak.process_watch import MemoryKill, OwnEnd
 from standins.worker import FleetRecord
 
 STABILIZATION_TIME = 3.0  # seconds without a fault after which a node or the store is stable
@@ -15,6 +16,7 @@
 
     confirmed_at: float
     service: str
+    sent_at: float | None = None  # monotonic seconds; None: at its confirmation
 
 
 class NodeStop(NamedTuple):
@@ -25,6 +27,14 @@
     sigterm_at: float
 
 
+class Hangup(NamedTuple):
+    """A SIGHUP to one boot of a node, sent at monotonic seconds."""
+
+    node: str
+    boot: int
+    sent_at: float
+
+
 class Observation(NamedTuple):
     """All observations of a run; `load_started_at` is the monotonic time when the load starts."""
 
@@ -37,6 +47,9 @@
     refusable_keys: frozenset[str] = frozenset()  # API keys whose requests may rightly be refused
     ended_nodes: tuple[str, ...] = ()  # names of the nodes whose process is not running at the end
     running_workers: Mapping[str, str] = {}  # service by name, of the workers running at the end
+    hangups: Sequence[Hangup] = ()
+    memory_kills: Sequence[MemoryKill] = ()
+    own_ends: Sequence[OwnEnd] = ()
 
     def node_stable(self, node: str, since: float, until: float) -> bool:
         """Return whether no fault hit the node in a span or in `STABILIZATION_TIME` before it."""
--- a/soak/plan.py
+++ b/soak/plan.py
@@ -37,6 +37,11 @@
     CHANGE = "route `moving` is moved to another service"
     KEY_WITHDRAWN = "an API key is withdrawn and replaced, while callers go on using it"
     SURGE = "callers send at four times the rate"
+    SIZES = "callers send bodies and read answers of very different sizes, some of them slowly"
+    BODY_BURST = "a hundred callers or more send a large body each to a slow service at one node"
+    IDLE_CONNECTIONS = "callers keep as many idle connections to a node as it may have sockets"
+    NODE_EARLY_HANGUP = "node process is killed, restarted, and gets SIGHUP while it starts"
+    NODE_FROZEN_STOP = "node process is suspended for the duration, and gets SIGTERM as it ends"
 
 
 STORE_FAULTS = frozenset(
@@ -53,6 +58,8 @@
         FaultKind.NODE_KILL,
         FaultKind.NODE_STOP,
         FaultKind.NODE_FREEZE,
+        FaultKind.NODE_EARLY_HANGUP,
+        FaultKind.NODE_FROZEN_STOP,
         FaultKind.LINK_DELAY,
         FaultKind.LINK_RESET,
         FaultKind.LINK_ONE_WAY,
@@ -68,7 +75,15 @@
     FaultKind.WORKER_LOSES,
     FaultKind.WORKER_ENDLESS,
 }
-DRAWN_KINDS = [kind for kind in FaultKind if kind is not FaultKind.WORKER_DIES]
+HEAVY_KINDS = (
+    FaultKind.SIZES,
+    FaultKind.BODY_BURST,
+    FaultKind.IDLE_CONNECTIONS,
+    FaultKind.NODE_EARLY_HANGUP,
+    FaultKind.NODE_FROZEN_STOP,
+)
+DRAWN_APART = {FaultKind.WORKER_DIES, *HEAVY_KINDS}
+DRAWN_KINDS = [kind for kind in FaultKind if kind not in DRAWN_APART]
 DEADLY_SHARE = 0.4  # of the plans that have one fault `WORKER_DIES`
 DEADLY_DURATION = 9.0  # seconds; longer than three crashes and the time to learn of them
 STRIKE_SHARE = 0.5  # of the plans that kill a node with a role around a silence of the store
@@ -76,6 +91,11 @@
 # of the quota of the workspace `LIMITED`.
 ROLES = ("policy", "seed", "quota\0limited")
 MIN_SILENCE, MAX_SILENCE = 0.2, 4.5  # seconds
+HEAVY_SHARE = 0.5  # of the plans that have faults of `HEAVY_KINDS` and a stop of two nodes at once
+MIN_HEAVY_FAULTS, MAX_HEAVY_FAULTS = 2, 4
+PAIR_SHARE = 0.6  # of the plans with heavy faults that stop two nodes in the same moment
+MIN_HEAVY_TIME, MAX_HEAVY_TIME = 3.0, 7.0  # seconds, of the kinds that are load
+MIN_FREEZE, MAX_FREEZE = 0.1, 1.0  # seconds before the SIGTERM of `NODE_FROZEN_STOP`
 MAX_STRIKE_DELAY = 0.5  # seconds from the end of the silence
 MAX_CHANGE_DELAY = 4.0  # seconds from the kill
 MIN_DURATION, MAX_DURATION = 0.5, 4.0  # seconds
@@ -125,6 +145,9 @@
     strike_rng = Random(f"strike {faults!r}")
     if strike_rng.random() < STRIKE_SHARE:
         faults += draw_strike(strike_rng, nodes, duration)
+    heavy_rng = Random(f"heavy {faults!r}")
+    if heavy_rng.random() < HEAVY_SHARE:
+        faults += draw_heavy(heavy_rng, nodes, duration)
     return sorted(faults, key=lambda fault: fault.start)
 
 
@@ -148,6 +171,27 @@
     ]
 
 
+def draw_heavy(rng: Random, nodes: list[str], duration: float) -> list[Fault]:
+    """Return load and signals that bring nodes to the limits of their process.
+
+    Two nodes that stop in the same moment may be the origin and the owner of one request.
+    """
+    faults: list[Fault] = []
+    for _ in range(rng.randint(MIN_HEAVY_FAULTS, MAX_HEAVY_FAULTS)):
+        kind = rng.choice(HEAVY_KINDS)
+        lengths = (MIN_HEAVY_TIME, MAX_HEAVY_TIME)
+        if kind in (FaultKind.NODE_FROZEN_STOP, FaultKind.NODE_EARLY_HANGUP):
+            lengths = (MIN_FREEZE, MAX_FREEZE)
+        start, length = rng.uniform(0.5, duration), rng.uniform(*lengths)
+        faults.append(Fault(round(start, 2), kind, rng.choice(nodes), round(length, 2)))
+    if rng.random() < PAIR_SHARE:
+        at = round(rng.uniform(1.0, duration), 2)
+        for node in rng.sample(nodes, 2):
+            restart_delay = round(rng.uniform(MIN_DURATION, MAX_DURATION), 2)
+            faults.append(Fault(at, FaultKind.NODE_STOP, node, restart_delay))
+    return faults
+
+
 def draw_stop_series(rng: Random, nodes: list[str], duration: float) -> list[Fault]:
     """Return stops of two nodes to half of them, shortly one after the other, in a store outage.
 
--- /dev/null
+++ b/soak/process_watch.py
@@ -0,0 +1,134 @@
+"""Watches the node processes as the platform does: memory, and processes that end by themselves."""
+
+import asyncio
+import signal
+import time
+from pathlib import Path
+from typing import NamedTuple
+
+from standins.mesh_fleet import MeshFleet, NodeProcess, ProcessLimits, SentSignal
+
+WATCH_PERIOD = 0.5  # seconds
+RESTART_DELAY = 1.0  # seconds until a process that has ended is started again
+EARLY_HANGUP_AGE = 0.5  # seconds after its start in which a SIGHUP may end a process
+LAST_LINES = 3  # of the log, reported for a process that ended by itself
+KB_PER_MB = 1024
+
+
+class MemoryKill(NamedTuple):
+    """A process that was killed for its memory; `at` is in monotonic seconds."""
+
+    node: str
+    boot: int
+    peak_mb: int
+    limit_mb: int
+    at: float
+
+
+class OwnEnd(NamedTuple):
+    """A process that ended by itself; `at` is in monotonic seconds."""
+
+    node: str
+    boot: int
+    returncode: int
+    at: float
+    last_lines: tuple[str, ...]
+
+
+class MemoryUse(NamedTuple):
+    """Resident memory of a process, now and at most, in megabytes."""
+
+    current_mb: int
+    peak_mb: int
+
+
+class ProcessWatcher:
+    """Kills nodes above their memory limit, and restarts those that end without a plan."""
+
+    def __init__(self, fleet: MeshFleet) -> None:
+        self.memory_kills: list[MemoryKill] = []
+        self.own_ends: list[OwnEnd] = []
+        self.early_hangups = 0
+        self.peaks_mb: dict[str, int] = {}
+        self._fleet = fleet
+        self._seen: set[tuple[str, int]] = set()  # boots whose end has been judged
+        self._restarts: set[asyncio.Task[None]] = set()
+
+    async def run(self) -> None:
+        """Watch until cancelled."""
+        while True:
+            for node in self._fleet.nodes.values():
+                self._check(node)
+            await asyncio.sleep(WATCH_PERIOD)
+
+    def _check(self, node: NodeProcess) -> None:
+        if node.process is None or (node.name, node.boot) in self._seen:
+            return
+        returncode = node.process.poll()
+        if returncode is not None:
+            self._seen.add((node.name, node.boot))
+            self._judge_end(node, returncode)
+            return
+        use = read_memory(node.process.pid)
+        self.peaks_mb[node.name] = max(self.peaks_mb.get(node.name, 0), use.peak_mb)
+        limits = self._fleet.limits
+        if limits is not None and use.current_mb > limits.memory_mb:
+            self._kill(node, use, limits)
+
+    def _kill(self, node: NodeProcess, use: MemoryUse, limits: ProcessLimits) -> None:
+        self._seen.add((node.name, node.boot))
+        now = time.monotonic()
+        self.memory_kills.append(
+            MemoryKill(node.name, node.boot, use.peak_mb, limits.memory_mb, now)
+        )
+        node.signal(signal.SIGKILL)
+        self._restart_later(node)
+
+    def _judge_end(self, node: NodeProcess, returncode: int) -> None:
+        if ended_as_planned(returncode, node.signals):
+            return  # the fault restarts it
+        if ended_by_early_hangup(returncode, node.signals, node.started_at):
+            self.early_hangups += 1
+        else:
+            lines = self._fleet.log_file(node).read_text("utf-8").splitlines()[-LAST_LINES:]
+            now = time.monotonic()
+            self.own_ends.append(OwnEnd(node.name, node.boot, returncode, now, tuple(lines)))
+        self._restart_later(node)
+
+    def _restart_later(self, node: NodeProcess) -> None:
+        task = asyncio.create_task(self._restart(node))
+        self._restarts.add(task)
+        task.add_done_callback(self._restarts.discard)
+
+    async def _restart(self, node: NodeProcess) -> None:
+        await asyncio.sleep(RESTART_DELAY)
+        if not node.running:
+            self._fleet.start_node(node)
+
+
+def ended_as_planned(returncode: int, signals: list[SentSignal]) -> bool:
+    """Return whether the end of a process follows from a SIGTERM or SIGKILL of the plan."""
+    sent = {signum for signum, _ in signals}
+    if -returncode in (signal.SIGTERM, signal.SIGKILL):
+        return -returncode in sent
+    return returncode == 0 and signal.SIGTERM in sent
+
+
+def ended_by_early_hangup(returncode: int, signals: list[SentSignal], started_at: float) -> bool:
+    """Return whether a SIGHUP ended a process that was just starting."""
+    early = any(
+        signum == signal.SIGHUP and sent_at < started_at + EARLY_HANGUP_AGE
+        for signum, sent_at in signals
+    )
+    return early and returncode == -signal.SIGHUP
+
+
+def read_memory(pid: int) -> MemoryUse:
+    """Return the resident memory of a process; zeros if it has just ended."""
+    try:
+        text = Path(f"/proc/{pid}/status").read_text("utf-8")
+    except OSError:
+        return MemoryUse(0, 0)
+    values = dict(line.partition(":")[::2] for line in text.splitlines())
+    current, peak = (int(values.get(key, "0 kB").split()[0]) for key in ("VmRSS", "VmHWM"))
+    return MemoryUse(current // KB_PER_MB, peak // KB_PER_MB)
--- a/soak/run.py
+++ b/soak/run.py
@@ -18,10 +18,12 @@
 from soak.checks import RECOVERY_TIME, safety_violations, summary, violations
 from soak.clients import Callers
 from soak.faults import FaultInjector
+from soak.heavy_load import HeavyLoad
 from soak.observation import Observation, RouteChange
 from soak.plan import Fault, draw_plan
+from soak.process_watch import ProcessWatcher
 from soak.routes import BEHAVIORS, SERVICES, build_routes
-from standins.mesh_fleet import MeshFleet
+from standins.mesh_fleet import MeshFleet, ProcessLimits
 
 _SEED = flags.DEFINE_integer("seed", None, "First seed; by default taken from the clock.")
 _SEEDS = flags.DEFINE_integer(
@@ -38,6 +40,8 @@
 LOAD_AFTER_RECOVERY = 3.0  # seconds of load after the recovery time
 MAX_VIOLATION_LINES = 20
 CHECK_INTERVAL = 1.0  # seconds
+# The usual limits of a process, and lower ones that a run reaches with less load.
+MEMORY_LIMITS_MB, DESCRIPTOR_LIMITS = (300, 300, 150), (4100, 500)
 MEMBERSHIP_SETTLE_TIME = 3.0  # seconds for the nodes to discover each other
 
 
@@ -64,6 +68,15 @@
             lambda: self.ring.draw(key_rng) if self.ring is not None else "",
         )
         self._injector = FaultInjector(self.fleet, self._callers, self.rng, self.ring)
+        self._injector.heavy_load = HeavyLoad(
+            self.fleet,
+            self._callers,
+            Random(f"heavy load {seed}"),
+            f"s{seed}",
+            lambda: self.ring.unlimited_key() if self.ring is not None else "",
+        )
+        self.fleet.limits = draw_limits(Random(f"limits {seed}"))
+        self.watcher = ProcessWatcher(self.fleet)
         self._faults: list[Fault] = []
         self._load_started_at = 0.0
 
@@ -80,6 +93,7 @@
         self._faults = draw_plan(self.rng, list(self.fleet.nodes), self._fault_seconds)
         load = asyncio.create_task(self._callers.run())
         checker = asyncio.create_task(self._check_safety())
+        watcher = asyncio.create_task(self.watcher.run())
         try:
             await asyncio.gather(*(self._inject(fault) for fault in self._faults))
             end = max(fault.end for fault in self._faults) + RECOVERY_TIME + LOAD_AFTER_RECOVERY
@@ -87,6 +101,7 @@
         finally:
             load.cancel()
             checker.cancel()
+            watcher.cancel()
         await self._callers.wait_finished()
         return self._observation()
 
@@ -106,6 +121,9 @@
             self.ring.refusable_keys if self.ring is not None else frozenset(),
             tuple(node.name for node in self.fleet.nodes.values() if not node.running),
             {n.name: n.service for n in self.fleet.nodes.values() if n.worker.listening},
+            self._injector.hangups,
+            self.watcher.memory_kills,
+            self.watcher.own_ends,
         )
 
     async def _check_safety(self) -> None:
@@ -120,6 +138,11 @@
         await self._injector.inject(fault)
 
 
+def draw_limits(rng: Random) -> ProcessLimits:
+    """Return the limits of all nodes of a run."""
+    return ProcessLimits(rng.choice(MEMORY_LIMITS_MB), rng.choice(DESCRIPTOR_LIMITS))
+
+
 async def run_seed(seed: int, nodes: int, seconds: float) -> list[str]:
     """Run one seed; returns the violations."""
     soak = SoakRun(seed, nodes, seconds)
@@ -132,6 +155,11 @@
         violation_lines += key_violations(observation, soak.ring)
     kinds = Counter(line.partition(":")[0] for line in violation_lines)
     print(f"seed {seed}: {summary(observation)}, violations: {dict(kinds)}", flush=True)
+    peaks = soak.watcher.peaks_mb
+    largest = max(peaks, key=lambda name: peaks[name], default="")
+    print(f"  limits {tuple(soak.fleet.limits or ())}, peak {peaks.get(largest)} MB at {largest}")
+    if soak.watcher.early_hangups:
+        print(f"  SIGHUP ended {soak.watcher.early_hangups} processes while they were starting")
     if violation_lines:
         for fault in observation.faults:
             print(f"  {fault.start:6.2f} s {fault.kind.name} {fault.node} {fault.duration} s")
--- a/standins/mesh_fleet.py
+++ b/standins/mesh_fleet.py
@@ -8,10 +8,12 @@
 import asyncio
 import json
 import os
+import resource
 import signal
 import subprocess
 import sys
 import tempfile
+import time
 from collections.abc import Callable
 from functools import cache
 from pathlib import Path
@@ -76,6 +78,20 @@
     burst: float = 0.0
 
 
+class ProcessLimits(NamedTuple):
+    """What a node process may use, as in its settings file: megabytes and descriptors."""
+
+    memory_mb: int
+    descriptors: int
+
+
+class SentSignal(NamedTuple):
+    """A signal that was sent to a process, at monotonic seconds."""
+
+    signum: int
+    sent_at: float
+
+
 class NodeProcess:
     """A node process, its worker, and the proxies in front of the two."""
 
@@ -86,6 +102,8 @@
         self.index = index
         self.process: subprocess.Popen[bytes] | None = None
         self.boot = 0
+        self.started_at = 0.0  # monotonic seconds
+        self.signals: list[SentSignal] = []  # sent to the current process
         self.link_proxy: FaultProxy
         self.app_proxy: FaultProxy
         self.worker: WorkerStandIn
@@ -100,6 +118,7 @@
     def signal(self, signum: int) -> None:
         """Send a signal to the node process if it is running."""
         if self.process is not None and self.process.poll() is None:
+            self.signals.append(SentSignal(signum, time.monotonic()))
             self.process.send_signal(signum)
 
 
@@ -122,6 +141,7 @@
         self._proxies: dict[str, FaultProxy] = {}  # by the host that a node sends from
         # Whether the worker beside the node with an index names its start time.
         self.names_start: Callable[[int], bool] = lambda index: True
+        self.limits: ProcessLimits | None = None  # of each node; None: no limit
         self.version = 0
         self.behaviors = behaviors
         self._rng = rng
@@ -171,6 +191,7 @@
         paths = os.pathsep.join(str(ROOT / path) for path in PACKAGES)
         env = {**os.environ, "THORNTRAY_BOOT": str(settings), "PYTHONPATH": paths}
         node.boot += 1
+        node.started_at, node.signals = time.monotonic(), []
         with self.log_file(node).open("ab") as log:
             node.process = subprocess.Popen(
                 [sys.executable, str(ROOT / "platform/run.py"), f"--metrics_port={METRICS_PORT}"],
@@ -179,6 +200,9 @@
                 env=env,
                 cwd=ROOT,
             )
+        if self.limits is not None:
+            files = self.limits.descriptors
+            resource.prlimit(node.process.pid, resource.RLIMIT_NOFILE, (files, files))
 
     def log_file(self, node: NodeProcess) -> Path:
         """Return the file for stdout and stderr of a node."""
@@ -233,6 +257,12 @@
     def _address(self, subnet: int, index: int) -> str:
         return f"{self._network}.{subnet}.{index + 1}"
 
+    def _limit_settings(self) -> str:
+        if self.limits is None:
+            return ""
+        memory_mb, descriptors = self.limits
+        return f"[Self.Limits]\nMemoryMb = {memory_mb}\nMaxFds = {descriptors}\n"
+
     def _settings(self, node: NodeProcess) -> str:
         host, advertised_host = self._address(1, node.index), self._address(2, node.index)
         app_host = self._address(3, node.index)
@@ -244,7 +274,7 @@
 Region = "r"
 AppAddr = "{app_host}:{APP_PORT}"
 Service = "{node.service}"
-[Network]
+{self._limit_settings()}[Network]
 PortRange = [{FIRST_PEER_PORT},{LAST_PEER_PORT}]
 Seeds = []
 [Network.Listen]
--- a/standins/worker.py
+++ b/standins/worker.py
@@ -25,6 +25,8 @@
 MAX_HEAD_BYTES = 512  # of a response
 ENDLESS_CHUNK = b"4000\r\n" + b"e" * 0x4000 + b"\r\n"  # of a chunked body
 DEADLY_BODY = b"deadly "
+SIZE_QUERY = "?size="  # in a path: the bytes of the answer's body
+BODY_BYTES_HEADER = "X-Body-Bytes"  # the size of a request's body, `response_body()` of its id
 RESTART_DELAY = 0.5  # seconds after a crash by `DEADLY_BODY`
 MIN_SLOW_TIME, MAX_SLOW_TIME = 1.0, 3.0  # seconds that a slow request takes
 
@@ -51,6 +53,7 @@
     path: str
     executed: bool
     workspace: str = ""
+    body_matches: bool = True  # the body is the one that the caller has sent
 
 
 class RunEnd(NamedTuple):
@@ -132,6 +135,17 @@
     return (digest * (size // len(digest) + 1))[:size]
 
 
+def answer_bytes(path: str, behavior: PathBehavior) -> int:
+    """Return the size of the answer's body to a request."""
+    size = path.partition(SIZE_QUERY)[2]
+    return int(size) if size else behavior.body_bytes
+
+
+def _body_matches(headers: dict[str, str], body: bytes) -> bool:
+    size = headers.get(BODY_BYTES_HEADER.lower())
+    return size is None or body == response_body(headers["x-request-id"], int(size))
+
+
 def response_signature(request_id: str) -> str:
     """Return the `X-Response-Signature` value that callers expect for a request id."""
     return hashlib.sha256(b"proof" + request_id.encode()).hexdigest()[:16]
@@ -277,7 +291,8 @@
                     if self.listening:
                         await self._die(body)
                     return
-                response = await self._handle_request(start_line.split(" ")[1], headers)
+                path = start_line.split(" ")[1]
+                response = await self._handle_request(path, headers, body)
                 if response is None:
                     return
                 writer.write(response)
@@ -290,7 +305,9 @@
             self._connections.discard(writer)
             writer.close()
 
-    async def _handle_request(self, path: str, headers: dict[str, str]) -> bytes | None:
+    async def _handle_request(
+        self, path: str, headers: dict[str, str], request_body: bytes
+    ) -> bytes | None:
         request_id, boot = headers["x-request-id"], self.boot
         rejection_status = self._rejection_status(headers)  # 0: accepted
         now = time.monotonic()
@@ -305,6 +322,7 @@
                 path,
                 executed=not rejection_status,
                 workspace=headers.get("x-tenant-id", ""),
+                body_matches=_body_matches(headers, request_body),
             )
         )
         if rejection_status:
@@ -328,7 +346,7 @@
             fields += "Transfer-Encoding: chunked\r\n"
             return f"HTTP/1.1 200 X\r\nX-Request-Id: {request_id}\r\n{fields}\r\n".encode()
         fields += self._state_fields(request_id)
-        body = response_body(request_id, self._behavior(path).body_bytes)
+        body = response_body(request_id, answer_bytes(path, self._behavior(path)))
         return _encode_response(status, request_id, body, fields)
 
     def _state_fields(self, request_id: str) -> str:
@@ -341,7 +359,7 @@
         return limit + ("Server-Leaving: 1\r\n" if self.leaving else "")
 
     def _behavior(self, path: str) -> PathBehavior:
-        return self._behaviors.get(path, DEFAULT_BEHAVIOR)
+        return self._behaviors.get(path.partition(SIZE_QUERY)[0], DEFAULT_BEHAVIOR)
 
     def _rejection_status(self, headers: dict[str, str]) -> int:
         if headers.get("x-target-instance") != self.instance_id:
