--- a/tests/test_soak_limits.py
+++ b/tests/test_soak_limits.py
@@ -38,9 +38,9 @@
     """Guards against old seeds that no longer show what they were kept for."""
     drawn = [draw_plan(Random(seed), NODES, 12.0) for seed in range(60)]
     monkeypatch.setattr(plan, "HEAVY_SHARE", 0.0)
-    for seed, faults in enumerate(drawn):
+    for seed, drawn_faults in enumerate(drawn):
         before = draw_plan(Random(seed), NODES, 12.0)
-        assert [fault for fault in faults if fault in before] == before
+        assert [fault for fault in drawn_faults if fault in before] == before
 
 
 def test_about_half_of_the_plans_have_heavy_load_and_some_stop_two_nodes_at_once():
--- a/tests/test_soak_lost_answers.py
+++ b/tests/test_soak_lost_answers.py
@@ -4,7 +4,7 @@
 
 from soak.checks import violations
 from soak.clients import Attempt, AttemptEnd
-from soak.observation import STABILIZATION_TIME, NodeStop, Observation, RouteChange
+from soak.observation import STABILIZATION_TIME, Hangup, NodeStop, Observation, RouteChange
 from soak.plan import Fault, FaultKind
 from standins.mesh_fleet import STOP_TIMEOUT, RouteConfig
 from standins.worker import Arrival, FleetRecord, RunEnd
@@ -34,7 +34,9 @@
     return attempt._replace(**changes)
 
 
-def lost_lines(attempt, stops=(STOP,), faults=(), run_end=None, reached=True, running=False):
+def lost_lines(
+    attempt, stops=(STOP,), faults=(), run_end=None, reached=True, running=False, **fields
+):
     """Return the lines of the check for one request that the worker of n2 received."""
     record = FleetRecord()
     if reached:
@@ -43,7 +45,13 @@
         if not running:
             record.run_ends[0] = run_end or RunEnd(arrived_at + 0.02, broke_off=False)
     observation = Observation(
-        0.0, [attempt], record, list(faults), [RouteChange(0.0, "stock")], list(stops)
+        0.0,
+        [attempt, *fields.pop("others", [])],
+        record,
+        list(faults),
+        fields.pop("changes", [RouteChange(0.0, "stock")]),
+        list(stops),
+        **fields,
     )
     return [line for line in violations(observation) if line.startswith("LOST")]
 
@@ -128,3 +136,74 @@
     planned = Fault(SIGTERM_AT - 0.4, FaultKind.NODE_STOP, "n1", 1.0)
     (line,) = lost_lines(closed_attempt(), faults=[planned])
     assert "sent +1.00 s, ended +1.10 s from SIGTERM" in line
+
+
+HANGUP = Hangup("n1", 1, 10.0)
+
+
+def test_a_request_cut_after_a_hangup_of_its_node_is_detected():
+    """Guards against a reload that closes connections on which answers are owed."""
+    cut = closed_attempt(sent_at=11.9, reused=False)
+    assert lost_lines(cut, stops=(), hangups=[HANGUP])
+    assert lost_lines(closed_attempt(sent_at=9.9, duration=0.2, reused=False), hangups=[HANGUP])
+    assert not lost_lines(cut._replace(sent_at=12.1), stops=(), hangups=[HANGUP])
+    assert not lost_lines(cut, stops=(), hangups=[HANGUP._replace(sent_at=12.1)])
+    assert not lost_lines(cut, stops=(), hangups=[HANGUP._replace(boot=2)])
+    assert not lost_lines(cut, stops=(), hangups=[HANGUP._replace(node="n2")])
+
+
+def test_a_request_on_a_kept_connection_that_reached_no_worker_is_detected_in_planned_work():
+    """Guards against a node that reads a request and closes without passing it on."""
+    cut = closed_attempt(duration=0.3)
+    assert lost_lines(cut, reached=False)
+    assert lost_lines(cut, stops=(), hangups=[HANGUP], reached=False)
+    assert not lost_lines(cut, stops=(), reached=False)
+    assert not lost_lines(closed_attempt(duration=0.15), reached=False)
+    for change in ({"reused": False}, {"position": 1}, {"body_bytes": 900_000}):
+        assert not lost_lines(cut._replace(**change), reached=False)
+    assert not lost_lines(closed_attempt(duration=LOOKUP.timeout + 0.1), reached=False)
+
+
+def own_answer(status=502, sent_after=1.0, duration=0.2):
+    attempt = closed_attempt(sent_at=SIGTERM_AT + sent_after, duration=duration)
+    return attempt._replace(status=status, end=AttemptEnd.ANSWERED)
+
+
+def run_until(at):
+    return {"run_end": RunEnd(at, broke_off=False)}
+
+
+@pytest.mark.parametrize("status", [500, 502, 503, 504])
+def test_an_answer_of_a_stopping_node_in_place_of_a_worker_at_work_is_detected(status):
+    answer = own_answer(status)
+    assert lost_lines(answer, **run_until(answer.answered_at + 0.5))
+    assert not lost_lines(answer, **run_until(answer.answered_at - 0.05))
+    assert not lost_lines(answer, stops=(), **run_until(answer.answered_at + 0.5))
+    assert not lost_lines(answer, run_end=RunEnd(answer.answered_at + 0.5, broke_off=True))
+    assert not lost_lines(answer, reached=False)
+    assert not lost_lines(answer._replace(matches_request=True), running=True)
+
+
+def test_an_answer_of_a_stopping_node_passes_at_the_end_of_the_time():
+    late = own_answer(duration=LOOKUP.timeout)
+    assert not lost_lines(late, **run_until(late.answered_at + 0.1))
+    cut = own_answer(sent_after=2.9, duration=1.2)
+    assert not lost_lines(cut, **run_until(SIGTERM_AT + STOP_TIMEOUT * 5 / 6 + 0.1))
+    assert lost_lines(cut, **run_until(SIGTERM_AT + STOP_TIMEOUT * 5 / 6 - 0.1))
+    cut = own_answer(sent_after=3.1, duration=1.2)
+    assert lost_lines(cut, **run_until(SIGTERM_AT + STOP_TIMEOUT * 5 / 6 + 0.1))
+
+
+def test_requests_cut_beside_a_change_are_detected_if_there_are_three_times_as_many():
+    """Guards against a change of the policy that ends connections."""
+    changes = [RouteChange(0.0, "stock"), RouteChange(11.0, "stock", sent_at=10.5)]
+    cut = closed_attempt(sent_at=13.9, reused=False)
+    served = closed_attempt(sent_at=20.0)._replace(end=AttemptEnd.ANSWERED)
+    assert lost_lines(cut, stops=(), changes=changes, others=[served])
+    assert not lost_lines(cut._replace(sent_at=14.1), stops=(), changes=changes)
+    early = cut._replace(sent_at=10.2, ended_at=10.4)
+    assert not lost_lines(early, stops=(), changes=changes)
+    used = closed_attempt(sent_at=11.0, duration=LOOKUP.timeout * 0.75, reused=False)
+    assert not lost_lines(used, stops=(), changes=changes)
+    also_cut = closed_attempt(sent_at=20.0, reused=False)
+    assert not lost_lines(cut, stops=(), changes=changes, others=[also_cut])
