explain names the component that held an unanswered request last

`explain` prints that component, its node and the reason: from held_by of REQUEST_UNANSWERED and reason, waiting and unsent of LINK_LOST if a node logs them, otherwise inferred from the request's other lines and STOPPED. The soak prints it for each request that a violation names, at most ten a run.

--- a/packages/thorntrayctl/src/thorntrayctl/log_commands.py
+++ b/packages/thorntrayctl/src/thorntrayctl/log_commands.py
@@ -63,6 +63,8 @@
         print(f"  {line.text()}")
     for cause in trace.causes or ["request: it was served"]:
         print(f"cause: {cause}")
+    if trace.holder is not None:
+        print(f"held last by: {trace.holder.text()}")
 
 
 def _as_json(trace: RequestTrace) -> dict[str, object]:
@@ -70,4 +72,5 @@
         "lines": [line.fields for line in trace.lines],
         "context": [line.fields for line in trace.context],
         "causes": trace.causes,
+        "holder": trace.holder._asdict() if trace.holder is not None else None,
     }
--- a/packages/thorntrayctl/src/thorntrayctl/request_trace.py
+++ b/packages/thorntrayctl/src/thorntrayctl/request_trace.py
@@ -11,6 +11,7 @@
 
 from thorntrayctl.log_line import LogLine
 from thorntrayctl.policy_trace import outdated_policies
+from thorntrayctl.request_holder import Holder, find_holder
 
 # Numbers of log events, as in `thorntray.internal.telemetry.events`.
 REQUEST_ENDED, REQUEST_REPEATED, REQUEST_UNANSWERED = 510, 511, 512
@@ -29,11 +30,15 @@
 
 
 class RequestTrace(NamedTuple):
-    """Log lines of a request and its calls, lines for context (both by time), and the causes."""
+    """Log lines of a request and its calls, lines for context (both by time), and the causes.
+
+    `holder` is what held the request last, None if it was answered or refused, or if no line tells.
+    """
 
     lines: list[LogLine]
     context: list[LogLine]
     causes: list[str]
+    holder: Holder | None = None
 
 
 def trace_request(texts: Iterable[str], request_id: str) -> RequestTrace:
@@ -45,7 +50,7 @@
         return RequestTrace([], [], [])
     context = _context_lines(events, lines)
     causes = _causes(lines, context, request_id) + outdated_policies(events, lines)
-    return RequestTrace(lines, context, causes)
+    return RequestTrace(lines, context, causes, find_holder(lines, context, request_id))
 
 
 def _request_lines(events: list[LogLine], request_id: str) -> list[LogLine]:
--- a/soak/run.py
+++ b/soak/run.py
@@ -19,6 +19,7 @@
 from soak.clients import Callers
 from soak.faults import FaultInjector
 from soak.heavy_load import HeavyLoad
+from soak.holders import holder_lines
 from soak.observation import Observation, RouteChange
 from soak.plan import Fault, draw_plan
 from soak.process_watch import ProcessWatcher
@@ -165,6 +166,8 @@
             print(f"  {fault.start:6.2f} s {fault.kind.name} {fault.node} {fault.duration} s")
         for line in violation_lines[:MAX_VIOLATION_LINES]:
             print(f"  {line}")
+        for line in holder_lines(soak.fleet.folder, violation_lines):
+            print(f"  {line}")
         print(f"  logs: {soak.fleet.folder}", flush=True)
     return violation_lines
 
