The soak's nodes have the sockets that the platform gives them, and are judged by their peak

A process may have MaxFds less 200 sockets, so RLIMIT_NOFILE is that and the few files of a node; with the whole of MaxFds, 300 idle connections of 500 took none of a node's last ones. A memory kill tells how many requests of callers ended with it, and a lost request whether its process was killed so.

--- a/soak/checks.py
+++ b/soak/checks.py
@@ -13,6 +13,7 @@
 from soak.lost_answers import lost_answers
 from soak.named_states import beyond_named_limits, runs_after_named_leaving
 from soak.observation import Observation, RouteChange
+from soak.process_watch import MemoryKill
 from standins.worker import CALL_ID_SUFFIX, Arrival
 
 DRAIN_GRACE = 2.0  # seconds after a node acknowledges draining in which requests may arrive
@@ -27,6 +28,7 @@
 RETRY_WINDOW = 10.0
 RETRY_RATIO, RETRY_SLACK = 0.2, 48
 TIMEOUT_TOLERANCE = 0.5  # seconds after a route's timeout
+KILL_END_TIME = 1.0  # seconds after a kill in which callers see their connections end
 REFUSAL_STATUSES = (429, 503)
 
 
@@ -66,7 +68,8 @@
         after = kill.at - observation.load_started_at
         yield (
             f"MEMORY: {kill.node} (boot {kill.boot}) was killed at {after:.1f} s, with a peak of "
-            f"{kill.peak_mb} MB of {kill.limit_mb} MB"
+            f"{kill.peak_mb} MB of {kill.limit_mb} MB; {_ended_with(observation, kill)} requests "
+            f"of callers ended with it"
         )
     for end in observation.own_ends:
         after = end.at - observation.load_started_at
@@ -77,6 +80,16 @@
         )
 
 
+def _ended_with(observation: Observation, kill: MemoryKill) -> int:
+    """Return how many requests of callers ended without an answer as a process was killed."""
+    return sum(
+        attempt.end is AttemptEnd.CLOSED
+        and (attempt.node, attempt.boot) == (kill.node, kill.boot)
+        and 0.0 <= attempt.ended_at - kill.at < KILL_END_TIME
+        for attempt in observation.attempts
+    )
+
+
 def _run_counts(observation: Observation) -> Counter[str]:
     return Counter(a.request_id for a in observation.record.arrivals if a.executed)
 
--- a/soak/heavy_load.py
+++ b/soak/heavy_load.py
@@ -48,7 +48,6 @@
 USED_SHARE = 0.1  # of the idle connections
 HEAVY_TIMEOUT = 12.0  # seconds
 READ_BYTES = 64 * 1024
-DESCRIPTORS_FOR_FILES = 200  # of a node's descriptors
 
 
 @dataclass
@@ -147,7 +146,7 @@
     async def _keep_idle(self, node: NodeProcess, duration: float) -> None:
         """Open connections; some of them send a request at the start and one at the end."""
         limits = self._fleet.limits
-        count = limits.descriptors - DESCRIPTORS_FOR_FILES if limits is not None else 0
+        count = limits.sockets if limits is not None else 0
         count = min(count, MAX_IDLE_CONNECTIONS)
         connections: list[Connection] = []
         used: list[Connection] = []
--- a/soak/lost_answers.py
+++ b/soak/lost_answers.py
@@ -181,6 +181,9 @@
             f"sent {attempt.sent_at - stop.sigterm_at:+.2f} s, "
             f"ended {attempt.ended_at - stop.sigterm_at:+.2f} s from SIGTERM"
         )
+    process = (attempt.node, attempt.boot)
+    if process in {(kill.node, kill.boot) for kill in observation.memory_kills}:
+        context += ", in a process that was killed for its memory"
     return (
         f"LOST: {attempt.request_id} ({attempt.route.name}, position {attempt.position}) at "
         f"{attempt.node} {outcome}, {ran}, {context}"
--- a/soak/process_watch.py
+++ b/soak/process_watch.py
@@ -35,13 +35,6 @@
     last_lines: tuple[str, ...]
 
 
-class MemoryUse(NamedTuple):
-    """Resident memory of a process, now and at most, in megabytes."""
-
-    current_mb: int
-    peak_mb: int
-
-
 class ProcessWatcher:
     """Kills nodes above their memory limit, and restarts those that end without a plan."""
 
@@ -69,18 +62,17 @@
             self._seen.add((node.name, node.boot))
             self._judge_end(node, returncode)
             return
-        use = read_memory(node.process.pid)
-        self.peaks_mb[node.name] = max(self.peaks_mb.get(node.name, 0), use.peak_mb)
+        peak_mb = read_peak_mb(node.process.pid)
+        self.peaks_mb[node.name] = max(self.peaks_mb.get(node.name, 0), peak_mb)
+        # The peak, since the platform also kills what is above its limit between two readings.
         limits = self._fleet.limits
-        if limits is not None and use.current_mb > limits.memory_mb:
-            self._kill(node, use, limits)
+        if limits is not None and peak_mb > limits.memory_mb:
+            self._kill(node, peak_mb, limits)
 
-    def _kill(self, node: NodeProcess, use: MemoryUse, limits: ProcessLimits) -> None:
+    def _kill(self, node: NodeProcess, peak_mb: int, limits: ProcessLimits) -> None:
         self._seen.add((node.name, node.boot))
         now = time.monotonic()
-        self.memory_kills.append(
-            MemoryKill(node.name, node.boot, use.peak_mb, limits.memory_mb, now)
-        )
+        self.memory_kills.append(MemoryKill(node.name, node.boot, peak_mb, limits.memory_mb, now))
         node.signal(signal.SIGKILL)
         self._restart_later(node)
 
@@ -123,12 +115,11 @@
     return early and returncode == -signal.SIGHUP
 
 
-def read_memory(pid: int) -> MemoryUse:
-    """Return the resident memory of a process; zeros if it has just ended."""
+def read_peak_mb(pid: int) -> int:
+    """Return the most resident memory that a process has had; 0 if it has just ended."""
     try:
         text = Path(f"/proc/{pid}/status").read_text("utf-8")
     except OSError:
-        return MemoryUse(0, 0)
+        return 0
     values = dict(line.partition(":")[::2] for line in text.splitlines())
-    current, peak = (int(values.get(key, "0 kB").split()[0]) for key in ("VmRSS", "VmHWM"))
-    return MemoryUse(current // KB_PER_MB, peak // KB_PER_MB)
+    return int(values.get("VmHWM", "0 kB").split()[0]) // KB_PER_MB
--- a/standins/mesh_fleet.py
+++ b/standins/mesh_fleet.py
@@ -38,6 +38,8 @@
 FIRST_PEER_PORT, LAST_PEER_PORT, METRICS_PORT, STORE_PORT = 7620, 7635, 7634, 8309
 STOP_TIMEOUT = 6  # seconds; GraceS in the settings of the nodes
 REVOCATION_BOUND = 5  # seconds after which a withdrawn API key must be refused everywhere
+DESCRIPTORS_FOR_FILES = 200  # of the descriptors of a process
+FILES_IN_USE = 16  # that a node process opens at most, beside sockets and pipes
 START_TIMEOUT = 20.0  # seconds until all nodes are ready
 PACKAGES = ("packages/thorntray/src", "packages/thorntray-node/src")
 
@@ -84,6 +86,11 @@
     memory_mb: int
     descriptors: int
 
+    @property
+    def sockets(self) -> int:
+        """Return the number of sockets and pipes; the platform keeps the others for files."""
+        return self.descriptors - DESCRIPTORS_FOR_FILES
+
 
 class SentSignal(NamedTuple):
     """A signal that was sent to a process, at monotonic seconds."""
@@ -200,9 +207,7 @@
                 env=env,
                 cwd=ROOT,
             )
-        if self.limits is not None:
-            files = self.limits.descriptors
-            resource.prlimit(node.process.pid, resource.RLIMIT_NOFILE, (files, files))
+        self.limit_process(node.process.pid)
 
     def log_file(self, node: NodeProcess) -> Path:
         """Return the file for stdout and stderr of a node."""
@@ -257,7 +262,14 @@
     def _address(self, subnet: int, index: int) -> str:
         return f"{self._network}.{subnet}.{index + 1}"
 
-    def _limit_settings(self) -> str:
+    def limit_process(self, pid: int) -> None:
+        """Set the limit of descriptors of a process, if nodes have limits."""
+        if self.limits is not None:
+            allowed = self.limits.sockets + FILES_IN_USE
+            resource.prlimit(pid, resource.RLIMIT_NOFILE, (allowed, allowed))
+
+    def limit_settings(self) -> str:
+        """Return the table `[Self.Limits]` of the settings, empty without limits."""
         if self.limits is None:
             return ""
         memory_mb, descriptors = self.limits
@@ -274,7 +286,7 @@
 Region = "r"
 AppAddr = "{app_host}:{APP_PORT}"
 Service = "{node.service}"
-{self._limit_settings()}[Network]
+{self.limit_settings()}[Network]
 PortRange = [{FIRST_PEER_PORT},{LAST_PEER_PORT}]
 Seeds = []
 [Network.Listen]
--- a/tests/test_soak_limits.py
+++ b/tests/test_soak_limits.py
@@ -19,7 +19,7 @@
 from soak.plan import HEAVY_KINDS, Fault, FaultKind, draw_plan
 from soak.process_watch import MemoryKill, OwnEnd, ProcessWatcher
 from soak.routes import SERVICES, build_routes
-from standins.mesh_fleet import NodeProcess, ProcessLimits
+from standins.mesh_fleet import MeshFleet, NodeProcess, ProcessLimits
 from standins.worker import (
     BODY_BYTES_HEADER,
     Arrival,
@@ -31,6 +31,7 @@
 
 NODES = [f"n{n}" for n in range(9)]
 LIMITS = ProcessLimits(memory_mb=40, descriptors=500)
+PIPES = {"stdin": subprocess.PIPE, "stdout": subprocess.PIPE}
 HOLD_MEMORY = "import time; held = b'x' * 80_000_000; print('held', flush=True); time.sleep(60)"
 
 
@@ -140,11 +141,24 @@
     kills = [MemoryKill("n1", 2, 381, 300, 8.5)]
     (line,) = violations(observe(memory_kills=kills))
     assert line.startswith("MEMORY: n1 (boot 2) was killed at 8.5 s, with a peak of 381 MB")
+    assert "0 requests of callers ended with it" in line
     (line,) = violations(observe(own_ends=[OwnEnd("n1", 1, 1, 4.0, ("a", "b"))]))
     assert line.startswith("ENDED: n1 (boot 1) ended by itself at 4.0 s with exit code 1")
     assert line.endswith("a | b")
 
 
+def test_the_settings_and_the_process_of_a_node_have_its_limits():
+    """Guards against a soak whose nodes may open more sockets than on the platform."""
+    fleet = MeshFleet([], {}, Random(0))
+    fleet.limits = LIMITS
+    code = "import resource; print(resource.getrlimit(resource.RLIMIT_NOFILE))"
+    with subprocess.Popen([sys.executable, "-c", f"input(); {code}"], **PIPES) as process:
+        fleet.limit_process(process.pid)
+        output, _ = process.communicate(b"go\n")
+    assert output == b"(316, 316)\n"
+    assert fleet.limit_settings() == "[Self.Limits]\nMemoryMb = 40\nMaxFds = 500\n"
+
+
 def test_a_request_that_a_worker_gets_with_another_body_is_a_violation():
     arrival = Arrival(1.0, "r", "n1", 1, "tariff", "/prices/1", True, body_matches=False)
     lines = violations(observe(FleetRecord([arrival])))
--- a/tests/test_soak_lost_answers.py
+++ b/tests/test_soak_lost_answers.py
@@ -6,6 +6,7 @@
 from soak.clients import Attempt, AttemptEnd
 from soak.observation import STABILIZATION_TIME, Hangup, NodeStop, Observation, RouteChange
 from soak.plan import Fault, FaultKind
+from soak.process_watch import MemoryKill
 from standins.mesh_fleet import STOP_TIMEOUT, RouteConfig
 from standins.worker import Arrival, FleetRecord, RunEnd
 
@@ -207,3 +208,10 @@
     assert not lost_lines(used, stops=(), changes=changes)
     also_cut = closed_attempt(sent_at=20.0, reused=False)
     assert not lost_lines(cut, stops=(), changes=changes, others=[also_cut])
+
+
+def test_a_request_that_ended_with_a_kill_for_memory_is_detected_and_named_so():
+    """Guards against an excuse for a process that held too much (issue 56)."""
+    kill = MemoryKill("n1", 1, 381, 300, 11.05)
+    (line,) = lost_lines(closed_attempt(), stops=(), memory_kills=[kill])
+    assert line.endswith("in a process that was killed for its memory")
