--- a/soak/clients.py
+++ b/soak/clients.py
@@ -67,7 +67,7 @@
     the attempt, for slow readers the arrival of the response's head. `position` is the
     number of requests sent before it on its connection and not answered then. `time_limit` is in
     seconds: the longest timeout of the routes of this request and of those before it. `key` is the
-    API key, empty without one.
+    API key, empty without one. `body_bytes` is the size of a large body, 0 for the usual one.
     """
 
     sent_at: float
@@ -84,6 +84,7 @@
     position: int
     time_limit: float
     key: str = ""
+    body_bytes: int = 0
 
 
 class CallerRequest(NamedTuple):
@@ -168,6 +169,19 @@
         if self._tasks:
             await asyncio.wait(self._tasks, timeout=ATTEMPT_TIMEOUT)
 
+    async def close(self) -> None:
+        """Cancel the requests in flight and close all idle connections.
+
+        A writer that is open when the event loop ends prints a traceback.
+        """
+        for task in self._tasks:
+            task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+        for idle in self._idle_connections.values():
+            for conn in idle:
+                conn.writer.close()
+        self._idle_connections.clear()
+
     def _draw_use(self) -> ConnectionUse:
         shares = {
             ConnectionUse.PIPELINED: PIPELINED_SHARE,
@@ -204,7 +218,7 @@
         try:
             async with asyncio.timeout(ATTEMPT_TIMEOUT):
                 if conn is None:
-                    conn = await _connect(node.outbound, use)
+                    conn = await connect(node.outbound, use)
                 unanswered_end = AttemptEnd.CLOSED
                 await self._exchange(conn, use, exchange)
         except TimeoutError:
@@ -212,6 +226,9 @@
                 unanswered_end = AttemptEnd.TIMED_OUT
         except (OSError, asyncio.IncompleteReadError):
             pass  # recorded as `unanswered_end`
+        except asyncio.CancelledError:
+            self._release(node, use, conn, keep=False)
+            raise
         self._release(node, use, conn, exchange.keep)
         ended_at = time.monotonic()
         time_limit = 0.0
@@ -296,7 +313,8 @@
         )
 
 
-async def _connect(endpoint: Endpoint, use: ConnectionUse) -> Connection:
+async def connect(endpoint: Endpoint, use: ConnectionUse) -> Connection:
+    """Open a connection; that of a slow reader has small buffers in the kernel."""
     if use is not ConnectionUse.SLOW_READER:
         return Connection(*await asyncio.open_connection(*endpoint))
     sock = socket.socket()
--- a/standins/mesh_fleet.py
+++ b/standins/mesh_fleet.py
@@ -8,10 +8,12 @@
 import asyncio
 import json
 import os
+import resource
 import signal
 import subprocess
 import sys
 import tempfile
+import time
 from collections.abc import Callable
 from functools import cache
 from pathlib import Path
@@ -36,6 +38,8 @@
 FIRST_PEER_PORT, LAST_PEER_PORT, METRICS_PORT, STORE_PORT = 7620, 7635, 7634, 8309
 STOP_TIMEOUT = 6  # seconds; GraceS in the settings of the nodes
 REVOCATION_BOUND = 5  # seconds after which a withdrawn API key must be refused everywhere
+DESCRIPTORS_FOR_FILES = 200  # of the descriptors of a process
+FILES_IN_USE = 16  # that a node process opens at most, beside sockets and pipes
 START_TIMEOUT = 20.0  # seconds until all nodes are ready
 PACKAGES = ("packages/thorntray/src", "packages/thorntray-node/src")
 
@@ -76,6 +80,25 @@
     burst: float = 0.0
 
 
+class ProcessLimits(NamedTuple):
+    """What a node process may use, as in its settings file: megabytes and descriptors."""
+
+    memory_mb: int
+    descriptors: int
+
+    @property
+    def sockets(self) -> int:
+        """Return the number of sockets and pipes; the platform keeps the others for files."""
+        return self.descriptors - DESCRIPTORS_FOR_FILES
+
+
+class SentSignal(NamedTuple):
+    """A signal that was sent to a process, at monotonic seconds."""
+
+    signum: int
+    sent_at: float
+
+
 class NodeProcess:
     """A node process, its worker, and the proxies in front of the two."""
 
@@ -86,6 +109,8 @@
         self.index = index
         self.process: subprocess.Popen[bytes] | None = None
         self.boot = 0
+        self.started_at = 0.0  # monotonic seconds
+        self.signals: list[SentSignal] = []  # sent to the current process
         self.link_proxy: FaultProxy
         self.app_proxy: FaultProxy
         self.worker: WorkerStandIn
@@ -100,6 +125,7 @@
     def signal(self, signum: int) -> None:
         """Send a signal to the node process if it is running."""
         if self.process is not None and self.process.poll() is None:
+            self.signals.append(SentSignal(signum, time.monotonic()))
             self.process.send_signal(signum)
 
 
@@ -122,6 +148,7 @@
         self._proxies: dict[str, FaultProxy] = {}  # by the host that a node sends from
         # Whether the worker beside the node with an index names its start time.
         self.names_start: Callable[[int], bool] = lambda index: True
+        self.limits: ProcessLimits | None = None  # of each node; None: no limit
         self.version = 0
         self.behaviors = behaviors
         self._rng = rng
@@ -171,6 +198,7 @@
         paths = os.pathsep.join(str(ROOT / path) for path in PACKAGES)
         env = {**os.environ, "THORNTRAY_BOOT": str(settings), "PYTHONPATH": paths}
         node.boot += 1
+        node.started_at, node.signals = time.monotonic(), []
         with self.log_file(node).open("ab") as log:
             node.process = subprocess.Popen(
                 [sys.executable, str(ROOT / "platform/run.py"), f"--metrics_port={METRICS_PORT}"],
@@ -179,6 +207,7 @@
                 env=env,
                 cwd=ROOT,
             )
+        self.limit_process(node.process.pid)
 
     def log_file(self, node: NodeProcess) -> Path:
         """Return the file for stdout and stderr of a node."""
@@ -233,6 +262,19 @@
     def _address(self, subnet: int, index: int) -> str:
         return f"{self._network}.{subnet}.{index + 1}"
 
+    def limit_process(self, pid: int) -> None:
+        """Set the limit of descriptors of a process, if nodes have limits."""
+        if self.limits is not None:
+            allowed = self.limits.sockets + FILES_IN_USE
+            resource.prlimit(pid, resource.RLIMIT_NOFILE, (allowed, allowed))
+
+    def limit_settings(self) -> str:
+        """Return the table `[Self.Limits]` of the settings, empty without limits."""
+        if self.limits is None:
+            return ""
+        memory_mb, descriptors = self.limits
+        return f"[Self.Limits]\nMemoryMb = {memory_mb}\nMaxFds = {descriptors}\n"
+
     def _settings(self, node: NodeProcess) -> str:
         host, advertised_host = self._address(1, node.index), self._address(2, node.index)
         app_host = self._address(3, node.index)
@@ -244,7 +286,7 @@
 Region = "r"
 AppAddr = "{app_host}:{APP_PORT}"
 Service = "{node.service}"
-[Network]
+{self.limit_settings()}[Network]
 PortRange = [{FIRST_PEER_PORT},{LAST_PEER_PORT}]
 Seeds = []
 [Network.Listen]
