--- /dev/null
+++ b/tests/test_descriptor_limit.py
@@ -0,0 +1,63 @@
+"""Node processes whose descriptors are used up, or would be, by connections of callers."""
+
+import asyncio
+
+import pytest
+
+from tests.descriptor_fleet import (
+    SETTLE_TIME,
+    LimitedFleet,
+    close_all,
+    open_connections,
+    send_payouts,
+)
+
+pytestmark = pytest.mark.process
+
+DESCRIPTORS = 300
+IDLE = 400  # connections of callers that send nothing; more than the descriptors
+PAYOUTS_AT_ONCE = 12
+SERVICE_TIME = 1.0  # seconds
+
+
+async def run_with_idle_callers():
+    """Return the statuses of payouts and whether readiness answers, while callers sit idle."""
+    fleet, opened = LimitedFleet(DESCRIPTORS), []
+    try:
+        node = await fleet.start_pair()
+        opened += await open_connections(node.outbound, IDLE)
+        await asyncio.sleep(SETTLE_TIME)
+        kept = await open_connections(node.outbound, PAYOUTS_AT_ONCE)
+        opened += kept
+        statuses = await send_payouts(kept)
+        return statuses, [await fleet.is_ready(n) for n in fleet.nodes.values()]
+    finally:
+        close_all(opened)
+        await fleet.close()
+
+
+async def run_payouts_during_a_flood():
+    """Return the statuses of payouts that run while callers open idle connections."""
+    fleet, opened = LimitedFleet(DESCRIPTORS), []
+    try:
+        node = await fleet.start_pair()
+        node.worker.service_time = SERVICE_TIME
+        kept = await open_connections(node.outbound, PAYOUTS_AT_ONCE)
+        opened += kept
+        payouts = asyncio.ensure_future(send_payouts(kept))
+        await asyncio.sleep(SERVICE_TIME / 4)
+        opened += await open_connections(node.outbound, IDLE)
+        return await payouts
+    finally:
+        close_all(opened)
+        await fleet.close()
+
+
+def test_nested_calls_of_running_payouts_get_connections_during_a_flood():
+    assert asyncio.run(run_payouts_during_a_flood()) == [200] * PAYOUTS_AT_ONCE
+
+
+def test_idle_connections_of_callers_leave_descriptors_for_payouts_and_readiness():
+    statuses, ready = asyncio.run(run_with_idle_callers())
+    assert statuses == [200] * PAYOUTS_AT_ONCE
+    assert ready == [True, True]
