Descriptors are kept back for what accepted requests need

What callers saw: connections of callers, also idle ones, took every descriptor of a node. New connections hung or ended, payouts that already ran got 500 or 502, since their nested calls, links and connections to the instance need descriptors too, and readiness was not answered.

Cause: nothing bounded the connections that a node accepts. uvloop (libuv) accepts until no descriptor is left, then closes what waits unread; it neither spins nor closes the listener (tried, 0.02 s of processor time in 1 s at the limit). asyncio's own loop pauses for 1 s each time.

Change: `DescriptorBudget` decides how many connections callers may hold: the lower of the settings' limit and RLIMIT_NOFILE, less the largest share of the links (3 a member), the instance (2 a slot), the store, readiness, announcements, metrics, and a surplus. `ConnectionBound` applies it when a connection is accepted, with one comparison below the bound. Beyond it, the connection that was idle longest is closed, never one that is owed an answer or is sending a request. If none is idle, the new connection gets one request, refused at the end of its head with 503 and Retry-After, or served if it is a nested call of a request that the own instance runs. Beyond the surplus a connection is closed unread. Readiness, announcements and metrics have bounds of their own.

An outgoing connection that finds no descriptor closes idle connections of callers and is tried once more. If that fails too, the request has not run (503), and the instance is not taken for unreachable. Backlog of the links' listener: 1024 as for callers, it was 100.

Gauges thorntray_sockets, _socket_limit, _caller_connection_bound and _bounded_connections, events 121 and 122.

Evidence: tests/test_descriptor_limit.py, real processes with 300 descriptors and 400 idle connections.

--- a/packages/thorntray-node/src/thorntray_node/mesh_gauges.py
+++ b/packages/thorntray-node/src/thorntray_node/mesh_gauges.py
@@ -17,6 +17,7 @@
 from thorntray.internal.telemetry.node_metrics import NodeMetrics
 from thorntray.internal.version.freshness import Freshness
 from thorntray.internal.version.policy import PolicyHolder
+from thorntray_node.connection_limits import ConnectionLimits
 
 
 class GaugeSources(Protocol):
@@ -35,6 +36,7 @@
     quotas: Quotas
     pool: InstancePool
     budget: RetryBudget
+    connection_limits: ConnectionLimits
 
 
 def _or_minus_one(value: float | None) -> float:
@@ -73,6 +75,10 @@
         "thorntray_gossip_received_bytes": lambda: node.membership.bytes_received,
         "thorntray_quota_asks": lambda: node.quotas.asks_sent,
         "thorntray_quota_coordinated": lambda: node.quotas.coordinated,
+        "thorntray_socket_limit": lambda: _or_minus_one(node.connection_limits.budget.limit),
+        "thorntray_caller_connection_bound": lambda: _or_minus_one(
+            node.connection_limits.caller_bound
+        ),
         "thorntray_instance_connections": lambda: node.pool.connections_opened,
     }
     for name, read_gauge in gauges.items():
@@ -82,3 +88,8 @@
     )
     node.metrics.add_labelled_gauge("thorntray_quota_refusals", "workspace", node.quotas.refusals)
     node.metrics.add_labelled_gauge("thorntray_repeat_budget", "service", node.budget.remaining)
+    limits = node.connection_limits
+    node.metrics.add_labelled_gauge("thorntray_sockets", "kind", limits.sockets_by_kind)
+    node.metrics.add_labelled_gauge(
+        "thorntray_bounded_connections", "end", limits.bounded_connections
+    )
--- a/packages/thorntray-node/src/thorntray_node/mesh_node.py
+++ b/packages/thorntray-node/src/thorntray_node/mesh_node.py
@@ -28,6 +28,7 @@
 from thorntray.internal.overload.slot_price import MIN_PRICE, SlotPrice
 from thorntray.internal.overload.slot_queue import SlotQueue
 from thorntray.internal.process.clock import Clock
+from thorntray.internal.process.descriptor_budget import DescriptorBudget
 from thorntray.internal.process.drain import Drain
 from thorntray.internal.process.pauses import Pauses, varied_factors
 from thorntray.internal.process.registration import Registration
@@ -58,6 +59,12 @@
 from thorntray.internal.telemetry.node_metrics import NodeMetrics
 from thorntray.internal.version.freshness import Freshness
 from thorntray.internal.version.policy import Policy, PolicyHolder, Route
+from thorntray_node.connection_limits import (
+    REFUSAL_RETRY_AFTER,
+    BoundedServers,
+    ConnectionLimits,
+    process_descriptor_limit,
+)
 from thorntray_node.mesh_config import MeshConfig
 from thorntray_node.mesh_gauges import register_gauges
 from thorntray_node.peer_requests import PeerRequests
@@ -264,6 +271,8 @@
         self.callers.on_unanswered = self._request_unanswered
         self.readiness = HttpServer(self._answer_readiness, self.clock)
         self.announcements = HttpServer(announcements, self.clock)
+        self.metrics_server = HttpServer(self._answer_metrics, self.clock)
+        self._bound_connections()
         await self.callers.start(*cfg.callers)
         await self.readiness.start(*cfg.readiness)
         await self.announcements.start(*cfg.announcements)
@@ -307,10 +316,26 @@
             self.rng,
         )
 
+    def _bound_connections(self) -> None:
+        servers = BoundedServers(
+            self.callers, self.readiness, self.announcements, self.metrics_server
+        )
+        budget = DescriptorBudget(self.cfg.descriptor_limit, process_descriptor_limit())
+        self.connection_limits = ConnectionLimits(budget, servers, self._count_sockets)
+        self.connection_limits.use_for(self.pool.opener)
+        self.callers.bound.serves_surplus = self.origin.is_nested_call
+        self.callers.bound.refusal_lines = lambda: self.origin.retry_after_line(REFUSAL_RETRY_AFTER)
+
+    def _count_sockets(self) -> dict[str, int]:
+        return {
+            "links in": self.listener.connection_count,
+            "links out": self.links.connection_count,
+            "instance": self.queue.in_flight + self.pool.idle_connections,
+        }
+
     async def _serve_metrics(self) -> None:
         """Start the metrics server; a failure is only logged, as a node works without metrics."""
         register_gauges(self)
-        self.metrics_server = HttpServer(self._answer_metrics, self.clock)
         if not self.cfg.metrics_port:
             return
         try:
@@ -460,7 +485,9 @@
             self.notices.remove_expired()
             self.departures.remove_expired()
             self.crash_archive.review()
-            self.budget.set_nodes(self.membership.count_possible())
+            members = self.membership.count_possible()
+            self.budget.set_nodes(members)
+            self.connection_limits.update(members, self.queue.limit)
             policy = self.holder.policy
             if policy is not None:
                 self.budget.refill(list(policy.services), self.clock.monotonic())
--- /dev/null
+++ b/packages/thorntray/src/thorntray/internal/connection/connection_bound.py
@@ -0,0 +1,118 @@
+"""Bound on the open connections of one HTTP server, and what happens to connections beyond it.
+
+A new connection beyond the bound takes the place of the one that has been idle longest: nothing is
+owed on that, and a request that crosses its close has not been read, so it may be sent again. If
+none is idle, the new connection gets one request. The request is refused at the end of its head
+(503, a promise that it has not run), unless `serves_surplus` says that a request that is already
+running depends on it. Connections beyond that surplus are closed unread.
+
+All callers of a node may share one address, so connections are not counted by address.
+"""
+
+from collections.abc import Callable
+from math import inf
+from typing import Protocol
+
+from thorntray.internal.connection.http_request import Header
+from thorntray.internal.process.clock import Clock
+
+# Seconds without use after which a connection counts as idle; the first request on a new one, or
+# the next one of a busy caller, is likely to be in transit before.
+MIN_IDLE_TIME = 0.25
+SCAN_PAUSE = 0.05  # seconds after a search without result in which no other is made
+
+
+class BoundedConnection(Protocol):
+    """A connection of the server."""
+
+    @property
+    def idle_since(self) -> float:
+        """Return the monotonic time of the last use, infinite while the connection is in use."""
+        ...
+
+    def close_if_idle(self) -> None:
+        """Close the connection unless a request is pending or being received."""
+        ...
+
+    def limit_to_one_request(self) -> None:
+        """Answer the first request as the last one, refused unless it is served as surplus."""
+        ...
+
+    def close_unread(self) -> None:
+        """Close the connection, which was just accepted, before anything is read from it."""
+        ...
+
+
+class ConnectionBound:
+    """Keeps the number of open connections at `limit`; None: not bounded."""
+
+    def __init__(self, connections: set[BoundedConnection], clock: Clock) -> None:
+        self.limit: int | None = None
+        self.surplus = 0  # connections beyond the limit that get one request
+        # Called with the caller's IP address, the target and the header fields of a request.
+        self.serves_surplus: Callable[[str, bytes, list[Header]], bool] = lambda *_: False
+        self.refusal_lines: Callable[[], bytes] = lambda: b""  # header lines of a refusal
+        self.on_reached: Callable[[], None] = lambda: None
+        self.closed_idle = 0  # since the start, as the next two
+        self.refused = 0
+        self.closed_unread = 0
+        self._connections = connections
+        self._clock = clock
+        self._idle: list[tuple[float, BoundedConnection]] = []  # idle longest last
+        self._next_scan_at = -inf  # monotonic seconds
+
+    def accept(self, connection: BoundedConnection) -> None:
+        """Decide about a new connection, which is already one of the open ones."""
+        count = len(self._connections)
+        if self.limit is None or count <= self.limit:
+            return
+        self.on_reached()
+        if self.close_longest_idle():
+            return
+        if count <= self.limit + self.surplus:
+            connection.limit_to_one_request()
+            return
+        self.closed_unread += 1
+        self._connections.discard(connection)
+        connection.close_unread()
+
+    def refuses(self, host: str, target: bytes, headers: list[Header]) -> bool:
+        """Return whether to refuse the request of a connection that gets only one."""
+        if self.serves_surplus(host, target, headers):
+            return False
+        self.refused += 1
+        return True
+
+    def shrink(self) -> None:
+        """Close idle connections until the limit is kept, as it may have been lowered."""
+        while self.limit is not None and len(self._connections) > self.limit:
+            if not self.close_longest_idle():
+                return
+
+    def close_longest_idle(self) -> bool:
+        """Close the connection that has been idle longest; return False if none is idle.
+
+        Connections are searched only when those found before are used up, because a search takes
+        as long as there are connections.
+        """
+        if not self._idle:
+            self._scan()
+        while self._idle:
+            idle_since, connection = self._idle.pop()
+            if connection.idle_since != idle_since or connection not in self._connections:
+                continue  # used or closed since the search
+            self._connections.discard(connection)
+            connection.close_if_idle()
+            self.closed_idle += 1
+            return True
+        return False
+
+    def _scan(self) -> None:
+        now = self._clock.monotonic()
+        if now < self._next_scan_at:
+            return
+        latest = now - MIN_IDLE_TIME
+        idle = [(c.idle_since, c) for c in self._connections if c.idle_since <= latest]
+        self._idle = sorted(idle, key=lambda entry: -entry[0])
+        if not idle:
+            self._next_scan_at = now + SCAN_PAUSE
--- a/packages/thorntray/src/thorntray/internal/connection/http_client.py
+++ b/packages/thorntray/src/thorntray/internal/connection/http_client.py
@@ -18,6 +18,7 @@
 import httptools
 
 from thorntray.errors import NoReply, NotConnected
+from thorntray.internal.connection.socket_opener import SocketOpener
 from thorntray.internal.process.clock import Clock
 
 CONNECT_TIMEOUT = 2.0  # seconds
@@ -173,6 +174,7 @@
     def __init__(self, clock: Clock) -> None:
         self._clock = clock
         self._idle: dict[tuple[str, int], list[_Connection]] = {}
+        self.opener = SocketOpener()
 
     async def call(self, method: str, url: str, body: bytes | None, timeout: float) -> HttpReply:
         """Make one call; see `HttpClient`."""
@@ -218,10 +220,9 @@
         self._idle.setdefault(address, []).append(conn)
 
     async def _connect(self, address: tuple[str, int], timeout: float) -> _Connection:
-        loop = asyncio.get_running_loop()
         try:
             async with asyncio.timeout(timeout):
-                _, conn = await loop.create_connection(_Connection, *address)
+                conn = await self.opener.open(_Connection, *address)
         except (OSError, TimeoutError) as exc:
             raise NotConnected(f"no connection to {address[0]}:{address[1]}: {exc!r}") from exc
         return conn
--- a/packages/thorntray/src/thorntray/internal/connection/http_server.py
+++ b/packages/thorntray/src/thorntray/internal/connection/http_server.py
@@ -15,13 +15,19 @@
 import asyncio
 from collections import deque
 from collections.abc import Callable
-from enum import Enum
 from http import HTTPStatus
-from typing import NamedTuple
+from math import inf
 
 import httptools
 
+from thorntray.internal.connection.connection_bound import ConnectionBound
 from thorntray.internal.connection.connection_end import Linger, OutputProgress
+from thorntray.internal.connection.http_request import (
+    ClosedBy,
+    Header,
+    HttpRequest,
+    RequestLimits,
+)
 from thorntray.internal.process.clock import Clock
 from thorntray.internal.telemetry.events import log_handler_failure
 
@@ -33,34 +39,6 @@
 _METHODS_WITHOUT_BODY = frozenset({b"GET", b"HEAD", b"DELETE", b"OPTIONS"})
 _CONTINUE = b"HTTP/1.1 100 Continue\r\n\r\n"
 
-Header = tuple[bytes, bytes]
-
-
-class ClosedBy(Enum):
-    """Who ended a connection on which a response was still owed."""
-
-    CALLER = "caller"  # also one that was disconnected because it took no output
-    NODE = "node"  # this node, while it continues running
-    EXIT = "exit"  # the end of this process
-
-
-class RequestLimits(NamedTuple):
-    """Limits on the size (bytes) and arrival time (seconds) of requests, and on idle time."""
-
-    header_bytes: int = 16 * 1024
-    body_bytes: int = 64 * 1024 * 1024
-    header_timeout: float = 10.0
-    idle_timeout: float = 60.0
-
-
-class HttpRequest(NamedTuple):
-    """A complete request as received. Header names keep the caller's case."""
-
-    method: bytes
-    target: bytes
-    headers: list[Header]
-    body: bytes
-
 
 class Exchange:
     """One request on a connection and its response."""
@@ -121,6 +99,7 @@
         self.limits = RequestLimits()
         self.closing = False
         self.connections: set[HttpServerConnection] = set()
+        self.bound = ConnectionBound(self.connections, clock)
         self.requests_read = 0  # complete requests, since the start
         self.on_unanswered: UnansweredHandler = _ignore_unanswered
         self._server: asyncio.Server | None = None
@@ -177,6 +156,7 @@
         self._last_active_at = server.clock.monotonic()
         self._receiving_since: float | None = None  # arrival of the first byte of a request
         self._last_request_read = False  # whether later requests on the connection are ignored
+        self._one_request = False  # whether the connection exceeds the bound of the server
         self._reading_paused = False
         self._writing_paused = False
         self._linger: Linger | None = None  # once the output has ended
@@ -189,6 +169,7 @@
         peer = transport.get_extra_info("peername")
         self.peer_host = peer[0] if peer else ""
         self.server.connections.add(self)
+        self.server.bound.accept(self)
 
     def data_received(self, data: bytes) -> None:
         """Parse received bytes; malformed input is rejected and closes the connection."""
@@ -236,7 +217,10 @@
         self._headers.append((name, value))
 
     def on_headers_complete(self) -> None:
-        """Send `100 Continue` to a caller that expects it."""
+        """Refuse the request of a connection in excess; send `100 Continue` if it is expected."""
+        if self._one_request and not self._last_request_read:
+            if self.server.bound.refuses(self.peer_host, self._target, self._headers):
+                self._reject(503, self.server.bound.refusal_lines())
         if self._last_request_read or self._parser.get_method() in _METHODS_WITHOUT_BODY:
             return
         for name, value in self._headers:
@@ -263,6 +247,7 @@
         request = HttpRequest(self._parser.get_method(), self._target, self._headers, body)
         exchange = Exchange(self, request)
         exchange.keep_alive = self._parser.should_keep_alive()
+        exchange.last = self._last_request_read = self._one_request
         self.server.requests_read += 1
         self.pending.append(exchange)
         self._update_reading()
@@ -344,14 +329,29 @@
         if not self.pending and self._receiving_since is None and self._transport is not None:
             self._transport.close()
 
-    def _reject(self, status: int) -> None:
+    @property
+    def idle_since(self) -> float:
+        """Return the monotonic time of the last response, infinite if anything is in progress."""
+        in_use = self.pending or self._receiving_since is not None or self._linger is not None
+        return inf if in_use or self.unsent_bytes else self._last_active_at
+
+    def limit_to_one_request(self) -> None:
+        """Close the connection with the response to its first request."""
+        self._one_request = True
+
+    def close_unread(self) -> None:
+        """Close the connection before anything is read from it."""
+        if self._transport is not None:
+            self._transport.close()
+
+    def _reject(self, status: int, header_lines: bytes = b"") -> None:
         """Respond to a request that was not fully read, and close the connection afterwards."""
         self._last_request_read = True
         request = HttpRequest(b"GET", self._target, [], b"")
         exchange = Exchange(self, request)
         exchange.last = True
         self.pending.append(exchange)
-        exchange.respond(status, b"", b"")
+        exchange.respond(status, header_lines, b"")
 
     def _end_after_last_request(self) -> None:
         """Read nothing more, and close the connection with the response to the last request."""
--- a/packages/thorntray/src/thorntray/internal/connection/instance_pool.py
+++ b/packages/thorntray/src/thorntray/internal/connection/instance_pool.py
@@ -21,6 +21,7 @@
 from thorntray.internal.connection.header_names import FieldClassifier, FieldKind
 from thorntray.internal.connection.http_server import Header
 from thorntray.internal.connection.response_bounds import HeldBodies, ResponseBounds
+from thorntray.internal.connection.socket_opener import SocketOpener, is_exhausted
 from thorntray.internal.process.clock import Clock
 from thorntray.internal.telemetry.events import log_handler_failure
 
@@ -37,6 +38,7 @@
     """Why a request got no valid response."""
 
     UNREACHABLE = auto()  # no open connection could be obtained; nothing was sent
+    NO_DESCRIPTOR = auto()  # as `UNREACHABLE`, for want of a descriptor in this process
     LOST = auto()  # the connection ended after the request was sent
     GARBLED = auto()  # the received bytes are not a valid response to this request
 
@@ -275,6 +277,7 @@
         self._idle: list[InstanceConnection] = []
         self.held = HeldBodies()
         self.connections_opened = 0
+        self.opener = SocketOpener()
 
     def send(
         self,
@@ -311,6 +314,11 @@
         writer.transport.abort()
         return False
 
+    @property
+    def idle_connections(self) -> int:
+        """Return the number of open connections without a request."""
+        return len(self._idle)
+
     def release(self, connection: InstanceConnection) -> None:
         """Return a connection to the pool."""
         self._idle.append(connection)
@@ -352,16 +360,17 @@
         head_only: bool,
         on_response: ResponseHandler,
     ) -> None:
-        loop = asyncio.get_running_loop()
         self.connections_opened += 1
         try:
             async with asyncio.timeout(CONNECT_TIMEOUT):
-                _, connection = await loop.create_connection(
+                connection = await self.opener.open(
                     lambda: InstanceConnection(self), self._host, self._port
                 )
-        except (OSError, TimeoutError):
+        except (OSError, TimeoutError) as exc:
             if not pending_send.cancelled:
-                on_response(ResponseFault.UNREACHABLE)
+                on_response(
+                    ResponseFault.NO_DESCRIPTOR if is_exhausted(exc) else ResponseFault.UNREACHABLE
+                )
             return
         if pending_send.cancelled:
             connection.abort()
--- a/packages/thorntray/src/thorntray/internal/connection/link.py
+++ b/packages/thorntray/src/thorntray/internal/connection/link.py
@@ -28,6 +28,7 @@
 
 CONNECT_TIMEOUT = 0.4  # seconds
 LIVENESS_CHECK_PERIOD = 0.1  # seconds
+LISTEN_BACKLOG = 1024  # links waiting to be accepted; all peers may open theirs at the same time
 
 ResultHandler = Callable[[ResultFrame | Cause], None]
 MemberFrameHandler = Callable[[Member, Frame], None]
@@ -239,6 +240,11 @@
             self._drain(earlier)
         return link
 
+    @property
+    def connection_count(self) -> int:
+        """Return the number of links, which have or will have a connection."""
+        return len(self._links) + len(self._draining)
+
     def drain_link(self, name: str) -> None:
         """Drain the link to a peer that has left, has restarted or is believed dead."""
         link = self._links.pop(name, None)
@@ -287,6 +293,11 @@
         """
         return sum(connection.unsent_bytes for connection in self._connections)
 
+    @property
+    def connection_count(self) -> int:
+        """Return the number of open connections."""
+        return len(self._connections)
+
     async def start(self) -> None:
         """Start listening; raises `OSError` when the port is in use."""
         loop = asyncio.get_running_loop()
@@ -294,6 +305,7 @@
             lambda: LinkConnection(self._handler, self._clock, registry=self._connections),
             self._address,
             self._port,
+            backlog=LISTEN_BACKLOG,
         )
 
     def close(self) -> None:
--- a/packages/thorntray/src/thorntray/internal/request/origin.py
+++ b/packages/thorntray/src/thorntray/internal/request/origin.py
@@ -6,7 +6,7 @@
 """
 
 from thorntray.internal.connection.header_names import FieldClassifier, FieldKind
-from thorntray.internal.connection.http_server import Exchange
+from thorntray.internal.connection.http_server import Exchange, Header
 from thorntray.internal.overload.call_parents import CallSender
 from thorntray.internal.request.caller_identity import IdentityRefusal
 from thorntray.internal.request.origin_context import (
@@ -66,8 +66,7 @@
             self._refuse(exchange, BAD_REQUEST)
             return
         target = exchange.request.target
-        path = target.partition(b"?")[0].decode("latin-1")
-        route = policy.find_route(head.host, path)
+        route = policy.find_route(head.host, _path_of(target))
         if route is None:
             self._deps.on_refused(head, None, NO_ROUTE)
             self._refuse(exchange, NOT_FOUND)
@@ -155,6 +154,24 @@
             case IdentityRefusal.MISSING_KEY | IdentityRefusal.UNKNOWN_KEY:
                 exchange.respond(UNAUTHORIZED, _CHALLENGE, b"")
 
+    def is_nested_call(self, peer_host: str, target: bytes, headers: list[Header]) -> bool:
+        """Return whether a request comes from the own instance for one that it is running."""
+        policy, context = self._deps.policy(), self._context
+        if policy is None or peer_host not in self._deps.own_hosts:
+            return False
+        try:
+            head = self.read_head(headers, bool(policy.workspaces))
+        except InvalidRequestHead:
+            return False
+        if context.find_parent(head) is not None:
+            return True
+        route = policy.find_route(head.host, _path_of(target))
+        return route is not None and context.nested_routes.is_nested(route.name)
+
+    def retry_after_line(self, seconds: float) -> bytes:
+        """Return the header line that asks a caller to wait for `seconds` plus jitter."""
+        return self._context.retry_after_line(seconds)
+
     def end_all(self) -> int:
         """End all requests now, as their node stops; returns their number."""
         waiting = self._deps.quotas.end_all(STOPPING_RETRY_AFTER)
@@ -214,6 +231,10 @@
         exchange.respond(status, lines, b"")
 
 
+def _path_of(target: bytes) -> str:
+    return target.partition(b"?")[0].decode("latin-1")
+
+
 def _without_connection_fields(lines: list[bytes], connection_options: bytes) -> list[bytes]:
     """Return the header lines without the fields that the Connection field lists."""
     options = {part.strip() for part in connection_options.split(b",")}
--- a/packages/thorntray/src/thorntray/internal/request/owner.py
+++ b/packages/thorntray/src/thorntray/internal/request/owner.py
@@ -251,6 +251,8 @@
             case ResponseFault.UNREACHABLE:
                 self._unreachable_until = self.deps.clock.monotonic() + UNREACHABLE_BACKOFF
                 return not_run(Cause.NO_INSTANCE)
+            case ResponseFault.NO_DESCRIPTOR:  # says nothing of the instance
+                return not_run(Cause.FULL)
             case ResponseFault.LOST:
                 return unknown(Cause.LOST)
             case ResponseFault.GARBLED:
--- a/packages/thorntray/src/thorntray/internal/telemetry/events.py
+++ b/packages/thorntray/src/thorntray/internal/telemetry/events.py
@@ -63,6 +63,12 @@
         119, Level.WARNING, "upstream instance is another one than announced"
     )
     NODE_FAILED = EventKind(115, Level.ERROR, "node failed at its start or stop")
+    CONNECTIONS_BOUNDED = EventKind(
+        121, Level.WARNING, "connections of callers have reached their bound", 1
+    )
+    DESCRIPTORS_EXHAUSTED = EventKind(
+        122, Level.ERROR, "no descriptor left for an outgoing connection", 1
+    )
     MEMBER_JOINED = EventKind(200, Level.INFO, "member joined")
     MEMBER_SUSPECT = EventKind(201, Level.WARNING, "member suspected")
     MEMBER_DEAD = EventKind(202, Level.WARNING, "member dead")
--- a/packages/thorntray/src/thorntray/internal/telemetry/node_metrics.py
+++ b/packages/thorntray/src/thorntray/internal/telemetry/node_metrics.py
@@ -86,6 +86,16 @@
     "thorntray_gossip_sent_bytes": ("gauge", "bytes of membership datagrams sent since the start"),
     "thorntray_gossip_received_bytes": ("gauge", "bytes of membership datagrams received"),
     "thorntray_instance_connections": ("gauge", "connections opened to the instance"),
+    "thorntray_sockets": ("gauge", "open sockets, by kind"),
+    "thorntray_socket_limit": ("gauge", "sockets that the process may open, -1: not known"),
+    "thorntray_caller_connection_bound": (
+        "gauge",
+        "connections that callers may hold, -1 while no limit is known",
+    ),
+    "thorntray_bounded_connections": (
+        "gauge",
+        "connections of callers ended for the bound since the start, by what they got",
+    ),
     "thorntray_log_lines_dropped": ("gauge", "dropped log lines not yet reported"),
 }
 
--- a/tests/descriptor_fleet.py
+++ b/tests/descriptor_fleet.py
@@ -1,8 +1,10 @@
 """Test helpers: node processes that may open few descriptors, and callers that hold connections."""
 
 import asyncio
+import os
 import resource
 from contextlib import suppress
+from pathlib import Path
 from random import Random
 
 from standins.mesh_fleet import HOST_NAME, MeshFleet, NodeProcess, RouteConfig
@@ -50,6 +52,13 @@
         return self.nodes[ORIGIN]
 
 
+def processor_time(node: NodeProcess) -> float:
+    """Return the processor time in seconds that a node process has taken."""
+    assert node.process is not None
+    fields = Path(f"/proc/{node.process.pid}/stat").read_text().rpartition(")")[2].split()
+    return (int(fields[11]) + int(fields[12])) / os.sysconf("SC_CLK_TCK")
+
+
 async def open_connections(address: Endpoint, count: int) -> list[Streams]:
     """Open connections one after the other, as far as the node accepts them."""
     opened: list[Streams] = []
