Slow readers keep their answers when the idle timeout is lowered

What callers saw: an answer that was being read ended early, though it was complete at the node.

Causes: (1) a policy that lowers IdleTimeoutS applied to output that already waited: a reader that paused for 2 s under 60 s was cut at 0.7 s, 3.3 of 6.3 MB received. (2) Whether a caller takes output was judged by the process's own buffer, which moves only when a third of the kernel's is free: a caller that read 20 kB/s without a pause was cut after 0.7 s. (3) After a request with Connection: close the connection was closed with its input unread: bytes behind that request reset it, and the rest of the answer was discarded.

Change: `OutputWatch` keeps the limit under which the output began to wait, and counts the bytes in the kernel (TIOCOUTQ, asked only for connections whose output waits, twice a second). An answer that the operating system has not taken ends its connection as other last answers do: output first. A response that the kernel has taken whole still closes at once; input behind it can reset it.

--- a/packages/thorntray/src/thorntray/internal/connection/http_server.py
+++ b/packages/thorntray/src/thorntray/internal/connection/http_server.py
@@ -21,13 +21,14 @@
 import httptools
 
 from thorntray.internal.connection.connection_bound import ConnectionBound
-from thorntray.internal.connection.connection_end import Linger, OutputProgress
+from thorntray.internal.connection.connection_end import Linger
 from thorntray.internal.connection.http_request import (
     ClosedBy,
     Header,
     HttpRequest,
     RequestLimits,
 )
+from thorntray.internal.connection.output_watch import OutputWatch
 from thorntray.internal.process.clock import Clock
 from thorntray.internal.telemetry.events import log_handler_failure
 
@@ -160,7 +161,7 @@
         self._reading_paused = False
         self._writing_paused = False
         self._linger: Linger | None = None  # once the output has ended
-        self._output_progress = OutputProgress(server.clock.monotonic())
+        self._output_watch = OutputWatch(server.limits.idle_timeout, self._last_active_at)
         self._reset_message()
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
@@ -286,10 +287,11 @@
     def _close_after_response(self, transport: asyncio.Transport, closed_by_caller: bool) -> None:
         """Close the connection so that the caller can read the response.
 
-        Closing with unread input resets the connection, which may discard the response. Unless
-        the caller itself sends nothing more, only the output is ended, and input is discarded.
+        Closing with unread input resets the connection, which may discard the response. Unless the
+        caller itself sends nothing more and the operating system has taken the response, only the
+        output is ended, and input is discarded.
         """
-        if closed_by_caller:
+        if closed_by_caller and not transport.get_write_buffer_size():
             transport.close()
             return
         self._linger = Linger(self.server.clock.monotonic())
@@ -311,7 +313,7 @@
         limits, transport = self.server.limits, self._transport
         if transport is None:
             return
-        if self._output_progress.stalled_for(self.unsent_bytes, now) > limits.idle_timeout:
+        if self._output_watch.is_stalled(transport, limits.idle_timeout, now):
             transport.abort()
             return
         if self._linger is not None:
