--- a/packages/thorntray/src/thorntray/internal/connection/connection_end.py
+++ b/packages/thorntray/src/thorntray/internal/connection/connection_end.py
@@ -8,15 +8,13 @@
 """
 
 import asyncio
-import fcntl
-import struct
-import termios
+
+from thorntray.internal.connection.kernel_output import kernel_output_bytes
 
 LINGER_TIME = 1.0  # seconds without input after which closing is safe
 MAX_LINGER_TIME = 30.0  # seconds; limits callers that never stop sending
 # Seconds after the last answer for which it counts as not taken where the kernel does not tell.
 ASSUMED_DELIVERY_TIME = 0.25
-_COUNT = struct.Struct("i")
 
 
 class Linger:
@@ -58,8 +56,5 @@
     """
     if transport.is_closing():
         return 0
-    try:
-        descriptor = transport.get_extra_info("socket").fileno()
-        return int(*_COUNT.unpack(fcntl.ioctl(descriptor, termios.TIOCOUTQ, bytes(_COUNT.size))))
-    except (OSError, AttributeError):
-        return int(now - answered_at < ASSUMED_DELIVERY_TIME)
+    count = kernel_output_bytes(transport)
+    return int(now - answered_at < ASSUMED_DELIVERY_TIME) if count is None else count
--- a/packages/thorntray/src/thorntray/internal/connection/http_request.py
+++ b/packages/thorntray/src/thorntray/internal/connection/http_request.py
@@ -1,4 +1,4 @@
-"""A request as an HTTP server has read it, the limits that it must keep, and who ends it."""
+"""What an HTTP server knows of requests: their parts, their limits, and who ended a connection."""
 
 from enum import Enum
 from typing import NamedTuple
--- a/packages/thorntray/src/thorntray/internal/connection/http_server.py
+++ b/packages/thorntray/src/thorntray/internal/connection/http_server.py
@@ -16,16 +16,15 @@
 from collections import deque
 from collections.abc import Callable
 from http import HTTPStatus
+from math import inf
 
 import httptools
 
-from thorntray.internal.connection.connection_end import (
-    Linger,
-    OutputProgress,
-    unacknowledged_bytes,
-)
+from thorntray.internal.connection.connection_bound import ConnectionBound
+from thorntray.internal.connection.connection_end import Linger, unacknowledged_bytes
 from thorntray.internal.connection.exchange import Exchange
 from thorntray.internal.connection.http_request import ClosedBy, HttpRequest, RequestLimits
+from thorntray.internal.connection.output_watch import OutputWatch
 from thorntray.internal.connection.request_bodies import HeldBytes, IncomingRequest
 from thorntray.internal.process.clock import Clock
 from thorntray.internal.telemetry.events import log_handler_failure
@@ -55,6 +54,7 @@
         self.held = HeldBytes()
         self.closing = False
         self.connections: set[HttpServerConnection] = set()
+        self.bound = ConnectionBound(self.connections, clock)
         self.requests_read = 0  # complete requests, since the start
         self.on_unanswered: UnansweredHandler = _ignore_unanswered
         self._server: asyncio.Server | None = None
@@ -112,10 +112,11 @@
         self._last_active_at = server.clock.monotonic()
         self._receiving_since: float | None = None  # arrival of the first byte of a request
         self._last_request_read = False  # whether later requests on the connection are ignored
+        self._one_request = False  # whether the connection exceeds the bound of the server
         self._reading_paused = False
         self._writing_paused = False
         self._linger: Linger | None = None  # once the output has ended
-        self._output_progress = OutputProgress(server.clock.monotonic())
+        self._output_watch = OutputWatch(server.limits.idle_timeout, self._last_active_at)
         self._incoming = IncomingRequest()
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
@@ -124,6 +125,7 @@
         peer = transport.get_extra_info("peername")
         self.peer_host = peer[0] if peer else ""
         self.server.connections.add(self)
+        self.server.bound.accept(self)
 
     def data_received(self, data: bytes) -> None:
         """Parse received bytes; malformed input is rejected and closes the connection."""
@@ -185,6 +187,11 @@
 
     def on_headers_complete(self) -> None:
         """Refuse a request for which there is no room; send `100 Continue` if it is expected."""
+        if self._one_request and not self._last_request_read:
+            if self.server.bound.refuses(
+                self.peer_host, self._incoming.target, self._incoming.headers
+            ):
+                self._reject(503, self.server.bound.refusal_lines())
         if self._last_request_read:
             return
         incoming = self._incoming
@@ -230,6 +237,7 @@
         exchange = Exchange(self, request)
         self.held.hand_over(self._incoming, exchange)
         exchange.keep_alive = self._parser.should_keep_alive()
+        exchange.last = self._last_request_read = self._one_request
         self.server.requests_read += 1
         self.pending.append(exchange)
         self._update_reading()
@@ -270,10 +278,11 @@
     def _close_after_response(self, transport: asyncio.Transport, closed_by_caller: bool) -> None:
         """Close the connection so that the caller can read the response.
 
-        Closing with unread input resets the connection, which may discard the response. Unless
-        the caller itself sends nothing more, only the output is ended, and input is discarded.
+        Closing with unread input resets the connection, which may discard the response. Unless the
+        caller itself sends nothing more and the operating system has taken the response, only the
+        output is ended, and input is discarded.
         """
-        if closed_by_caller:
+        if closed_by_caller and not transport.get_write_buffer_size():
             transport.close()
             return
         self._linger = Linger(self.server.clock.monotonic())
@@ -297,12 +306,12 @@
         limits, transport = self.server.limits, self._transport
         if transport is None:
             return
-        untaken = self.unsent_bytes if self._linger is None else self.untaken_bytes
-        if self._output_progress.stalled_for(untaken, now) > limits.idle_timeout:
+        ended = self._linger is not None
+        if self._output_watch.is_stalled(transport, limits.idle_timeout, now, ended):
             transport.abort()
             return
         if self._linger is not None:
-            if self._linger.is_over(now) and not untaken:
+            if self._linger.is_over(now) and not self.untaken_bytes:
                 transport.close()
             return
         if self._receiving_since is not None and not self.pending:
@@ -316,6 +325,21 @@
         if not self.pending and self._receiving_since is None and self._transport is not None:
             self._transport.close()
 
+    @property
+    def idle_since(self) -> float:
+        """Return the monotonic time of the last response, infinite if anything is in progress."""
+        in_use = self.pending or self._receiving_since is not None or self._linger is not None
+        return inf if in_use or self.unsent_bytes else self._last_active_at
+
+    def limit_to_one_request(self) -> None:
+        """Close the connection with the response to its first request."""
+        self._one_request = True
+
+    def close_unread(self) -> None:
+        """Close the connection before anything is read from it."""
+        if self._transport is not None:
+            self._transport.close()
+
     def _reject(self, status: int, header_lines: bytes = b"") -> None:
         """Respond to a request that was not fully read, and close the connection afterwards."""
         self._last_request_read = True
--- a/packages/thorntray/src/thorntray/internal/connection/link.py
+++ b/packages/thorntray/src/thorntray/internal/connection/link.py
@@ -310,6 +310,11 @@
             self._drain(earlier)
         return link
 
+    @property
+    def connection_count(self) -> int:
+        """Return the number of links, which have or will have a connection."""
+        return len(self._links) + len(self._draining)
+
     def drain_link(self, name: str) -> None:
         """Drain the link to a peer that has left, has restarted or is believed dead."""
         link = self._links.pop(name, None)
--- a/packages/thorntray/src/thorntray/internal/connection/link_connection.py
+++ b/packages/thorntray/src/thorntray/internal/connection/link_connection.py
@@ -12,9 +12,6 @@
 """
 
 import asyncio
-import fcntl
-import sys
-import termios
 import zlib
 from typing import Protocol
 
@@ -30,6 +27,7 @@
     encode_around_body,
     encode_frame,
 )
+from thorntray.internal.connection.kernel_output import kernel_output_bytes
 from thorntray.internal.connection.peer_watch import OUTPUT_CHECK_PERIOD, PeerWatch, Step
 from thorntray.internal.connection.receive_gate import RETRY_PERIOD, ReceiveGate
 from thorntray.internal.process.clock import Clock
@@ -38,7 +36,6 @@
 MIN_BACKLOG = 64 * 1024  # unsent bytes; fewer may be acknowledged by the kernel of a frozen peer
 MAX_PROGRESS_GAP = 0.3  # seconds without progress after which no call is put into a full link
 SIGN_PERIOD = 0.1  # seconds between the pongs that are sent while a frame arrives
-INT_BYTES = 4
 COMPRESSION_LEVEL = 1
 PLAIN_STREAM, COMPRESSED_STREAM = b"\x00", b"\x01"  # the first byte of a connection
 RAW_DEFLATE_WBITS = -15  # raw deflate stream without zlib header
@@ -293,7 +290,7 @@
     def _count_taken(self) -> int:
         """Return how many of the written bytes the peer's machine has acknowledged."""
         assert self._transport is not None
-        in_kernel = _unacknowledged_bytes(self._transport)
+        in_kernel = kernel_output_bytes(self._transport) or 0
         return self._written_bytes - self._transport.get_write_buffer_size() - in_kernel
 
     def _read_on_if_admitted(self, now: float) -> None:
@@ -323,13 +320,3 @@
         if now - self._last_sign_at > SIGN_PERIOD:
             self._last_sign_at = now
             self.send(PongFrame())
-
-
-def _unacknowledged_bytes(transport: asyncio.Transport) -> int:
-    """Return the bytes in the kernel's send queue, 0 if the system does not tell."""
-    sock = transport.get_extra_info("socket")
-    try:
-        count = fcntl.ioctl(sock.fileno(), termios.TIOCOUTQ, bytes(INT_BYTES))
-    except (AttributeError, OSError, ValueError):  # ValueError: the socket is closed
-        return 0
-    return int.from_bytes(count, sys.byteorder)
--- a/packages/thorntray/src/thorntray/internal/connection/link_listener.py
+++ b/packages/thorntray/src/thorntray/internal/connection/link_listener.py
@@ -7,6 +7,8 @@
 from thorntray.internal.process.clock import Clock
 from thorntray.internal.process.memory_budget import MemoryBudget, Share
 
+LISTEN_BACKLOG = 1024  # links waiting to be accepted; all peers may open theirs at the same time
+
 
 class LinkListener:
     """Accepts the links that peers open.
@@ -43,10 +45,17 @@
         """Return the bytes of incomplete frames."""
         return sum(connection.received_bytes for connection in self._connections)
 
+    @property
+    def connection_count(self) -> int:
+        """Return the number of open connections."""
+        return len(self._connections)
+
     async def start(self) -> None:
         """Start listening; raises `OSError` when the port is in use."""
         loop = asyncio.get_running_loop()
-        self._server = await loop.create_server(self._accept, self._address, self._port)
+        self._server = await loop.create_server(
+            self._accept, self._address, self._port, backlog=LISTEN_BACKLOG
+        )
 
     def _accept(self) -> LinkConnection:
         return LinkConnection(
--- a/packages/thorntray/src/thorntray/internal/request/origin.py
+++ b/packages/thorntray/src/thorntray/internal/request/origin.py
@@ -9,6 +9,7 @@
 
 from thorntray.internal.connection.exchange import Exchange
 from thorntray.internal.connection.header_names import FieldClassifier, FieldKind
+from thorntray.internal.connection.http_request import Header
 from thorntray.internal.overload.call_parents import CallSender
 from thorntray.internal.process.memory_budget import Share
 from thorntray.internal.request.caller_identity import IdentityRefusal
@@ -185,6 +186,20 @@
             case IdentityRefusal.MISSING_KEY | IdentityRefusal.UNKNOWN_KEY:
                 exchange.respond(UNAUTHORIZED, _CHALLENGE, b"")
 
+    def is_nested_call(self, peer_host: str, target: bytes, headers: list[Header]) -> bool:
+        """Return whether a request comes from the own instance for one that it is running."""
+        policy, context = self._deps.policy(), self._context
+        if policy is None or peer_host not in self._deps.own_hosts:
+            return False
+        try:
+            head = self.read_head(headers, bool(policy.workspaces))
+        except InvalidRequestHead:
+            return False
+        if context.find_parent(head) is not None:
+            return True
+        route = _find_route(policy, head, target)
+        return route is not None and context.nested_routes.is_nested(route.name)
+
     def end_all(self) -> int:
         """End all requests now, as their node stops; returns their number."""
         waiting = self._deps.quotas.end_all(STOPPING_RETRY_AFTER)
--- a/packages/thorntray/src/thorntray/internal/telemetry/node_metrics.py
+++ b/packages/thorntray/src/thorntray/internal/telemetry/node_metrics.py
@@ -92,6 +92,16 @@
         "gauge",
         "most bytes that may be held for requests and answers, -1: no limit",
     ),
+    "thorntray_sockets": ("gauge", "open sockets, by kind"),
+    "thorntray_socket_limit": ("gauge", "sockets that the process may open, -1: not known"),
+    "thorntray_caller_connection_bound": (
+        "gauge",
+        "connections that callers may hold, -1 while no limit is known",
+    ),
+    "thorntray_bounded_connections": (
+        "gauge",
+        "connections of callers ended for the bound since the start, by what they got",
+    ),
     "thorntray_log_lines_dropped": ("gauge", "dropped log lines not yet reported"),
 }
 
