--- a/packages/thorntray/src/thorntray/internal/connection/kernel_output.py
+++ b/packages/thorntray/src/thorntray/internal/connection/kernel_output.py
@@ -13,5 +13,5 @@
     try:
         descriptor = transport.get_extra_info("socket").fileno()
         return int(*_COUNT.unpack(fcntl.ioctl(descriptor, termios.TIOCOUTQ, bytes(_COUNT.size))))
-    except (OSError, AttributeError, ValueError):  # ValueError: the socket is closed
+    except (OSError, AttributeError, TypeError, ValueError):  # closed, or in memory only
         return None
