Answers for which there is no memory stay with the instance until there is

Cause: bodies that are being received are bounded at 64 MiB for the pool alone, whatever else the process holds, and at that bound the largest answer is thrown away.

Change: with a limit of memory, an answer whose announced length does not fit is not read until it does; one without a length is paused when memory is full. Paused answers go on in the order in which they began. One large answer is always being read, since requests and answers that wait behind others may hold the memory that it needs and wait for it; only bytes on their way out, which need nobody, hold it back. An answer that the process can never hold ends as faulty when its length is known. A paused answer is limited by the deadline of its request only, and EXPIRED does not count as a failure of the instance. Without a limit nothing changes.

--- a/packages/thorntray-node/src/thorntray_node/memory_bounds.py
+++ b/packages/thorntray-node/src/thorntray_node/memory_bounds.py
@@ -26,18 +26,22 @@
         self, callers: HttpServer, origin: Origin, owner: Owner, pool: InstancePool
     ) -> None:
         """Read the bytes that the components hold, and have callers refused by them."""
-        self._held = held = callers.held
+        self._held, self._pool = callers.held, pool
+        held = callers.held
         memory = self._memory
-        memory.add_source("requests", lambda: held.requests)
-        memory.add_source("answers", held.unsent)
-        memory.add_source("calls", lambda: owner.held_bytes)
-        memory.add_source("instance_answers", lambda: pool.held.total)
+        memory.add_source("requests", lambda: held.requests, leaving=False)
+        memory.add_source("answers", lambda: held.answers, leaving=False)
+        memory.add_source("calls", lambda: owner.held_bytes, leaving=False)
+        memory.add_source("instance_answers", lambda: pool.held.total, leaving=False)
+        memory.add_source("unsent", held.unsent)
         if memory.limit is not None:
             held.gate = MemoryAdmission(memory, origin, self._hold_time, self._caller_refused)
 
     def review(self) -> None:
         """Update what changes with time; to be called several times a second."""
         self._memory.review()
+        if self._pool.held.paused:
+            self._pool.held.resume()
         held = self._held
         self._hold_time.observe(held.requests, held.released, self._clock.monotonic())
 
--- a/packages/thorntray-node/src/thorntray_node/mesh_node.py
+++ b/packages/thorntray-node/src/thorntray_node/mesh_node.py
@@ -117,7 +117,7 @@
         self.running = RunningRequests()
         self.pauses = Pauses(clock)
         names = cfg.header_names
-        self.pool = InstancePool(*cfg.instance, names.request_id.lower(), clock)
+        self.pool = InstancePool(*cfg.instance, names.request_id.lower(), clock, self.memory)
         self.log = RequestLog(clock)
         self.suspects = CrashSuspects(clock, self._request_blocked)
         self.isolation = CrashIsolation(self.suspects, clock)
--- a/packages/thorntray/src/thorntray/internal/connection/instance_pool.py
+++ b/packages/thorntray/src/thorntray/internal/connection/instance_pool.py
@@ -12,16 +12,19 @@
 """
 
 import asyncio
-from collections.abc import Callable
-from enum import Enum, auto
-from typing import NamedTuple
 
 import httptools
 
 from thorntray.internal.connection.header_names import FieldClassifier, FieldKind
+from thorntray.internal.connection.instance_response import (
+    InstanceResponse,
+    ResponseFault,
+    ResponseHandler,
+)
 from thorntray.internal.connection.request_bodies import Header
 from thorntray.internal.connection.response_bounds import HeldBodies, ResponseBounds
 from thorntray.internal.process.clock import Clock
+from thorntray.internal.process.memory_budget import MemoryBudget
 from thorntray.internal.telemetry.events import log_handler_failure
 
 CONNECT_TIMEOUT = 0.5  # seconds
@@ -33,25 +36,6 @@
 FRESH_PERIOD = 0.5  # seconds after use in which non-idempotent requests may reuse a connection
 
 
-class ResponseFault(Enum):
-    """Why a request got no valid response."""
-
-    UNREACHABLE = auto()  # no open connection could be obtained; nothing was sent
-    LOST = auto()  # the connection ended after the request was sent
-    GARBLED = auto()  # the received bytes are not a valid response to this request
-
-
-class InstanceResponse(NamedTuple):
-    """A complete response of the instance."""
-
-    status: int
-    headers: list[Header]
-    body: bytes
-
-
-ResponseHandler = Callable[[InstanceResponse | ResponseFault], None]
-
-
 class InstanceConnection(asyncio.Protocol):
     """One connection to the instance."""
 
@@ -67,7 +51,7 @@
         self._response: InstanceResponse | None = None
         self._fault: ResponseFault | None = None
         self._reusable = False
-        self._bounds = ResponseBounds(pool.held, self._end_as_garbled)
+        self._bounds = ResponseBounds(pool.held, self)
         self.closed = False
         self.last_used_at = pool.clock.monotonic()
         self.idle_timeout = DEFAULT_IDLE_TIMEOUT  # seconds
@@ -156,6 +140,8 @@
             self._response_id = value
         elif kind is FieldKind.FRAMING:
             self._has_framing = True
+            if len(name) == len(b"Content-Length") and value.isdigit():
+                self._content_length = int(value)
         elif kind is FieldKind.KEEP_ALIVE:
             self._keep_alive = value
 
@@ -165,6 +151,8 @@
         self._ends_at_close = not self._has_framing and status >= 200 and status not in (204, 304)
         if self._head_only:
             self._finish(reusable=False)
+        elif self._content_length and status >= 200 and status not in (204, 304):
+            self._bounds.announce_body(self._content_length)
 
     def on_body(self, body: bytes) -> None:
         """Append a part of the body."""
@@ -214,8 +202,18 @@
         except Exception:  # this connection may already carry the next request
             log_handler_failure(id=request_id.decode("latin-1"))
 
-    def _end_as_garbled(self) -> None:
-        """End the pending request in the next iteration of the event loop."""
+    def pause_reading(self) -> None:
+        """Leave the rest of the response with the instance for now."""
+        if self._transport is not None and self.usable:
+            self._transport.pause_reading()
+
+    def resume_reading(self) -> None:
+        """Go on reading."""
+        if self._transport is not None and self.usable:
+            self._transport.resume_reading()
+
+    def end_as_faulty(self) -> None:
+        """End the pending request as garbled, in the next iteration of the event loop."""
         self._fault = ResponseFault.GARBLED
         self._bounds.release()
         self._body = []
@@ -233,6 +231,7 @@
         self._headers: list[Header] = []
         self._response_id: bytes | None = None
         self._has_framing = False
+        self._content_length = 0
         self._keep_alive: bytes | None = None
         self._body: list[bytes] = []
 
@@ -268,7 +267,14 @@
 class InstancePool:
     """Connections to the instance; the most recently used one is reused first."""
 
-    def __init__(self, host: str, port: int, id_header: bytes, clock: Clock) -> None:
+    def __init__(
+        self,
+        host: str,
+        port: int,
+        id_header: bytes,
+        clock: Clock,
+        memory: MemoryBudget | None = None,
+    ) -> None:
         self.clock = clock
         self.fields = FieldClassifier(
             {
@@ -281,7 +287,7 @@
         self._host = host
         self._port = port
         self._idle: list[InstanceConnection] = []
-        self.held = HeldBodies()
+        self.held = HeldBodies(memory)
         self.connections_opened = 0
 
     def send(
--- a/packages/thorntray/src/thorntray/internal/connection/request_bodies.py
+++ b/packages/thorntray/src/thorntray/internal/connection/request_bodies.py
@@ -93,7 +93,7 @@
 
     def __init__(self) -> None:
         self.requests = 0
-        self.answers = 0
+        self.answers = 0  # that wait for those before them
         self.released = 0  # bytes of requests, since the start
         self.gate: RequestGate | None = None
         self.slow: set[asyncio.Transport] = set()  # transports above their high-water mark
@@ -124,8 +124,7 @@
         successor.held_bytes, holder.held_bytes = holder.held_bytes, 0
 
     def unsent(self) -> int:
-        """Return the bytes of answers that callers have not taken."""
+        """Return the bytes of answers that were written and that callers have not taken."""
         if not self.slow:
-            return self.answers
-        buffered = sum(transport.get_write_buffer_size() for transport in self.slow)
-        return self.answers + buffered
+            return 0
+        return sum(transport.get_write_buffer_size() for transport in self.slow)
--- a/packages/thorntray/src/thorntray/internal/process/memory_budget.py
+++ b/packages/thorntray/src/thorntray/internal/process/memory_budget.py
@@ -41,10 +41,16 @@
             self.limit = payload // COPIES
         self.pressed = False  # whether requests without a body should ask for room, too
         self._sources: dict[str, Callable[[], int]] = {}
+        self._leaving: list[Callable[[], int]] = []
 
-    def add_source(self, kind: str, read_bytes: Callable[[], int]) -> None:
-        """Add a component that holds bytes of a kind."""
+    def add_source(self, kind: str, read_bytes: Callable[[], int], *, leaving: bool = True) -> None:
+        """Add a component that holds bytes of a kind.
+
+        `leaving` bytes are on their way out of the process; others may wait for an answer.
+        """
         self._sources[kind] = read_bytes
+        if leaving:
+            self._leaving.append(read_bytes)
 
     def held_by_kind(self) -> dict[str, int]:
         """Return the bytes held by kind."""
@@ -64,6 +70,11 @@
             return True
         return held <= self.limit * EMPTY_RATIO and held + count <= self.limit
 
+    def will_have_room(self, count: int) -> bool:
+        """Return whether `count` bytes fit beside those that are leaving."""
+        leaving = sum(read_bytes() for read_bytes in self._leaving)
+        return self.limit is None or leaving + count <= self.limit
+
     def review(self) -> None:
         """Update `pressed`; to be called several times a second."""
         self.pressed = not self.has_room(0, Share.REPEATABLE_REQUEST)
--- a/packages/thorntray/src/thorntray/internal/request/instance_answers.py
+++ b/packages/thorntray/src/thorntray/internal/request/instance_answers.py
@@ -7,7 +7,7 @@
 from typing import NamedTuple
 
 from thorntray.internal.connection.header_names import FieldClassifier, FieldKind, HeaderNames
-from thorntray.internal.connection.instance_pool import InstanceResponse
+from thorntray.internal.connection.instance_response import InstanceResponse
 from thorntray.internal.overload.rate_limit import InstanceState
 from thorntray.internal.request.result import Cause, Result, ResultKind, not_run
 from thorntray.internal.telemetry.events import Event, log_event
