--- a/standins/mesh_fleet.py
+++ b/standins/mesh_fleet.py
@@ -124,6 +124,7 @@
         self.names_start: Callable[[int], bool] = lambda index: True
         self.version = 0
         self.behaviors = behaviors
+        self.memory_mb = 0  # limit of memory that the nodes are told, 0: none
         self._rng = rng
         self._network = _claimed_network()
 
@@ -236,6 +237,7 @@
     def _settings(self, node: NodeProcess) -> str:
         host, advertised_host = self._address(1, node.index), self._address(2, node.index)
         app_host = self._address(3, node.index)
+        limits = f"[Self.Limits]\nMemoryMb = {self.memory_mb}" if self.memory_mb else ""
         return f"""
 [Self]
 NodeName = "{node.name}"
@@ -244,6 +246,7 @@
 Region = "r"
 AppAddr = "{app_host}:{APP_PORT}"
 Service = "{node.service}"
+{limits}
 [Network]
 PortRange = [{FIRST_PEER_PORT},{LAST_PEER_PORT}]
 Seeds = []
