Small requests are refused only when memory is nearly full, and nothing stays counted

Cause, from reading the change itself: requests without a body were refused once half of the budget was held, so two large answers to slow callers would have made a node refuse all repeatable requests. An answer that is set after its caller has left, and a body behind the last answer of a connection, stayed counted, the first one forever.

Change: requests of at most 4 KiB have shares of their own, 85 and 95 %. An exchange that can no longer be answered ignores later answers; the end of a connection's output gives up what was received behind it.

Tests: the two new ones of test_held_bytes.py failed before (1000 bytes of answers left, and the announced body); test_calls_without_a_body_run_while_large_ones_are_refused and the small request in test_memory_admission.py guard the shares.

--- a/packages/thorntray/src/thorntray/internal/connection/exchange.py
+++ b/packages/thorntray/src/thorntray/internal/connection/exchange.py
@@ -77,6 +77,12 @@
             self.request = self.request._replace(body=b"")
         self._connection.held.release(self)
 
+    def abandon(self) -> None:
+        """Give up the request and its response, which can no longer be sent; ignore a later one."""
+        self.release_request()
+        self.release_response()
+        self._head = self._head or b""
+
     def release_response(self) -> None:
         """Give up the body of the response, which was written or cannot be."""
         self._connection.held.answers -= len(self._body)
--- a/packages/thorntray/src/thorntray/internal/connection/http_server.py
+++ b/packages/thorntray/src/thorntray/internal/connection/http_server.py
@@ -283,6 +283,8 @@
         if closed_by_caller:
             transport.close()
             return
+        self._incoming.take_body()
+        self.held.release(self._incoming)
         self._linger = Linger(self.server.clock.monotonic())
         transport.write_eof()
         self._update_reading()
@@ -347,8 +349,7 @@
             self.server.on_unanswered(exchange, closed_by)
             if not exchange.responded and exchange.on_cancel is not None:
                 exchange.on_cancel()
-            exchange.release_request()
-            exchange.release_response()
+            exchange.abandon()
 
     def _update_reading(self) -> None:
         """Read unless the caller has too many pending requests or does not read its responses.
--- a/packages/thorntray/src/thorntray/internal/connection/request_bodies.py
+++ b/packages/thorntray/src/thorntray/internal/connection/request_bodies.py
@@ -3,10 +3,11 @@
 import asyncio
 from typing import Protocol
 
+from thorntray.internal.process.memory_budget import SMALL_REQUEST_BYTES
+
 Header = tuple[bytes, bytes]
 
 _CONTENT_LENGTH = b"content-length"
-UNCHECKED_BYTES = 4 * 1024  # of a request that is taken in unless memory is known to be scarce
 FIELD_SEPARATOR_BYTES = 4  # colon, space and line end of a header field
 # The parser reports a field, an extension of a chunk and a trailer only when they are complete.
 # What was received for them is bounded instead; it includes the framing of a chunked body.
@@ -101,7 +102,7 @@
     def admit(self, request: IncomingRequest, count: int) -> bytes | None:
         """Count bytes of a request, or return the header lines with which to refuse it."""
         gate = self.gate
-        if gate is not None and (request.held_bytes + count > UNCHECKED_BYTES or gate.pressed):
+        if gate is not None and (request.held_bytes + count > SMALL_REQUEST_BYTES or gate.pressed):
             refusal = gate.refusal(request, count)
             if refusal is not None:
                 return refusal
--- a/packages/thorntray/src/thorntray/internal/process/memory_budget.py
+++ b/packages/thorntray/src/thorntray/internal/process/memory_budget.py
@@ -14,6 +14,7 @@
 PROGRAM_BYTES = 64 * 1024 * 1024  # code, policies, and state of hundreds of peers
 MIN_PAYLOAD_RATIO = 0.25  # least share of a small limit that is left for requests and answers
 COPIES = 2  # of a byte while it passes from one buffer into the next
+SMALL_REQUEST_BYTES = 4 * 1024  # taken in without a look at the budget while memory is not scarce
 # Share of the budget up to which the node counts as empty. Only then is a single body that exceeds
 # its share taken in, which would otherwise be refused forever.
 EMPTY_RATIO = 0.1
@@ -23,13 +24,23 @@
     """What bytes are taken in for; the value is the share of the budget that it may fill.
 
     Answers to what was accepted come last to their limit, and requests that run at most once are
-    refused after those that may be repeated.
+    refused after those that may be repeated. Small requests add little; they are only refused
+    since their answers will need memory, too.
     """
 
     REPEATABLE_REQUEST = 0.5
     REQUEST = 0.7
+    SMALL_REPEATABLE_REQUEST = 0.85
+    SMALL_REQUEST = 0.95
     ANSWER = 1.0
 
+    @classmethod
+    def of_request(cls, repeatable: bool, size: int) -> "Share":
+        """Return the share for a request of `size` bytes in all."""
+        if size <= SMALL_REQUEST_BYTES:
+            return cls.SMALL_REPEATABLE_REQUEST if repeatable else cls.SMALL_REQUEST
+        return cls.REPEATABLE_REQUEST if repeatable else cls.REQUEST
+
 
 class MemoryBudget:
     """The bytes that a process may hold for requests and answers; `limit` None: not bounded."""
@@ -39,7 +50,7 @@
         if process_limit is not None:
             payload = max(process_limit - PROGRAM_BYTES, int(process_limit * MIN_PAYLOAD_RATIO))
             self.limit = payload // COPIES
-        self.pressed = False  # whether requests without a body should ask for room, too
+        self.pressed = False  # whether small requests should ask for room, too
         self._sources: dict[str, Callable[[], int]] = {}
         self._leaving: list[Callable[[], int]] = []
 
@@ -77,4 +88,4 @@
 
     def review(self) -> None:
         """Update `pressed`; to be called several times a second."""
-        self.pressed = not self.has_room(0, Share.REPEATABLE_REQUEST)
+        self.pressed = not self.has_room(0, Share.SMALL_REPEATABLE_REQUEST)
--- a/packages/thorntray/src/thorntray/internal/request/memory_admission.py
+++ b/packages/thorntray/src/thorntray/internal/request/memory_admission.py
@@ -45,11 +45,13 @@
 
     def refusal(self, request: IncomingRequest, count: int) -> bytes | None:
         """Return the header lines of a refusal, None if `count` more bytes may be held."""
-        if self._memory.has_room(count, Share.REPEATABLE_REQUEST):
+        size = request.held_bytes + count
+        if self._memory.has_room(count, Share.of_request(True, size)):
             return None
         found = self._origin.look_up(request.target, request.headers)
-        share = Share.REPEATABLE_REQUEST if found is None else found.share
-        if share is not Share.REPEATABLE_REQUEST and self._memory.has_room(count, share):
+        repeatable = found is None or found.repeatable
+        share = Share.of_request(repeatable, size)
+        if not repeatable and self._memory.has_room(count, share):
             return None
         seconds = round(self._hold_time.seconds, 3)
         request_id, route = (
--- a/packages/thorntray/src/thorntray/internal/request/origin.py
+++ b/packages/thorntray/src/thorntray/internal/request/origin.py
@@ -10,7 +10,6 @@
 from thorntray.internal.connection.exchange import Exchange
 from thorntray.internal.connection.header_names import FieldClassifier, FieldKind
 from thorntray.internal.overload.call_parents import CallSender
-from thorntray.internal.process.memory_budget import Share
 from thorntray.internal.request.caller_identity import IdentityRefusal
 from thorntray.internal.request.origin_context import (
     OriginContext,
@@ -38,11 +37,11 @@
 
 
 class RoutedHead(NamedTuple):
-    """The head of a request with its route, and the share of the memory that it may fill."""
+    """The head of a request with its route; `repeatable` if it may be refused before others."""
 
     head: RequestHead
     route: Route
-    share: Share
+    repeatable: bool
 
 
 class Origin:
@@ -104,8 +103,7 @@
             return None
         # The request that a call belongs to has been accepted and would fail with it.
         repeatable = route.idempotent and self._context.find_parent(head) is None
-        share = Share.REPEATABLE_REQUEST if repeatable else Share.REQUEST
-        return RoutedHead(head, route, share)
+        return RoutedHead(head, route, repeatable)
 
     def retry_after_line(self, seconds: float) -> bytes:
         """Return the Retry-After header line for `seconds` plus jitter."""
--- a/packages/thorntray/src/thorntray/internal/request/owner.py
+++ b/packages/thorntray/src/thorntray/internal/request/owner.py
@@ -132,7 +132,7 @@
             return True
         if call.body or memory.pressed:
             repeatable = call.idempotent and not call.nested
-            share = Share.REPEATABLE_REQUEST if repeatable else Share.REQUEST
+            share = Share.of_request(repeatable, len(call.body))
             if not memory.has_room(len(call.body), share):
                 return False
         request.hold_body()
--- a/tests/test_held_bytes.py
+++ b/tests/test_held_bytes.py
@@ -132,3 +132,21 @@
     assert with_caller["requests"] >= 100 * KIB and with_caller["calls"] == 0
     assert without_caller["requests"] == 0 and without_caller["calls"] == 100 * KIB
     assert after == 0
+
+
+def test_nothing_is_counted_for_an_answer_that_comes_after_its_caller_has_left():
+    waiting = []
+    connection, _ = connection_with(waiting.append)
+    connection.data_received(HEAD + b"x" * 1000)
+    connection.connection_lost(None)
+    waiting[0].respond(200, b"", b"x" * 1000)
+    assert connection.server.held.answers == 0
+
+
+def test_a_body_behind_the_last_answer_of_a_connection_is_not_counted_any_more():
+    waiting = []
+    connection, _ = connection_with(waiting.append)
+    connection.data_received(REQUEST % b"1" + HEAD + b"x" * 10)
+    connection.server.closing = True
+    waiting[0].respond(200, b"", b"ok")
+    assert connection.server.held.requests == 0
--- a/tests/test_memory_admission.py
+++ b/tests/test_memory_admission.py
@@ -157,6 +157,7 @@
             await post(node, b"payouts", b"payout", int(limit * 0.1)),
             await post(node, b"prices", b"parent-c", int(limit * 0.1)),
             await post(node, b"payouts", b"large-payout", int(limit * 0.25)),
+            await post(node, b"prices", b"small", 10),
         ]
         go_on.set()
         answers.append(await parent)
@@ -168,8 +169,8 @@
 
     answers, ran, metrics, left = run_scenario(scenario)
     statuses = [answer[9:12] for answer in answers]
-    assert statuses == [b"503", b"200", b"200", b"503", b"200", b"200"]
+    assert statuses == [b"503", b"200", b"200", b"503", b"200", b"200", b"200"]
     assert b"Retry-After: " in answers[0] and b"Retry-After: " in answers[3]
-    assert sorted(ran) == [b"again", b"parent", b"parent-c", b"payout"]
+    assert sorted(ran) == [b"again", b"parent", b"parent-c", b"payout", b"small"]
     assert left == 0
     assert b'thorntray_memory_refusals_total{side="origin"} 2.0' in metrics
--- a/tests/test_memory_at_owners.py
+++ b/tests/test_memory_at_owners.py
@@ -5,7 +5,7 @@
 from tests.mesh_builders import make_call, run_scenario
 from thorntray.internal.request.result import Cause, ResultKind
 
-SCARCE, ENOUGH = 0.55, 0.2  # shares of the budget that are held
+FULL, SCARCE, ENOUGH = 0.9, 0.55, 0.2  # shares of the budget that are held
 
 
 def submit_calls(held_ratio, calls):
@@ -42,10 +42,15 @@
 
 
 def test_a_call_without_a_body_is_refused_as_well_since_its_answer_needs_memory():
-    results, ran, _, _ = submit_calls(SCARCE, lambda node: [make_call()])
+    results, ran, _, _ = submit_calls(FULL, lambda node: [make_call()])
     assert results[0].cause is Cause.FULL and ran == 0
 
 
+def test_calls_without_a_body_run_while_large_ones_are_refused():
+    results, ran, _, _ = submit_calls(SCARCE, lambda node: [make_call()])
+    assert (results[0].status, ran) == (200, 1)
+
+
 def test_payouts_and_nested_calls_still_run_and_so_does_what_the_origin_here_has_accepted():
     results, ran, left, _ = submit_calls(
         SCARCE,
