Answers of peers to callers that do not read them are bounded

Cause: an answer that arrives on a link is kept for its caller, however many callers read slowly. Leaving it unread would hold back all other answers of the link.

The return time counts bytes held for slow callers, too.

Tests: without the bound, the second test of slow callers in test_answers_in_memory.py fails (no 502; every answer is kept); the first guards the refusal of later requests.

--- a/packages/thorntray-node/src/thorntray_node/memory_bounds.py
+++ b/packages/thorntray-node/src/thorntray_node/memory_bounds.py
@@ -42,8 +42,9 @@
         self._memory.review()
         if self._pool.held.paused:
             self._pool.held.resume()
-        held = self._held
-        self._hold_time.observe(held.requests, held.released, self._clock.monotonic())
+        # Answers to slow callers take the same memory, and are released later than requests.
+        now = self._clock.monotonic()
+        self._hold_time.observe(self._memory.held, self._held.released, now)
 
     def call_refused(self, call: CallFrame, retry_after: float) -> None:
         """Record that the owner has refused a call of a peer."""
@@ -51,6 +52,10 @@
             "owner", call.request_id, call.route, bytes=len(call.body), retry_after=retry_after
         )
 
+    def answer_dropped(self, request_id: bytes, route: str, count: int) -> None:
+        """Record that the answer to an accepted request was not kept for its caller."""
+        self._record("answer", request_id, route, bytes=count)
+
     def _caller_refused(self, refusal: MemoryRefusal) -> None:
         self._record(
             "origin",
--- a/packages/thorntray-node/src/thorntray_node/mesh_node.py
+++ b/packages/thorntray-node/src/thorntray_node/mesh_node.py
@@ -196,6 +196,8 @@
             isolation=self.isolation,
             on_success=self.crash_reports.report_success,
             quotas=self.quotas,
+            memory=self.memory,
+            on_answer_dropped=self._memory_bounds.answer_dropped,
             on_refused=self._caller_refused,
             on_finish=self._origin_finished,
             on_retry=self._retry_requested,
--- a/packages/thorntray/src/thorntray/internal/process/memory_budget.py
+++ b/packages/thorntray/src/thorntray/internal/process/memory_budget.py
@@ -15,6 +15,9 @@
 MIN_PAYLOAD_RATIO = 0.25  # least share of a small limit that is left for requests and answers
 COPIES = 2  # of a byte while it passes from one buffer into the next
 SMALL_REQUEST_BYTES = 4 * 1024  # taken in without a look at the budget while memory is not scarce
+# Answers of peers cannot be left unread without holding back all others of their link. Up to this
+# multiple of the budget they are kept; 2 would be the limit of the process.
+KEPT_ANSWERS_RATIO = 1.7
 # Share of the budget up to which the node counts as empty. Only then is a single body that exceeds
 # its share taken in, which would otherwise be refused forever.
 EMPTY_RATIO = 0.1
@@ -81,6 +84,13 @@
             return True
         return held <= self.limit * EMPTY_RATIO and held + count <= self.limit
 
+    def can_keep(self, count: int) -> bool:
+        """Return whether a complete answer of `count` bytes may still be kept for its caller.
+
+        Such an answer is not copied any more, so it may take some of what is left for copies.
+        """
+        return self.limit is None or self.held + count <= self.limit * KEPT_ANSWERS_RATIO
+
     def will_have_room(self, count: int) -> bool:
         """Return whether `count` bytes fit beside those that are leaving."""
         leaving = sum(read_bytes() for read_bytes in self._leaving)
--- a/packages/thorntray/src/thorntray/internal/request/origin_context.py
+++ b/packages/thorntray/src/thorntray/internal/request/origin_context.py
@@ -22,6 +22,7 @@
 from thorntray.internal.overload.root_admission import RootAdmission
 from thorntray.internal.process.clock import Clock
 from thorntray.internal.process.drain import Drain
+from thorntray.internal.process.memory_budget import MemoryBudget
 from thorntray.internal.process.pauses import Pauses
 from thorntray.internal.request.caller_identity import CallerIdentity
 from thorntray.internal.request.owner import Owner
@@ -79,6 +80,8 @@
     isolation: CrashIsolation
     on_success: Callable[[int], None]  # with the fingerprint; called while there are suspects
     quotas: Quotas
+    memory: MemoryBudget
+    on_answer_dropped: Callable[[bytes, str, int], None]  # with its ID, route and bytes
     # Called with the route, None if none matches, and the name of the reason.
     on_refused: Callable[[RequestHead, Route | None, str], None]
     on_finish: Callable[["OriginRequest", Result], None]
--- a/packages/thorntray/src/thorntray/internal/request/origin_request.py
+++ b/packages/thorntray/src/thorntray/internal/request/origin_request.py
@@ -7,7 +7,7 @@
 
 import asyncio
 
-from thorntray.internal.connection.exchange import Exchange
+from thorntray.internal.connection.exchange import COPIED_BODY_BYTES, Exchange
 from thorntray.internal.connection.frame import CallFrame, ResultFrame
 from thorntray.internal.connection.link import Link
 from thorntray.internal.membership.member import Member
@@ -380,10 +380,18 @@
         self.owner_request = self.link = None
         self._record_result(member, result, now)
         if result.kind is ResultKind.ANSWERED and not self._should_retry_answer(result):
-            self.finish(result)
+            self.finish(self._within_memory(result))
         else:
             self._handle_failed_attempt(result, now)
 
+    def _within_memory(self, result: Result) -> Result:
+        """Return the result, or `TOO_LARGE` if the process would be killed for keeping its body."""
+        deps, count = self.context.deps, len(result.body)
+        if count <= COPIED_BODY_BYTES or deps.memory.can_keep(count):
+            return result
+        deps.on_answer_dropped(self.head.request_id, self.route_key, count)
+        return unknown(Cause.TOO_LARGE)
+
     def _record_result(self, member: Member, result: Result, now: float) -> None:
         deps = self.context.deps
         deps.admission.prices.update(self.service, result.prices, now)
--- a/packages/thorntray/src/thorntray/internal/telemetry/node_metrics.py
+++ b/packages/thorntray/src/thorntray/internal/telemetry/node_metrics.py
@@ -86,7 +86,10 @@
     "thorntray_gossip_sent_bytes": ("gauge", "bytes of membership datagrams sent since the start"),
     "thorntray_gossip_received_bytes": ("gauge", "bytes of membership datagrams received"),
     "thorntray_instance_connections": ("gauge", "connections opened to the instance"),
-    "thorntray_memory_refusals": ("counter", "requests refused for lack of memory, by side"),
+    "thorntray_memory_refusals": (
+        "counter",
+        "requests refused, and answers not kept, for lack of memory",
+    ),
     "thorntray_held_bytes": ("gauge", "bytes held for requests and answers, by kind"),
     "thorntray_memory_budget_bytes": (
         "gauge",
@@ -160,7 +163,7 @@
         self._instance_mismatches.inc()
 
     def refused_for_memory(self, side: str) -> None:
-        """Count a request that was refused for lack of memory; `side` is origin or owner."""
+        """Count a request or an answer (`side` is origin, owner or answer) without room for it."""
         self._memory_refusals.labels(side).inc()
 
     def observe_loop_lag(self, seconds: float) -> None:
--- a/tests/test_answers_in_memory.py
+++ b/tests/test_answers_in_memory.py
@@ -3,7 +3,14 @@
 import asyncio
 
 from tests.instance_replies import answer_bytes
-from tests.mesh_builders import HOST, FakeInstance
+from tests.mesh_builders import (
+    HOST,
+    PAYOUT_ROUTE_5S_TIMEOUT,
+    FakeInstance,
+    make_policy,
+    request_bytes,
+    run_scenario,
+)
 from thorntray.internal.connection.instance_pool import (
     InstancePool,
     InstanceResponse,
@@ -15,7 +22,7 @@
     ResponseBounds,
 )
 from thorntray.internal.process.clock import SystemClock
-from thorntray.internal.process.memory_budget import MemoryBudget
+from thorntray.internal.process.memory_budget import KEPT_ANSWERS_RATIO, MemoryBudget
 
 MIB = 1024 * 1024
 LIMIT = 300_000_000  # of the process
@@ -178,6 +185,59 @@
     assert 0 < most <= memory.limit and memory.held == 0
 
 
+def play_slow_readers(callers, pause):
+    """Send requests, `pause` seconds apart, whose answers are read only after all have come.
+
+    Returns the statuses, the most bytes that the origin held, its budget and its metrics.
+    """
+    size = 12 * MIB
+
+    async def scenario(fleet):
+        async def reply(request_id, writer):
+            await asyncio.sleep(0.2)
+            writer.write(answer_bytes(request_id, b"x" * size))
+
+        fleet.memory_limit = 100_000_000
+        await fleet.add("t1", "tariff", reply)
+        node = await fleet.add("h1", "haul")
+        await fleet.share_membership()
+        ends, most = [], 0
+        for number in range(callers):
+            reader, writer = await asyncio.open_connection(*node.cfg.callers, limit=1024)
+            writer.write(request_bytes(b"GET", "/payouts/1", f"id-{number}", 5000))
+            ends.append((reader, writer))
+            await asyncio.sleep(pause)
+        for _ in range(40):
+            most = max(most, node.memory.held)
+            await asyncio.sleep(0.05)
+        statuses = []
+        for reader, writer in ends:
+            head = await reader.readuntil(b"\r\n\r\n")
+            statuses.append(head[9:12])
+            if head.startswith(b"HTTP/1.1 200"):
+                assert len(await reader.readexactly(size)) == size
+            writer.close()
+        return statuses, most, node.memory, node.metrics.exposition()
+
+    policy = make_policy(routes=[PAYOUT_ROUTE_5S_TIMEOUT])
+    return run_scenario(scenario, policy)
+
+
+def test_answers_to_callers_that_do_not_read_have_later_requests_refused():
+    statuses, most, memory, _ = play_slow_readers(callers=6, pause=0.5)
+    assert statuses[0] == b"200" and statuses[-1] == b"503"
+    assert set(statuses) == {b"200", b"503"}
+    assert most <= memory.limit * KEPT_ANSWERS_RATIO
+
+
+def test_answers_of_peers_that_all_come_at_once_do_not_fill_the_process():
+    statuses, most, memory, metrics = play_slow_readers(callers=6, pause=0)
+    assert set(statuses) == {b"200", b"502"}
+    assert most <= memory.limit * KEPT_ANSWERS_RATIO
+    dropped = statuses.count(b"502")
+    assert b'thorntray_memory_refusals_total{side="answer"} %d.0' % dropped in metrics
+
+
 def test_an_announced_answer_that_is_too_large_is_not_received():
     taken = 0
 
