--- a/packages/thorntray-node/src/thorntray_node/mesh_node.py
+++ b/packages/thorntray-node/src/thorntray_node/mesh_node.py
@@ -126,7 +126,7 @@
         self.running = RunningRequests()
         self.pauses = Pauses(clock)
         names = cfg.header_names
-        self.pool = InstancePool(*cfg.instance, names.request_id.lower(), clock)
+        self.pool = InstancePool(*cfg.instance, names.request_id.lower(), clock, self.memory)
         self.log = RequestLog(clock)
         self.suspects = CrashSuspects(clock, self._request_blocked)
         self.isolation = CrashIsolation(self.suspects, clock)
@@ -205,6 +205,8 @@
             isolation=self.isolation,
             on_success=self.crash_reports.report_success,
             quotas=self.quotas,
+            memory=self.memory,
+            on_answer_dropped=self._memory_bounds.answer_dropped,
             on_refused=self._caller_refused,
             on_finish=self._origin_finished,
             on_retry=self._retry_requested,
--- a/packages/thorntray/src/thorntray/internal/connection/request_bodies.py
+++ b/packages/thorntray/src/thorntray/internal/connection/request_bodies.py
@@ -4,9 +4,9 @@
 from typing import Protocol
 
 from thorntray.internal.connection.http_request import Header
+from thorntray.internal.process.memory_budget import SMALL_REQUEST_BYTES
 
 _CONTENT_LENGTH = b"content-length"
-UNCHECKED_BYTES = 4 * 1024  # of a request that is taken in unless memory is known to be scarce
 FIELD_SEPARATOR_BYTES = 4  # colon, space and line end of a header field
 # The parser reports a field, an extension of a chunk and a trailer only when they are complete.
 # What was received for them is bounded instead; it includes the framing of a chunked body.
@@ -93,7 +93,7 @@
 
     def __init__(self) -> None:
         self.requests = 0
-        self.answers = 0
+        self.answers = 0  # that wait for those before them
         self.released = 0  # bytes of requests, since the start
         self.gate: RequestGate | None = None
         self.slow: set[asyncio.Transport] = set()  # transports above their high-water mark
@@ -101,7 +101,7 @@
     def admit(self, request: IncomingRequest, count: int) -> bytes | None:
         """Count bytes of a request, or return the header lines with which to refuse it."""
         gate = self.gate
-        if gate is not None and (request.held_bytes + count > UNCHECKED_BYTES or gate.pressed):
+        if gate is not None and (request.held_bytes + count > SMALL_REQUEST_BYTES or gate.pressed):
             refusal = gate.refusal(request, count)
             if refusal is not None:
                 return refusal
@@ -124,8 +124,7 @@
         successor.held_bytes, holder.held_bytes = holder.held_bytes, 0
 
     def unsent(self) -> int:
-        """Return the bytes of answers that callers have not taken."""
+        """Return the bytes of answers that were written and that callers have not taken."""
         if not self.slow:
-            return self.answers
-        buffered = sum(transport.get_write_buffer_size() for transport in self.slow)
-        return self.answers + buffered
+            return 0
+        return sum(transport.get_write_buffer_size() for transport in self.slow)
--- a/packages/thorntray/src/thorntray/internal/process/memory_budget.py
+++ b/packages/thorntray/src/thorntray/internal/process/memory_budget.py
@@ -14,6 +14,10 @@
 PROGRAM_BYTES = 64 * 1024 * 1024  # code, policies, and state of hundreds of peers
 MIN_PAYLOAD_RATIO = 0.25  # least share of a small limit that is left for requests and answers
 COPIES = 2  # of a byte while it passes from one buffer into the next
+SMALL_REQUEST_BYTES = 4 * 1024  # taken in without a look at the budget while memory is not scarce
+# Answers of peers cannot be left unread without holding back all others of their link. Up to this
+# multiple of the budget they are kept; 2 would be the limit of the process.
+KEPT_ANSWERS_RATIO = 1.7
 # Share of the budget up to which the node counts as empty. Only then is a single body that exceeds
 # its share taken in, which would otherwise be refused forever.
 EMPTY_RATIO = 0.1
@@ -23,13 +27,23 @@
     """What bytes are taken in for; the value is the share of the budget that it may fill.
 
     Answers to what was accepted come last to their limit, and requests that run at most once are
-    refused after those that may be repeated.
+    refused after those that may be repeated. Small requests add little; they are only refused
+    since their answers will need memory, too.
     """
 
     REPEATABLE_REQUEST = 0.5
     REQUEST = 0.7
+    SMALL_REPEATABLE_REQUEST = 0.85
+    SMALL_REQUEST = 0.95
     ANSWER = 1.0
 
+    @classmethod
+    def of_request(cls, repeatable: bool, size: int) -> "Share":
+        """Return the share for a request of `size` bytes in all."""
+        if size <= SMALL_REQUEST_BYTES:
+            return cls.SMALL_REPEATABLE_REQUEST if repeatable else cls.SMALL_REQUEST
+        return cls.REPEATABLE_REQUEST if repeatable else cls.REQUEST
+
 
 class MemoryBudget:
     """The bytes that a process may hold for requests and answers; `limit` None: not bounded."""
@@ -39,12 +53,18 @@
         if process_limit is not None:
             payload = max(process_limit - PROGRAM_BYTES, int(process_limit * MIN_PAYLOAD_RATIO))
             self.limit = payload // COPIES
-        self.pressed = False  # whether requests without a body should ask for room, too
+        self.pressed = False  # whether small requests should ask for room, too
         self._sources: dict[str, Callable[[], int]] = {}
+        self._leaving: list[Callable[[], int]] = []
+
+    def add_source(self, kind: str, read_bytes: Callable[[], int], *, leaving: bool = True) -> None:
+        """Add a component that holds bytes of a kind.
 
-    def add_source(self, kind: str, read_bytes: Callable[[], int]) -> None:
-        """Add a component that holds bytes of a kind."""
+        `leaving` bytes are on their way out of the process; others may wait for an answer.
+        """
         self._sources[kind] = read_bytes
+        if leaving:
+            self._leaving.append(read_bytes)
 
     def held_by_kind(self) -> dict[str, int]:
         """Return the bytes held by kind."""
@@ -64,6 +84,18 @@
             return True
         return held <= self.limit * EMPTY_RATIO and held + count <= self.limit
 
+    def can_keep(self, count: int) -> bool:
+        """Return whether a complete answer of `count` bytes may still be kept for its caller.
+
+        Such an answer is not copied any more, so it may take some of what is left for copies.
+        """
+        return self.limit is None or self.held + count <= self.limit * KEPT_ANSWERS_RATIO
+
+    def will_have_room(self, count: int) -> bool:
+        """Return whether `count` bytes fit beside those that are leaving."""
+        leaving = sum(read_bytes() for read_bytes in self._leaving)
+        return self.limit is None or leaving + count <= self.limit
+
     def review(self) -> None:
         """Update `pressed`; to be called several times a second."""
-        self.pressed = not self.has_room(0, Share.REPEATABLE_REQUEST)
+        self.pressed = not self.has_room(0, Share.SMALL_REPEATABLE_REQUEST)
