A stopping node ends its links after their last results, and names the last call it has read

Callers saw 502 for a payout that never ran, and results could be cut, at the exit of the node beside the instance.

Cause: the kernel closes the links when the process ends. A ping or a call that follows resets the connection, which discards what the peer has not received of the last results; and a call that arrives after the last one read ends as LOST at its origin.

Change: after the last result a node sends GoAway with the number of the last call that it has read, ends its output, and reads on until its peers close (`LinkListener.finish`), at most for 1 s and within the stop's limit: 0.1 s when answers were due, which with the final flush and the leave is less than CLOSE_TIME_RESERVE. Calls read after the notice are not run; the origin ends those above the number as NO_INSTANCE and opens a new connection for further ones. The listener stays open during LEAVE_TIME, so that calls of that time get DRAINING. Older nodes skip the unknown frame and see the end of the connection as before.

A socket that has no file descriptor (test loops) no longer ends the watch of the links.

--- a/packages/thorntray-node/src/thorntray_node/mesh_node.py
+++ b/packages/thorntray-node/src/thorntray_node/mesh_node.py
@@ -63,7 +63,7 @@
 from thorntray_node.mesh_gauges import register_gauges
 from thorntray_node.peer_requests import PeerRequests
 from thorntray_node.platform_store import PlatformStore, StoreKeys
-from thorntray_node.request_drain import RequestDrain
+from thorntray_node.request_drain import RequestDrain, time_for_links
 
 PRICE_UPDATE_PERIOD = 0.1  # mean seconds between updates of the slot price
 LINK_FAILURE_PAUSE = 1.0  # seconds without new requests to a member after a link failure
@@ -509,8 +509,8 @@
         read_before = self.callers.requests_read
         self.membership.leave()
         self.metrics_server.close()
-        self.listener.close()
         await asyncio.sleep(LEAVE_TIME)
+        await self.listener.finish(time_for_links(self.drain, self.clock.monotonic()))
         if not seed_removal.done():
             logging.info("the store did not respond; the seed entry expires with its lease")
             seed_removal.cancel()
--- a/packages/thorntray-node/src/thorntray_node/request_drain.py
+++ b/packages/thorntray-node/src/thorntray_node/request_drain.py
@@ -17,6 +17,15 @@
 
 POLL_PERIOD = 0.05  # seconds
 FINAL_FLUSH_TIME = 0.2  # seconds for sending the answers of the requests that were ended
+# Seconds for which a stopping node reads its links after their last results. Peers close them at
+# once; the most is for those that still receive a large result.
+MIN_LINK_CLOSE_TIME = 0.1
+MAX_LINK_CLOSE_TIME = 1.0
+
+
+def time_for_links(drain: Drain, now: float) -> float:
+    """Return the longest time in seconds for the end of the links, within the stop's limit."""
+    return max(MIN_LINK_CLOSE_TIME, min(MAX_LINK_CLOSE_TIME, drain.answers_due - now))
 
 
 class EndedRequests(NamedTuple):
--- a/packages/thorntray/src/thorntray/internal/connection/frame.py
+++ b/packages/thorntray/src/thorntray/internal/connection/frame.py
@@ -112,6 +112,15 @@
     document: bytes
 
 
+class GoAway(msgspec.Struct, tag=8, array_like=True, frozen=True):
+    """Last frame of a node that stops: calls numbered above `last_call` will certainly never run.
+
+    Older nodes ignore it, and see the end of the connection, which follows.
+    """
+
+    last_call: int
+
+
 Frame = (
     Hello
     | CallFrame
@@ -121,6 +130,7 @@
     | PongFrame
     | FetchPolicy
     | PolicyFrame
+    | GoAway
 )
 
 WITH_BODY = frozenset({CallFrame, ResultFrame})  # types of frames
--- a/packages/thorntray/src/thorntray/internal/connection/link.py
+++ b/packages/thorntray/src/thorntray/internal/connection/link.py
@@ -17,6 +17,7 @@
     CallFrame,
     CancelFrame,
     Frame,
+    GoAway,
     Hello,
     ResultFrame,
 )
@@ -162,11 +163,21 @@
         """Pass a result to the handler of its call, and other frames to `on_non_result_frame`."""
         if isinstance(frame, ResultFrame):
             self._end_call(frame.number, frame)
+        elif isinstance(frame, GoAway):
+            self._end_calls(link, frame.last_call)
+            link.abort()
         else:
             self._on_non_result_frame(self.member, frame)
 
     def on_lost(self, link: LinkConnection) -> None:
         """End every call of the connection, as `NO_INSTANCE` if its frame was never written."""
+        self._end_calls(link, self._last_number)
+
+    def _end_calls(self, link: LinkConnection, last_read: int) -> None:
+        """End the calls of a connection that carries no further results.
+
+        The peer may have read those up to the number `last_read`.
+        """
         if link is not self._connection:
             return
         self._connection = None
@@ -176,7 +187,8 @@
         unsent = _call_numbers(self._unsent) | self._refused
         unwritten = _call_numbers(link.unwritten_frames())
         for number in [n for n in self._pending_calls if n not in unsent]:
-            self._end_call(number, Cause.NO_INSTANCE if number in unwritten else Cause.LOST)
+            never_read = number > last_read or number in unwritten
+            self._end_call(number, Cause.NO_INSTANCE if never_read else Cause.LOST)
 
     async def _connect(self) -> None:
         member = self.member
--- a/packages/thorntray/src/thorntray/internal/connection/link_connection.py
+++ b/packages/thorntray/src/thorntray/internal/connection/link_connection.py
@@ -22,8 +22,10 @@
 from thorntray.internal.connection.frame import (
     LARGE_BODY_BYTES,
     WITH_BODY,
+    CallFrame,
     Frame,
     FrameReader,
+    GoAway,
     Hello,
     PingFrame,
     PongFrame,
@@ -92,6 +94,8 @@
         self._loop = asyncio.get_running_loop()
         self.peer = ""
         self.lost = False
+        self._last_call = 0  # number of the last call that was passed on
+        self._going_away = False  # whether `go_away` was called
         self._watch = PeerWatch(clock.monotonic())
         self._last_sign_at = float("-inf")  # monotonic seconds
 
@@ -174,7 +178,7 @@
 
     def send(self, frame: Frame) -> None:
         """Queue a frame; it is sent with the others of this iteration of the event loop."""
-        if self.lost:
+        if self.lost or self._going_away:
             return
         if not self._outgoing:
             self._loop.call_soon(self._flush)
@@ -207,6 +211,21 @@
                 self._watch.record_ping(now)
                 self.send(PingFrame())
 
+    def go_away(self) -> None:
+        """End the output after what was sent; calls read from now on are never run.
+
+        The peer reads the number of the last call before that and closes the connection. It is
+        read until then, since the kernel resets a connection that is closed with unread input, and
+        discards results that the peer has not received.
+        """
+        if self.lost or self._going_away or self._transport is None:
+            return
+        self.send(GoAway(self._last_call))
+        self._flush()
+        self._going_away = True
+        if not (self.lost or self._transport.is_closing()):
+            self._transport.write_eof()
+
     def abort(self) -> None:
         """Close the connection at once."""
         if self._transport is not None:
@@ -216,6 +235,10 @@
     def _dispatch(self, data: bytes) -> None:
         for frame in self._reader.feed(data):
             match frame:
+                case CallFrame():
+                    if not self._going_away:
+                        self._last_call = frame.number
+                        self._pass_on(frame)
                 case Hello(sender):
                     self.peer = sender
                     if frame.notices:
@@ -242,6 +265,8 @@
     def _flush(self) -> None:
         if self.lost or self._transport is None or self._transport.is_closing():
             return
+        if not self._outgoing:  # sent by `go_away`
+            return
         if self._has_large_part or self._compressor is not None:
             self._write_parts(self._transport)
         else:
@@ -330,6 +355,6 @@
     sock = transport.get_extra_info("socket")
     try:
         count = fcntl.ioctl(sock.fileno(), termios.TIOCOUTQ, bytes(INT_BYTES))
-    except (AttributeError, OSError, ValueError):  # ValueError: the socket is closed
+    except (AttributeError, TypeError, OSError, ValueError):  # no socket, or a closed one
         return 0
     return int.from_bytes(count, sys.byteorder)
--- a/packages/thorntray/src/thorntray/internal/connection/link_listener.py
+++ b/packages/thorntray/src/thorntray/internal/connection/link_listener.py
@@ -7,6 +7,8 @@
 from thorntray.internal.process.clock import Clock
 from thorntray.internal.process.memory_budget import MemoryBudget, Share
 
+CLOSE_POLL_PERIOD = 0.01  # seconds
+
 
 class LinkListener:
     """Accepts the links that peers open.
@@ -57,3 +59,15 @@
         """Stop listening."""
         if self._server is not None:
             self._server.close()
+
+    async def finish(self, seconds: float) -> None:
+        """End all links after their last results; wait for the peers to close them.
+
+        Peers end calls that arrive too late as never run. Waits for `seconds` at most.
+        """
+        self.close()
+        latest_end = self._clock.monotonic() + seconds
+        for connection in list(self._connections):
+            connection.go_away()
+        while self._connections and self._clock.monotonic() < latest_end:
+            await asyncio.sleep(CLOSE_POLL_PERIOD)
