Results read together with a malformed frame reach their callers

Cause: the reader raised for the malformed frame and dropped the whole frames before it, of the same read; a payout that ran was answered 502.

Change: the frames before a malformed one are returned, and the failure is raised behind them.

--- a/packages/thorntray/src/thorntray/internal/connection/frame.py
+++ b/packages/thorntray/src/thorntray/internal/connection/frame.py
@@ -186,10 +186,11 @@
 class FrameReader:
     """Splits a byte stream into frames."""
 
-    __slots__ = ("_buffer",)
+    __slots__ = ("_buffer", "failure")
 
     def __init__(self) -> None:
         self._buffer = bytearray()  # the beginning of a frame
+        self.failure: BadMessage | None = None  # of a frame behind the last ones returned
 
     @property
     def incomplete(self) -> bool:
@@ -212,14 +213,27 @@
     def feed(self, data: bytes) -> list[Frame]:
         """Add received bytes and return the frames completed by them.
 
-        Raises `BadMessage` for an oversized or malformed frame.
+        Raises `BadMessage` for an oversized or malformed frame, unless frames before it are
+        returned; then it is kept as `failure`.
         """
+        if self.failure is not None:
+            raise self.failure
+        frames: list[Frame] = []
+        try:
+            self._split(data, frames)
+        except BadMessage as exc:
+            if not frames:
+                raise
+            self.failure = exc
+        return frames
+
+    def _split(self, data: bytes, frames: list[Frame]) -> None:
+        """Append the complete frames; raises `BadMessage` behind the last one that is valid."""
         source: bytes | bytearray = data
         if self._buffer:
             self._buffer += data
             source = self._buffer
         received = len(source)
-        frames: list[Frame] = []
         start = 0
         while received - start >= LENGTH_BYTES:
             length = int.from_bytes(source[start : start + LENGTH_BYTES], "big")
@@ -238,7 +252,6 @@
                 self._buffer = bytearray()  # a new one, since the old one keeps its capacity
         elif start or source is data:
             self._buffer = bytearray(memoryview(source)[start:])
-        return frames
 
 
 def _slice(source: bytes | bytearray, start: int, end: int) -> bytes | bytearray | memoryview:
--- a/packages/thorntray/src/thorntray/internal/connection/link_connection.py
+++ b/packages/thorntray/src/thorntray/internal/connection/link_connection.py
@@ -249,6 +249,8 @@
                     pass
                 case _:
                     self._pass_on(frame)
+        if self._reader.failure is not None:
+            raise self._reader.failure
 
     def _pass_on(self, frame: Frame) -> None:
         try:
