--- a/packages/thorntray/src/thorntray/internal/connection/frame.py
+++ b/packages/thorntray/src/thorntray/internal/connection/frame.py
@@ -218,47 +218,41 @@
         """
         if self.failure is not None:
             raise self.failure
-        frames: list[Frame] = []
-        try:
-            self._split(data, frames)
-        except BadMessage as exc:
-            if not frames:
-                raise
-            self.failure = exc
-        return frames
-
-    def _split(self, data: bytes, frames: list[Frame]) -> None:
-        """Append the complete frames; raises `BadMessage` behind the last one that is valid."""
         source: bytes | bytearray = data
         if self._buffer:
             self._buffer += data
             source = self._buffer
         received = len(source)
+        frames: list[Frame] = []
         start = 0
-        while received - start >= LENGTH_BYTES:
-            length = int.from_bytes(source[start : start + LENGTH_BYTES], "big")
-            if length > MAX_FRAME_BYTES:
-                raise BadMessage(f"frame of {length} bytes; check what sends to the link port")
-            end = start + LENGTH_BYTES + length
-            if received < end:
-                break
-            try:
-                frames.append(decode_frame(_slice(source, start + LENGTH_BYTES, end)))
-            except UnknownMessage as exc:
-                log_event(Event.BAD_MESSAGE, detail=str(exc))
-            start = end
+        try:
+            while received - start >= LENGTH_BYTES:
+                payload = start + LENGTH_BYTES
+                length = int.from_bytes(source[start:payload], "big")
+                if length > MAX_FRAME_BYTES:
+                    raise BadMessage(f"frame of {length} bytes; check what sends to the link port")
+                end = payload + length
+                if received < end:
+                    break
+                start = end
+                try:
+                    # A large payload is not copied.
+                    large = length >= LARGE_BODY_BYTES
+                    frames.append(
+                        decode_frame((memoryview(source) if large else source)[payload:end])
+                    )
+                except UnknownMessage as exc:
+                    log_event(Event.BAD_MESSAGE, detail=str(exc))
+        except BadMessage as exc:
+            if not frames:
+                raise
+            self.failure = exc
         if start == received:
             if source is not data:
                 self._buffer = bytearray()  # a new one, since the old one keeps its capacity
         elif start or source is data:
             self._buffer = bytearray(memoryview(source)[start:])
-
-
-def _slice(source: bytes | bytearray, start: int, end: int) -> bytes | bytearray | memoryview:
-    """Return a part of received data, without a copy if it is large."""
-    if end - start < LARGE_BODY_BYTES:
-        return source[start:end]
-    return memoryview(source)[start:end]
+        return frames
 
 
 def decode_frame(payload: bytes | bytearray | memoryview) -> Frame:
--- a/packages/thorntray/src/thorntray/internal/connection/peer_watch.py
+++ b/packages/thorntray/src/thorntray/internal/connection/peer_watch.py
@@ -30,12 +30,12 @@
 class PeerWatch:
     """Watches one connection; all times are in monotonic seconds."""
 
-    __slots__ = ("_silent_since", "ping_pending", "_taken", "_had_backlog")
+    __slots__ = ("_pinged_at", "ping_pending", "_taken", "_had_backlog")
     __slots__ += ("_observed_at", "_evidence_at", "_without_evidence", "without_progress")
 
     def __init__(self, now: float) -> None:
-        self._silent_since = now  # last evidence of life, or last ping
-        self._evidence_at = now
+        self._evidence_at = now  # of life
+        self._pinged_at = now
         self.ping_pending = False  # whether nothing was received since the last ping
         self._taken = 0
         self._had_backlog = False
@@ -45,13 +45,13 @@
 
     def record_receipt(self, now: float) -> None:
         """Record that data was received."""
-        self._silent_since = self._evidence_at = now
+        self._evidence_at = now
         self.ping_pending = False
 
     def record_output(self, taken: int, backlog: bool, now: float) -> None:
         """Record the bytes that the peer has taken so far, and whether further ones wait."""
         if self._had_backlog and taken > self._taken:
-            self._silent_since = self._evidence_at = now
+            self._evidence_at = now
             self.without_progress = 0.0
         self._taken, self._had_backlog = taken, backlog
 
@@ -77,7 +77,7 @@
 
     def next_step(self, now: float) -> Step:
         """Return what to do about the silence of the peer."""
-        silence = now - self._silent_since
+        silence = now - max(self._evidence_at, self._pinged_at)
         if silence > SILENCE_TIMEOUT and self.ping_pending:
             return Step.GIVE_UP
         if silence > PING_AFTER_SILENCE and not self.ping_pending:
@@ -87,4 +87,4 @@
     def record_ping(self, now: float) -> None:
         """Record that a ping is sent."""
         self.ping_pending = True
-        self._silent_since = now
+        self._pinged_at = now
