The log tells why a link ended, at both of its ends

Cause: LINK_LOST had no reason, so that a link that this node gave up could not be told from a peer that died; the accepting end wrote nothing, although it may hold results; and `waiting` counted calls that had never been sent.

Change: LINK_LOST has `reason` (peer closed, peer stopped, reset, silent, no progress, malformed, closed here) and `unsent`, the bytes not sent. `waiting` is the number of calls that end as unknown. The accepting end writes it with `owed` if results were owed or bytes unsent. `thorntrayctl explain` names the reason.

Changed test: test_explain expects the reason too, which is stricter.

--- a/packages/thorntray-node/src/thorntray_node/peer_requests.py
+++ b/packages/thorntray-node/src/thorntray_node/peer_requests.py
@@ -7,6 +7,7 @@
 from thorntray.internal.request.result import Result
 from thorntray.internal.request.result_frames import frame_from_result
 from thorntray.internal.store.policy_watch import PolicyWatch
+from thorntray.internal.telemetry.events import Event, log_event
 
 
 class PeerRequests:
@@ -36,7 +37,16 @@
 
     def on_lost(self, link: LinkConnection) -> None:
         """Cancel the requests of a lost peer, which can no longer receive the results."""
-        for key in [key for key in self._requests if key[0] is link]:
+        lost = [key for key in self._requests if key[0] is link]
+        if lost or link.lost_bytes:
+            log_event(
+                Event.LINK_LOST,
+                peer=link.peer,
+                owed=len(lost),
+                reason=link.lost_reason.value,
+                unsent=link.lost_bytes,
+            )
+        for key in lost:
             request = self._requests.get(key)
             if request is not None:
                 request.cancel()
--- a/packages/thorntray/src/thorntray/internal/connection/link.py
+++ b/packages/thorntray/src/thorntray/internal/connection/link.py
@@ -22,6 +22,7 @@
     ResultFrame,
 )
 from thorntray.internal.connection.link_connection import LinkConnection
+from thorntray.internal.connection.peer_watch import LostReason
 from thorntray.internal.connection.receive_gate import ReceiveGate
 from thorntray.internal.membership.instance_notices import InstanceNotice
 from thorntray.internal.membership.member import Member
@@ -164,16 +165,18 @@
         if isinstance(frame, ResultFrame):
             self._end_call(frame.number, frame)
         elif isinstance(frame, GoAway):
-            self._end_calls(link, frame.last_call)
+            self._end_calls(link, LostReason.PEER_STOPPED, link.unsent_bytes, frame.last_call)
             link.abort()
         else:
             self._on_non_result_frame(self.member, frame)
 
     def on_lost(self, link: LinkConnection) -> None:
         """End every call of the connection, as `NO_INSTANCE` if its frame was never written."""
-        self._end_calls(link, self._last_number)
+        self._end_calls(link, link.lost_reason, link.lost_bytes, self._last_number)
 
-    def _end_calls(self, link: LinkConnection, last_read: int) -> None:
+    def _end_calls(
+        self, link: LinkConnection, reason: LostReason, unsent: int, last_read: int
+    ) -> None:
         """End the calls of a connection that carries no further results.
 
         The peer may have read those up to the number `last_read`.
@@ -181,14 +184,21 @@
         if link is not self._connection:
             return
         self._connection = None
-        log_event(Event.LINK_LOST, peer=self.member.name, waiting=len(self._pending_calls))
+        unsent_calls = _call_numbers(self._unsent) | self._refused
+        sent = [number for number in self._pending_calls if number not in unsent_calls]
+        unwritten = _call_numbers(link.unwritten_frames())
+        never_read = {number for number in sent if number > last_read or number in unwritten}
+        log_event(
+            Event.LINK_LOST,
+            peer=self.member.name,
+            waiting=len(sent) - len(never_read),
+            reason=reason.value,
+            unsent=unsent,
+        )
         if not self._draining:  # a new process of the member may have replaced this one
             self._on_link_failure(self.member)
-        unsent = _call_numbers(self._unsent) | self._refused
-        unwritten = _call_numbers(link.unwritten_frames())
-        for number in [n for n in self._pending_calls if n not in unsent]:
-            never_read = number > last_read or number in unwritten
-            self._end_call(number, Cause.NO_INSTANCE if never_read else Cause.LOST)
+        for number in sent:
+            self._end_call(number, Cause.NO_INSTANCE if number in never_read else Cause.LOST)
 
     async def _connect(self) -> None:
         member = self.member
--- a/packages/thorntray/src/thorntray/internal/connection/link_connection.py
+++ b/packages/thorntray/src/thorntray/internal/connection/link_connection.py
@@ -32,7 +32,12 @@
     encode_around_body,
     encode_frame,
 )
-from thorntray.internal.connection.peer_watch import OUTPUT_CHECK_PERIOD, PeerWatch, Step
+from thorntray.internal.connection.peer_watch import (
+    OUTPUT_CHECK_PERIOD,
+    LostReason,
+    PeerWatch,
+    Step,
+)
 from thorntray.internal.connection.receive_gate import RETRY_PERIOD, ReceiveGate
 from thorntray.internal.process.clock import Clock
 from thorntray.internal.telemetry.events import Event, log_event, log_handler_failure
@@ -94,6 +99,8 @@
         self._loop = asyncio.get_running_loop()
         self.peer = ""
         self.lost = False
+        self.lost_reason = LostReason.CLOSED_HERE  # valid once lost
+        self.lost_bytes = 0  # unsent when the connection was lost
         self._last_call = 0  # number of the last call that was passed on
         self._going_away = False  # whether `go_away` was called
         self._watch = PeerWatch(clock.monotonic())
@@ -154,7 +161,7 @@
                 self._gate.release(self)
         except (BadMessage, zlib.error) as exc:
             log_event(Event.BAD_MESSAGE, detail=str(exc), peer=self.peer)
-            self.abort()
+            self.abort(LostReason.MALFORMED)
 
     def eof_received(self) -> bool:
         """Notify the handler now; `connection_lost` is called in a later iteration of the loop."""
@@ -163,18 +170,23 @@
 
     def connection_lost(self, exc: Exception | None) -> None:
         """Notify the handler, once."""
-        if not self.lost:
-            self.lost = True
-            if self._registry is not None:
-                self._registry.discard(self)
-            if self._output_check is not None:
-                self._output_check.cancel()
-            if self._gate is not None:
-                self._gate.release(self)
-            self._handler.on_lost(self)
-            self._queued_frames.clear()
-            self._outgoing.clear()
-            self._queued_bytes = 0
+        self._end(LostReason.PEER_CLOSED if exc is None else LostReason.RESET)
+
+    def _end(self, reason: LostReason) -> None:
+        if self.lost:
+            return
+        self.lost_reason, self.lost_bytes = reason, self.unsent_bytes
+        self.lost = True
+        if self._registry is not None:
+            self._registry.discard(self)
+        if self._output_check is not None:
+            self._output_check.cancel()
+        if self._gate is not None:
+            self._gate.release(self)
+        self._handler.on_lost(self)
+        self._queued_frames.clear()
+        self._outgoing.clear()
+        self._queued_bytes = 0
 
     def send(self, frame: Frame) -> None:
         """Queue a frame; it is sent with the others of this iteration of the event loop."""
@@ -205,7 +217,7 @@
             self._record_output(now)
         match self._watch.next_step(now):
             case Step.GIVE_UP:
-                self.abort()
+                self.abort(LostReason.SILENT)
             case Step.PING:
                 self._record_output(now)
                 self._watch.record_ping(now)
@@ -226,11 +238,11 @@
         if not (self.lost or self._transport.is_closing()):
             self._transport.write_eof()
 
-    def abort(self) -> None:
+    def abort(self, reason: LostReason = LostReason.CLOSED_HERE) -> None:
         """Close the connection at once."""
+        self._end(reason)
         if self._transport is not None:
             self._transport.abort()
-        self.connection_lost(None)
 
     def _dispatch(self, data: bytes) -> None:
         for frame in self._reader.feed(data):
@@ -305,7 +317,7 @@
         if self._reading_paused:
             self._watch.record_receipt(now)
         if self._watch.output_stalled(now):
-            self.abort()
+            self.abort(LostReason.NO_PROGRESS)
         else:
             self._schedule_output_check()
 
--- a/packages/thorntray/src/thorntray/internal/connection/peer_watch.py
+++ b/packages/thorntray/src/thorntray/internal/connection/peer_watch.py
@@ -19,6 +19,18 @@
 MAX_STEP = 2 * OUTPUT_CHECK_PERIOD
 
 
+class LostReason(Enum):
+    """Why a connection between nodes ended, as in the log."""
+
+    PEER_CLOSED = "peer closed"
+    PEER_STOPPED = "peer stopped"  # with notice of the last call that it has read
+    RESET = "reset"
+    SILENT = "silent"
+    NO_PROGRESS = "no progress"  # the peer took no output
+    MALFORMED = "malformed"
+    CLOSED_HERE = "closed here"
+
+
 class Step(Enum):
     """What to do after a check for silence."""
 
--- a/packages/thorntrayctl/src/thorntrayctl/request_trace.py
+++ b/packages/thorntrayctl/src/thorntrayctl/request_trace.py
@@ -261,7 +261,10 @@
             return f"the instance beside {member} broke its connection while the request ran"
     for line in context:
         if line.event in LINK_EVENTS and line.fields.get("peer") == member:
-            return f"{origin.node} lost its link to {member} while the request was in flight"
+            reason = f" ({line.fields['reason']})" if "reason" in line.fields else ""
+            return (
+                f"{origin.node} lost its link to {member}{reason} while the request was in flight"
+            )
     return f"no answer came from {member}, and no log line shows the cause"
 
 
--- a/tests/test_explain.py
+++ b/tests/test_explain.py
@@ -108,7 +108,7 @@
     assert "thorntray_policy_version 1.0" in metrics
     assert (late, lost) == (504, 502) and refused
     assert "cause: request: the instance beside settle-2 had it and gave no answer" in stories[0]
-    assert "cause: request: tariff-1 lost its link to settle-2" in stories[1]
+    assert "cause: request: tariff-1 lost its link to settle-2 (peer closed) while" in stories[1]
     matching = [story for story in stories[2:] if "refused at its entry tariff-1" in story]
     assert matching and "the tightest was settle at settle-2" in matching[0]
 
