--- a/packages/thorntray/src/thorntray/internal/connection/frame.py
+++ b/packages/thorntray/src/thorntray/internal/connection/frame.py
@@ -112,6 +112,15 @@
     document: bytes
 
 
+class GoAway(msgspec.Struct, tag=8, array_like=True, frozen=True):
+    """Last frame of a node that stops: calls numbered above `last_call` will certainly never run.
+
+    Older nodes ignore it, and see the end of the connection, which follows.
+    """
+
+    last_call: int
+
+
 Frame = (
     Hello
     | CallFrame
@@ -121,6 +130,7 @@
     | PongFrame
     | FetchPolicy
     | PolicyFrame
+    | GoAway
 )
 
 WITH_BODY = frozenset({CallFrame, ResultFrame})  # types of frames
@@ -176,10 +186,11 @@
 class FrameReader:
     """Splits a byte stream into frames."""
 
-    __slots__ = ("_buffer",)
+    __slots__ = ("_buffer", "failure")
 
     def __init__(self) -> None:
         self._buffer = bytearray()  # the beginning of a frame
+        self.failure: BadMessage | None = None  # of a frame behind the last ones returned
 
     @property
     def incomplete(self) -> bool:
@@ -202,8 +213,11 @@
     def feed(self, data: bytes) -> list[Frame]:
         """Add received bytes and return the frames completed by them.
 
-        Raises `BadMessage` for an oversized or malformed frame.
+        Raises `BadMessage` for an oversized or malformed frame, unless frames before it are
+        returned; then it is kept as `failure`.
         """
+        if self.failure is not None:
+            raise self.failure
         source: bytes | bytearray = data
         if self._buffer:
             self._buffer += data
@@ -211,18 +225,28 @@
         received = len(source)
         frames: list[Frame] = []
         start = 0
-        while received - start >= LENGTH_BYTES:
-            length = int.from_bytes(source[start : start + LENGTH_BYTES], "big")
-            if length > MAX_FRAME_BYTES:
-                raise BadMessage(f"frame of {length} bytes; check what sends to the link port")
-            end = start + LENGTH_BYTES + length
-            if received < end:
-                break
-            try:
-                frames.append(decode_frame(_slice(source, start + LENGTH_BYTES, end)))
-            except UnknownMessage as exc:
-                log_event(Event.BAD_MESSAGE, detail=str(exc))
-            start = end
+        try:
+            while received - start >= LENGTH_BYTES:
+                payload = start + LENGTH_BYTES
+                length = int.from_bytes(source[start:payload], "big")
+                if length > MAX_FRAME_BYTES:
+                    raise BadMessage(f"frame of {length} bytes; check what sends to the link port")
+                end = payload + length
+                if received < end:
+                    break
+                start = end
+                try:
+                    # A large payload is not copied.
+                    large = length >= LARGE_BODY_BYTES
+                    frames.append(
+                        decode_frame((memoryview(source) if large else source)[payload:end])
+                    )
+                except UnknownMessage as exc:
+                    log_event(Event.BAD_MESSAGE, detail=str(exc))
+        except BadMessage as exc:
+            if not frames:
+                raise
+            self.failure = exc
         if start == received:
             if source is not data:
                 self._buffer = bytearray()  # a new one, since the old one keeps its capacity
@@ -231,13 +255,6 @@
         return frames
 
 
-def _slice(source: bytes | bytearray, start: int, end: int) -> bytes | bytearray | memoryview:
-    """Return a part of received data, without a copy if it is large."""
-    if end - start < LARGE_BODY_BYTES:
-        return source[start:end]
-    return memoryview(source)[start:end]
-
-
 def decode_frame(payload: bytes | bytearray | memoryview) -> Frame:
     """Decode a frame without its length prefix.
 
--- a/packages/thorntray/src/thorntray/internal/connection/link_connection.py
+++ b/packages/thorntray/src/thorntray/internal/connection/link_connection.py
@@ -19,8 +19,10 @@
 from thorntray.internal.connection.frame import (
     LARGE_BODY_BYTES,
     WITH_BODY,
+    CallFrame,
     Frame,
     FrameReader,
+    GoAway,
     Hello,
     PingFrame,
     PongFrame,
@@ -28,7 +30,12 @@
     encode_frame,
 )
 from thorntray.internal.connection.kernel_output import kernel_output_bytes
-from thorntray.internal.connection.peer_watch import OUTPUT_CHECK_PERIOD, PeerWatch, Step
+from thorntray.internal.connection.peer_watch import (
+    OUTPUT_CHECK_PERIOD,
+    LostReason,
+    PeerWatch,
+    Step,
+)
 from thorntray.internal.connection.receive_gate import RETRY_PERIOD, ReceiveGate
 from thorntray.internal.process.clock import Clock
 from thorntray.internal.telemetry.events import Event, log_event, log_handler_failure
@@ -89,6 +96,10 @@
         self._loop = asyncio.get_running_loop()
         self.peer = ""
         self.lost = False
+        self.lost_reason = LostReason.CLOSED_HERE  # valid once lost
+        self.lost_bytes = 0  # unsent when the connection was lost
+        self._last_call = 0  # number of the last call that was passed on
+        self._going_away = False  # whether `go_away` was called
         self._watch = PeerWatch(clock.monotonic())
         self._last_sign_at = float("-inf")  # monotonic seconds
 
@@ -147,7 +158,7 @@
                 self._gate.release(self)
         except (BadMessage, zlib.error) as exc:
             log_event(Event.BAD_MESSAGE, detail=str(exc), peer=self.peer)
-            self.abort()
+            self.abort(LostReason.MALFORMED)
 
     def eof_received(self) -> bool:
         """Notify the handler now; `connection_lost` is called in a later iteration of the loop."""
@@ -156,22 +167,27 @@
 
     def connection_lost(self, exc: Exception | None) -> None:
         """Notify the handler, once."""
-        if not self.lost:
-            self.lost = True
-            if self._registry is not None:
-                self._registry.discard(self)
-            if self._output_check is not None:
-                self._output_check.cancel()
-            if self._gate is not None:
-                self._gate.release(self)
-            self._handler.on_lost(self)
-            self._queued_frames.clear()
-            self._outgoing.clear()
-            self._queued_bytes = 0
+        self._end(LostReason.PEER_CLOSED if exc is None else LostReason.RESET)
+
+    def _end(self, reason: LostReason) -> None:
+        if self.lost:
+            return
+        self.lost_reason, self.lost_bytes = reason, self.unsent_bytes
+        self.lost = True
+        if self._registry is not None:
+            self._registry.discard(self)
+        if self._output_check is not None:
+            self._output_check.cancel()
+        if self._gate is not None:
+            self._gate.release(self)
+        self._handler.on_lost(self)
+        self._queued_frames.clear()
+        self._outgoing.clear()
+        self._queued_bytes = 0
 
     def send(self, frame: Frame) -> None:
         """Queue a frame; it is sent with the others of this iteration of the event loop."""
-        if self.lost:
+        if self.lost or self._going_away:
             return
         if not self._outgoing:
             self._loop.call_soon(self._flush)
@@ -198,21 +214,40 @@
             self._record_output(now)
         match self._watch.next_step(now):
             case Step.GIVE_UP:
-                self.abort()
+                self.abort(LostReason.SILENT)
             case Step.PING:
                 self._record_output(now)
                 self._watch.record_ping(now)
                 self.send(PingFrame())
 
-    def abort(self) -> None:
+    def go_away(self) -> None:
+        """End the output after what was sent; calls read from now on are never run.
+
+        The peer reads the number of the last call before that and closes the connection. It is
+        read until then, since the kernel resets a connection that is closed with unread input, and
+        discards results that the peer has not received.
+        """
+        if self.lost or self._going_away or self._transport is None:
+            return
+        self.send(GoAway(self._last_call))
+        self._flush()
+        self._going_away = True
+        if not (self.lost or self._transport.is_closing()):
+            self._transport.write_eof()
+
+    def abort(self, reason: LostReason = LostReason.CLOSED_HERE) -> None:
         """Close the connection at once."""
+        self._end(reason)
         if self._transport is not None:
             self._transport.abort()
-        self.connection_lost(None)
 
     def _dispatch(self, data: bytes) -> None:
         for frame in self._reader.feed(data):
             match frame:
+                case CallFrame():
+                    if not self._going_away:
+                        self._last_call = frame.number
+                        self._pass_on(frame)
                 case Hello(sender):
                     self.peer = sender
                     if frame.notices:
@@ -223,6 +258,8 @@
                     pass
                 case _:
                     self._pass_on(frame)
+        if self._reader.failure is not None:
+            raise self._reader.failure
 
     def _pass_on(self, frame: Frame) -> None:
         try:
@@ -239,6 +276,8 @@
     def _flush(self) -> None:
         if self.lost or self._transport is None or self._transport.is_closing():
             return
+        if not self._outgoing:  # sent by `go_away`
+            return
         if self._has_large_part or self._compressor is not None:
             self._write_parts(self._transport)
         else:
@@ -275,7 +314,7 @@
         if self._reading_paused:
             self._watch.record_receipt(now)
         if self._watch.output_stalled(now):
-            self.abort()
+            self.abort(LostReason.NO_PROGRESS)
         else:
             self._schedule_output_check()
 
