Periodic tasks survive an unexpected exception

Seen: an exception in one round of a periodic task ends the task, with TASK_FAILED in the log (for the reading of the settings and the log output without any line). The node goes on, deaf in that part: links are not checked, so calls on a silent one wait for their deadline; idle callers are never disconnected; no departure of an instance is confirmed; the policy stays as it is.

BackgroundTasks.supervise runs such a task again after 0.5 s.

--- a/packages/thorntray-node/src/thorntray_node/mesh_node.py
+++ b/packages/thorntray-node/src/thorntray_node/mesh_node.py
@@ -276,22 +276,22 @@
         loops = (
             self.policy_watch.run,
             self.entries.run,
-            self.crash_archive.restore,
             self.links.watch,
             self.crash_reports.run,
             self.quotas.run,
+            self._recall_departures,
             self._tick,
             self._housekeeping,
         )
         for loop in loops:
-            self._tasks.spawn(loop())
-        self._tasks.spawn(self.departures.recall(lambda: self.seeds.looked_up))
+            self._tasks.supervise(loop)
+        self._tasks.spawn(self.crash_archive.restore())
         if self.freshness_check is not None:
-            self._tasks.spawn(self.freshness_check.query_peers())
-            self._tasks.spawn(self.freshness_check.check_store())
+            self._tasks.supervise(self.freshness_check.query_peers)
+            self._tasks.supervise(self.freshness_check.check_store)
         servers = (self.callers, self.readiness, self.announcements, self.metrics_server)
         for server in servers:
-            self._tasks.spawn(server.sweep())
+            self._tasks.supervise(server.sweep)
         log_event(Event.STARTED, service=cfg.service, domain=cfg.domain)
 
     def _create_freshness_check(self, duty: WatchDuty) -> None:
@@ -422,6 +422,10 @@
 
     # Periodic tasks.
 
+    async def _recall_departures(self) -> None:
+        if self.departures is not None:
+            await self.departures.recall(lambda: self.seeds.looked_up)
+
     async def _tick(self) -> None:
         factors = varied_factors()
         while True:
--- a/packages/thorntray/src/thorntray/internal/connection/http_server.py
+++ b/packages/thorntray/src/thorntray/internal/connection/http_server.py
@@ -135,7 +135,10 @@
             await asyncio.sleep(TIMEOUT_CHECK_PERIOD)
             now = self.clock.monotonic()
             for connection in list(self.connections):
-                connection.enforce_timeouts(now)
+                try:
+                    connection.enforce_timeouts(now)
+                except Exception:  # the other connections are checked all the same
+                    log_handler_failure()
 
     def close(self) -> None:
         """Stop listening and close idle connections."""
--- a/packages/thorntray/src/thorntray/internal/connection/instance_pool.py
+++ b/packages/thorntray/src/thorntray/internal/connection/instance_pool.py
@@ -363,6 +363,11 @@
             if not pending_send.cancelled:
                 on_response(ResponseFault.UNREACHABLE)
             return
+        except Exception:  # nothing was sent, and the request must not wait for its deadline
+            log_handler_failure(id=request_id.decode("latin-1"))
+            if not pending_send.cancelled:
+                on_response(ResponseFault.UNREACHABLE)
+            return
         if pending_send.cancelled:
             connection.abort()
             return
--- a/packages/thorntray/src/thorntray/internal/membership/departures.py
+++ b/packages/thorntray/src/thorntray/internal/membership/departures.py
@@ -96,7 +96,7 @@
         if task is None:
             decided(True)
             return
-        if task.done() and (task.cancelled() or not task.result()):
+        if task.done() and not _is_recorded(task):
             task = self._start_recording()  # the instance asks again
         task.add_done_callback(lambda done: self._decide(done, decided))
 
@@ -105,7 +105,7 @@
         if newest is not None and newest is not task and not newest.done():
             newest.add_done_callback(lambda done: self._decide(done, decided))
         else:
-            decided(not task.cancelled() and task.result())
+            decided(_is_recorded(task))
 
     def _on_left(self, departure: Departure) -> None:
         if departure in self._own:
@@ -255,3 +255,8 @@
 
 def _address(member: Member) -> Address:
     return Address(member.address, member.gossip_port)
+
+
+def _is_recorded(task: "asyncio.Task[bool]") -> bool:
+    """Return whether a task that is done has recorded the departures."""
+    return not task.cancelled() and task.exception() is None and task.result()
--- a/packages/thorntray/src/thorntray/internal/membership/membership.py
+++ b/packages/thorntray/src/thorntray/internal/membership/membership.py
@@ -194,7 +194,7 @@
             self._recent_loop,
         )
         for work in loops:
-            self._tasks.spawn(work())
+            self._tasks.supervise(work)
 
     async def stop(self) -> None:
         """End all tasks."""
--- a/packages/thorntray/src/thorntray/internal/process/tasks.py
+++ b/packages/thorntray/src/thorntray/internal/process/tasks.py
@@ -3,16 +3,20 @@
 The event loop holds only weak references to tasks and reports the exception of a task that nobody
 awaits when it is garbage-collected, if at all. Without a log line, a probe loop that has failed
 looks like a network without traffic.
+
+A periodic task on which requests depend is supervised: an unexpected exception costs one round.
 """
 
 import asyncio
-from collections.abc import Coroutine
+from collections.abc import Callable, Coroutine
 from typing import Any, TypeVar
 
 from absl import logging
 
 from thorntray.internal.telemetry.events import Event, log_event
 
+RESTART_PAUSE = 0.5  # seconds until a supervised task that has failed runs again
+
 _T = TypeVar("_T")
 
 
@@ -29,6 +33,10 @@
         task.add_done_callback(self._on_done)
         return task
 
+    def supervise(self, work: Callable[[], Coroutine[None, None, None]]) -> "asyncio.Task[None]":
+        """Start a task that is run again, after `RESTART_PAUSE`, whenever it has failed."""
+        return self.spawn(_run_until_ended(work))
+
     async def stop(self) -> None:
         """Cancel all tasks and wait until they have ended."""
         tasks = list(self._tasks)
@@ -40,6 +48,18 @@
         self._tasks.discard(task)
         if task.cancelled() or task.exception() is None:
             return
-        exc = task.exception()
-        logging.error("background task failed", exc_info=exc)
-        log_event(Event.TASK_FAILED, task=task.get_coro().__qualname__, detail=repr(exc))
+        _log_failure(task.get_coro().__qualname__, task.exception(), runs_again=False)
+
+
+async def _run_until_ended(work: Callable[[], Coroutine[None, None, None]]) -> None:
+    while True:
+        try:
+            return await work()
+        except Exception as exc:
+            _log_failure(getattr(work, "__qualname__", repr(work)), exc, runs_again=True)
+        await asyncio.sleep(RESTART_PAUSE)
+
+
+def _log_failure(name: str, exc: BaseException | None, runs_again: bool) -> None:
+    logging.error("background task failed", exc_info=exc)
+    log_event(Event.TASK_FAILED, task=name, detail=repr(exc), runs_again=runs_again)
--- a/packages/thorntray/src/thorntray/internal/store/seeds.py
+++ b/packages/thorntray/src/thorntray/internal/store/seeds.py
@@ -142,8 +142,8 @@
 
     def start(self) -> None:
         """Start looking for peers, and take a seed entry once the view has settled."""
-        for work in (self._find_peers(), self._catch_up(), self._seed_loop()):
-            self._tasks.spawn(work)
+        for work in (self._find_peers, self._catch_up, self._seed_loop):
+            self._tasks.supervise(work)
 
     async def stop(self) -> None:
         """Stop all tasks and remove the seed entry."""
--- a/tests/process_builders.py
+++ b/tests/process_builders.py
@@ -38,6 +38,15 @@
     raise {FAILURE}
 MeshNode.{{step}} = fail
 """
+FAILING_ONCE_SOURCE = f"""
+from thorntray.internal.telemetry.log_output import LogOutput
+from thorntray_node.settings_reload import SettingsReload
+sound = {{method}}
+def fail_once(self):
+    {{method}} = sound
+    raise {FAILURE}
+{{method}} = fail_once
+"""
 
 
 class PlatformProcess:
@@ -45,7 +54,8 @@
 
     With `gated`, the process waits during the import of `gated_module` for `send_while_importing`.
     With `piped`, its stdout is a pipe. `failing_step` names a method of `MeshNode` that raises
-    `FAILURE`. `options` are those of the interpreter.
+    `FAILURE`, `failing_once` a method without arguments whose first call does. `options` are those
+    of the interpreter.
     """
 
     def __init__(
@@ -54,6 +64,7 @@
         gated: bool = False,
         piped: bool = False,
         failing_step: str = "",
+        failing_once: str = "",
         gated_module: str = GATED_MODULE,
         options: tuple[str, ...] = (),
     ) -> None:
@@ -75,6 +86,9 @@
         if failing_step:
             source = FAILING_STEP_SOURCE.format(step=failing_step)
             (modules / "sitecustomize.py").write_text(source, "utf-8")
+        if failing_once:
+            source = FAILING_ONCE_SOURCE.format(method=failing_once)
+            (modules / "sitecustomize.py").write_text(source, "utf-8")
         paths = [str(modules), *(str(ROOT / path) for path in PACKAGES)]
         if "-S" in options:  # the libraries are on the path, as `target/deps` is on the platform
             paths.append(sysconfig.get_path("purelib"))
