--- a/packages/thorntray/src/thorntray/internal/connection/instance_pool.py
+++ b/packages/thorntray/src/thorntray/internal/connection/instance_pool.py
@@ -390,6 +390,11 @@
                     ResponseFault.NO_DESCRIPTOR if is_exhausted(exc) else ResponseFault.UNREACHABLE
                 )
             return
+        except Exception:  # nothing was sent, and the request must not wait for its deadline
+            log_handler_failure(id=request_id.decode("latin-1"))
+            if not pending_send.cancelled:
+                on_response(ResponseFault.UNREACHABLE)
+            return
         if pending_send.cancelled:
             connection.abort()
             return
