Callers behind a pending request are told when to send their body

What callers saw: a request with Expect: 100-continue behind a pending one got no 100 Continue, also not once it was its turn; a caller that waits for it ended with 408 after the header timeout.

Cause: the interim answer was sent at the end of the head or never. Change: it is remembered and sent when the requests before it have been answered, unless the body has begun to arrive.

--- a/packages/thorntray/src/thorntray/internal/connection/connection_bound.py
+++ b/packages/thorntray/src/thorntray/internal/connection/connection_bound.py
@@ -25,6 +25,8 @@
 class BoundedConnection(Protocol):
     """A connection of the server."""
 
+    one_request: bool  # whether it closes with the answer to its first request
+
     @property
     def idle_since(self) -> float:
         """Return the monotonic time of the last use, infinite while the connection is in use."""
@@ -34,14 +36,6 @@
         """Close the connection unless a request is pending or being received."""
         ...
 
-    def limit_to_one_request(self) -> None:
-        """Answer the first request as the last one, refused unless it is served as surplus."""
-        ...
-
-    def close_unread(self) -> None:
-        """Close the connection, which was just accepted, before anything is read from it."""
-        ...
-
 
 class ConnectionBound:
     """Keeps the number of open connections at `limit`; None: not bounded."""
@@ -70,11 +64,11 @@
         if self.close_longest_idle():
             return
         if count <= self.limit + self.surplus:
-            connection.limit_to_one_request()
+            connection.one_request = True
             return
         self.closed_unread += 1
         self._connections.discard(connection)
-        connection.close_unread()
+        connection.close_if_idle()  # nothing has been read from it yet
 
     def refuses(self, host: str, target: bytes, headers: list[Header]) -> bool:
         """Return whether to refuse the request of a connection that gets only one."""
--- a/packages/thorntray/src/thorntray/internal/connection/http_request.py
+++ b/packages/thorntray/src/thorntray/internal/connection/http_request.py
@@ -5,6 +5,8 @@
 
 Header = tuple[bytes, bytes]
 
+_METHODS_WITHOUT_BODY = frozenset({b"GET", b"HEAD", b"DELETE", b"OPTIONS"})
+
 
 class ClosedBy(Enum):
     """Who ended a connection on which a response was still owed."""
@@ -30,3 +32,10 @@
     target: bytes
     headers: list[Header]
     body: bytes
+
+
+def expects_continue(method: bytes, headers: list[Header]) -> bool:
+    """Return whether the caller waits for `100 Continue` before it sends the body."""
+    if method in _METHODS_WITHOUT_BODY:
+        return False
+    return any(n.lower() == b"expect" and v.lower() == b"100-continue" for n, v in headers)
--- a/packages/thorntray/src/thorntray/internal/connection/http_server.py
+++ b/packages/thorntray/src/thorntray/internal/connection/http_server.py
@@ -27,6 +27,7 @@
     Header,
     HttpRequest,
     RequestLimits,
+    expects_continue,
 )
 from thorntray.internal.connection.output_watch import OutputWatch
 from thorntray.internal.process.clock import Clock
@@ -37,7 +38,6 @@
 LISTEN_BACKLOG = 1024  # connections waiting to be accepted
 
 _REASON_PHRASES = {status.value: status.phrase.encode() for status in HTTPStatus}
-_METHODS_WITHOUT_BODY = frozenset({b"GET", b"HEAD", b"DELETE", b"OPTIONS"})
 _CONTINUE = b"HTTP/1.1 100 Continue\r\n\r\n"
 
 
@@ -157,7 +157,7 @@
         self._last_active_at = server.clock.monotonic()
         self._receiving_since: float | None = None  # arrival of the first byte of a request
         self._last_request_read = False  # whether later requests on the connection are ignored
-        self._one_request = False  # whether the connection exceeds the bound of the server
+        self.one_request = False  # whether the connection exceeds the bound of the server
         self._reading_paused = False
         self._writing_paused = False
         self._linger: Linger | None = None  # once the output has ended
@@ -219,20 +219,26 @@
 
     def on_headers_complete(self) -> None:
         """Refuse the request of a connection in excess; send `100 Continue` if it is expected."""
-        if self._one_request and not self._last_request_read:
+        if self.one_request and not self._last_request_read:
             if self.server.bound.refuses(self.peer_host, self._target, self._headers):
                 self._reject(503, self.server.bound.refusal_lines())
-        if self._last_request_read or self._parser.get_method() in _METHODS_WITHOUT_BODY:
-            return
-        for name, value in self._headers:
-            if name.lower() == b"expect" and value.lower() == b"100-continue":
-                if not self.pending and self._transport is not None:
-                    self._transport.write(_CONTINUE)
+        if not self._last_request_read:
+            self._continue_due = expects_continue(self._parser.get_method(), self._headers)
+            self._send_continue()
+
+    def _send_continue(self) -> None:
+        """Send `100 Continue` if it is due; behind pending requests it would be out of order."""
+        transport = self._transport
+        if self._continue_due and not self.pending and transport is not None:
+            self._continue_due = False
+            if not transport.is_closing():
+                transport.write(_CONTINUE)
 
     def on_body(self, body: bytes) -> None:
         """Append a part of the body."""
         if self._last_request_read:
             return
+        self._continue_due = False
         self._body_bytes += len(body)
         if self._body_bytes > self.server.limits.body_bytes:
             self._reject(413)
@@ -244,11 +250,12 @@
         if self._last_request_read:
             return
         self._receiving_since = None
+        self._continue_due = False
         body = b"".join(self._body)
         request = HttpRequest(self._parser.get_method(), self._target, self._headers, body)
         exchange = Exchange(self, request)
         exchange.keep_alive = self._parser.should_keep_alive()
-        exchange.last = self._last_request_read = self._one_request
+        exchange.last = self._last_request_read = self.one_request
         self.server.requests_read += 1
         self.pending.append(exchange)
         self._update_reading()
@@ -282,6 +289,7 @@
                 self._cancel_pending(ClosedBy.NODE)
                 self._close_after_response(transport, closed_by_caller=not exchange.keep_alive)
                 return
+        self._send_continue()
         self._update_reading()
 
     def _close_after_response(self, transport: asyncio.Transport, closed_by_caller: bool) -> None:
@@ -337,15 +345,6 @@
         in_use = self.pending or self._receiving_since is not None or self._linger is not None
         return inf if in_use or self.unsent_bytes else self._last_active_at
 
-    def limit_to_one_request(self) -> None:
-        """Close the connection with the response to its first request."""
-        self._one_request = True
-
-    def close_unread(self) -> None:
-        """Close the connection before anything is read from it."""
-        if self._transport is not None:
-            self._transport.close()
-
     def _reject(self, status: int, header_lines: bytes = b"") -> None:
         """Respond to a request that was not fully read, and close the connection afterwards."""
         self._last_request_read = True
@@ -389,6 +388,7 @@
             transport.resume_reading()
 
     def _reset_message(self) -> None:
+        self._continue_due = False  # whether the caller waits for `100 Continue`
         self._target = b""
         self._headers: list[Header] = []
         self._header_bytes = 0
