Requests whose head is slow do not keep nested calls from a full node

What callers saw: payouts that ran ended with 500 while 400 callers sent half a request head each: the nested calls found the surplus taken until the header timeout, 10 s.

Change: the request of a connection in excess must arrive within 1 s (408), and if the surplus is full, the oldest one whose head has not arrived within 0.25 s is refused with 503. The surplus is at least a sixteenth of the limit.

--- a/packages/thorntray/src/thorntray/internal/connection/connection_bound.py
+++ b/packages/thorntray/src/thorntray/internal/connection/connection_bound.py
@@ -4,11 +4,13 @@
 owed on that, and a request that crosses its close has not been read, so it may be sent again. If
 none is idle, the new connection gets one request. The request is refused at the end of its head
 (503, a promise that it has not run), unless `serves_surplus` says that a request that is already
-running depends on it. Connections beyond that surplus are closed unread.
+running depends on it. Connections beyond that surplus take the place of one whose head has not
+arrived in time, which is refused, or are closed unread.
 
 All callers of a node may share one address, so connections are not counted by address.
 """
 
+from collections import deque
 from collections.abc import Callable
 from math import inf
 from typing import Protocol
@@ -19,6 +21,7 @@
 # Seconds without use after which a connection counts as idle; the first request on a new one, or
 # the next one of a busy caller, is likely to be in transit before.
 MIN_IDLE_TIME = 0.25
+SURPLUS_TIMEOUT = 1.0  # seconds in which the one request of a connection in excess must arrive
 SCAN_PAUSE = 0.05  # seconds after a search without result in which no other is made
 
 
@@ -36,6 +39,10 @@
         """Close the connection unless a request is pending or being received."""
         ...
 
+    def displace(self, header_lines: bytes) -> bool:
+        """Refuse a request whose head has not arrived, and close; return False if it has."""
+        ...
+
 
 class ConnectionBound:
     """Keeps the number of open connections at `limit`; None: not bounded."""
@@ -54,6 +61,8 @@
         self._clock = clock
         self._idle: list[tuple[float, BoundedConnection]] = []  # idle longest last
         self._next_scan_at = -inf  # monotonic seconds
+        # With the monotonic time of the accept, the first one first; some may have ended.
+        self._in_excess: deque[tuple[float, BoundedConnection]] = deque()
 
     def accept(self, connection: BoundedConnection) -> None:
         """Decide about a new connection, which is already one of the open ones."""
@@ -63,8 +72,11 @@
         self.on_reached()
         if self.close_longest_idle():
             return
-        if count <= self.limit + self.surplus:
+        if count <= self.limit + self.surplus or self._displace_slow():
             connection.one_request = True
+            while self._in_excess and self._in_excess[0][1] not in self._connections:
+                self._in_excess.popleft()
+            self._in_excess.append((self._clock.monotonic(), connection))
             return
         self.closed_unread += 1
         self._connections.discard(connection)
@@ -101,6 +113,17 @@
             return True
         return False
 
+    def _displace_slow(self) -> bool:
+        """Make room for one more connection in excess; return False if each is in use or new."""
+        latest = self._clock.monotonic() - MIN_IDLE_TIME
+        while self._in_excess and self._in_excess[0][0] <= latest:
+            _, connection = self._in_excess.popleft()
+            if connection in self._connections and connection.displace(self.refusal_lines()):
+                self._connections.discard(connection)
+                self.refused += 1
+                return True
+        return False
+
     def _scan(self) -> None:
         now = self._clock.monotonic()
         if now < self._next_scan_at:
--- a/packages/thorntray/src/thorntray/internal/connection/http_server.py
+++ b/packages/thorntray/src/thorntray/internal/connection/http_server.py
@@ -20,7 +20,7 @@
 
 import httptools
 
-from thorntray.internal.connection.connection_bound import ConnectionBound
+from thorntray.internal.connection.connection_bound import SURPLUS_TIMEOUT, ConnectionBound
 from thorntray.internal.connection.connection_end import Linger
 from thorntray.internal.connection.http_request import (
     ClosedBy,
@@ -87,10 +87,6 @@
 UnansweredHandler = Callable[[Exchange, ClosedBy], None]
 
 
-def _ignore_unanswered(exchange: Exchange, closed_by: ClosedBy) -> None:
-    """Do nothing."""
-
-
 class HttpServer:
     """An HTTP server on one address, with its open connections and the limits for requests."""
 
@@ -102,7 +98,7 @@
         self.connections: set[HttpServerConnection] = set()
         self.bound = ConnectionBound(self.connections, clock)
         self.requests_read = 0  # complete requests, since the start
-        self.on_unanswered: UnansweredHandler = _ignore_unanswered
+        self.on_unanswered: UnansweredHandler = lambda exchange, closed_by: None
         self._server: asyncio.Server | None = None
 
     async def start(self, host: str, port: int) -> None:
@@ -167,8 +163,7 @@
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Register the connection with the server."""
         self._transport = transport  # uvloop's transport is not a subclass of asyncio.Transport
-        peer = transport.get_extra_info("peername")
-        self.peer_host = peer[0] if peer else ""
+        self.peer_host = (transport.get_extra_info("peername") or ("",))[0]
         self.server.connections.add(self)
         self.server.bound.accept(self)
 
@@ -329,7 +324,8 @@
                 transport.close()
             return
         if self._receiving_since is not None and not self.pending:
-            if now - self._receiving_since > limits.header_timeout and not self._last_request_read:
+            timeout = min(limits.header_timeout, SURPLUS_TIMEOUT if self.one_request else inf)
+            if now - self._receiving_since > timeout and not self._last_request_read:
                 self._reject(408)
         elif not self.pending and now - self._last_active_at > limits.idle_timeout:
             self.close_if_idle()
@@ -345,11 +341,18 @@
         in_use = self.pending or self._receiving_since is not None or self._linger is not None
         return inf if in_use or self.unsent_bytes else self._last_active_at
 
+    def displace(self, header_lines: bytes) -> bool:
+        """Refuse a request whose head has not arrived, and close; return False if it has."""
+        if self.pending or self._last_request_read or self._transport is None:
+            return False
+        self._reject(503, header_lines)
+        self._transport.close()
+        return True
+
     def _reject(self, status: int, header_lines: bytes = b"") -> None:
         """Respond to a request that was not fully read, and close the connection afterwards."""
         self._last_request_read = True
-        request = HttpRequest(b"GET", self._target, [], b"")
-        exchange = Exchange(self, request)
+        exchange = Exchange(self, HttpRequest(b"GET", self._target, [], b""))
         exchange.last = True
         self.pending.append(exchange)
         exchange.respond(status, header_lines, b"")
--- a/packages/thorntray/src/thorntray/internal/process/descriptor_budget.py
+++ b/packages/thorntray/src/thorntray/internal/process/descriptor_budget.py
@@ -24,7 +24,10 @@
 # Each slot may use a connection while another one is idle but no longer fresh (`instance_pool`).
 CONNECTIONS_PER_SLOT = 2
 MIN_SLOTS = 16  # before the instance has announced its slots
-MIN_SURPLUS = 32  # connections beyond the bound that get one answer; at least one for each slot
+# Connections beyond the bound that get one answer: at least one for each slot, and so many that a
+# burst of callers does not take them all from the nested calls of running requests.
+MIN_SURPLUS = 32
+SURPLUS_RATIO = 1 / 16  # of the limit
 MIN_CALLER_RATIO = 0.25  # least share of the limit for callers, however large the fleet
 LEARNING_PAUSE = 1.0  # seconds in which one shortage of descriptors is taken as the same
 
@@ -66,7 +69,7 @@
         if self.limit is None:
             return None
         slots = max(slots, MIN_SLOTS)
-        surplus = max(slots, MIN_SURPLUS)
+        surplus = max(slots, MIN_SURPLUS, int(self.limit * SURPLUS_RATIO))
         kept_back = _FIXED + LINKS_PER_MEMBER * members + CONNECTIONS_PER_SLOT * slots + surplus
         least = max(1, int(self.limit * MIN_CALLER_RATIO))
         return CallerBound(max(self.limit - kept_back, least), min(surplus, least))
--- a/tests/test_connection_bound.py
+++ b/tests/test_connection_bound.py
@@ -5,8 +5,8 @@
 
 from standins.fleet import free_port
 from tests.mesh_builders import HOST
-from thorntray.internal.connection.connection_bound import MIN_IDLE_TIME
-from thorntray.internal.connection.http_server import HttpServer
+from thorntray.internal.connection.connection_bound import MIN_IDLE_TIME, SURPLUS_TIMEOUT
+from thorntray.internal.connection.http_server import TIMEOUT_CHECK_PERIOD, HttpServer
 from thorntray.internal.process.clock import SystemClock
 
 REQUEST = b"GET /%b HTTP/1.1\r\nHost: a.example\r\n\r\n"
@@ -154,6 +154,47 @@
     assert b"Connection: close\r\n" in answer and b"/behind" not in targets
 
 
+def test_a_slow_request_does_not_keep_the_place_of_one_that_is_needed():
+    async def scenario(bounded):
+        sweeping = asyncio.ensure_future(bounded.server.sweep())
+        for _ in range(BOUND):
+            await bounded.connect(REQUEST % b"held")
+        reader, _ = await bounded.connect(b"GET /slow HTTP/1.1\r\nHo")
+        async with asyncio.timeout(SURPLUS_TIMEOUT + 2 * TIMEOUT_CHECK_PERIOD):
+            answer = await reader.read(1 << 16)
+        sweeping.cancel()
+        return answer
+
+    assert run(scenario).startswith(b"HTTP/1.1 408")
+
+
+def test_a_request_that_is_needed_takes_the_place_of_a_slow_one_in_excess():
+    async def scenario(bounded):
+        bounded.server.bound.serves_surplus = lambda host, target, headers: target == b"/needed"
+        for _ in range(BOUND):
+            await bounded.connect(REQUEST % b"held")
+        slow = [await bounded.connect(b"GET /slow HTTP/1.1\r\nHo") for _ in range(SURPLUS)]
+        await asyncio.sleep(MIN_IDLE_TIME)
+        reader, _ = await bounded.connect(REQUEST % b"needed")
+        return await read_to_end(reader), await read_to_end(slow[0][0])
+
+    needed, displaced = run(scenario)
+    assert needed.startswith(b"HTTP/1.1 200") and displaced.startswith(b"HTTP/1.1 503")
+
+
+def test_the_record_of_connections_in_excess_does_not_grow():
+    async def scenario(bounded):
+        for _ in range(BOUND):
+            await bounded.connect(REQUEST % b"held")
+        for _ in range(20):
+            reader, writer = await bounded.connect(REQUEST % b"late")
+            writer.close()
+        await asyncio.sleep(PAUSE)
+        return len(bounded.server.bound._in_excess), bounded.server.bound.refused
+
+    assert run(scenario) == (1, 20)
+
+
 def test_connections_return_to_normal_when_others_have_ended():
     async def scenario(bounded):
         opened = [await bounded.connect(REQUEST % b"held") for _ in range(BOUND)]
