A search for idle connections is made four times a second at most

A search among 3,900 connections took 12 to 20 ms beside other load (trial, one process), and was made for each new connection while only a few were idle.

--- a/packages/thorntray/src/thorntray/internal/connection/connection_bound.py
+++ b/packages/thorntray/src/thorntray/internal/connection/connection_bound.py
@@ -13,6 +13,7 @@
 from collections import deque
 from collections.abc import Callable
 from math import inf
+from operator import itemgetter
 from typing import Protocol
 
 from thorntray.internal.connection.http_request import Header
@@ -22,7 +23,9 @@
 # the next one of a busy caller, is likely to be in transit before.
 MIN_IDLE_TIME = 0.25
 SURPLUS_TIMEOUT = 1.0  # seconds in which the one request of a connection in excess must arrive
-SCAN_PAUSE = 0.05  # seconds after a search without result in which no other is made
+# Seconds between searches for idle connections: one that is used at a search is not idle sooner. A
+# search among 3,900 took 12 to 20 ms beside other load, and would be made for each new connection.
+SCAN_PAUSE = MIN_IDLE_TIME
 
 
 class BoundedConnection(Protocol):
@@ -129,7 +132,6 @@
         if now < self._next_scan_at:
             return
         latest = now - MIN_IDLE_TIME
-        idle = [(c.idle_since, c) for c in self._connections if c.idle_since <= latest]
-        self._idle = sorted(idle, key=lambda entry: -entry[0])
-        if not idle:
-            self._next_scan_at = now + SCAN_PAUSE
+        idle = [(since, c) for c in self._connections if (since := c.idle_since) <= latest]
+        self._idle = sorted(idle, key=itemgetter(0), reverse=True)
+        self._next_scan_at = now + SCAN_PAUSE
--- a/packages/thorntray/src/thorntray/internal/connection/http_server.py
+++ b/packages/thorntray/src/thorntray/internal/connection/http_server.py
@@ -219,15 +219,15 @@
                 self._reject(503, self.server.bound.refusal_lines())
         if not self._last_request_read:
             self._continue_due = expects_continue(self._parser.get_method(), self._headers)
-            self._send_continue()
+            if self._continue_due:
+                self._send_continue()
 
     def _send_continue(self) -> None:
-        """Send `100 Continue` if it is due; behind pending requests it would be out of order."""
+        """Send `100 Continue`; behind pending requests it would be out of order."""
         transport = self._transport
-        if self._continue_due and not self.pending and transport is not None:
+        if transport is not None and not self.pending and not transport.is_closing():
             self._continue_due = False
-            if not transport.is_closing():
-                transport.write(_CONTINUE)
+            transport.write(_CONTINUE)
 
     def on_body(self, body: bytes) -> None:
         """Append a part of the body."""
@@ -284,7 +284,8 @@
                 self._cancel_pending(ClosedBy.NODE)
                 self._close_after_response(transport, closed_by_caller=not exchange.keep_alive)
                 return
-        self._send_continue()
+        if self._continue_due:
+            self._send_continue()
         self._update_reading()
 
     def _close_after_response(self, transport: asyncio.Transport, closed_by_caller: bool) -> None:
@@ -318,12 +319,10 @@
             return
         if self._output_watch.is_stalled(transport, limits.idle_timeout, now):
             transport.abort()
-            return
-        if self._linger is not None:
+        elif self._linger is not None:
             if self._linger.is_over(now) and not self.unsent_bytes:
                 transport.close()
-            return
-        if self._receiving_since is not None and not self.pending:
+        elif self._receiving_since is not None and not self.pending:
             timeout = min(limits.header_timeout, SURPLUS_TIMEOUT if self.one_request else inf)
             if now - self._receiving_since > timeout and not self._last_request_read:
                 self._reject(408)
