--- a/packages/thorntray/src/thorntray/internal/connection/connection_bound.py
+++ b/packages/thorntray/src/thorntray/internal/connection/connection_bound.py
@@ -4,13 +4,16 @@
 owed on that, and a request that crosses its close has not been read, so it may be sent again. If
 none is idle, the new connection gets one request. The request is refused at the end of its head
 (503, a promise that it has not run), unless `serves_surplus` says that a request that is already
-running depends on it. Connections beyond that surplus are closed unread.
+running depends on it. Connections beyond that surplus take the place of one whose head has not
+arrived in time, which is refused, or are closed unread.
 
 All callers of a node may share one address, so connections are not counted by address.
 """
 
+from collections import deque
 from collections.abc import Callable
 from math import inf
+from operator import itemgetter
 from typing import Protocol
 
 from thorntray.internal.connection.http_request import Header
@@ -19,12 +22,17 @@
 # Seconds without use after which a connection counts as idle; the first request on a new one, or
 # the next one of a busy caller, is likely to be in transit before.
 MIN_IDLE_TIME = 0.25
-SCAN_PAUSE = 0.05  # seconds after a search without result in which no other is made
+SURPLUS_TIMEOUT = 1.0  # seconds in which the one request of a connection in excess must arrive
+# Seconds between searches for idle connections: one that is used at a search is not idle sooner. A
+# search among 3,900 took 12 to 20 ms beside other load, and would be made for each new connection.
+SCAN_PAUSE = MIN_IDLE_TIME
 
 
 class BoundedConnection(Protocol):
     """A connection of the server."""
 
+    one_request: bool  # whether it closes with the answer to its first request
+
     @property
     def idle_since(self) -> float:
         """Return the monotonic time of the last use, infinite while the connection is in use."""
@@ -34,12 +42,8 @@
         """Close the connection unless a request is pending or being received."""
         ...
 
-    def limit_to_one_request(self) -> None:
-        """Answer the first request as the last one, refused unless it is served as surplus."""
-        ...
-
-    def close_unread(self) -> None:
-        """Close the connection, which was just accepted, before anything is read from it."""
+    def displace(self, header_lines: bytes) -> bool:
+        """Refuse a request whose head has not arrived, and close; return False if it has."""
         ...
 
 
@@ -60,6 +64,8 @@
         self._clock = clock
         self._idle: list[tuple[float, BoundedConnection]] = []  # idle longest last
         self._next_scan_at = -inf  # monotonic seconds
+        # With the monotonic time of the accept, the first one first; some may have ended.
+        self._in_excess: deque[tuple[float, BoundedConnection]] = deque()
 
     def accept(self, connection: BoundedConnection) -> None:
         """Decide about a new connection, which is already one of the open ones."""
@@ -69,12 +75,15 @@
         self.on_reached()
         if self.close_longest_idle():
             return
-        if count <= self.limit + self.surplus:
-            connection.limit_to_one_request()
+        if count <= self.limit + self.surplus or self._displace_slow():
+            connection.one_request = True
+            while self._in_excess and self._in_excess[0][1] not in self._connections:
+                self._in_excess.popleft()
+            self._in_excess.append((self._clock.monotonic(), connection))
             return
         self.closed_unread += 1
         self._connections.discard(connection)
-        connection.close_unread()
+        connection.close_if_idle()  # nothing has been read from it yet
 
     def refuses(self, host: str, target: bytes, headers: list[Header]) -> bool:
         """Return whether to refuse the request of a connection that gets only one."""
@@ -107,12 +116,22 @@
             return True
         return False
 
+    def _displace_slow(self) -> bool:
+        """Make room for one more connection in excess; return False if each is in use or new."""
+        latest = self._clock.monotonic() - MIN_IDLE_TIME
+        while self._in_excess and self._in_excess[0][0] <= latest:
+            _, connection = self._in_excess.popleft()
+            if connection in self._connections and connection.displace(self.refusal_lines()):
+                self._connections.discard(connection)
+                self.refused += 1
+                return True
+        return False
+
     def _scan(self) -> None:
         now = self._clock.monotonic()
         if now < self._next_scan_at:
             return
         latest = now - MIN_IDLE_TIME
-        idle = [(c.idle_since, c) for c in self._connections if c.idle_since <= latest]
-        self._idle = sorted(idle, key=lambda entry: -entry[0])
-        if not idle:
-            self._next_scan_at = now + SCAN_PAUSE
+        idle = [(since, c) for c in self._connections if (since := c.idle_since) <= latest]
+        self._idle = sorted(idle, key=itemgetter(0), reverse=True)
+        self._next_scan_at = now + SCAN_PAUSE
--- a/packages/thorntray/src/thorntray/internal/connection/http_server.py
+++ b/packages/thorntray/src/thorntray/internal/connection/http_server.py
@@ -20,10 +20,15 @@
 
 import httptools
 
-from thorntray.internal.connection.connection_bound import ConnectionBound
+from thorntray.internal.connection.connection_bound import SURPLUS_TIMEOUT, ConnectionBound
 from thorntray.internal.connection.connection_end import Linger, unacknowledged_bytes
 from thorntray.internal.connection.exchange import Exchange
-from thorntray.internal.connection.http_request import ClosedBy, HttpRequest, RequestLimits
+from thorntray.internal.connection.http_request import (
+    ClosedBy,
+    HttpRequest,
+    RequestLimits,
+    expects_continue,
+)
 from thorntray.internal.connection.output_watch import OutputWatch
 from thorntray.internal.connection.request_bodies import HeldBytes, IncomingRequest
 from thorntray.internal.process.clock import Clock
@@ -33,17 +38,12 @@
 TIMEOUT_CHECK_PERIOD = 0.5  # seconds between checks for slow and idle connections
 LISTEN_BACKLOG = 1024  # connections waiting to be accepted
 
-_METHODS_WITHOUT_BODY = frozenset({b"GET", b"HEAD", b"DELETE", b"OPTIONS"})
 _CONTINUE = b"HTTP/1.1 100 Continue\r\n\r\n"
 
 ExchangeHandler = Callable[[Exchange], None]
 UnansweredHandler = Callable[[Exchange, ClosedBy], None]
 
 
-def _ignore_unanswered(exchange: Exchange, closed_by: ClosedBy) -> None:
-    """Do nothing."""
-
-
 class HttpServer:
     """An HTTP server on one address, with its open connections and the limits for requests."""
 
@@ -56,7 +56,7 @@
         self.connections: set[HttpServerConnection] = set()
         self.bound = ConnectionBound(self.connections, clock)
         self.requests_read = 0  # complete requests, since the start
-        self.on_unanswered: UnansweredHandler = _ignore_unanswered
+        self.on_unanswered: UnansweredHandler = lambda exchange, closed_by: None
         self._server: asyncio.Server | None = None
 
     async def start(self, host: str, port: int) -> None:
@@ -115,18 +115,18 @@
         self._last_active_at = server.clock.monotonic()
         self._receiving_since: float | None = None  # arrival of the first byte of a request
         self._last_request_read = False  # whether later requests on the connection are ignored
-        self._one_request = False  # whether the connection exceeds the bound of the server
+        self.one_request = False  # whether the connection exceeds the bound of the server
         self._reading_paused = False
         self._writing_paused = False
         self._linger: Linger | None = None  # once the output has ended
         self._output_watch = OutputWatch(server.limits.idle_timeout, self._last_active_at)
         self._incoming = IncomingRequest()
+        self._continue_due = False  # whether the caller waits for `100 Continue`
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Register the connection with the server."""
         self._transport = transport  # uvloop's transport is not a subclass of asyncio.Transport
-        peer = transport.get_extra_info("peername")
-        self.peer_host = peer[0] if peer else ""
+        self.peer_host = (transport.get_extra_info("peername") or ("",))[0]
         self.server.connections.add(self)
         self.server.bound.accept(self)
 
@@ -175,6 +175,7 @@
         """Start a new request."""
         self._receiving_since = self.server.clock.monotonic()
         self._incoming = IncomingRequest()
+        self._continue_due = False
 
     def on_url(self, target: bytes) -> None:
         """Append a part of the request target."""
@@ -190,30 +191,33 @@
 
     def on_headers_complete(self) -> None:
         """Refuse a request for which there is no room; send `100 Continue` if it is expected."""
-        if self._one_request and not self._last_request_read:
-            if self.server.bound.refuses(
-                self.peer_host, self._incoming.target, self._incoming.headers
-            ):
-                self._reject(503, self.server.bound.refusal_lines())
+        incoming, bound = self._incoming, self.server.bound
         if self._last_request_read:
             return
-        incoming = self._incoming
+        if self.one_request and bound.refuses(self.peer_host, incoming.target, incoming.headers):
+            self._reject(HTTPStatus.SERVICE_UNAVAILABLE, bound.refusal_lines())
+            return
         if incoming.content_length > self.server.limits.body_bytes:
             self._reject(413)
             return
         if not self._admit(incoming.header_bytes + incoming.content_length):
             return
-        if self._parser.get_method() in _METHODS_WITHOUT_BODY:
-            return
-        for name, value in self._incoming.headers:
-            if name.lower() == b"expect" and value.lower() == b"100-continue":
-                if not self.pending and self._transport is not None:
-                    self._transport.write(_CONTINUE)
+        self._continue_due = expects_continue(self._parser.get_method(), incoming.headers)
+        if self._continue_due:
+            self._send_continue()
+
+    def _send_continue(self) -> None:
+        """Send `100 Continue`; behind pending requests it would be out of order."""
+        transport = self._transport
+        if transport is not None and not self.pending and not transport.is_closing():
+            self._continue_due = False
+            transport.write(_CONTINUE)
 
     def on_body(self, body: bytes) -> None:
         """Append a part of the body."""
         if self._last_request_read:
             return
+        self._continue_due = False
         self._incoming.add_body(body)
         if self._incoming.body_bytes > self.server.limits.body_bytes:
             self._reject(413)
@@ -234,13 +238,14 @@
         if self._last_request_read:
             return
         self._receiving_since = None
+        self._continue_due = False
         target, headers = self._incoming.target, self._incoming.headers
         body = self._incoming.take_body()
         request = HttpRequest(self._parser.get_method(), target, headers, body)
         exchange = Exchange(self, request)
         self.held.hand_over(self._incoming, exchange)
         exchange.keep_alive = self._parser.should_keep_alive()
-        exchange.last = self._last_request_read = self._one_request
+        exchange.last = self._last_request_read = self.one_request
         self.server.requests_read += 1
         self.pending.append(exchange)
         self._update_reading()
@@ -276,6 +281,8 @@
                 self._cancel_pending(ClosedBy.NODE)
                 self._close_after_response(transport, closed_by_caller=not exchange.keep_alive)
                 return
+        if self._continue_due:
+            self._send_continue()
         self._update_reading()
 
     def _close_after_response(self, transport: asyncio.Transport, closed_by_caller: bool) -> None:
@@ -314,13 +321,12 @@
         ended = self._linger is not None
         if self._output_watch.is_stalled(transport, limits.idle_timeout, now, ended):
             transport.abort()
-            return
-        if self._linger is not None:
+        elif self._linger is not None:
             if self._linger.is_over(now) and not self.untaken_bytes:
                 transport.close()
-            return
-        if self._receiving_since is not None and not self.pending:
-            if now - self._receiving_since > limits.header_timeout and not self._last_request_read:
+        elif self._receiving_since is not None and not self.pending:
+            timeout = min(limits.header_timeout, SURPLUS_TIMEOUT if self.one_request else inf)
+            if now - self._receiving_since > timeout and not self._last_request_read:
                 self._reject(408)
         elif not self.pending and now - self._last_active_at > limits.idle_timeout:
             self.close_if_idle()
@@ -336,14 +342,13 @@
         in_use = self.pending or self._receiving_since is not None or self._linger is not None
         return inf if in_use or self.unsent_bytes else self._last_active_at
 
-    def limit_to_one_request(self) -> None:
-        """Close the connection with the response to its first request."""
-        self._one_request = True
-
-    def close_unread(self) -> None:
-        """Close the connection before anything is read from it."""
-        if self._transport is not None:
-            self._transport.close()
+    def displace(self, header_lines: bytes) -> bool:
+        """Refuse a request whose head has not arrived, and close; return False if it has."""
+        if self.pending or self._last_request_read or self._transport is None:
+            return False
+        self._reject(503, header_lines)
+        self._transport.close()
+        return True
 
     def _reject(self, status: int, header_lines: bytes = b"") -> None:
         """Respond to a request that was not fully read, and close the connection afterwards."""
