--- a/soak/clients.py
+++ b/soak/clients.py
@@ -68,6 +68,7 @@
     number of requests sent before it on its connection and not answered then. `time_limit` is in
     seconds: the longest timeout of the routes of this request and of those before it. `key` is the
     API key, empty without one. `body_bytes` is the size of a large body, 0 for the usual one.
+    `read_time` is the time in seconds in which a caller of a bounded rate can read the answers.
     """
 
     sent_at: float
@@ -85,6 +86,7 @@
     time_limit: float
     key: str = ""
     body_bytes: int = 0
+    read_time: float = 0.0
 
 
 class CallerRequest(NamedTuple):
--- a/soak/heavy_load.py
+++ b/soak/heavy_load.py
@@ -202,6 +202,8 @@
 
     def _record(self, node: str, boot: int, exchange: HeavyExchange) -> None:
         ended_at = time.monotonic()
+        total = sum(heavy.answer_bytes for heavy in exchange.requests)
+        read_time = total / exchange.read_rate if exchange.read_rate else 0.0
         for position, heavy in enumerate(exchange.requests[: max(1, exchange.sent)]):
             answer = heavy.answer or Answer(heavy.head_at or ended_at, ended_at, 0, False)
             # The time in which the caller read the answers before this one is its own.
@@ -230,6 +232,7 @@
                     ),
                     key=heavy.request.key,
                     body_bytes=heavy.body_bytes,
+                    read_time=read_time,
                 )
             )
 
--- a/soak/lost_answers.py
+++ b/soak/lost_answers.py
@@ -60,7 +60,7 @@
         cut = Cut(attempt, runs_by_request.get(attempt.request_id, []))
         if _broke_off(cut.runs) or not _undisturbed(observation, cut):
             continue
-        if attempt.end is AttemptEnd.CLOSED:
+        if attempt.end is AttemptEnd.CLOSED and not _read_beyond_its_time(attempt):
             cuts.append(cut)
         elif _broken_off_in_stop(observation, cut):
             yield _violation(observation, cut, f"got {attempt.status} of the node's own")
@@ -118,6 +118,11 @@
     return at - attempt.sent_at >= min(attempt.time_limit, DEADLINE_MS / 1000)
 
 
+def _read_beyond_its_time(attempt: Attempt) -> bool:
+    """Return whether a caller with a bounded rate was still reading after the request's time."""
+    return attempt.read_time > 0 and _time_used_up(attempt, attempt.ended_at)
+
+
 def _broken_off_in_stop(observation: Observation, cut: Cut) -> bool:
     """Return whether a stopping node answered for a worker that was at work on the request."""
     attempt, stop = cut.attempt, observation.stop_during(cut.attempt)
--- a/tests/test_explain_holder.py
+++ b/tests/test_explain_holder.py
@@ -99,3 +99,10 @@
     assert list(holder_lines(tmp_path, violations)) == [
         "30 requests: held last by a process that was killed for its memory"
     ]
+
+
+def test_a_request_without_a_line_is_traced_to_the_output_that_its_node_had_not_sent(tmp_path):
+    lines = [stopped(unsent=0), stopped(node="n2", unsent=7), stopped(unsent=11832908)]
+    (tmp_path / "n1.log").write_text("\n".join(lines), "utf-8")
+    (line,) = holder_lines(tmp_path, ["LOST: s7-h12 (views, position 0) at n1 got no answer"])
+    assert line.endswith("the output of n1 had 11832908 bytes of answers as it stopped")
--- a/tests/test_soak_lost_answers.py
+++ b/tests/test_soak_lost_answers.py
@@ -233,3 +233,12 @@
     assert broken_off(observe(answer, stops=(), faults=[reset], **at_work)) == []
     late = own_answer(duration=LOOKUP.timeout)
     assert broken_off(observe(late, stops=(), running=True)) == []
+
+
+def test_a_slow_reader_counts_until_the_time_of_its_request_is_over():
+    """The rule excepts a request whose time budget or route's timeout was reached."""
+    slow = closed_attempt(duration=LOOKUP.timeout - 0.1, read_time=5.0)
+    assert lost_lines(slow)
+    over = closed_attempt(duration=LOOKUP.timeout + 0.1, read_time=5.0)
+    assert not lost_lines(over)
+    assert lost_lines(over._replace(read_time=0.0))
