The log tells who held a request that a stop has ended

REQUEST_UNANSWERED said that a connection was closed before the answer, not where the request was; the requests that a stop ends with DRAINING did not tell it either. Both have the field `held_by` now: parser, origin, link, owner, instance or output (request/request_holder.py). It is computed only when a stop ends requests or a node closes a connection with requests pending.

Found with it: what a caller sends behind its own 'Connection: close' was logged as a request without an ID that was not answered. It is no request, and is now discarded without a line. The connection then ends its output first and discards input, as after any other last answer, since closing it with unread input would cut the answer. During a stop this holds for every caller with 'Connection: close', so their answers in the kernel count as unsent, too.

--- a/packages/thorntray-node/src/thorntray_node/mesh_node.py
+++ b/packages/thorntray-node/src/thorntray_node/mesh_node.py
@@ -406,7 +406,8 @@
         self.metrics.caller_refused(reason)
 
     def _request_unanswered(self, exchange: Exchange, closed_by: ClosedBy) -> None:
-        self.log.unanswered(self._request_id(exchange), closed_by)
+        held_by = self.origin.holder_of(exchange)
+        self.log.unanswered(self._request_id(exchange), closed_by, held_by)
         self.metrics.request_unanswered(closed_by.value)
 
     def _request_id(self, exchange: Exchange) -> bytes:
--- a/packages/thorntray/src/thorntray/internal/connection/http_server.py
+++ b/packages/thorntray/src/thorntray/internal/connection/http_server.py
@@ -285,17 +285,17 @@
             if not keep_alive:
                 self._last_request_read = True
                 self._cancel_pending(ClosedBy.NODE)
-                self._close_after_response(transport, closed_by_caller=not exchange.keep_alive)
+                self._close_after_response(transport, exchange.keep_alive or last)
                 return
         self._update_reading()
 
-    def _close_after_response(self, transport: asyncio.Transport, closed_by_caller: bool) -> None:
+    def _close_after_response(self, transport: asyncio.Transport, lingers: bool) -> None:
         """Close the connection so that the caller can read the response.
 
         Closing with unread input resets the connection, which may discard the response. Unless
         the caller itself sends nothing more, only the output is ended, and input is discarded.
         """
-        if closed_by_caller:
+        if not lingers:
             transport.close()
             return
         self._linger = Linger(self.server.clock.monotonic())
@@ -337,8 +337,14 @@
             self._transport.close()
 
     def _reject(self, status: int) -> None:
-        """Respond to a request that was not fully read, and close the connection afterwards."""
+        """Respond to a request that was not fully read, and close the connection afterwards.
+
+        What a caller sends behind a request that closes the connection is no request.
+        """
         self._last_request_read = True
+        if self.pending and not self.pending[-1].keep_alive:
+            self.pending[-1].last = True
+            return
         request = HttpRequest(b"GET", self._target, [], b"")
         exchange = Exchange(self, request)
         exchange.last = True
@@ -351,7 +357,7 @@
         if self.pending:
             self.pending[-1].last = True
         elif self._transport is not None and not self._transport.is_closing():
-            self._close_after_response(self._transport, closed_by_caller=False)
+            self._close_after_response(self._transport, lingers=True)
 
     def _cancel_pending(self, closed_by: ClosedBy) -> None:
         pending, self.pending = self.pending, deque()
--- a/packages/thorntray/src/thorntray/internal/request/origin.py
+++ b/packages/thorntray/src/thorntray/internal/request/origin.py
@@ -16,6 +16,7 @@
 )
 from thorntray.internal.request.origin_request import STOPPING_RETRY_AFTER, OriginRequest
 from thorntray.internal.request.quotas import QuotaReason, QuotaRefusal, WaitingRequest
+from thorntray.internal.request.request_holder import Holder, holder_of_exchange
 from thorntray.internal.version.policy import Policy, Route
 from thorntray.internal.version.workspaces import Workspace
 
@@ -155,6 +156,12 @@
             case IdentityRefusal.MISSING_KEY | IdentityRefusal.UNKNOWN_KEY:
                 exchange.respond(UNAUTHORIZED, _CHALLENGE, b"")
 
+    def holder_of(self, exchange: Exchange) -> Holder:
+        """Return who holds an exchange that has not been answered."""
+        active = self._context.active
+        request = next((each for each in active if each.exchange is exchange), None)
+        return holder_of_exchange(exchange, request)
+
     def end_all(self) -> int:
         """End all requests now, as their node stops; returns their number."""
         waiting = self._deps.quotas.end_all(STOPPING_RETRY_AFTER)
--- a/packages/thorntray/src/thorntray/internal/request/origin_request.py
+++ b/packages/thorntray/src/thorntray/internal/request/origin_request.py
@@ -19,6 +19,7 @@
 from thorntray.internal.request.fingerprint import fingerprint
 from thorntray.internal.request.origin_context import OriginContext, RequestHead
 from thorntray.internal.request.owner_request import OwnerRequest
+from thorntray.internal.request.request_holder import Holder, holder_of_request
 from thorntray.internal.request.result import (
     NO_REPORT,
     Cause,
@@ -75,6 +76,7 @@
         "return_after",
         "fingerprint",
         "suspected",
+        "held_by",
     )
 
     def __init__(
@@ -118,6 +120,7 @@
         self.finished = False
         self.fingerprint: int | None = None  # only while there are suspects
         self.suspected = False  # whether an instance had crashed with it before the last send
+        self.held_by: Holder | None = None  # who held it when the stop of this node ended it
 
     def start(self) -> None:
         """Decide on admission and start the first attempt."""
@@ -179,6 +182,7 @@
 
     def end_for_stop(self) -> None:
         """End the request because this node stops, as not run only if that is certain."""
+        self.held_by = holder_of_request(self)
         sent = self._cancel_attempt()
         if sent or self.maybe_ran:
             self.finish(unknown(Cause.DRAINING))
--- a/packages/thorntray/src/thorntray/internal/request/request_log.py
+++ b/packages/thorntray/src/thorntray/internal/request/request_log.py
@@ -11,6 +11,7 @@
 from thorntray.internal.process.clock import Clock
 from thorntray.internal.request.origin_context import RequestHead
 from thorntray.internal.request.origin_request import OriginRequest
+from thorntray.internal.request.request_holder import Holder
 from thorntray.internal.request.result import Cause, Result, ResultKind
 from thorntray.internal.telemetry.events import (
     MAX_REQUEST_LINES_PER_SECOND,
@@ -48,6 +49,8 @@
             fields["share"] = round(deps.admission.shares.get(req.route_key, 1.0), 3)
         if result.cause in (Cause.BLOCKED, Cause.CRASHED) and req.fingerprint is not None:
             fields["fingerprint"] = f"{req.fingerprint:016x}"
+        if req.held_by is not None:
+            fields["held_by"] = req.held_by.value
         if req.parent is not None:
             fields["parent"] = req.parent.request_id.decode("latin-1")
         log_event(
@@ -81,13 +84,14 @@
             policy=policy,
         )
 
-    def unanswered(self, request_id: bytes, closed_by: ClosedBy) -> None:
+    def unanswered(self, request_id: bytes, closed_by: ClosedBy, held_by: Holder) -> None:
         """Log a request whose connection this node ended before the answer."""
         if closed_by is not ClosedBy.CALLER:
             log_event(
                 Event.REQUEST_UNANSWERED,
                 id=request_id.decode("latin-1"),
                 closed_by=closed_by.value,
+                held_by=held_by.value,
             )
 
     def retried(self, req: OriginRequest, result: Result, paid: bool) -> None:
@@ -108,6 +112,10 @@
         """Log a request finished at its owner; `seconds` is its time at this node."""
         if not _should_log(call.request_id, result):
             return
+        fields: dict[str, object] = {}
+        if result.cause is Cause.DRAINING:
+            sent = result.kind is ResultKind.UNKNOWN
+            fields["held_by"] = (Holder.INSTANCE if sent else Holder.OWNER).value
         log_event(
             Event.REQUEST_ENDED,
             id=call.request_id.decode("latin-1"),
@@ -122,6 +130,7 @@
             in_flight=result.report.in_flight,
             limit=result.report.limit,
             failing=round(result.report.failure_rate, 3),
+            **fields,
         )
 
 
