A stop asks the kernel only for connections with output not yet taken

The count of unacknowledged output took 17 to 51 ms for 1,500 idle connections (10 to 30 us each, most of it in uvloop's get_extra_info) at each poll of a stop, every 50 ms. A connection whose output was all taken is not asked again until the next write: 18.7 ms at the first count, 0.6 to 5.7 ms at later ones, on a busy machine.

--- a/packages/thorntray/src/thorntray/internal/connection/connection_end.py
+++ b/packages/thorntray/src/thorntray/internal/connection/connection_end.py
@@ -50,6 +50,29 @@
         return now - self._changed_at
 
 
+class UntakenOutput:
+    """Counts the output of one connection that its caller has not acknowledged.
+
+    `possible` is set with each write. The kernel is not asked again once all was taken, as the call
+    takes 10 to 20 us and a server may have thousands of idle connections.
+    """
+
+    __slots__ = ("possible",)
+
+    def __init__(self) -> None:
+        self.possible = False
+
+    def count(
+        self, transport: asyncio.BaseTransport, unsent_bytes: int, answered_at: float, now: float
+    ) -> int:
+        """Return the bytes; times in monotonic seconds, as for `unacknowledged_bytes`."""
+        if not self.possible:
+            return 0
+        held = unacknowledged_bytes(transport, answered_at, now)
+        self.possible = bool(held or unsent_bytes)
+        return held + unsent_bytes
+
+
 def unacknowledged_bytes(transport: asyncio.BaseTransport, answered_at: float, now: float) -> int:
     """Return the bytes of output that the kernel holds, as the caller has not acknowledged them.
 
--- a/packages/thorntray/src/thorntray/internal/connection/http_server.py
+++ b/packages/thorntray/src/thorntray/internal/connection/http_server.py
@@ -19,11 +19,7 @@
 
 import httptools
 
-from thorntray.internal.connection.connection_end import (
-    Linger,
-    OutputProgress,
-    unacknowledged_bytes,
-)
+from thorntray.internal.connection.connection_end import Linger, OutputProgress, UntakenOutput
 from thorntray.internal.connection.http_request import (
     ClosedBy,
     Header,
@@ -162,6 +158,7 @@
         self._last_request_read = False  # whether later requests on the connection are ignored
         self._reading_paused = False
         self._writing_paused = False
+        self._untaken = UntakenOutput()
         self._linger: Linger | None = None  # once the output has ended
         self._output_progress = OutputProgress(server.clock.monotonic())
         self._reset_message()
@@ -203,7 +200,7 @@
         if self._transport is None:
             return 0
         now = self.server.clock.monotonic()
-        return self.unsent_bytes + unacknowledged_bytes(self._transport, self._last_active_at, now)
+        return self._untaken.count(self._transport, self.unsent_bytes, self._last_active_at, now)
 
     # Called by the parser.
 
@@ -282,6 +279,7 @@
             last = exchange.last or (self.server.closing and not self.pending)
             keep_alive = exchange.keep_alive and not last
             transport.write(exchange.encode_response(keep_alive))
+            self._untaken.possible = True
             if not keep_alive:
                 self._last_request_read = True
                 self._cancel_pending(ClosedBy.NODE)
