--- a/packages/thorntray/src/thorntray/internal/connection/http_server.py
+++ b/packages/thorntray/src/thorntray/internal/connection/http_server.py
@@ -21,7 +21,7 @@
 import httptools
 
 from thorntray.internal.connection.connection_bound import SURPLUS_TIMEOUT, ConnectionBound
-from thorntray.internal.connection.connection_end import Linger, unacknowledged_bytes
+from thorntray.internal.connection.connection_end import Linger, UntakenOutput
 from thorntray.internal.connection.exchange import Exchange
 from thorntray.internal.connection.http_request import (
     ClosedBy,
@@ -118,6 +118,7 @@
         self.one_request = False  # whether the connection exceeds the bound of the server
         self._reading_paused = False
         self._writing_paused = False
+        self._untaken = UntakenOutput()
         self._linger: Linger | None = None  # once the output has ended
         self._output_watch = OutputWatch(server.limits.idle_timeout, self._last_active_at)
         self._incoming = IncomingRequest()
@@ -167,7 +168,7 @@
         if self._transport is None:
             return 0
         now = self.server.clock.monotonic()
-        return self.unsent_bytes + unacknowledged_bytes(self._transport, self._last_active_at, now)
+        return self._untaken.count(self._transport, self.unsent_bytes, self._last_active_at, now)
 
     # Called by the parser.
 
@@ -276,23 +277,24 @@
             keep_alive = exchange.keep_alive and not last
             exchange.write_response(transport, keep_alive)
             exchange.release_response()
+            self._untaken.possible = True
             if not keep_alive:
                 self._last_request_read = True
                 self._cancel_pending(ClosedBy.NODE)
-                self._close_after_response(transport, closed_by_caller=not exchange.keep_alive)
+                self._close_after_response(transport, exchange.keep_alive or last)
                 return
         if self._continue_due:
             self._send_continue()
         self._update_reading()
 
-    def _close_after_response(self, transport: asyncio.Transport, closed_by_caller: bool) -> None:
+    def _close_after_response(self, transport: asyncio.Transport, lingers: bool) -> None:
         """Close the connection so that the caller can read the response.
 
         Closing with unread input resets the connection, which may discard the response. Unless the
         caller itself sends nothing more and the operating system has taken the response, only the
         output is ended, and input is discarded.
         """
-        if closed_by_caller and not transport.get_write_buffer_size():
+        if not lingers and not transport.get_write_buffer_size():
             transport.close()
             return
         self._incoming.take_body()
@@ -351,11 +353,17 @@
         return True
 
     def _reject(self, status: int, header_lines: bytes = b"") -> None:
-        """Respond to a request that was not fully read, and close the connection afterwards."""
+        """Respond to a request that was not fully read, and close the connection afterwards.
+
+        What a caller sends behind a request that closes the connection is no request.
+        """
         self._last_request_read = True
-        request = HttpRequest(b"GET", self._incoming.target, [], b"")
         self._incoming.take_body()
         self.held.release(self._incoming)
+        if self.pending and not self.pending[-1].keep_alive:
+            self.pending[-1].last = True
+            return
+        request = HttpRequest(b"GET", self._incoming.target, [], b"")
         exchange = Exchange(self, request)
         exchange.last = True
         self.pending.append(exchange)
@@ -367,7 +375,7 @@
         if self.pending:
             self.pending[-1].last = True
         elif self._transport is not None and not self._transport.is_closing():
-            self._close_after_response(self._transport, closed_by_caller=False)
+            self._close_after_response(self._transport, lingers=True)
 
     def _cancel_pending(self, closed_by: ClosedBy) -> None:
         pending, self.pending = self.pending, deque()
--- a/packages/thorntray/src/thorntray/internal/request/origin.py
+++ b/packages/thorntray/src/thorntray/internal/request/origin.py
@@ -19,6 +19,7 @@
 )
 from thorntray.internal.request.origin_request import STOPPING_RETRY_AFTER, OriginRequest
 from thorntray.internal.request.quotas import QuotaReason, QuotaRefusal, WaitingRequest
+from thorntray.internal.request.request_holder import Holder, holder_of_exchange
 from thorntray.internal.version.policy import Policy, Route
 from thorntray.internal.version.workspaces import Workspace
 
@@ -198,6 +199,12 @@
         route = _find_route(policy, head, target)
         return route is not None and context.nested_routes.is_nested(route.name)
 
+    def holder_of(self, exchange: Exchange) -> Holder:
+        """Return who holds an exchange that has not been answered."""
+        active = self._context.active
+        request = next((each for each in active if each.exchange is exchange), None)
+        return holder_of_exchange(exchange, request)
+
     def end_all(self) -> int:
         """End all requests now, as their node stops; returns their number."""
         waiting = self._deps.quotas.end_all(STOPPING_RETRY_AFTER)
