The own interface's links too are given up only if the peer takes no bytes

Cause: a connection between nodes that did not fall to its low mark within 10 s was aborted with all its replies, although its peer took bytes all the time.

Change: it is aborted when the bytes that wait have not become fewer for 10 s (`OutputProgress`).

Tests: with the timeout lowered to 0.5 s, 24 MB to a peer that reads 10 MB a second are cut before the change; a peer that reads nothing is still given up.

--- a/packages/thorntray/src/thorntray/internal/connection/peer.py
+++ b/packages/thorntray/src/thorntray/internal/connection/peer.py
@@ -17,6 +17,7 @@
 from absl import logging
 
 from thorntray.errors import BadMessage, PeerLost, PeerUnreachable
+from thorntray.internal.connection.connection_end import OutputProgress
 from thorntray.internal.connection.message import (
     MAX_MESSAGE_BYTES,
     Message,
@@ -24,6 +25,7 @@
     decode,
     encode,
 )
+from thorntray.internal.connection.peer_watch import LostReason
 from thorntray.internal.membership.member import Member
 from thorntray.internal.process.clock import Clock
 from thorntray.internal.process.tasks import BackgroundTasks
@@ -36,7 +38,8 @@
 MAX_CONNECTIONS = 2500  # accepted from peers
 MAX_REQUESTS_IN_FLIGHT = 4000  # from all peers together
 WRITE_BUFFER_LIMIT = 8 * 1024 * 1024  # unsent bytes of a connection; beyond it frames wait
-WRITE_TIMEOUT = 10.0  # seconds
+WRITE_TIMEOUT = 10.0  # seconds in which a peer must take some of the bytes that wait
+WRITE_CHECK_PERIOD = 1.0  # seconds
 
 Handler = Callable[[Message], Awaitable[Message]]
 
@@ -56,7 +59,7 @@
 class FrameWriter:
     """Writes the frames of one connection; a frame waits while many bytes are unsent.
 
-    A connection that stays full for `WRITE_TIMEOUT` is aborted.
+    A connection that is full and whose peer takes nothing for `WRITE_TIMEOUT` is aborted.
     """
 
     def __init__(self, writer: asyncio.StreamWriter) -> None:
@@ -81,14 +84,32 @@
 
     async def _wait_for_space(self) -> None:
         try:
-            async with self._lock, asyncio.timeout(WRITE_TIMEOUT):
-                await self._writer.drain()
+            async with self._lock:  # meanwhile nothing is written, so fewer bytes are progress
+                await self._drain()
         except TimeoutError:
-            log_event(Event.LINK_LOST, detail=f"the peer read too slowly for {WRITE_TIMEOUT} s")
+            log_event(
+                Event.LINK_LOST,
+                detail=f"the peer took nothing for {WRITE_TIMEOUT} s",
+                reason=LostReason.NO_PROGRESS.value,
+                unsent=self.unsent_bytes,
+            )
             self._writer.transport.abort()
         except ConnectionError:
             pass  # the reader of the connection reports its end
 
+    async def _drain(self) -> None:
+        """Wait until few bytes are unsent; raises `TimeoutError` if the peer takes none."""
+        loop = asyncio.get_running_loop()
+        progress = OutputProgress(loop.time())
+        while True:
+            try:
+                async with asyncio.timeout(WRITE_CHECK_PERIOD):
+                    await self._writer.drain()
+                return
+            except TimeoutError:
+                if progress.stalled_for(self.unsent_bytes, loop.time()) > WRITE_TIMEOUT:
+                    raise
+
 
 def _disable_nagle(writer: asyncio.StreamWriter) -> None:
     sock = writer.get_extra_info("socket")
--- a/tests/test_peer_frames.py
+++ b/tests/test_peer_frames.py
@@ -1,13 +1,20 @@
 """Tests over real sockets that no reply between nodes is lost to its size."""
 
 import asyncio
+import socket
+import threading
+import time
 from contextlib import asynccontextmanager
 from random import Random
 
+import pytest
+
 from standins.fleet import HOST, free_port
 from tests.builders import make_member
+from tests.link_builders import read_slowly
+from thorntray.internal.connection import peer
 from thorntray.internal.connection.message import Call, body_digest
-from thorntray.internal.connection.peer import PeerLinks, PeerListener
+from thorntray.internal.connection.peer import FrameWriter, PeerLinks, PeerListener
 from thorntray.internal.connection.reply import reply_from_attempt
 from thorntray.internal.process.clock import SystemClock
 from thorntray.internal.request.ingress import MAX_BODY_BYTES
@@ -73,3 +80,47 @@
             return len(listener._connections)
 
     assert asyncio.run(scenario()) == 1
+
+
+@pytest.fixture
+def short_timeout(monkeypatch):
+    """Give up a peer after 0.5 s, so that a slow reader takes longer than that."""
+    monkeypatch.setattr(peer, "WRITE_TIMEOUT", 0.5)
+    monkeypatch.setattr(peer, "WRITE_CHECK_PERIOD", 0.1, raising=False)
+
+
+def write_frames(read):
+    """Write 24 MB in frames to a peer that reads by `read`; return whether it was kept."""
+
+    async def scenario():
+        near, far = socket.socketpair()
+        near.setblocking(False)
+        threading.Thread(target=read, args=(far,), daemon=True).start()
+        _, writer = await asyncio.open_connection(sock=near)
+        frames = FrameWriter(writer)
+        async with asyncio.timeout(15):
+            for number in range(6):
+                await frames.write(number, bytes(4_000_000))
+            while frames.unsent_bytes and not writer.is_closing():
+                await asyncio.sleep(0.02)
+        kept = not writer.is_closing()
+        writer.transport.abort()
+        far.close()
+        return kept
+
+    return asyncio.run(scenario())
+
+
+def test_a_peer_that_reads_slowly_gets_all_frames(short_timeout):
+    # Failure: the connection is aborted with all replies, while its peer takes bytes.
+    def read_all(far):
+        while read_slowly(far):
+            pass
+
+    assert write_frames(read_all)
+
+
+def test_a_peer_that_reads_nothing_is_given_up(short_timeout):
+    began = time.monotonic()
+    assert not write_frames(lambda far: None)
+    assert time.monotonic() - began < 2.0
