An answer that was passed on is counted there before the next one is read

Cause: the end of an answer resumed the next one at once, before the first was counted as unsent, so one answer too many was under way; and the origin then refused to keep an answer of its own instance, for which the pool had already waited.

Change: paused answers resume after the ended one was passed on; the origin's bound is for answers of peers only.

Tests: test_an_answer_that_was_passed_on_is_counted_there_before_the_next_one_is_read failed before.

--- a/packages/thorntray-node/src/thorntray_node/memory_bounds.py
+++ b/packages/thorntray-node/src/thorntray_node/memory_bounds.py
@@ -40,8 +40,7 @@
     def review(self) -> None:
         """Update what changes with time; to be called several times a second."""
         self._memory.review()
-        if self._pool.held.paused:
-            self._pool.held.resume()
+        self._pool.held.resume()
         # Answers to slow callers take the same memory, and are released later than requests.
         now = self._clock.monotonic()
         self._hold_time.observe(self._memory.held, self._held.released, now)
--- a/packages/thorntray/src/thorntray/internal/connection/instance_pool.py
+++ b/packages/thorntray/src/thorntray/internal/connection/instance_pool.py
@@ -84,6 +84,7 @@
         """Close the connection at once without calling the request's handler."""
         self._on_response = None
         self._close()
+        self._pool.held.resume()
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Store the transport; asyncio already disables Nagle's algorithm."""
@@ -195,12 +196,12 @@
             self._pool.release(self)
         else:
             self._close()
-        if on_response is None:
-            return
-        try:
-            on_response(response or fault or ResponseFault.LOST)
-        except Exception:  # this connection may already carry the next request
-            log_handler_failure(id=request_id.decode("latin-1"))
+        if on_response is not None:
+            try:
+                on_response(response or fault or ResponseFault.LOST)
+            except Exception:  # this connection may already carry the next request
+                log_handler_failure(id=request_id.decode("latin-1"))
+        self._pool.held.resume()
 
     def pause_reading(self) -> None:
         """Leave the rest of the response with the instance for now."""
--- a/packages/thorntray/src/thorntray/internal/connection/response_bounds.py
+++ b/packages/thorntray/src/thorntray/internal/connection/response_bounds.py
@@ -135,11 +135,14 @@
             self.total -= counted
         if bounds.paused:
             self._resume(bounds)
-        if self.paused:
-            self.resume()
 
     def resume(self) -> None:
-        """Resume reading of the bodies for which there is room; to be called regularly, too."""
+        """Resume reading of the bodies for which there is room.
+
+        To be called regularly, and when a body that was removed is counted where it went.
+        """
+        if not self.paused:
+            return
         for bounds in [bounds for bounds in self._bounds if bounds.paused]:
             if not self._may_read(bounds):
                 return
--- a/packages/thorntray/src/thorntray/internal/request/origin_request.py
+++ b/packages/thorntray/src/thorntray/internal/request/origin_request.py
@@ -380,14 +380,19 @@
         self.owner_request = self.link = None
         self._record_result(member, result, now)
         if result.kind is ResultKind.ANSWERED and not self._should_retry_answer(result):
-            self.finish(self._within_memory(result))
+            self.finish(self._within_memory(member, result))
         else:
             self._handle_failed_attempt(result, now)
 
-    def _within_memory(self, result: Result) -> Result:
-        """Return the result, or `TOO_LARGE` if the process would be killed for keeping its body."""
+    def _within_memory(self, member: Member, result: Result) -> Result:
+        """Return the result, or `TOO_LARGE` if the process would be killed for keeping its body.
+
+        An answer of the own instance was only read when there was room for it.
+        """
         deps, count = self.context.deps, len(result.body)
-        if count <= COPIED_BODY_BYTES or deps.memory.can_keep(count):
+        if count <= COPIED_BODY_BYTES or member.name == deps.own_name:
+            return result
+        if deps.memory.can_keep(count):
             return result
         deps.on_answer_dropped(self.head.request_id, self.route_key, count)
         return unknown(Cause.TOO_LARGE)
--- a/tests/test_answers_in_memory.py
+++ b/tests/test_answers_in_memory.py
@@ -33,6 +33,7 @@
     """A connection that receives an answer, without I/O."""
 
     def __init__(self, held):
+        self.held = held
         self.reading = True
         self.faulty = False
         self.bounds = ResponseBounds(held, self)
@@ -40,7 +41,11 @@
 
     def end_as_faulty(self):
         self.faulty = True
+        self.end()
+
+    def end(self):
         self.bounds.release()
+        self.held.resume()
 
     def pause_reading(self):
         self.reading = False
@@ -66,7 +71,7 @@
         assert memory.held <= memory.limit
         assert readers[done].reading
         readers[done].bounds.add_body(ANSWER)
-        readers[done].bounds.release()
+        readers[done].end()
     assert (held.total, held.paused) == (0, 0)
 
 
@@ -81,12 +86,28 @@
             reader.bounds.add_body(MIB)
             if reader.bounds.body >= ANSWER:
                 unfinished.remove(reader)
-                reader.bounds.release()
+                reader.end()
         most_paused = max(most_paused, held.paused)
         assert memory.held <= memory.limit + ANSWER + 8 * MIB
     assert (held.total, held.paused) == (0, 0) and most_paused > 0
 
 
+def test_an_answer_that_was_passed_on_is_counted_there_before_the_next_one_is_read():
+    memory, held = make_pool()
+    unsent = 0
+    memory.add_source("unsent", lambda: unsent)
+    readers = [Reader(held) for _ in range(4)]
+    for reader in readers:
+        reader.bounds.announce_body(ANSWER)
+    readers[0].bounds.release()
+    unsent = ANSWER
+    held.resume()
+    assert not readers[3].reading
+    unsent = 0
+    held.resume()
+    assert readers[3].reading
+
+
 def test_a_full_budget_of_requests_does_not_stop_all_answers():
     memory, held = make_pool()
     memory.add_source("requests", lambda: memory.limit, leaving=False)
@@ -94,7 +115,7 @@
     first.bounds.announce_body(ANSWER)
     second.bounds.announce_body(ANSWER)
     assert first.reading and not second.reading
-    first.bounds.release()
+    first.end()
     assert second.reading
 
 
@@ -185,8 +206,10 @@
     assert 0 < most <= memory.limit and memory.held == 0
 
 
-def play_slow_readers(callers, pause, size):
-    """Send requests, `pause` seconds apart, whose answers are read only after all have come.
+def play_slow_readers(callers, size, one_by_one):
+    """Send requests, whose answers are read only after all have come.
+
+    With `one_by_one`, each is sent after the node has written the answer to the one before.
 
     Returns the statuses, the most bytes that the origin held, its budget and its metrics.
     """
@@ -205,7 +228,11 @@
             reader, writer = await asyncio.open_connection(*node.cfg.callers, limit=1024)
             writer.write(request_bytes(b"GET", "/payouts/1", f"id-{number}", 5000))
             ends.append((reader, writer))
-            await asyncio.sleep(pause)
+            while one_by_one and (node.callers.requests_read <= number or node.callers.active):
+                if node.metrics.exposition().count(b'refusals_total{side="origin"}'):
+                    break  # a refused request is never read
+                await asyncio.sleep(0.02)
+            node.memory.review()
         for _ in range(40):
             most = max(most, node.memory.held)
             await asyncio.sleep(0.05)
@@ -223,14 +250,14 @@
 
 
 def test_answers_to_callers_that_do_not_read_have_later_requests_refused():
-    statuses, most, memory, _ = play_slow_readers(callers=14, pause=0.25, size=6 * MIB)
+    statuses, most, memory, _ = play_slow_readers(callers=14, size=6 * MIB, one_by_one=True)
     assert statuses[0] == b"200" and statuses[-1] == b"503"
     assert set(statuses) == {b"200", b"503"}
     assert most <= memory.limit * KEPT_ANSWERS_RATIO
 
 
 def test_answers_of_peers_that_all_come_at_once_do_not_fill_the_process():
-    statuses, most, memory, metrics = play_slow_readers(callers=6, pause=0, size=12 * MIB)
+    statuses, most, memory, metrics = play_slow_readers(callers=6, size=12 * MIB, one_by_one=False)
     assert set(statuses) == {b"200", b"502"}
     assert most <= memory.limit * KEPT_ANSWERS_RATIO
     dropped = statuses.count(b"502")
