--- a/packages/thorntray/src/thorntray/internal/connection/http_server.py
+++ b/packages/thorntray/src/thorntray/internal/connection/http_server.py
@@ -30,7 +30,12 @@
     expects_continue,
 )
 from thorntray.internal.connection.output_watch import OutputWatch
-from thorntray.internal.connection.request_bodies import HeldBytes, IncomingRequest
+from thorntray.internal.connection.request_bodies import (
+    CONTENT_LENGTH,
+    FIELD_SEPARATOR_BYTES,
+    HeldBytes,
+    IncomingRequest,
+)
 from thorntray.internal.process.clock import Clock
 from thorntray.internal.telemetry.events import log_handler_failure
 
@@ -138,7 +143,7 @@
         if self._last_request_read:
             return
         incoming = self._incoming
-        incoming.add_received(len(data))
+        incoming.received += len(data)
         try:
             self._parser.feed_data(data)
         except httptools.HttpParserUpgrade:
@@ -186,8 +191,12 @@
         """Add one header field."""
         if self._last_request_read:
             return
-        self._incoming.add_header(name, value)
-        if self._incoming.header_bytes > self.server.limits.header_bytes:
+        incoming = self._incoming
+        incoming.headers.append((name, value))
+        incoming.header_bytes += len(name) + len(value) + FIELD_SEPARATOR_BYTES
+        if len(name) == len(CONTENT_LENGTH) and name.lower() == CONTENT_LENGTH:
+            incoming.set_length(value)
+        if incoming.header_bytes > self.server.limits.header_bytes:
             self._reject(431)
 
     def on_headers_complete(self) -> None:
@@ -244,7 +253,7 @@
         body = self._incoming.take_body()
         request = HttpRequest(self._parser.get_method(), target, headers, body)
         exchange = Exchange(self, request)
-        self.held.hand_over(self._incoming, exchange)
+        exchange.held_bytes, self._incoming.held_bytes = self._incoming.held_bytes, 0
         exchange.keep_alive = self._parser.should_keep_alive()
         exchange.last = self._last_request_read = self.one_request
         self.server.requests_read += 1
@@ -276,7 +285,6 @@
             last = exchange.last or (self.server.closing and not self.pending)
             keep_alive = exchange.keep_alive and not last
             exchange.write_response(transport, keep_alive)
-            exchange.release_response()
             self._untaken.possible = True
             if not keep_alive:
                 self._last_request_read = True
