--- a/soak/clients.py
+++ b/soak/clients.py
@@ -16,11 +16,11 @@
 from typing import NamedTuple
 
 from soak.routes import NESTED_ONLY
+from standins.http_messages import read_head
 from standins.mesh_fleet import HOST_NAME, MeshFleet, NodeProcess, RouteConfig
 from standins.worker import (
     DEFAULT_BEHAVIOR,
     Endpoint,
-    read_head,
     response_body,
     response_signature,
 )
--- a/soak/heavy_load.py
+++ b/soak/heavy_load.py
@@ -22,11 +22,11 @@
     connect,
 )
 from soak.plan import Fault, FaultKind
+from standins.http_messages import read_head
 from standins.mesh_fleet import HOST_NAME, MeshFleet, NodeProcess, RouteConfig
 from standins.worker import (
     BODY_BYTES_HEADER,
     SIZE_QUERY,
-    read_head,
     response_body,
     response_signature,
 )
--- a/standins/worker.py
+++ b/standins/worker.py
@@ -17,6 +17,8 @@
 from random import Random
 from typing import NamedTuple
 
+from standins.http_messages import Endpoint, Response, encode_response, read_message, send_request
+
 HEARTBEAT_PERIOD = 0.5  # seconds
 HEARTBEAT_TIMEOUT = 1.0  # seconds
 CALL_ID_SUFFIX = "-c"  # the id of a nested call is the id of its parent request plus this suffix
@@ -31,13 +33,6 @@
 MIN_SLOW_TIME, MAX_SLOW_TIME = 1.0, 3.0  # seconds that a slow request takes
 
 
-class Endpoint(NamedTuple):
-    """An IP address and a port."""
-
-    host: str
-    port: int
-
-
 class Arrival(NamedTuple):
     """A request that reached a worker.
 
@@ -121,14 +116,6 @@
 DEFAULT_BEHAVIOR = PathBehavior()
 
 
-class Response(NamedTuple):
-    """A complete HTTP response, with header names in lower case."""
-
-    status: int
-    headers: dict[str, str]
-    body: bytes
-
-
 def response_body(request_id: str, size: int = SMALL_BODY_BYTES) -> bytes:
     """Return the response body of `size` bytes that callers expect for a request id."""
     digest = hashlib.sha256(request_id.encode()).hexdigest().encode()
@@ -328,7 +315,7 @@
         if rejection_status:
             self._record.run_ends[index] = RunEnd(now, broke_off=False)
             fields = "X-Not-Executed: 1\r\n" + self._state_fields(request_id)
-            return _encode_response(rejection_status, request_id, b"", fields)
+            return encode_response(rejection_status, request_id, b"", fields)
         self._running += 1
         try:
             status = await self._execute(path, headers, now)
@@ -347,7 +334,7 @@
             return f"HTTP/1.1 200 X\r\nX-Request-Id: {request_id}\r\n{fields}\r\n".encode()
         fields += self._state_fields(request_id)
         body = response_body(request_id, answer_bytes(path, self._behavior(path)))
-        return _encode_response(status, request_id, body, fields)
+        return encode_response(status, request_id, body, fields)
 
     def _state_fields(self, request_id: str) -> str:
         """Return the header lines by which an answer names the limit and the leaving."""
@@ -407,51 +394,8 @@
     outbound: Endpoint
 
 
-async def read_head(reader: asyncio.StreamReader) -> tuple[str, dict[str, str]]:
-    """Read the head of one HTTP message; return its start line and headers.
-
-    Header names are in lower case. Raises `asyncio.IncompleteReadError` if the connection closes
-    first.
-    """
-    head = (await reader.readuntil(b"\r\n\r\n")).decode("latin-1")
-    start_line, *header_lines = head.strip().split("\r\n")
-    headers = {n.lower(): v.strip() for n, _, v in (line.partition(":") for line in header_lines)}
-    return start_line, headers
-
-
-async def read_message(reader: asyncio.StreamReader) -> tuple[str, dict[str, str], bytes]:
-    """Read one HTTP message; return its start line, headers and body.
-
-    A message without Content-Length has no body. Otherwise as `read_head`.
-    """
-    start_line, headers = await read_head(reader)
-    body = await reader.readexactly(int(headers.get("content-length", "0")))
-    return start_line, headers, body
-
-
-async def send_request(
-    endpoint: Endpoint, method: str, path: str, headers: dict[str, str], body: bytes = b""
-) -> Response:
-    """Send one request over a new connection and return the response."""
-    reader, writer = await asyncio.open_connection(*endpoint)
-    try:
-        header_lines = "".join(f"{name}: {value}\r\n" for name, value in headers.items())
-        if body:
-            header_lines += f"Content-Length: {len(body)}\r\n"
-        writer.write(f"{method} {path} HTTP/1.1\r\n{header_lines}\r\n".encode() + body)
-        start_line, fields, content = await read_message(reader)
-        return Response(int(start_line.split(" ")[1]), fields, content)
-    finally:
-        writer.close()
-
-
 async def _send_endlessly(writer: asyncio.StreamWriter) -> None:
     """Send chunks of a body until the other side closes the connection."""
     while True:
         writer.write(ENDLESS_CHUNK)
         await writer.drain()
-
-
-def _encode_response(status: int, request_id: str, body: bytes, header_lines: str) -> bytes:
-    head = f"HTTP/1.1 {status} X\r\nX-Request-Id: {request_id}\r\n{header_lines}"
-    return f"{head}Content-Length: {len(body)}\r\n\r\n".encode() + body
