--- a/standins/worker.py
+++ b/standins/worker.py
@@ -278,8 +278,7 @@
                     if self.listening:
                         await self._die(body)
                     return
-                path = start_line.split(" ")[1]
-                response = await self._handle_request(path, headers, body)
+                response = await self._handle_request(start_line.split(" ")[1], headers, body)
                 if response is None:
                     return
                 writer.write(response)
