A stop is not prolonged by callers that come for a refusal

Cause: a stop waits until callers have acknowledged its answers. Callers without another node come again and again, each refusal is on the way for a moment, and where the kernel does not tell, every answer counts as on the way for 0.25 s: the stop lasts until such callers pause, at most to its limit. Change: output on connections that are accepted while the node only refuses is not waited for. The new test failed before.

--- a/packages/thorntray-node/src/thorntray_node/mesh_node.py
+++ b/packages/thorntray-node/src/thorntray_node/mesh_node.py
@@ -534,6 +534,7 @@
         # Callers send requests until two readiness checks have failed, so this delay is always
         # waited out. The instance serves peers meanwhile, since other nodes may be stopping too.
         await asyncio.sleep(self.drain.accepting_for)
+        self.callers.refusing = True
         self.registration.drain_node()
         requests = RequestDrain(self.drain, self.origin, self.owner, self.callers, self.listener)
         ended = await requests.run()
--- a/packages/thorntray/src/thorntray/internal/connection/http_server.py
+++ b/packages/thorntray/src/thorntray/internal/connection/http_server.py
@@ -58,6 +58,7 @@
         self.limits = RequestLimits()
         self.held = HeldBytes()
         self.closing = False
+        self.refusing = False  # whether new connections get nothing but refusals
         self.connections: set[HttpServerConnection] = set()
         self.bound = ConnectionBound(self.connections, clock)
         self.requests_read = 0  # complete requests, since the start
@@ -123,7 +124,8 @@
         self.one_request = False  # whether the connection exceeds the bound of the server
         self._reading_paused = False
         self._writing_paused = False
-        self._untaken = UntakenOutput()
+        # Callers that come for refusals only, one after the other, must not prolong a stop.
+        self._untaken = None if server.refusing else UntakenOutput()
         self._linger: Linger | None = None  # once the output has ended
         self._output_watch = OutputWatch(server.limits.idle_timeout, self._last_active_at)
         self._incoming = IncomingRequest()
@@ -172,6 +174,8 @@
         """Return the number of response bytes that the caller has not acknowledged yet."""
         if self._transport is None:
             return 0
+        if self._untaken is None:
+            return self.unsent_bytes
         now = self.server.clock.monotonic()
         return self._untaken.count(self._transport, self.unsent_bytes, self._last_active_at, now)
 
@@ -285,7 +289,8 @@
             last = exchange.last or (self.server.closing and not self.pending)
             keep_alive = exchange.keep_alive and not last
             exchange.write_response(transport, keep_alive)
-            self._untaken.possible = True
+            if self._untaken is not None:
+                self._untaken.possible = True
             if not keep_alive:
                 self._last_request_read = True
                 self._cancel_pending(ClosedBy.NODE)
--- a/tests/test_connection_end.py
+++ b/tests/test_connection_end.py
@@ -27,10 +27,11 @@
         return False
 
 
-async def with_closing_server(scenario):
+async def with_closing_server(scenario, refusing=False):
     """Run a scenario with the socket of a caller whose request has been answered, but not read."""
     server = HttpServer(lambda exchange: exchange.respond(200, b"", BODY), SystemClock())
     server.closing = True
+    server.refusing = refusing
     await server.start("127.0.0.1", 0)
     sweeping = asyncio.create_task(server.sweep())
     loop = asyncio.get_running_loop()
@@ -82,6 +83,15 @@
     assert held > len(BODY) // 4 and in_process == 0
 
 
+def test_output_on_connections_that_come_for_refusals_does_not_prolong_a_stop():
+    # Callers without another node come again and again; a stop would last to its limit.
+    async def scenario(server, sock):
+        return server.unsent_bytes
+
+    assert asyncio.run(with_closing_server(scenario)) > 0
+    assert asyncio.run(with_closing_server(scenario, refusing=True)) == 0
+
+
 def test_where_the_kernel_does_not_tell_an_answer_counts_as_taken_after_a_while():
     # A stop must not wait for its limit because a call is not available.
     just_before = ASSUMED_DELIVERY_TIME - 0.01
