A peer that pauses keeps its results; a paused link is read to its end at a stop

Any waiting output was given up after 0.5 s without evidence of life, so that a peer whose process pauses for a second lost results that it could still take. And a link whose reading waits for memory had unread input at the exit: `go_away` resumes it, and what arrives from then on is discarded unparsed.

--- a/packages/thorntray/src/thorntray/internal/connection/link_connection.py
+++ b/packages/thorntray/src/thorntray/internal/connection/link_connection.py
@@ -141,6 +141,8 @@
 
     def data_received(self, data: bytes) -> None:
         """Decode received frames; a malformed stream closes the connection."""
+        if self._going_away:
+            return
         now = self._clock.monotonic()
         self._watch.record_receipt(now)
         try:
@@ -224,11 +226,11 @@
                 self.send(PingFrame())
 
     def go_away(self) -> None:
-        """End the output after what was sent; calls read from now on are never run.
+        """End the output after what was sent; calls that arrive from now on are never run.
 
-        The peer reads the number of the last call before that and closes the connection. It is
-        read until then, since the kernel resets a connection that is closed with unread input, and
-        discards results that the peer has not received.
+        The peer reads the number of the last call before that and closes the connection. Its input
+        is read and discarded until then, since the kernel resets a connection that is closed with
+        unread input, and discards results that the peer has not received.
         """
         if self.lost or self._going_away or self._transport is None:
             return
@@ -237,6 +239,9 @@
         self._going_away = True
         if not (self.lost or self._transport.is_closing()):
             self._transport.write_eof()
+            if self._reading_paused:
+                self._reading_paused = False
+                self._transport.resume_reading()
 
     def abort(self, reason: LostReason = LostReason.CLOSED_HERE) -> None:
         """Close the connection at once."""
@@ -248,9 +253,8 @@
         for frame in self._reader.feed(data):
             match frame:
                 case CallFrame():
-                    if not self._going_away:
-                        self._last_call = frame.number
-                        self._pass_on(frame)
+                    self._last_call = frame.number
+                    self._pass_on(frame)
                 case Hello(sender):
                     self.peer = sender
                     if frame.notices:
@@ -316,7 +320,7 @@
         self._record_output(now)
         if self._reading_paused:
             self._watch.record_receipt(now)
-        if self._watch.output_stalled(now):
+        if self._watch.output_stalled(self.unsent_bytes, now):
             self.abort(LostReason.NO_PROGRESS)
         else:
             self._schedule_output_check()
@@ -337,7 +341,7 @@
 
     def _read_on_if_admitted(self, now: float) -> None:
         """Pause reading while the gate does not admit the frame that is arriving."""
-        if self._gate is None or self._transport is None or self.lost:
+        if self._gate is None or self._transport is None or self.lost or self._going_away:
             return
         missing = self._reader.missing
         if not self._gate.admit(self, missing, now):
--- a/packages/thorntray/src/thorntray/internal/connection/peer_watch.py
+++ b/packages/thorntray/src/thorntray/internal/connection/peer_watch.py
@@ -5,6 +5,9 @@
 bytes taken from a backlog are both evidence of life. Bytes taken without a backlog are none,
 because the kernel of a frozen process acknowledges them too.
 
+A peer whose process pauses for a second still takes its results afterwards. The short limit on
+waiting output therefore holds only above `FULL_BUFFER_BYTES`, to bound the memory of this process.
+
 Time in which this process did not run says nothing about the peer: an observation counts for at
 most `MAX_STEP`.
 """
@@ -13,8 +16,9 @@
 
 PING_AFTER_SILENCE = 0.2  # seconds
 SILENCE_TIMEOUT = 0.5  # seconds after the ping
-FULL_BUFFER_TIMEOUT = 0.5  # seconds without any evidence of life while output is waiting
-MAX_STALL_TIME = 10.0  # seconds in which a peer that sends may take nothing
+FULL_BUFFER_BYTES = 16 * 1024 * 1024
+FULL_BUFFER_TIMEOUT = 0.5  # seconds without any evidence of life while more bytes are waiting
+MAX_STALL_TIME = 10.0  # seconds in which a peer may take nothing of what is waiting
 OUTPUT_CHECK_PERIOD = 0.1  # seconds
 MAX_STEP = 2 * OUTPUT_CHECK_PERIOD
 
@@ -73,8 +77,8 @@
         self._observed_at = now
         self._without_evidence = self.without_progress = 0.0
 
-    def output_stalled(self, now: float) -> bool:
-        """Return whether to give up a peer that does not take the waiting output.
+    def output_stalled(self, waiting: int, now: float) -> bool:
+        """Return whether to give up a peer that does not take the `waiting` bytes of output.
 
         To be called each `OUTPUT_CHECK_PERIOD`, after `record_output`.
         """
@@ -83,9 +87,10 @@
         self._observed_at = now
         self._without_evidence = 0.0 if seen else self._without_evidence + step
         self.without_progress += step
-        return (
-            self._without_evidence > FULL_BUFFER_TIMEOUT or self.without_progress > MAX_STALL_TIME
-        )
+        full = waiting > FULL_BUFFER_BYTES
+        if full and self._without_evidence > FULL_BUFFER_TIMEOUT:
+            return True
+        return self.without_progress > MAX_STALL_TIME
 
     def next_step(self, now: float) -> Step:
         """Return what to do about the silence of the peer."""
--- a/tests/test_link_loss_reasons.py
+++ b/tests/test_link_loss_reasons.py
@@ -13,11 +13,18 @@
 from thorntray.internal.connection.link_connection import LinkConnection
 from thorntray.internal.connection.peer_watch import LostReason
 from thorntray.internal.process.clock import SystemClock
+from thorntray.internal.telemetry.events import configure_events
 from thorntray_node.peer_requests import PeerRequests
 
 BODY_BYTES = 30_000_000  # more than the socket buffers take
 
 
+@pytest.fixture(autouse=True)
+def new_event_log():
+    """Begin with no event written in this second, as their number is limited."""
+    configure_events(as_json=False, node="-")
+
+
 async def close(peer, link):
     peer.calls[0][0]._transport.close()
 
--- a/tests/test_link_stops.py
+++ b/tests/test_link_stops.py
@@ -23,7 +23,10 @@
     encode_frame,
 )
 from thorntray.internal.connection.link_connection import PLAIN_STREAM
+from thorntray.internal.connection.link_listener import LinkListener
+from thorntray.internal.process.clock import SystemClock
 from thorntray.internal.process.drain import CLOSE_TIME_RESERVE, Drain
+from thorntray.internal.process.memory_budget import MemoryBudget
 from thorntray.internal.request.result import Cause
 from thorntray_node.request_drain import (
     FINAL_FLUSH_TIME,
@@ -105,6 +108,28 @@
     assert third is Cause.NO_INSTANCE  # a new connection, which is refused
 
 
+def test_a_link_whose_reading_waits_for_memory_is_read_to_its_end_at_a_stop():
+    # Failure: its unread input resets the connection at the exit, and results are discarded.
+    async def scenario():
+        budget, clock = MemoryBudget(1), SystemClock()
+        budget.limit = 1
+        budget.add_source("test", lambda: 2)
+        peer, links, results = LinkPeer(), make_links(), []
+        peer.listener = LinkListener(HOST, peer.port, peer, clock, budget)
+        await peer.listener.start()
+        peer.listener._gate.admit("arriving", RESULT_BYTES, clock.monotonic())
+        link = links.link_to(peer.member())
+        link.call(lambda n: make_call(number=n, body=bytes(30_000_000)), results.append)
+        await wait_until(lambda: peer.listener.received_bytes)
+        paused = all(c._reading_paused for c in peer.listener._connections)
+        await peer.listener.finish(0.3)
+        closed = not peer.listener._connections
+        links.close()
+        return paused, closed, results, peer.calls
+
+    assert run(scenario) == (True, True, [Cause.NO_INSTANCE], [])
+
+
 def test_a_call_read_before_the_end_without_a_result_may_have_run():
     # Failure: "not run" is said of a call that the stopping node has taken, and it is sent again.
     async def scenario():
