The read of what the store holds is made again after an odd failure

The first read of a started node is one shared future. An exception other than PlatformUnavailable stayed in it: the task of the departures ended, which counted as the store's answer, so the instance was released for requests without what the store knows of its leaving; the crash archive learned nothing. Both tasks are supervised now, and the read is begun anew after such a failure.

The new test failed before (time-out: each later read raised the first failure).

--- a/packages/thorntray-node/src/thorntray_node/mesh_node.py
+++ b/packages/thorntray-node/src/thorntray_node/mesh_node.py
@@ -285,7 +285,7 @@
         )
         for loop in loops:
             self._tasks.supervise(loop)
-        self._tasks.spawn(self.crash_archive.restore())
+        self._tasks.supervise(self.crash_archive.restore)
         if self.freshness_check is not None:
             self._tasks.supervise(self.freshness_check.query_peers)
             self._tasks.supervise(self.freshness_check.check_store)
--- a/packages/thorntray/src/thorntray/internal/membership/departures.py
+++ b/packages/thorntray/src/thorntray/internal/membership/departures.py
@@ -162,7 +162,7 @@
 
         `joined` returns whether this node has looked for members.
         """
-        stored = self._tasks.spawn(self._recall_from_store())
+        stored = self._tasks.supervise(self._recall_from_store)
         began = self._clock.monotonic()
         while True:
             asked = self._holders(LOCAL_ASKED, REMOTE_ASKED)
--- a/packages/thorntray/src/thorntray/internal/store/kept_entries.py
+++ b/packages/thorntray/src/thorntray/internal/store/kept_entries.py
@@ -67,9 +67,12 @@
     async def recover(self) -> list[StoreEntry]:
         """Return all entries that the store held after the start, once it has answered.
 
-        Their keys are without the prefix.
+        Their keys are without the prefix. A read that has failed oddly is made again.
         """
-        if self._recovered is None:
+        failed = self._recovered is not None and self._recovered.done()
+        if failed and self._recovered is not None:
+            failed = self._recovered.cancelled() or self._recovered.exception() is not None
+        if self._recovered is None or failed:
             self._recovered = asyncio.ensure_future(self._read_all())
         return await asyncio.shield(self._recovered)
 
--- a/tests/test_supervised_tasks.py
+++ b/tests/test_supervised_tasks.py
@@ -134,6 +134,23 @@
     assert calls >= 2 and first is False
 
 
+def test_what_the_store_holds_is_read_again_after_a_read_that_failed_oddly():
+    # Before, the failure counted as the store's answer: an instance that had left got requests.
+    async def scenario(fleet):
+        node = await fleet.add("t1", "tariff")
+        entries = node.entries
+        entries._recovered = None
+        FailingOnce(entries._start_read, "read")
+        recalling = node._tasks.supervise(node.departures._recall_from_store)
+        await asyncio.sleep(RESTART_PAUSE / 2)
+        early = recalling.done()
+        async with asyncio.timeout(5):
+            await recalling
+        return early, entries._recovered.exception()
+
+    assert run_scenario(scenario) == (False, None)
+
+
 def test_a_supervised_task_runs_again_after_each_failure_until_it_ends():
     async def scenario():
         tasks, rounds = BackgroundTasks(), []
