--- a/packages/thorntray-node/src/thorntray_node/memory_bounds.py
+++ b/packages/thorntray-node/src/thorntray_node/memory_bounds.py
@@ -3,6 +3,8 @@
 from thorntray.internal.connection.frame import CallFrame
 from thorntray.internal.connection.http_server import HttpServer
 from thorntray.internal.connection.instance_pool import InstancePool
+from thorntray.internal.connection.link import Links
+from thorntray.internal.connection.link_listener import LinkListener
 from thorntray.internal.process.clock import Clock
 from thorntray.internal.process.hold_time import HoldTime
 from thorntray.internal.process.memory_budget import MemoryBudget
@@ -37,6 +39,11 @@
         if memory.limit is not None:
             held.gate = MemoryAdmission(memory, origin, self._hold_time, self._caller_refused)
 
+    def connect_links(self, links: Links, listener: LinkListener) -> None:
+        """Read the bytes that the links in both directions hold."""
+        self._memory.add_source("links_out", lambda: links.unsent_bytes + listener.unsent_bytes)
+        self._memory.add_source("links_in", lambda: links.received_bytes + listener.received_bytes)
+
     def review(self) -> None:
         """Update what changes with time; to be called several times a second."""
         self._memory.review()
--- a/packages/thorntray-node/src/thorntray_node/mesh_node.py
+++ b/packages/thorntray-node/src/thorntray_node/mesh_node.py
@@ -169,7 +169,7 @@
         self.holder = PolicyHolder(self._policy_changed)
         self.freshness = Freshness(clock, cfg.max_policy_age)
         self.freshness_check: FreshnessCheck | None = None  # None: keys need no evidence
-        self.links = Links(cfg.name, self._session, cfg.domain, clock)
+        self.links = Links(cfg.name, self._session, cfg.domain, clock, self.memory)
         self.links.on_non_result_frame = self._peer_frame_received
         self.links.on_link_failure = self._link_failed
         self.notices = InstanceNotices(clock)
@@ -290,7 +290,10 @@
         await self.announcements.start(*cfg.announcements)
         await self._serve_metrics()
         self.peer_requests = PeerRequests(self.owner, self.policy_watch)
-        self.listener = LinkListener(cfg.bind_host, cfg.link_port, self.peer_requests, self.clock)
+        self.listener = LinkListener(
+            cfg.bind_host, cfg.link_port, self.peer_requests, self.clock, self.memory
+        )
+        self._memory_bounds.connect_links(self.links, self.listener)
         await self.listener.start()
         self.membership.start()
         self.seeds.start()
--- a/packages/thorntray/src/thorntray/internal/request/request_holder.py
+++ b/packages/thorntray/src/thorntray/internal/request/request_holder.py
@@ -7,7 +7,7 @@
 from enum import Enum
 from typing import TYPE_CHECKING
 
-from thorntray.internal.connection.http_server import Exchange
+from thorntray.internal.connection.exchange import Exchange
 
 if TYPE_CHECKING:
     from thorntray.internal.request.origin_request import OriginRequest
--- a/tests/test_http_disturbances.py
+++ b/tests/test_http_disturbances.py
@@ -10,7 +10,8 @@
 
 from standins.fleet import free_port
 from tests.mesh_builders import HOST
-from thorntray.internal.connection.http_server import HttpServer, RequestLimits
+from thorntray.internal.connection.http_request import RequestLimits
+from thorntray.internal.connection.http_server import HttpServer
 from thorntray.internal.process.clock import SystemClock
 
 GET = b"GET /%b HTTP/1.1\r\nHost: a.example\r\n\r\n"
--- a/tests/test_http_server.py
+++ b/tests/test_http_server.py
@@ -5,12 +5,9 @@
 
 from standins.fleet import free_port
 from tests.mesh_builders import HOST
-from thorntray.internal.connection.http_server import (
-    MAX_PIPELINED,
-    HttpServer,
-    HttpServerConnection,
-    RequestLimits,
-)
+from thorntray.internal.connection.http_connection import MAX_PIPELINED, HttpServerConnection
+from thorntray.internal.connection.http_request import RequestLimits
+from thorntray.internal.connection.http_server import HttpServer
 from thorntray.internal.process.clock import SystemClock
 
 REQUEST = b"GET /%b HTTP/1.1\r\nHost: a.example\r\n\r\n"
--- a/tests/test_memory_admission.py
+++ b/tests/test_memory_admission.py
@@ -9,7 +9,7 @@
 from tests.mesh_builders import run_scenario
 from tests.test_held_bytes import CHUNKED, HEAD, POST
 from tests.test_http_server import REQUEST, connection_with, serving
-from thorntray.internal.connection.http_server import RequestLimits
+from thorntray.internal.connection.http_request import RequestLimits
 from thorntray.internal.process.hold_time import DEFAULT_HOLD_TIME, MAX_HOLD_TIME, HoldTime
 from thorntray.internal.process.memory_budget import MemoryBudget, Share
 
--- a/tests/test_slow_readers.py
+++ b/tests/test_slow_readers.py
@@ -6,7 +6,8 @@
 
 from standins.fleet import free_port
 from tests.mesh_builders import HOST
-from thorntray.internal.connection.http_server import HttpServer, RequestLimits
+from thorntray.internal.connection.http_request import RequestLimits
+from thorntray.internal.connection.http_server import HttpServer
 from thorntray.internal.process.clock import SystemClock
 
 LARGE_BODY = b"x" * (6 * 1024 * 1024)  # more than the kernel's socket buffers hold
