A link whose opening fails in any way ends its calls as not run, and can be opened again

Cause: an exception other than OSError or TimeoutError left the link connecting for ever, with all calls that waited for it; a lack of descriptors of the own process paused a sound peer and had it probed. Now every exception ends the waiting calls, and a lack of descriptors first closes idle connections of callers and then blames nobody.

--- a/packages/thorntray-node/src/thorntray_node/mesh_node.py
+++ b/packages/thorntray-node/src/thorntray_node/mesh_node.py
@@ -338,6 +338,7 @@
         budget = DescriptorBudget(self.cfg.descriptor_limit, process_descriptor_limit())
         self.connection_limits = ConnectionLimits(budget, servers, self._count_sockets)
         self.connection_limits.use_for(self.pool.opener)
+        self.connection_limits.use_for(self.links.opener)
         self.callers.bound.serves_surplus = self.origin.is_nested_call
         self.callers.bound.refusal_lines = lambda: self.origin.retry_after_line(REFUSAL_RETRY_AFTER)
 
--- a/packages/thorntray/src/thorntray/internal/connection/link.py
+++ b/packages/thorntray/src/thorntray/internal/connection/link.py
@@ -24,6 +24,7 @@
 from thorntray.internal.connection.link_connection import LinkConnection
 from thorntray.internal.connection.peer_watch import LostReason
 from thorntray.internal.connection.receive_gate import ReceiveGate
+from thorntray.internal.connection.socket_opener import SocketOpener, is_exhausted
 from thorntray.internal.membership.instance_notices import InstanceNotice
 from thorntray.internal.membership.member import Member
 from thorntray.internal.process.clock import Clock
@@ -51,6 +52,7 @@
         clock: Clock,
         on_non_result_frame: MemberFrameHandler,
         on_link_failure: LinkFailureHandler,
+        opener: SocketOpener,
         gate: ReceiveGate | None = None,
     ) -> None:
         self.member = member
@@ -59,6 +61,7 @@
         self._clock = clock
         self._on_non_result_frame = on_non_result_frame
         self._on_link_failure = on_link_failure
+        self._opener = opener
         self._gate = gate
         self._connection: LinkConnection | None = None
         self._pending_calls: dict[int, ResultHandler] = {}
@@ -205,12 +208,12 @@
         connection = LinkConnection(
             self, self._clock, self._make_hello(), self._compressed, gate=self._gate
         )
-        loop = asyncio.get_running_loop()
         try:
             async with asyncio.timeout(CONNECT_TIMEOUT):
-                await loop.create_connection(lambda: connection, member.address, member.peer_port)
-        except (OSError, TimeoutError) as exc:
-            self._on_link_failure(member)
+                await self._opener.open(lambda: connection, member.address, member.peer_port)
+        except Exception as exc:  # whatever it is, the calls that wait for the link must end
+            if not is_exhausted(exc):  # which says nothing about the peer
+                self._on_link_failure(member)
             log_event(Event.LINK_UNREACHABLE, peer=member.name, detail=repr(exc))
             self._connecting = None
             self._fail_unsent()
@@ -295,6 +298,7 @@
         self._session = session
         self._domain = domain
         self._clock = clock
+        self.opener = SocketOpener()
         self._gate = ReceiveGate(memory, Share.ANSWER)
         self._links: dict[str, Link] = {}
         self._draining: list[Link] = []
@@ -325,6 +329,7 @@
             self._clock,
             lambda m, f: self.on_non_result_frame(m, f),
             lambda m: self.on_link_failure(m),
+            self.opener,
             self._gate,
         )
         self._links[member.name] = link
--- a/packages/thorntray/src/thorntray/internal/process/memory_budget.py
+++ b/packages/thorntray/src/thorntray/internal/process/memory_budget.py
@@ -13,7 +13,7 @@
 
 PROGRAM_BYTES = 64 * 1024 * 1024  # code, policies, and state of hundreds of peers
 MIN_PAYLOAD_RATIO = 0.25  # least share of a small limit that is left for requests and answers
-COPIES = 2  # of a byte while it passes from one buffer into the next
+COPIES = 3  # of a byte at once: in the read buffer, decoded, and in the buffer that it leaves by
 SMALL_REQUEST_BYTES = 4 * 1024  # taken in without a look at the budget while memory is not scarce
 # Answers of peers cannot be left unread without holding back all others of their link. Up to this
 # multiple of the budget they are kept, and the rest up to `COPIES` is for frames being decoded.
--- a/tests/test_mesh_links.py
+++ b/tests/test_mesh_links.py
@@ -1,6 +1,7 @@
 """Tests over loopback of the links between nodes: calls end with their results where possible."""
 
 import asyncio
+import errno
 import socket
 import threading
 import time
@@ -354,3 +355,38 @@
 
     results = run_with_peer(scenario)
     assert [type(r) for r in results] == [ResultFrame], results
+
+
+@pytest.mark.parametrize(
+    "exc, blames_peer",
+    [
+        (RuntimeError("a fault of the test"), True),
+        (ConnectionRefusedError(), True),
+        (OSError(errno.EMFILE, "no descriptor left"), False),
+    ],
+)
+def test_a_link_that_cannot_be_opened_ends_its_calls_as_not_run_and_may_be_opened_again(
+    exc, blames_peer
+):
+    """Guards against calls that wait for ever, and against a peer paused for the own descriptors."""
+
+    async def scenario():
+        peer, links, results, failures = LinkPeer(), make_links(), [], []
+        await peer.listener.start()
+        links.on_link_failure = failures.append
+        sound = links.opener.open
+
+        async def fail(*_):
+            raise exc
+
+        links.opener.open = fail
+        link = links.link_to(peer.member())
+        send_call(link, results)
+        await asyncio.sleep(0.05)
+        links.opener.open = sound
+        send_call(link, results)
+        await asyncio.sleep(0.1)
+        links.close()
+        return results[0], len(peer.calls), bool(failures)
+
+    assert asyncio.run(scenario()) == (Cause.NO_INSTANCE, 1, blames_peer)
