--- a/tests/test_mesh_links.py
+++ b/tests/test_mesh_links.py
@@ -368,7 +368,7 @@
 def test_a_link_that_cannot_be_opened_ends_its_calls_as_not_run_and_may_be_opened_again(
     exc, blames_peer
 ):
-    """Guards against calls that wait for ever, and against a peer paused for the own descriptors."""
+    """Guards against calls that wait for ever, and a peer paused for the own descriptors."""
 
     async def scenario():
         peer, links, results, failures = LinkPeer(), make_links(), [], []
@@ -383,10 +383,11 @@
         link = links.link_to(peer.member())
         send_call(link, results)
         await asyncio.sleep(0.05)
+        blamed = bool(failures)
         links.opener.open = sound
         send_call(link, results)
         await asyncio.sleep(0.1)
         links.close()
-        return results[0], len(peer.calls), bool(failures)
+        return results[0], len(peer.calls), blamed
 
     assert asyncio.run(scenario()) == (Cause.NO_INSTANCE, 1, blames_peer)
