Calls with a small body do not ask for memory while it is not scarce

Cause: the owner asked the budget for each call with a body, payouts of 300 bytes among them, and the budget sums what all links hold: a few hundred of them in a large fleet.

--- a/packages/thorntray/src/thorntray/internal/request/owner.py
+++ b/packages/thorntray/src/thorntray/internal/request/owner.py
@@ -25,7 +25,7 @@
 from thorntray.internal.overload.slot_price import MIN_PRICE, SlotPrice
 from thorntray.internal.overload.slot_queue import SlotQueue
 from thorntray.internal.process.clock import Clock
-from thorntray.internal.process.memory_budget import MemoryBudget, Share
+from thorntray.internal.process.memory_budget import SMALL_REQUEST_BYTES, MemoryBudget, Share
 from thorntray.internal.process.pauses import Pauses
 from thorntray.internal.process.registration import Registration
 from thorntray.internal.request.crash_watch import CrashWatch
@@ -130,7 +130,7 @@
         call, memory = request.call, self.deps.memory
         if call.number == LOCAL_CALL_NUMBER:
             return True
-        if call.body or memory.pressed:
+        if len(call.body) > SMALL_REQUEST_BYTES or memory.pressed:
             repeatable = call.idempotent and not call.nested
             share = Share.of_request(repeatable, len(call.body))
             if not memory.has_room(len(call.body), share):
--- a/tests/test_memory_at_owners.py
+++ b/tests/test_memory_at_owners.py
@@ -69,3 +69,16 @@
         ENOUGH, lambda node: [make_call(body=body_of(node, 0.05), method=b"POST")]
     )
     assert (results[0].status, ran, left) == (200, 1, 0)
+
+
+def test_a_call_with_a_small_body_does_not_ask_for_room_while_memory_is_not_scarce():
+    """Guards against a sum over all links of a large fleet for each payout."""
+    asked = []
+
+    def calls(node):
+        node.memory.add_source("counted", lambda: asked.append(1) or 0)
+        return [make_call(body=b"x" * 300, method=b"POST", idempotent=False)] * 5
+
+    results, ran, left, _ = submit_calls(ENOUGH, calls)
+    assert [result.status for result in results] == [200] * 5 and (ran, left) == (5, 0)
+    assert len(asked) < 5  # the node itself reviews its budget ten times a second
