--- a/packages/thorntray/src/thorntray/internal/connection/instance_pool.py
+++ b/packages/thorntray/src/thorntray/internal/connection/instance_pool.py
@@ -22,6 +22,7 @@
     ResponseFault,
     ResponseHandler,
 )
+from thorntray.internal.connection.pending_send import PendingSend
 from thorntray.internal.connection.response_bounds import HeldBodies, ResponseBounds
 from thorntray.internal.connection.socket_opener import SocketOpener, is_exhausted
 from thorntray.internal.process.clock import Clock
@@ -247,25 +248,6 @@
     return DEFAULT_IDLE_TIMEOUT
 
 
-class PendingSend:
-    """A request passed to the pool; `cancel` withdraws it."""
-
-    __slots__ = ("connection", "connecting", "cancelled")
-
-    def __init__(self) -> None:
-        self.connection: InstanceConnection | None = None
-        self.connecting: asyncio.Task[None] | None = None
-        self.cancelled = False
-
-    def cancel(self) -> None:
-        """Withdraw the request by closing its connection."""
-        self.cancelled = True
-        if self.connection is not None:
-            self.connection.abort()
-        elif self.connecting is not None:
-            self.connecting.cancel()
-
-
 class InstancePool:
     """Connections to the instance; the most recently used one is reused first."""
 
--- a/packages/thorntray/src/thorntray/internal/request/owner_request.py
+++ b/packages/thorntray/src/thorntray/internal/request/owner_request.py
@@ -9,7 +9,7 @@
 from typing import TYPE_CHECKING
 
 from thorntray.internal.connection.frame import CallFrame
-from thorntray.internal.connection.instance_pool import PendingSend
+from thorntray.internal.connection.pending_send import PendingSend
 from thorntray.internal.overload.call_parents import RunningRequest
 from thorntray.internal.overload.slot_queue import Ticket
 from thorntray.internal.process.registration import Boot
