--- a/tests/test_connection_bound.py
+++ b/tests/test_connection_bound.py
@@ -1,6 +1,7 @@
 """HTTP servers that reach the bound on their connections, over real sockets."""
 
 import asyncio
+import socket
 from contextlib import asynccontextmanager
 
 from standins.fleet import free_port
@@ -196,6 +197,55 @@
     assert all(answer.startswith(b"HTTP/1.1 503") for answer in answers[SURPLUS:])
 
 
+def test_a_needed_request_whose_body_is_arriving_is_not_displaced():
+    """Guards against the reset of a nested call that was let in by its head."""
+
+    async def scenario(bounded):
+        bounded.server.bound.serves_surplus = lambda host, target, headers: target == b"/needed"
+        for _ in range(BOUND):
+            await bounded.connect(REQUEST % b"held")
+        head = b"POST /needed HTTP/1.1\r\nHost: a.example\r\nContent-Length: 4\r\n\r\n"
+        reader, writer = await bounded.connect(head + b"bo")
+        await asyncio.sleep(MIN_IDLE_TIME)
+        for _ in range(SURPLUS):
+            await bounded.connect(b"GET /late HTTP/1.1\r\nHo")
+        writer.write(b"dy")
+        return await read_to_end(reader)
+
+    assert run(scenario).startswith(b"HTTP/1.1 200")
+
+
+def test_a_connection_whose_answer_is_still_in_the_kernel_is_not_displaced():
+    """Guards against the reset of an answer that its caller is reading slowly."""
+
+    async def scenario(bounded):
+        body = b"x" * 1_000_000
+        slow = socket.socket()
+        slow.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
+        slow.setblocking(False)
+        loop = asyncio.get_running_loop()
+        await loop.sock_connect(slow, (HOST, bounded.port))
+        await loop.sock_sendall(slow, REQUEST % b"held")
+        await asyncio.sleep(PAUSE)
+        bounded.held.pop().respond(200, b"", body)
+        for _ in range(BOUND - 1):
+            await bounded.connect(REQUEST % b"held")
+        await asyncio.sleep(MIN_IDLE_TIME + PAUSE)
+        in_process = sum(conn.unsent_bytes for conn in bounded.server.connections)
+        await bounded.connect(REQUEST % b"late")
+        with slow:
+            await loop.sock_sendall(slow, REQUEST % b"next")
+            received = b""
+            while len(received) < len(body):
+                piece = await loop.sock_recv(slow, 1 << 16)
+                if not piece:
+                    break
+                received += piece
+        return in_process, len(received) >= len(body)
+
+    assert run(scenario) == (0, True)
+
+
 def test_the_record_of_connections_in_excess_does_not_grow():
     async def scenario(bounded):
         for _ in range(BOUND):
