Test of watchers after a partition waits for its premise, not for 20 s

The test now waits until no node holds one of the other side for alive, at most 30 s, and then for ISOLATION_HOLD and 1 s, in which isolated nodes may watch by design. What it expects is unchanged.

--- a/tests/test_watch_duty.py
+++ b/tests/test_watch_duty.py
@@ -4,12 +4,17 @@
 
 from tests.builders import run_virtual
 from tests.policy_fleet import KEY, PolicyFleet
-from thorntray.internal.store.watch_duty import CHECKED_WAIT, WATCHERS_PER_DOMAIN
+from thorntray.internal.store.watch_duty import (
+    CHECKED_WAIT,
+    ISOLATION_HOLD,
+    WATCHERS_PER_DOMAIN,
+)
 
 APPLY_LIMIT = 3.0  # seconds; the users' bound for a change to be in force
 NODES = 100
 PERIOD = 6.0  # seconds in which calls are counted
 DOMAINS = 5
+MAX_DETECTION_TIME = 30.0  # seconds until the sides of a partition take each other for dead
 
 
 def watchers_of(fleet):
@@ -139,6 +144,17 @@
     assert run_virtual(scenario()) < 0.1
 
 
+async def sides_are_dead_to_each_other(fleet, cut_off):
+    """Wait until no node holds one of the other side for alive; how long depends on the probes."""
+    async with asyncio.timeout(MAX_DETECTION_TIME):
+        while any(
+            (member.name in cut_off) != (name in cut_off)
+            for name, node in fleet.nodes.items()
+            for member in node.membership.alive()
+        ):
+            await asyncio.sleep(0.5)
+
+
 def test_one_watcher_of_each_side_of_a_partition_notices_a_lost_watch_soon():
     """Guards against watches that are all lost for half a minute, and against calls by all."""
 
@@ -149,7 +165,8 @@
         short = [name for name in watchers_of(fleet) if duties[name].watch_wait() is not None]
         cut_off = {n for n, node in fleet.nodes.items() if node.membership.own.domain == "d0"}
         fleet.network.partition_of = dict.fromkeys(cut_off, 1)
-        await asyncio.sleep(20.0)  # until the sides take each other for dead
+        await sides_are_dead_to_each_other(fleet, cut_off)
+        await asyncio.sleep(ISOLATION_HOLD + 1.0)
         later = [name for name in watchers_of(fleet) if duties[name].watch_wait() is not None]
         return len(short), [len(cut_off & {*later}), len({*later} - cut_off)]
 
