Quotas: waiting requests, checks of coordinators and refusal counts have modules of their own

Each has a module now; no behaviour changes. test_quota_*, test_workspace* and test_docs: 149 passed.

--- a/packages/thorntray/src/thorntray/internal/request/origin.py
+++ b/packages/thorntray/src/thorntray/internal/request/origin.py
@@ -18,7 +18,7 @@
     RequestHead,
 )
 from thorntray.internal.request.origin_request import STOPPING_RETRY_AFTER, OriginRequest
-from thorntray.internal.request.quotas import QuotaReason, QuotaRefusal, WaitingRequest
+from thorntray.internal.request.quota_wait import QuotaReason, QuotaRefusal, WaitingRequest
 from thorntray.internal.request.request_holder import Holder, holder_of_exchange
 from thorntray.internal.version.policy import Policy, Route
 from thorntray.internal.version.workspaces import Workspace
--- a/packages/thorntray/src/thorntray/internal/request/quotas.py
+++ b/packages/thorntray/src/thorntray/internal/request/quotas.py
@@ -9,19 +9,15 @@
 """
 
 import asyncio
-from collections import Counter, deque
+from collections import deque
 from collections.abc import Callable
-from enum import Enum
 from random import Random
-from typing import NamedTuple
 
 import msgspec
 
 from thorntray.internal.membership.gossip import (
     Address,
     QuotaAsk,
-    QuotaCheck,
-    QuotaChecked,
     QuotaGrant,
 )
 from thorntray.internal.membership.member import Health
@@ -43,7 +39,14 @@
     TokenAccount,
 )
 from thorntray.internal.process.clock import Clock
-from thorntray.internal.telemetry.events import log_handler_failure
+from thorntray.internal.request.coordinator_checks import CoordinatorChecks
+from thorntray.internal.request.quota_wait import (
+    QuotaEntry,
+    QuotaReason,
+    QuotaRefusal,
+    WaitingRequest,
+)
+from thorntray.internal.request.refusal_counts import RefusalCounts
 from thorntray.internal.version.policy import Policy
 from thorntray.internal.version.workspaces import Workspace
 
@@ -57,82 +60,6 @@
 PROBE_INTERVAL = 0.15
 UNKNOWN_RETRY_AFTER = 0.5  # seconds, before jitter; shortest retry time while a quota is unknown
 START_TIME = 1.5  # seconds that a node usually needs to get tokens when a whole fleet starts
-NAMED_WORKSPACES = 20  # workspaces with a metric of their own
-OTHER = "other"
-MAX_COUNTED = 20_000  # workspaces whose refusals are counted; above that only the named ones stay
-
-
-class QuotaReason(Enum):
-    """Why a request is refused; the names appear in logs and metrics."""
-
-    OVER_QUOTA = "the quota is used up"
-    QUOTA_UNKNOWN = "this node cannot know what is left of the quota"
-
-
-class QuotaRefusal(NamedTuple):
-    """A refusal and the seconds after which the request may be sent again."""
-
-    reason: QuotaReason
-    retry_after: float
-
-
-class WaitingRequest:
-    """A request that waits for a token. `decided` is called once, unless it is cancelled."""
-
-    __slots__ = ("_entry", "_decided", "ends_at", "timer")
-
-    def __init__(
-        self, entry: "_Entry", decided: Callable[[QuotaRefusal | None], None], ends_at: float
-    ) -> None:
-        self._entry = entry
-        self._decided: Callable[[QuotaRefusal | None], None] | None = decided
-        self.ends_at = ends_at  # boot time
-        self.timer: asyncio.TimerHandle | None = None
-        entry.waiting.append(self)
-        entry.waiting_count += 1
-
-    @property
-    def over(self) -> bool:
-        """Return whether the request no longer waits."""
-        return self._decided is None
-
-    def cancel(self) -> None:
-        """End the wait without a decision, as the caller has left."""
-        if self.over:
-            return
-        self._decided = None
-        self._entry.waiting_count -= 1
-        if self.timer is not None:
-            self.timer.cancel()
-
-    def decide(self, refusal: QuotaRefusal | None) -> None:
-        """End the wait, with a token if `refusal` is None. A failure concerns this request only."""
-        decided = self._decided
-        self.cancel()
-        if decided is None:
-            return
-        try:
-            decided(refusal)
-        except Exception:  # the other waiting requests are not to be stopped by it
-            log_handler_failure()
-
-
-class _Entry:
-    """One workspace at this node."""
-
-    __slots__ = ("account", "waiting", "waiting_count", "timer")
-
-    def __init__(self, account: TokenAccount) -> None:
-        self.account = account
-        self.waiting: deque[WaitingRequest] = deque()  # also some whose wait is over
-        self.waiting_count = 0
-        self.timer: asyncio.TimerHandle | None = None  # to repeat a query or to ask again
-
-    def stop_timer(self) -> None:
-        """Stop the timer."""
-        if self.timer is not None:
-            self.timer.cancel()
-            self.timer = None
 
 
 class Quotas:
@@ -158,19 +85,16 @@
         self._reach = QuotaReach(membership.own.name, rng)
         self._members = QuotaMembers(membership.own.name, now, self._reach)
         self._ledger = QuotaLedger(self._members)
-        self._entries: dict[str, _Entry] = {}
-        self._holding: dict[str, _Entry] = {}  # entries whose tokens may expire
+        self._entries: dict[str, QuotaEntry] = {}
+        self._holding: dict[str, QuotaEntry] = {}  # entries whose tokens may expire
         # Starts at random, so that a reply to the process before a restart matches no query.
         self._sequence = int.from_bytes(membership.own.session) >> SEQUENCE_SHIFT
         self._observed_at = now
         self._refutations = membership.refutations
         self._probed_at: dict[str, float] = {}  # by coordinator
-        self._refusals: Counter[str] = Counter()
-        self._other_refusals = 0
+        self._refusals = RefusalCounts()
         self.asks_sent = 0
-        self._checked_at: dict[str, float] = {}  # newest check of each coordinator
-        membership.handlers[QuotaCheck] = self._on_check
-        membership.handlers[QuotaChecked] = self._on_checked
+        self._checks = CoordinatorChecks(membership, self._reach, clock)
         membership.handlers[QuotaAsk] = self._on_ask
         membership.handlers[QuotaGrant] = self._on_grant
 
@@ -181,7 +105,7 @@
         entry = self._entries.get(workspace.name)
         now = self._clock.boottime()
         if entry is None:
-            entry = self._entries[workspace.name] = _Entry(TokenAccount(workspace, now))
+            entry = self._entries[workspace.name] = QuotaEntry(TokenAccount(workspace, now))
         account = entry.account
         if account.workspace is not workspace:
             account.set_workspace(workspace)
@@ -238,13 +162,13 @@
         if not self._members.known:
             return False
         name = account.coordinator
-        heard_at = max(self._membership.heard_at(name), self._checked_at.get(name, float("-inf")))
+        heard_at = max(self._membership.heard_at(name), self._checks.received_at(name))
         return account.spend_share(self._members.count, heard_at, now)
 
-    def _refuse(self, entry: _Entry, now: float) -> QuotaRefusal:
+    def _refuse(self, entry: QuotaEntry, now: float) -> QuotaRefusal:
         """Return the refusal that is true now, and count it."""
         account = entry.account
-        self._refusals[account.workspace.name] += 1
+        self._refusals.record(account.workspace.name)
         if not self._members.known:
             retry_after = max(UNKNOWN_RETRY_AFTER, self._started_at + START_TIME - now)
             return QuotaRefusal(QuotaReason.QUOTA_UNKNOWN, retry_after)
@@ -253,7 +177,7 @@
             return QuotaRefusal(QuotaReason.OVER_QUOTA, retry_after)
         return QuotaRefusal(QuotaReason.QUOTA_UNKNOWN, UNKNOWN_RETRY_AFTER)
 
-    def _end_wait(self, entry: _Entry, request: WaitingRequest) -> None:
+    def _end_wait(self, entry: QuotaEntry, request: WaitingRequest) -> None:
         now = self._clock.boottime()
         if self._spend_share(entry.account, now):
             request.decide(None)
@@ -262,7 +186,7 @@
 
     # Queries to coordinators.
 
-    def _ask(self, entry: _Entry, now: float, waiting: int, prefetch: bool = True) -> None:
+    def _ask(self, entry: QuotaEntry, now: float, waiting: int, prefetch: bool = True) -> None:
         """Ask the coordinator if anything is needed and no query waits for its reply."""
         account = entry.account
         name = self._members.coordinator(account.workspace.name)
@@ -276,7 +200,7 @@
         self._sequence += 1
         self._send(entry, ask, now)
 
-    def _send(self, entry: _Entry, ask: Ask, now: float) -> None:
+    def _send(self, entry: QuotaEntry, ask: Ask, now: float) -> None:
         account = entry.account
         name, workspace = account.coordinator, account.workspace.name
         session = self._membership.own.session
@@ -297,7 +221,7 @@
                 )
         self._arm(entry, now)
 
-    def _arm(self, entry: _Entry, now: float) -> None:
+    def _arm(self, entry: QuotaEntry, now: float) -> None:
         """Set the timer to repeat the query, with doubled pauses, or to ask after the back-off."""
         entry.stop_timer()
         asked = entry.account.asked
@@ -309,14 +233,14 @@
             return
         entry.timer = asyncio.get_running_loop().call_later(delay, self._on_timer, entry)
 
-    def _on_timer(self, entry: _Entry) -> None:
+    def _on_timer(self, entry: QuotaEntry) -> None:
         entry.timer = None
         now = self._clock.boottime()
         self._query_again(entry, now)
         if entry.timer is None:  # timers may fire before the end of a back-off
             self._arm(entry, now)
 
-    def _query_again(self, entry: _Entry, now: float) -> None:
+    def _query_again(self, entry: QuotaEntry, now: float) -> None:
         """Repeat the unanswered query, or ask for the requests that wait."""
         entry.waiting = deque(request for request in entry.waiting if not request.over)
         account, asked = entry.account, entry.account.asked
@@ -344,7 +268,7 @@
             grant = Grant(datagram.tokens, datagram.retry_after)
             self._record_grant(entry, datagram.sequence, grant, self._clock.boottime())
 
-    def _record_grant(self, entry: _Entry, sequence: int, grant: Grant, now: float) -> None:
+    def _record_grant(self, entry: QuotaEntry, sequence: int, grant: Grant, now: float) -> None:
         account = entry.account
         if not account.record_grant(sequence, *grant, now):
             return
@@ -362,7 +286,7 @@
         if waiting:
             self._review_waits(entry, now)
 
-    def _review_waits(self, entry: _Entry, now: float) -> None:
+    def _review_waits(self, entry: QuotaEntry, now: float) -> None:
         """Refuse those for which there will be no token in time; the others wait for the next."""
         account, ahead = entry.account, 0
         for request in [r for r in entry.waiting if not r.over]:
@@ -391,28 +315,9 @@
         if workspace is None:
             return None
         grant = self._ledger.grant(workspace, query, now)
-        self._send_checks(now)
+        self._checks.send_due(now)
         return grant
 
-    # The part of the fleet that this node reaches as a coordinator.
-
-    def _send_checks(self, now: float) -> None:
-        own = self._membership.own
-        for sequence, member in self._reach.due_checks(now):
-            check = QuotaCheck(sequence, own.name, own.session)
-            self._membership.send_datagram(check, Address(member.address, member.gossip_port))
-
-    def _on_check(self, check: QuotaCheck, address: Address) -> None:
-        """Assent to a coordinator, unless this node takes it for another process or suspects it."""
-        member = self._membership.view.get(check.member)
-        if member is None or member.health is not Health.ALIVE or member.session != check.session:
-            return
-        self._checked_at[check.member] = self._clock.boottime()
-        self._membership.send_datagram(QuotaChecked(check.sequence), address)
-
-    def _on_checked(self, answer: QuotaChecked, address: Address) -> None:
-        self._reach.record_answer(answer.sequence)
-
     def _observe(self, now: float) -> None:
         """Begin anew as coordinator if this process has not run for a while or was suspected."""
         refutations = self._membership.refutations
@@ -433,7 +338,7 @@
                 continue
             now = self._clock.boottime()
             self._observe(now)
-            self._send_checks(now)
+            self._checks.send_due(now)
             if now - updated_at >= UPDATE_PERIOD:
                 updated_at = now
                 self._update_members(now)
@@ -474,12 +379,8 @@
                 del self._entries[name]
         for name in [n for n, at in self._probed_at.items() if now - at > PROBE_INTERVAL]:
             del self._probed_at[name]
-        for name in [n for n, at in self._checked_at.items() if now - at > IDLE_TIME]:
-            del self._checked_at[name]
-        if len(self._refusals) > MAX_COUNTED:
-            kept = Counter(dict(self._refusals.most_common(NAMED_WORKSPACES)))
-            self._other_refusals += self._refusals.total() - kept.total()
-            self._refusals = kept
+        self._checks.forget_before(now - IDLE_TIME)
+        self._refusals.bound()
 
     # Metrics.
 
@@ -490,6 +391,4 @@
 
     def refusals(self) -> dict[str, float]:
         """Return the refusals of the workspaces with most of them, and of all others together."""
-        named = dict(self._refusals.most_common(NAMED_WORKSPACES))
-        rest = self._other_refusals + self._refusals.total() - sum(named.values())
-        return {**named, OTHER: rest} if rest else named
+        return self._refusals.by_workspace()
--- a/tests/quota_fleet.py
+++ b/tests/quota_fleet.py
@@ -8,7 +8,8 @@
 from tests.mesh_builders import make_policy
 from tests.policy_fleet import PolicyFleet, PolicyNode
 from thorntray.internal.membership.gossip import Address
-from thorntray.internal.request.quotas import QuotaRefusal, Quotas
+from thorntray.internal.request.quota_wait import QuotaRefusal
+from thorntray.internal.request.quotas import Quotas
 from thorntray.internal.version.workspaces import Workspace, Workspaces
 
 WINDOW = 5.0  # seconds
--- a/tests/test_quota_cuts.py
+++ b/tests/test_quota_cuts.py
@@ -10,7 +10,7 @@
 
 from tests.quota_fleet import WINDOW, bound, run_fleet
 from thorntray.internal.membership.gossip import QuotaCheck
-from thorntray.internal.request.quotas import QuotaReason
+from thorntray.internal.request.quota_wait import QuotaReason
 from thorntray.internal.version.workspaces import Workspace
 
 SIZES = [6, 12, 16, 60]
--- a/tests/test_quota_fleet.py
+++ b/tests/test_quota_fleet.py
@@ -6,7 +6,8 @@
 import pytest
 
 from tests.quota_fleet import bound, run_fleet
-from thorntray.internal.request.quotas import IDLE_TIME, QuotaReason
+from thorntray.internal.request.quota_wait import QuotaReason
+from thorntray.internal.request.quotas import IDLE_TIME
 from thorntray.internal.version.workspaces import Workspace
 
 USABLE = 0.95  # share of the quota that must be usable
--- a/tests/test_quota_mesh.py
+++ b/tests/test_quota_mesh.py
@@ -14,7 +14,9 @@
     run_scenario,
 )
 from thorntray.internal.overload.quota_ledger import QUIET_TIME
-from thorntray.internal.request.quotas import NAMED_WORKSPACES, START_TIME, QuotaReason, Quotas
+from thorntray.internal.request.quota_wait import QuotaReason
+from thorntray.internal.request.quotas import START_TIME, Quotas
+from thorntray.internal.request.refusal_counts import NAMED_WORKSPACES
 from thorntray.internal.version.workspaces import Workspace, Workspaces
 
 CLIENT_HOST = "127.0.0.9"  # a caller other than the instance of the node
--- a/tests/test_quota_silence.py
+++ b/tests/test_quota_silence.py
@@ -10,7 +10,7 @@
 
 from tests.quota_fleet import bound, run_fleet
 from thorntray.internal.membership.gossip import QuotaAsk, QuotaGrant, decode_datagram
-from thorntray.internal.request.quotas import QuotaReason
+from thorntray.internal.request.quota_wait import QuotaReason
 from thorntray.internal.version.workspaces import Workspace
 
 QUOTA = Workspace("himal", None, 100.0, 20.0)
