--- a/tests/process_builders.py
+++ b/tests/process_builders.py
@@ -10,6 +10,8 @@
 import sys
 import sysconfig
 import time
+from collections.abc import Iterator
+from contextlib import contextmanager
 from pathlib import Path
 from random import Random
 from typing import Self
@@ -55,7 +57,8 @@
     With `gated`, the process waits during the import of `gated_module` for `send_while_importing`.
     With `piped`, its stdout is a pipe. `failing_step` names a method of `MeshNode` that raises
     `FAILURE`, `failing_once` a method without arguments whose first call does. `options` are those
-    of the interpreter.
+    of the interpreter. `packages` is the folder on Python's path that has the packages, and
+    `closed` the descriptors that are closed when the process starts.
     """
 
     def __init__(
@@ -67,6 +70,8 @@
         failing_once: str = "",
         gated_module: str = GATED_MODULE,
         options: tuple[str, ...] = (),
+        packages: Path | None = None,
+        closed: tuple[int, ...] = (),
     ) -> None:
         fleet = MeshFleet([], {}, Random(0))
         self._node = NodeProcess("single-1", "single", "kalimati", 1)
@@ -74,6 +79,7 @@
         self._folder = folder
         self._piped = piped
         self._options = options
+        self._closed = closed
         self._gate = folder / "gate"
         settings = folder / "boot.toml"
         settings.write_text(fleet._settings(self._node), "utf-8")
@@ -89,7 +95,8 @@
         if failing_once:
             source = FAILING_ONCE_SOURCE.format(method=failing_once)
             (modules / "sitecustomize.py").write_text(source, "utf-8")
-        paths = [str(modules), *(str(ROOT / path) for path in PACKAGES)]
+        package_paths = [packages] if packages else [ROOT / path for path in PACKAGES]
+        paths = [str(modules), *map(str, package_paths)]
         if "-S" in options:  # the libraries are on the path, as `target/deps` is on the platform
             paths.append(sysconfig.get_path("purelib"))
         self._env = {
@@ -109,11 +116,16 @@
             self.process.kill()
         self.process.wait()
 
+    def _close_descriptors(self) -> None:
+        for descriptor in self._closed:
+            os.close(descriptor)
+
     def start(self) -> None:
         """Start the process; unless it is piped, its output goes to the log."""
         with (self._folder / "node.log").open("ab") as log:
             self.process = subprocess.Popen(
                 [sys.executable, *self._options, str(ROOT / "platform/run.py")],
+                preexec_fn=self._close_descriptors if self._closed else None,
                 stdout=subprocess.PIPE if self._piped else log,
                 stderr=log,
                 env=self._env,
@@ -125,9 +137,15 @@
         """Return what the process has written."""
         return (self._folder / "node.log").read_text("utf-8")
 
+    @contextmanager
+    def importing(self) -> Iterator[None]:
+        """Hold the process while it is importing its modules, and then let it go on."""
+        with self._gate.open("w"):  # blocks until the process has reached the gate
+            yield
+
     def send_while_importing(self, signum: signal.Signals) -> None:
         """Send a signal while the process is importing its modules, and let it go on."""
-        with self._gate.open("w"):  # blocks until the process has reached the gate
+        with self.importing():
             self.process.send_signal(signum)
 
     def connect(self) -> socket.socket:
