--- a/bench/memory.py
+++ b/bench/memory.py
@@ -12,7 +12,9 @@
     "forwarder: uvicorn, httptools, uvloop, aiohttp": (
         "import asyncio, uvicorn, httptools, uvloop, aiohttp, uvicorn.protocols.http.httptools_impl"
     ),
-    "whole node after import": "import thorntray_node.main, uvicorn.protocols.http.httptools_impl",
+    "whole node after import": (
+        "import thorntray_node.node_command, uvicorn.protocols.http.httptools_impl"
+    ),
 }
 PRINT_RSS_MB = """
 for line in open('/proc/self/status'):
--- a/tests/test_process_start.py
+++ b/tests/test_process_start.py
@@ -3,7 +3,8 @@
 import pytest
 
 from standins.mesh_fleet import PACKAGES, ROOT
-from tests.process_builders import PlatformProcess
+from tests.ini_process_builders import IniProcess
+from tests.process_builders import REQUEST, PlatformProcess
 
 pytestmark = pytest.mark.process
 
@@ -24,3 +25,29 @@
         node.wait_for_log("STARTED")
         node.process.terminate()
         assert node.wait_ended() == 0
+
+
+STDIN, STDOUT, STDERR = range(3)
+CLOSED = [(STDIN,), (STDOUT,), (STDERR,), (STDIN, STDOUT), (STDIN, STDOUT, STDERR)]
+
+
+@pytest.mark.parametrize("closed", CLOSED)
+def test_a_node_serves_and_stops_with_closed_standard_descriptors(tmp_path, closed):
+    # Failure: AttributeError at the start, or an abort at the end, as the event loop has number 0
+    # or 2 (`uv__close: Assertion fd > STDERR_FILENO`).
+    with PlatformProcess(tmp_path, closed=closed) as node, node.connect() as caller:
+        caller.sendall(REQUEST)
+        assert caller.recv(1 << 16).startswith(b"HTTP/1.1 503")
+        if len(closed) < 3:
+            node.wait_for_log("STARTED")
+        node.process.terminate()
+        assert node.wait_ended() == 0, node.log
+
+
+@pytest.mark.parametrize("closed", CLOSED)
+def test_a_node_with_an_ini_file_starts_and_stops_with_closed_descriptors(tmp_path, closed):
+    # Failure: as above; the libraries of this node open files when they are imported.
+    with IniProcess(tmp_path, closed=closed) as node:
+        node.wait_listening()
+        node.process.terminate()
+        assert node.wait_ended() == 0, node.log
