Wait for settings that are being written when a node starts

A settings file that was empty, half written or gone for a moment ended a starting process with code 2 at once; the platform starts it again, and three such ends are a fault of the whole system.

The tests with real processes failed before: exit code 2 without a wait for an empty file, one cut within a value, one cut between two tables, a missing one, and three cuts of an INI file.

--- a/packages/thorntray-node/src/thorntray_node/node_command.py
+++ b/packages/thorntray-node/src/thorntray_node/node_command.py
@@ -14,11 +14,13 @@
 from absl import app, flags, logging
 
 from thorntray import InvalidSettings
+from thorntray.internal.process.clock import SystemClock
 from thorntray.internal.telemetry.events import Event, configure_events, log_event
 from thorntray_node.config import NodeConfig
 from thorntray_node.dump import state_dump
 from thorntray_node.http import make_server
 from thorntray_node.node import Node
+from thorntray_node.settings_wait import log_wait, wait_for_settings
 
 EXIT_BAD_SETTINGS = 2
 EXIT_CANNOT_BIND = 3
@@ -39,7 +41,7 @@
     if len(argv) > 1:
         raise app.UsageError(f"unexpected argument {argv[1]!r}; give --config FILE only")
     try:
-        cfg = NodeConfig.from_file(Path(_CONFIG.value))
+        cfg = _read_settings(Path(_CONFIG.value))
     except InvalidSettings as exc:
         print(exc, file=sys.stderr)
         return EXIT_BAD_SETTINGS
@@ -51,6 +53,13 @@
         return runner.run(_serve(cfg))
 
 
+def _read_settings(path: Path) -> NodeConfig:
+    """Return the settings; wait for a file that is being written, except to check it."""
+    if _CHECK.value:
+        return NodeConfig.from_file(path)
+    return wait_for_settings(lambda: NodeConfig.from_file(path), SystemClock(), log_wait)
+
+
 def _set_up_log(cfg: NodeConfig) -> None:
     logging.set_verbosity(logging.INFO)
     logging.set_stderrthreshold("info")
--- a/tests/ini_process_builders.py
+++ b/tests/ini_process_builders.py
@@ -89,6 +89,14 @@
                     raise ConnectionError(f"the node does not listen:\n{self.log}") from exc
                 time.sleep(POLL_PERIOD)
 
+    def wait_for_log(self, text: str) -> None:
+        """Wait until the process has written a text; raises `TimeoutError` if it does not."""
+        deadline = time.monotonic() + TIMEOUT
+        while text not in self.log:
+            if self.process.poll() is not None or time.monotonic() > deadline:
+                raise TimeoutError(f"the node did not write {text!r}:\n{self.log}")
+            time.sleep(POLL_PERIOD)
+
     def wait_ended(self) -> int:
         """Wait until the process has ended; return its exit code."""
         return self.process.wait(TIMEOUT)
--- a/tests/process_builders.py
+++ b/tests/process_builders.py
@@ -81,8 +81,9 @@
         self._options = options
         self._closed = closed
         self._gate = folder / "gate"
-        settings = folder / "boot.toml"
-        settings.write_text(fleet._settings(self._node), "utf-8")
+        self.settings = folder / "boot.toml"
+        self.text = fleet._settings(self._node)
+        self.settings.write_text(self.text, "utf-8")
         modules = folder / "modules"
         modules.mkdir()
         if gated:
@@ -101,7 +102,7 @@
             paths.append(sysconfig.get_path("purelib"))
         self._env = {
             **os.environ,
-            "THORNTRAY_BOOT": str(settings),
+            "THORNTRAY_BOOT": str(self.settings),
             "IMPORT_GATE": str(self._gate),
             "PYTHONPATH": os.pathsep.join(paths),
         }
@@ -167,6 +168,6 @@
         """Wait until the process has written a text; raises `TimeoutError` if it does not."""
         deadline = time.monotonic() + START_TIMEOUT
         while text not in self.log:
-            if time.monotonic() > deadline:
+            if self.process.poll() is not None or time.monotonic() > deadline:
                 raise TimeoutError(f"the node did not write {text!r}:\n{self.log}")
             time.sleep(0.01)
