Apply a settings file that changes between its reading and the first check

A file that was completed or changed while the node started kept the old settings for good, without a line: the state that later checks compare with was taken after the file had been read.

The first check reads the file and compares it with what the node was started with; it costs one parse 2 s after the start and writes nothing if they are the same. The test failed before: nothing was applied.

--- a/packages/thorntray-node/src/thorntray_node/settings_reload.py
+++ b/packages/thorntray-node/src/thorntray_node/settings_reload.py
@@ -34,6 +34,7 @@
         self._apply = apply
         self._requested = asyncio.Event()
         self._seen = self._file_state()
+        self._is_checked = False  # whether the file says what was read of it at the start
 
     def request(self) -> None:
         """Have the file read again at once, also if it looks unchanged."""
@@ -46,7 +47,8 @@
                 async with asyncio.timeout(CHECK_PERIOD):
                     await self._requested.wait()
             file_state = self._file_state()
-            if self._requested.is_set() or file_state != self._seen:
+            changed = file_state != self._seen or self._differs_from_start()
+            if self._requested.is_set() or changed:
                 self._requested.clear()
                 self._seen = file_state
                 self.reload()
@@ -73,6 +75,19 @@
             need_restart=[name for name in changed if name not in RELOADABLE_FIELDS],
         )
 
+    def _differs_from_start(self) -> bool:
+        """Return, at the first call, whether the file has changed since it was read at the start.
+
+        The state of the file in `_seen` is later than that, and may be that of a change.
+        """
+        if self._is_checked:
+            return False
+        self._is_checked = True
+        try:
+            return self._read() != self._in_force
+        except InvalidSettings:
+            return True
+
     def _file_state(self) -> tuple[int, int] | None:
         """Return what differs after each change of the file, None if there is no file."""
         try:
--- a/tests/test_settings_reload.py
+++ b/tests/test_settings_reload.py
@@ -13,6 +13,8 @@
 from thorntray.errors import Fault, InvalidSettings
 from thorntray.internal.overload.retry_budget import RetryBudget, RetryBudgetSettings
 from thorntray.internal.process.drain import CLOSE_TIME_RESERVE, Drain
+from thorntray.internal.telemetry.events import Event
+from thorntray_node import settings_reload
 from thorntray_node.mesh_config import Endpoint
 from thorntray_node.settings_reload import CHECK_PERIOD, SettingsReload
 
@@ -123,3 +125,23 @@
     cfg = make_mesh_config("n1", "tariff", 80, "a")._replace(**{field: float("nan")})
     with pytest.raises(InvalidSettings, match=field):
         cfg.validated("boot.toml")
+
+
+def test_a_change_between_the_start_and_the_first_check_is_applied(tmp_path):
+    # Failure: a file that is completed after it was read looks as if it had not changed since.
+    file = SettingsFile(tmp_path / "boot.toml")
+    read_at_start = file.cfg
+    file.save(stop_limit=9.0)
+    file.reload = SettingsReload(file.path, file.read, read_at_start, file.applied.append)
+    run_for(file, CHECK_PERIOD + 0.2)
+    assert [cfg.stop_limit for cfg in file.applied] == [9.0]
+
+
+def test_the_first_check_of_an_unchanged_file_is_not_logged(file, monkeypatch):
+    lines = []
+    monkeypatch.setattr(settings_reload, "log_event", lambda event, **_: lines.append(event))
+    run_for(file, CHECK_PERIOD + 0.2)
+    assert lines == [] and file.applied == []
+    file.reload.request()
+    run_for(file, 0.1)
+    assert lines == [Event.SETTINGS_CHANGED]
