Write cause and exit code as the last line of every process that ends

Operators saw processes end with 1, 2 or 3 and at best a plain line or a traceback on standard error; nothing if that was closed, and nothing at all after a native crash. A graceful end and a kill after it looked the same. With output that nobody read, the message about invalid settings blocked the end: the process hung.

Both programs now write 127 PROCESS_ENDED with cause, code, step and detail as JSON: after a graceful stop, invalid flags or settings, taken ports, failing imports, and exceptions in start, stop or the loop. The line and the messages before it go to the outputs in turn, as far as these take them at once, and are lost if none does. faulthandler writes the stacks of a native crash to standard error. The module imports only the standard library, as it reports failing imports too.

SIGINT before the start ends the process with 130 and a line, before by the signal with a traceback.

--- a/packages/thorntray-node/src/thorntray_node/main.py
+++ b/packages/thorntray-node/src/thorntray_node/main.py
@@ -1,15 +1,24 @@
 """Command line of the node: `thorntray-node --config node.ini`.
 
-Exit codes: 0 after a graceful stop or a successful `--check`, 2 for invalid settings, 3 when a
-port cannot be bound.
+Exit codes: 0 after a graceful stop or a successful `--check`, 1 for invalid flags or a failure, 2
+for invalid settings, 3 when a port cannot be bound.
 """
 
+import sys
+from collections.abc import Callable
+
 from thorntray_node.standard_descriptors import open_standard_descriptors
 
 
 def run() -> None:
     """Entry point of the `thorntray-node` command."""
     open_standard_descriptors()
+    from thorntray_node.process_end import process_end
+
+    sys.exit(process_end.run(_load_command, (sys.stderr, sys.stdout)))
+
+
+def _load_command() -> Callable[[], int]:
     from thorntray_node.node_command import run_command  # its libraries open files
 
-    run_command()
+    return run_command
--- a/packages/thorntray-node/src/thorntray_node/node_command.py
+++ b/packages/thorntray-node/src/thorntray_node/node_command.py
@@ -20,6 +20,7 @@
 from thorntray_node.dump import state_dump
 from thorntray_node.http import make_server
 from thorntray_node.node import Node
+from thorntray_node.process_end import Cause, process_end
 from thorntray_node.settings_wait import log_wait, wait_for_settings
 
 EXIT_BAD_SETTINGS = 2
@@ -32,22 +33,32 @@
 _CHECK = flags.DEFINE_bool("check", False, "Check the settings file and exit.")
 
 
-def run_command() -> None:
-    """Run the command; exits the process."""
-    app.run(_main)
+def run_command() -> int:
+    """Run the command; return its exit code, or raise `SystemExit` with it."""
+    process_end.step = "flags"
+    try:
+        app.run(_main)
+    except SystemExit as exc:
+        if process_end.step == "flags" and exc.code:
+            process_end.cause = Cause.INVALID_FLAGS  # absl has written the usage
+        raise
+    return 0
 
 
 def _main(argv: list[str]) -> int:
     if len(argv) > 1:
         raise app.UsageError(f"unexpected argument {argv[1]!r}; give --config FILE only")
+    process_end.step = "settings"
+    process_end.is_reported = not _CHECK.value
     try:
         cfg = _read_settings(Path(_CONFIG.value))
     except InvalidSettings as exc:
-        print(exc, file=sys.stderr)
+        process_end.explain(Cause.INVALID_SETTINGS, str(exc))
         return EXIT_BAD_SETTINGS
     if _CHECK.value:
         print(f"{_CONFIG.value}: valid")
         return 0
+    process_end.node = cfg.name
     _set_up_log(cfg)
     with asyncio.Runner(loop_factory=uvloop.new_event_loop) as runner:
         return runner.run(_serve(cfg))
@@ -69,6 +80,7 @@
 
 
 async def _serve(cfg: NodeConfig) -> int:
+    process_end.step = "start"
     node = Node.from_config(cfg)
     stop = asyncio.Event()
     loop = asyncio.get_running_loop()
@@ -80,9 +92,8 @@
         listener = socket.create_server((cfg.address, cfg.http_port), backlog=HTTP_BACKLOG)
         await node.start()
     except (OSError, pynng.NNGException) as exc:
-        print(
-            f"cannot open the ports of {cfg.name}: {exc}; check that they are free", file=sys.stderr
-        )
+        detail = f"cannot open the ports of {cfg.name}: {exc}; check that they are free"
+        process_end.explain(Cause.PORT_TAKEN, detail)
         return EXIT_CANNOT_BIND
     server = make_server(node)
     _freeze_startup_objects()
@@ -91,6 +102,7 @@
     await asyncio.wait({serving, asyncio.create_task(stop.wait())}, return_when="FIRST_COMPLETED")
     if serving.done():
         return EXIT_CANNOT_BIND
+    process_end.step = "stop"
     stop_at = loop.time() + cfg.drain_limit
     await node.drain()
     await _stop_accepting_callers(server)
--- a/packages/thorntray/src/thorntray/internal/telemetry/events.py
+++ b/packages/thorntray/src/thorntray/internal/telemetry/events.py
@@ -69,6 +69,7 @@
     DESCRIPTORS_EXHAUSTED = EventKind(
         122, Level.ERROR, "no descriptor left for an outgoing connection", 1
     )
+    PROCESS_ENDED = EventKind(127, Level.ERROR, "process ended")  # written by `process_end`
     SETTINGS_AWAITED = EventKind(129, Level.WARNING, "settings file not valid yet, read again")
     MEMBER_JOINED = EventKind(200, Level.INFO, "member joined")
     MEMBER_SUSPECT = EventKind(201, Level.WARNING, "member suspected")
--- a/tests/process_builders.py
+++ b/tests/process_builders.py
@@ -14,7 +14,7 @@
 from contextlib import contextmanager
 from pathlib import Path
 from random import Random
-from typing import Self
+from typing import BinaryIO, Self
 
 from standins.mesh_fleet import OUTBOUND_PORT, PACKAGES, ROOT, MeshFleet, NodeProcess
 
@@ -58,7 +58,8 @@
     With `piped`, its stdout is a pipe. `failing_step` names a method of `MeshNode` that raises
     `FAILURE`, `failing_once` a method without arguments whose first call does. `options` are those
     of the interpreter. `packages` is the folder on Python's path that has the packages, and
-    `closed` the descriptors that are closed when the process starts.
+    `closed` the descriptors that are closed when the process starts. With `stdout`, a file, only
+    its standard error goes to the log.
     """
 
     def __init__(
@@ -72,13 +73,16 @@
         options: tuple[str, ...] = (),
         packages: Path | None = None,
         closed: tuple[int, ...] = (),
+        arguments: tuple[str, ...] = (),
+        stdout: str = "",
     ) -> None:
         fleet = MeshFleet([], {}, Random(0))
         self._node = NodeProcess("single-1", "single", "kalimati", 1)
         self._host = fleet._address(1, 1)
-        self._folder = folder
+        self.folder = folder
+        self.command = [sys.executable, *options, str(ROOT / "platform/run.py"), *arguments]
         self._piped = piped
-        self._options = options
+        self._stdout = stdout
         self._closed = closed
         self._gate = folder / "gate"
         self.settings = folder / "boot.toml"
@@ -100,7 +104,7 @@
         paths = [str(modules), *map(str, package_paths)]
         if "-S" in options:  # the libraries are on the path, as `target/deps` is on the platform
             paths.append(sysconfig.get_path("purelib"))
-        self._env = {
+        self.env = {
             **os.environ,
             "THORNTRAY_BOOT": str(self.settings),
             "IMPORT_GATE": str(self._gate),
@@ -123,20 +127,23 @@
 
     def start(self) -> None:
         """Start the process; unless it is piped, its output goes to the log."""
-        with (self._folder / "node.log").open("ab") as log:
+        with (self.folder / "node.log").open("ab") as log:
             self.process = subprocess.Popen(
-                [sys.executable, *self._options, str(ROOT / "platform/run.py")],
+                self.command,
                 preexec_fn=self._close_descriptors if self._closed else None,
-                stdout=subprocess.PIPE if self._piped else log,
+                stdout=subprocess.PIPE if self._piped else self._open_stdout(log),
                 stderr=log,
-                env=self._env,
+                env=self.env,
                 cwd=ROOT,
             )
 
+    def _open_stdout(self, log: BinaryIO) -> BinaryIO:
+        return open(self._stdout, "wb") if self._stdout else log
+
     @property
     def log(self) -> str:
         """Return what the process has written."""
-        return (self._folder / "node.log").read_text("utf-8")
+        return (self.folder / "node.log").read_text("utf-8")
 
     @contextmanager
     def importing(self) -> Iterator[None]:
