--- a/tests/process_builders.py
+++ b/tests/process_builders.py
@@ -10,9 +10,11 @@
 import sys
 import sysconfig
 import time
+from collections.abc import Iterator
+from contextlib import contextmanager
 from pathlib import Path
 from random import Random
-from typing import Self
+from typing import BinaryIO, Self
 
 from standins.mesh_fleet import OUTBOUND_PORT, PACKAGES, ROOT, MeshFleet, NodeProcess
 
@@ -55,7 +57,9 @@
     With `gated`, the process waits during the import of `gated_module` for `send_while_importing`.
     With `piped`, its stdout is a pipe. `failing_step` names a method of `MeshNode` that raises
     `FAILURE`, `failing_once` a method without arguments whose first call does. `options` are those
-    of the interpreter.
+    of the interpreter. `packages` is the folder on Python's path that has the packages, and
+    `closed` the descriptors that are closed when the process starts. With `stdout`, a file, only
+    its standard error goes to the log.
     """
 
     def __init__(
@@ -67,16 +71,23 @@
         failing_once: str = "",
         gated_module: str = GATED_MODULE,
         options: tuple[str, ...] = (),
+        packages: Path | None = None,
+        closed: tuple[int, ...] = (),
+        arguments: tuple[str, ...] = (),
+        stdout: str = "",
     ) -> None:
         fleet = MeshFleet([], {}, Random(0))
         self._node = NodeProcess("single-1", "single", "kalimati", 1)
         self._host = fleet._address(1, 1)
-        self._folder = folder
+        self.folder = folder
+        self.command = [sys.executable, *options, str(ROOT / "platform/run.py"), *arguments]
         self._piped = piped
-        self._options = options
+        self._stdout = stdout
+        self._closed = closed
         self._gate = folder / "gate"
-        settings = folder / "boot.toml"
-        settings.write_text(fleet._settings(self._node), "utf-8")
+        self.settings = folder / "boot.toml"
+        self.text = fleet._settings(self._node)
+        self.settings.write_text(self.text, "utf-8")
         modules = folder / "modules"
         modules.mkdir()
         if gated:
@@ -89,12 +100,13 @@
         if failing_once:
             source = FAILING_ONCE_SOURCE.format(method=failing_once)
             (modules / "sitecustomize.py").write_text(source, "utf-8")
-        paths = [str(modules), *(str(ROOT / path) for path in PACKAGES)]
+        package_paths = [packages] if packages else [ROOT / path for path in PACKAGES]
+        paths = [str(modules), *map(str, package_paths)]
         if "-S" in options:  # the libraries are on the path, as `target/deps` is on the platform
             paths.append(sysconfig.get_path("purelib"))
-        self._env = {
+        self.env = {
             **os.environ,
-            "THORNTRAY_BOOT": str(settings),
+            "THORNTRAY_BOOT": str(self.settings),
             "IMPORT_GATE": str(self._gate),
             "PYTHONPATH": os.pathsep.join(paths),
         }
@@ -109,25 +121,39 @@
             self.process.kill()
         self.process.wait()
 
+    def _close_descriptors(self) -> None:
+        for descriptor in self._closed:
+            os.close(descriptor)
+
     def start(self) -> None:
         """Start the process; unless it is piped, its output goes to the log."""
-        with (self._folder / "node.log").open("ab") as log:
+        with (self.folder / "node.log").open("ab") as log:
             self.process = subprocess.Popen(
-                [sys.executable, *self._options, str(ROOT / "platform/run.py")],
-                stdout=subprocess.PIPE if self._piped else log,
+                self.command,
+                preexec_fn=self._close_descriptors if self._closed else None,
+                stdout=subprocess.PIPE if self._piped else self._open_stdout(log),
                 stderr=log,
-                env=self._env,
+                env=self.env,
                 cwd=ROOT,
             )
 
+    def _open_stdout(self, log: BinaryIO) -> BinaryIO:
+        return open(self._stdout, "wb") if self._stdout else log
+
     @property
     def log(self) -> str:
         """Return what the process has written."""
-        return (self._folder / "node.log").read_text("utf-8")
+        return (self.folder / "node.log").read_text("utf-8")
+
+    @contextmanager
+    def importing(self) -> Iterator[None]:
+        """Hold the process while it is importing its modules, and then let it go on."""
+        with self._gate.open("w"):  # blocks until the process has reached the gate
+            yield
 
     def send_while_importing(self, signum: signal.Signals) -> None:
         """Send a signal while the process is importing its modules, and let it go on."""
-        with self._gate.open("w"):  # blocks until the process has reached the gate
+        with self.importing():
             self.process.send_signal(signum)
 
     def connect(self) -> socket.socket:
@@ -149,6 +175,6 @@
         """Wait until the process has written a text; raises `TimeoutError` if it does not."""
         deadline = time.monotonic() + START_TIMEOUT
         while text not in self.log:
-            if time.monotonic() > deadline:
+            if self.process.poll() is not None or time.monotonic() > deadline:
                 raise TimeoutError(f"the node did not write {text!r}:\n{self.log}")
             time.sleep(0.01)
