--- a/packages/thorntray-node/src/thorntray_node/mesh_node.py
+++ b/packages/thorntray-node/src/thorntray_node/mesh_node.py
@@ -4,8 +4,6 @@
 from collections.abc import Callable
 from random import Random
 
-from absl import logging
-
 from thorntray.internal.connection.exchange import Exchange
 from thorntray.internal.connection.frame import CallFrame, Frame
 from thorntray.internal.connection.http_request import ClosedBy
@@ -72,15 +70,14 @@
 from thorntray_node.memory_bounds import MemoryBounds
 from thorntray_node.mesh_config import MeshConfig
 from thorntray_node.mesh_gauges import register_gauges
+from thorntray_node.node_stop import NodeStop, StopDependencies
 from thorntray_node.peer_requests import PeerRequests
 from thorntray_node.platform_store import PlatformStore, StoreKeys
-from thorntray_node.request_drain import RequestDrain, time_for_links
 
 PRICE_UPDATE_PERIOD = 0.1  # mean seconds between updates of the slot price
 LINK_FAILURE_PAUSE = 1.0  # seconds without new requests to a member after a link failure
 HOUSEKEEPING_PERIOD = 0.5  # seconds
 LOOPBACK_HOST = "127.0.0.1"
-LEAVE_TIME = 0.05  # seconds for the datagrams that announce the leave
 OK, UNAVAILABLE = 200, 503
 METRICS_CONTENT_TYPE = b"Content-Type: text/plain; version=0.0.4\r\n"
 
@@ -529,49 +526,21 @@
 
     async def stop(self) -> None:
         """Stop gracefully: serve until callers can have noticed, answer everything, leave."""
-        started = self.clock.monotonic()
-        self.drain.begin()
-        log_event(Event.DRAIN_BEGUN, active=self.callers.active, held=len(self.owner.requests))
-        self.callers.closing = True
-        seed_removal = self._tasks.spawn(self.seeds.stop())
-        read_before = self.callers.requests_read
-        # Callers send requests until two readiness checks have failed, so this delay is always
-        # waited out. The instance serves peers meanwhile, since other nodes may be stopping too.
-        await asyncio.sleep(self.drain.accepting_for)
-        self.callers.refusing = True
-        self.registration.drain_node()
-        requests = RequestDrain(self.drain, self.origin, self.owner, self.callers, self.listener)
-        ended = await requests.run()
-        if any(ended):
-            log_event(Event.DRAIN_CUT, **ended._asdict())
-        log_event(
-            Event.DRAIN_ENDED,
-            seconds=round(self.clock.monotonic() - started, 3),
-            active=self.callers.active,
-            read=self.callers.requests_read - read_before,
-            unsent=self.callers.unsent_bytes,
-        )
-        await self._close(started, seed_removal)
-
-    async def _close(self, started: float, seed_removal: "asyncio.Task[None]") -> None:
-        """Leave the fleet and close the listeners; callers are refused until the last step."""
-        read_before = self.callers.requests_read
-        self.membership.leave()
-        self.metrics_server.close()
-        await asyncio.sleep(LEAVE_TIME)
-        await self.listener.finish(time_for_links(self.drain, self.clock.monotonic()))
-        if not seed_removal.done():
-            logging.info("the store did not respond; the seed entry expires with its lease")
-            seed_removal.cancel()
-        await self._store.close()
-        self.callers.close()
-        log_event(
-            Event.STOPPED,
-            seconds=round(self.clock.monotonic() - started, 3),
-            unanswered=self.callers.report_unanswered(ClosedBy.EXIT),
-            read=self.callers.requests_read - read_before,
-            unsent=self.callers.unsent_bytes,
+        dependencies = StopDependencies(
+            drain=self.drain,
+            clock=self.clock,
+            callers=self.callers,
+            other_servers=(self.readiness, self.announcements, self.metrics_server),
+            listener=self.listener,
+            origin=self.origin,
+            owner=self.owner,
+            registration=self.registration,
+            membership=self.membership,
+            seeds=self.seeds,
+            store=self._store,
+            tasks=self._tasks,
         )
+        await NodeStop(dependencies).run()
 
 
 SEED_TIMING = SeedTiming(
--- a/packages/thorntray/src/thorntray/internal/connection/http_connection.py
+++ b/packages/thorntray/src/thorntray/internal/connection/http_connection.py
@@ -10,6 +10,7 @@
 
 import asyncio
 from collections import deque
+from collections.abc import Callable
 from http import HTTPStatus
 from math import inf
 from typing import TYPE_CHECKING
@@ -17,9 +18,14 @@
 import httptools
 
 from thorntray.internal.connection.connection_bound import SURPLUS_TIMEOUT
-from thorntray.internal.connection.connection_end import Linger, UntakenOutput
+from thorntray.internal.connection.connection_end import (
+    Linger,
+    UntakenOutput,
+    unacknowledged_bytes,
+)
 from thorntray.internal.connection.exchange import Exchange
 from thorntray.internal.connection.http_request import ClosedBy, HttpRequest, expects_continue
+from thorntray.internal.connection.kernel_output import kernel_input_bytes
 from thorntray.internal.connection.output_watch import OutputWatch
 from thorntray.internal.connection.request_bodies import (
     CONTENT_LENGTH,
@@ -31,6 +37,8 @@
 if TYPE_CHECKING:
     from thorntray.internal.connection.http_server import HttpServer
 
+# Seconds after the accept in which the first request arrives, also on a machine under load.
+FIRST_REQUEST_TIME = 0.3
 MAX_PIPELINED = 32  # pending requests on one connection at which reading pauses
 _CONTINUE = b"HTTP/1.1 100 Continue\r\n\r\n"
 
@@ -45,7 +53,8 @@
         self.peer_host = ""  # IP address of the caller
         self._transport: asyncio.Transport | None = None
         self._parser = httptools.HttpRequestParser(self)
-        self._last_active_at = server.clock.monotonic()
+        self._last_active_at = self._accepted_at = server.clock.monotonic()
+        self._unused = True  # whether nothing has been received
         self._receiving_since: float | None = None  # arrival of the first byte of a request
         self._last_request_read = False  # whether later requests on the connection are ignored
         self.one_request = False  # whether the connection exceeds the bound of the server
@@ -67,6 +76,7 @@
 
     def data_received(self, data: bytes) -> None:
         """Parse received bytes; malformed input is rejected and closes the connection."""
+        self._unused = False
         if self._linger is not None:
             self._linger.record_input(self.server.clock.monotonic())
         if self._last_request_read:
@@ -281,6 +291,38 @@
         if not self.pending and self._receiving_since is None and self._transport is not None:
             self._transport.close()
 
+    def expects_request(self, now: float) -> bool:
+        """Return whether a request is pending, being received, or about to be sent."""
+        if self._linger is not None:
+            return False
+        if self.pending or self._receiving_since is not None:
+            return True
+        return self._unused and now - self._accepted_at < FIRST_REQUEST_TIME
+
+    def finish(self, refusal_lines: Callable[[], bytes]) -> None:
+        """Refuse a request that is being received, or close a connection that is not in use.
+
+        A connection with unread input is left open until that is read: closing it would reset it.
+        """
+        transport = self._transport
+        if transport is None or self.pending or self._last_request_read:
+            return
+        if self._receiving_since is not None:
+            self._reject(HTTPStatus.SERVICE_UNAVAILABLE, refusal_lines())
+        elif not kernel_input_bytes(transport):
+            transport.close()
+
+    @property
+    def owes_output(self) -> bool:
+        """Return whether the end of the process would lose a response or unread input."""
+        transport = self._transport
+        if transport is None or transport.is_closing():
+            return False
+        if self._linger is None:
+            return True
+        now = self.server.clock.monotonic()
+        return self.unsent_bytes + unacknowledged_bytes(transport, self._last_active_at, now) > 0
+
     @property
     def idle_since(self) -> float:
         """Return the monotonic time of the last response, infinite if anything is in progress."""
--- a/packages/thorntray/src/thorntray/internal/connection/http_server.py
+++ b/packages/thorntray/src/thorntray/internal/connection/http_server.py
@@ -8,6 +8,7 @@
 import asyncio
 from collections.abc import Callable
 
+from thorntray.internal.connection.accept_queue import close_listener
 from thorntray.internal.connection.connection_bound import ConnectionBound
 from thorntray.internal.connection.exchange import Exchange
 from thorntray.internal.connection.http_connection import HttpServerConnection
@@ -19,6 +20,8 @@
 TIMEOUT_CHECK_PERIOD = 0.5  # seconds between checks for slow and idle connections
 LISTEN_BACKLOG = 1024  # connections waiting to be accepted
 
+FINISH_POLL_PERIOD = 0.01  # seconds
+
 ExchangeHandler = Callable[[Exchange], None]
 UnansweredHandler = Callable[[Exchange, ClosedBy], None]
 
@@ -74,6 +77,29 @@
                 except Exception:  # the other connections are checked all the same
                     log_handler_failure()
 
+    async def finish(self, request_time: float, answer_time: float) -> None:
+        """Stop listening, answer the requests of the connections that are open, and close them.
+
+        Requests have `request_time` seconds to arrive; those that are incomplete by then are
+        refused. Responses have `answer_time` seconds to be delivered. The times are counted in
+        turns of the event loop, so that it reads what arrives while the process is paused.
+        """
+        self.closing = True
+        server, self._server = self._server, None
+        if server is not None:
+            await close_listener(server, lambda: HttpServerConnection(self))
+        for _ in range(max(1, round(request_time / FINISH_POLL_PERIOD))):
+            await asyncio.sleep(FINISH_POLL_PERIOD)
+            now = self.clock.monotonic()
+            if not any(connection.expects_request(now) for connection in self.connections):
+                break
+        for _ in range(max(1, round(answer_time / FINISH_POLL_PERIOD))):
+            for connection in list(self.connections):
+                connection.finish(self.bound.refusal_lines)
+            await asyncio.sleep(FINISH_POLL_PERIOD)
+            if not any(connection.owes_output for connection in self.connections):
+                break
+
     def close(self) -> None:
         """Stop listening and close idle connections."""
         if self._server is not None:
--- a/packages/thorntray/src/thorntray/internal/connection/link_connection.py
+++ b/packages/thorntray/src/thorntray/internal/connection/link_connection.py
@@ -86,7 +86,7 @@
         self._gate = gate  # None: all frames are read
         self._reading_paused = False
         self._reading_large = False  # whether a frame was admitted by the gate
-        self._mode_known = hello is not None  # whether the mode byte was sent or received
+        self.mode_known = hello is not None  # whether the mode byte was sent or received
         self._transport: asyncio.Transport | None = None
         self._reader = FrameReader()
         self._queued_frames: list[Frame] = []
@@ -150,8 +150,8 @@
         now = self._clock.monotonic()
         self._watch.record_receipt(now)
         try:
-            if not self._mode_known:
-                self._mode_known = True
+            if not self.mode_known:
+                self.mode_known = True
                 if data[:1] == COMPRESSED_STREAM:
                     self._enable_compression()
                 data = data[1:]
--- a/packages/thorntray/src/thorntray/internal/connection/link_listener.py
+++ b/packages/thorntray/src/thorntray/internal/connection/link_listener.py
@@ -2,6 +2,7 @@
 
 import asyncio
 
+from thorntray.internal.connection.accept_queue import close_listener
 from thorntray.internal.connection.link_connection import FrameHandler, LinkConnection
 from thorntray.internal.connection.receive_gate import ReceiveGate
 from thorntray.internal.process.clock import Clock
@@ -9,6 +10,7 @@
 
 LISTEN_BACKLOG = 1024  # links waiting to be accepted; all peers may open theirs at the same time
 CLOSE_POLL_PERIOD = 0.01  # seconds
+FIRST_BYTE_TIME = 0.1  # seconds after which a peer has sent the first byte of a new link
 
 
 class LinkListener:
@@ -73,9 +75,19 @@
 
         Peers end calls that arrive too late as never run. Waits for `seconds` at most.
         """
-        self.close()
+        server, self._server = self._server, None
+        if server is not None:
+            await close_listener(server, self._accept)
+        await self._await_first_bytes()
         latest_end = self._clock.monotonic() + seconds
         for connection in list(self._connections):
             connection.go_away()
         while self._connections and self._clock.monotonic() < latest_end:
             await asyncio.sleep(CLOSE_POLL_PERIOD)
+
+    async def _await_first_bytes(self) -> None:
+        """Wait until the links that were accepted last tell whether they are compressed."""
+        for _ in range(round(FIRST_BYTE_TIME / CLOSE_POLL_PERIOD)):
+            await asyncio.sleep(CLOSE_POLL_PERIOD)
+            if all(connection.mode_known for connection in self._connections):
+                return
--- a/packages/thorntray/src/thorntray/internal/process/drain.py
+++ b/packages/thorntray/src/thorntray/internal/process/drain.py
@@ -11,6 +11,7 @@
 READINESS_PROPAGATION_DELAY = 2.2
 # Seconds of the stop limit reserved for final answers and for closing the connections.
 CLOSE_TIME_RESERVE = 0.6
+EXIT_TIME = 0.1  # seconds from the close of the last connection to the end of the process
 NO_END = float("inf")
 
 
@@ -60,6 +61,12 @@
             return True
         return has_parent and now + expected_seconds < self.answers_due
 
+    @property
+    def closing_for(self) -> float:
+        """Return the seconds that are left for closing connections, within the limit."""
+        closed_at = self.answers_due + CLOSE_TIME_RESERVE - EXIT_TIME
+        return max(0.0, closed_at - self._clock.monotonic())
+
     @property
     def overdue(self) -> bool:
         """Return whether answers are due now."""
--- a/packages/thorntray/src/thorntray/internal/telemetry/events.py
+++ b/packages/thorntray/src/thorntray/internal/telemetry/events.py
@@ -69,6 +69,9 @@
     DESCRIPTORS_EXHAUSTED = EventKind(
         122, Level.ERROR, "no descriptor left for an outgoing connection", 1
     )
+    CONNECTIONS_NOT_ACCEPTED = EventKind(
+        125, Level.WARNING, "waiting connections reset at the stop"
+    )
     MEMBER_JOINED = EventKind(200, Level.INFO, "member joined")
     MEMBER_SUSPECT = EventKind(201, Level.WARNING, "member suspected")
     MEMBER_DEAD = EventKind(202, Level.WARNING, "member dead")
--- a/tests/process_builders.py
+++ b/tests/process_builders.py
@@ -14,7 +14,14 @@
 from random import Random
 from typing import Self
 
-from standins.mesh_fleet import OUTBOUND_PORT, PACKAGES, ROOT, MeshFleet, NodeProcess
+from standins.mesh_fleet import (
+    OUTBOUND_PORT,
+    PACKAGES,
+    ROOT,
+    Endpoint,
+    MeshFleet,
+    NodeProcess,
+)
 
 START_TIMEOUT = 20.0  # seconds
 STOP_TIMEOUT = 15.0  # seconds; more than the stop limit in the settings of the node
@@ -71,6 +78,7 @@
         fleet = MeshFleet([], {}, Random(0))
         self._node = NodeProcess("single-1", "single", "kalimati", 1)
         self._host = fleet._address(1, 1)
+        self.outbound = Endpoint(self._host, OUTBOUND_PORT)
         self._folder = folder
         self._piped = piped
         self._options = options
