--- a/packages/thorntray-node/src/thorntray_node/main.py
+++ b/packages/thorntray-node/src/thorntray_node/main.py
@@ -23,6 +23,12 @@
 from thorntray_node.dump import state_dump
 from thorntray_node.http import make_server
 from thorntray_node.node import Node
+from thorntray_node.process_signals import (
+    STOP_SIGNALS,
+    handle_signals,
+    ignore_signals,
+    reset_stop_signals,
+)
 
 EXIT_BAD_SETTINGS = 2
 EXIT_CANNOT_BIND = 3
@@ -36,6 +42,7 @@
 
 def run() -> None:
     """Entry point of the `thorntray-node` command."""
+    reset_stop_signals()
     app.run(_main)
 
 
@@ -68,8 +75,8 @@
     stop = asyncio.Event()
     loop = asyncio.get_running_loop()
     # Before the port is bound, since a caller's connection is open from then on.
-    loop.add_signal_handler(signal.SIGTERM, stop.set)
-    loop.add_signal_handler(signal.SIGINT, stop.set)
+    handle_signals(STOP_SIGNALS, stop.set)
+    ignore_signals((signal.SIGUSR1,))
     try:
         # Bound here, because uvicorn exits the process when it cannot bind the port.
         listener = socket.create_server((cfg.address, cfg.http_port), backlog=HTTP_BACKLOG)
@@ -81,7 +88,7 @@
         return EXIT_CANNOT_BIND
     server = make_server(node)
     _freeze_startup_objects()
-    loop.add_signal_handler(signal.SIGUSR1, _write_dump, node)
+    handle_signals((signal.SIGUSR1,), lambda: _write_dump(node))
     serving = asyncio.create_task(server.serve(sockets=[listener]))
     await asyncio.wait({serving, asyncio.create_task(stop.wait())}, return_when="FIRST_COMPLETED")
     if serving.done():
@@ -93,6 +100,7 @@
     server.should_exit = True
     await serving
     await node.stop()
+    ignore_signals((*STOP_SIGNALS, signal.SIGUSR1))
     return 0
 
 
--- /dev/null
+++ b/packages/thorntray-node/src/thorntray_node/process_signals.py
@@ -0,0 +1,36 @@
+"""Signals of a node process: received whatever its parent has set, and handled until its exit.
+
+The event loop's own handlers end with the loop. A signal that comes between that and the end of the
+process would then end it with another exit code.
+"""
+
+import asyncio
+import signal
+from collections.abc import Callable, Iterable
+
+STOP_SIGNALS = (signal.SIGTERM, signal.SIGINT)
+
+
+def reset_stop_signals() -> None:
+    """Undo that the parent has blocked or ignored stop signals; their default ends the process."""
+    for signum in STOP_SIGNALS:
+        signal.signal(signum, signal.SIG_DFL)
+    signal.pthread_sigmask(signal.SIG_UNBLOCK, STOP_SIGNALS)
+
+
+def handle_signals(signums: Iterable[signal.Signals], callback: Callable[[], None]) -> None:
+    """Have the running event loop call `callback` for each of these signals, while it runs."""
+    loop = asyncio.get_running_loop()
+
+    def call_soon(*_: object) -> None:
+        if not loop.is_closed():
+            loop.call_soon_threadsafe(callback)
+
+    for signum in signums:
+        signal.signal(signum, call_soon)
+
+
+def ignore_signals(signums: Iterable[signal.Signals]) -> None:
+    """Ignore these signals until the process ends."""
+    for signum in signums:
+        signal.signal(signum, signal.SIG_IGN)
--- a/tests/process_builders.py
+++ b/tests/process_builders.py
@@ -10,6 +10,8 @@
 import sys
 import sysconfig
 import time
+from collections.abc import Iterator
+from contextlib import contextmanager
 from pathlib import Path
 from random import Random
 from typing import Self
@@ -56,6 +58,26 @@
 """
 
 
+@contextmanager
+def blocked_signal(signum: signal.Signals) -> Iterator[None]:
+    """Have processes that are started meanwhile inherit a mask that blocks a signal."""
+    before = signal.pthread_sigmask(signal.SIG_BLOCK, {signum})
+    try:
+        yield
+    finally:
+        signal.pthread_sigmask(signal.SIG_SETMASK, before)
+
+
+@contextmanager
+def ignored_signal(signum: signal.Signals) -> Iterator[None]:
+    """Have processes that are started meanwhile inherit that a signal is ignored."""
+    before = signal.signal(signum, signal.SIG_IGN)
+    try:
+        yield
+    finally:
+        signal.signal(signum, before)
+
+
 class PlatformProcess:
     """A node process; use as a context manager, which kills the process at its end.
 
@@ -113,6 +135,17 @@
         return self
 
     def __exit__(self, *_: object) -> None:
+        self._kill()
+
+    @contextmanager
+    def running(self) -> Iterator[None]:
+        """Kill the process, which was started before, at the end of the context."""
+        try:
+            yield
+        finally:
+            self._kill()
+
+    def _kill(self) -> None:
         if self.process.poll() is None:
             self.process.kill()
         self.process.wait()
--- a/tests/test_node_stops.py
+++ b/tests/test_node_stops.py
@@ -7,6 +7,7 @@
 import pytest
 
 from standins.fleet import http, wait_for
+from tests.process_builders import POLL_PERIOD, blocked_signal
 from tests.stop_fleet import (
     DRAIN_LIMIT,
     LONG_DEADLINE,
@@ -147,3 +148,25 @@
         caller.sendall(lookup())
         assert read_answer(caller.makefile("rb"))[0] == 503
         assert fleet.stopping.node.wait(EXIT_TIMEOUT) == 0
+
+
+@pytest.mark.parametrize("signum", [signal.SIGTERM, signal.SIGINT])
+def test_a_stop_that_the_parent_has_blocked_drains_the_node(fleet, signum):
+    fleet.stopping.node.kill()
+    fleet.stopping.node.wait()
+    with blocked_signal(signum):
+        fleet.start_node(fleet.stopping)
+    fleet.wait_ready()
+    fleet.stopping.node.send_signal(signum)
+    assert fleet.stopping.node.wait(EXIT_TIMEOUT) == 0
+
+
+def test_signals_until_the_exit_do_not_change_the_exit_code(fleet):
+    # The event loop's handlers end with the loop, some time before the process.
+    deadline = time.monotonic() + EXIT_TIMEOUT
+    while fleet.stopping.node.poll() is None and time.monotonic() < deadline:
+        fleet.stopping.node.terminate()
+        fleet.stopping.node.send_signal(signal.SIGINT)
+        fleet.stopping.node.send_signal(signal.SIGUSR1)
+        time.sleep(POLL_PERIOD)
+    assert fleet.stopping.node.wait(EXIT_TIMEOUT) == 0
