--- a/packages/thorntray-node/src/thorntray_node/main.py
+++ b/packages/thorntray-node/src/thorntray_node/main.py
@@ -14,7 +14,9 @@
     """Entry point of the `thorntray-node` command."""
     open_standard_descriptors()
     from thorntray_node.process_end import process_end
+    from thorntray_node.process_signals import reset_stop_signals
 
+    reset_stop_signals()
     sys.exit(process_end.run(_load_command, (sys.stderr, sys.stdout)))
 
 
--- a/packages/thorntray-node/src/thorntray_node/node_command.py
+++ b/packages/thorntray-node/src/thorntray_node/node_command.py
@@ -21,6 +21,7 @@
 from thorntray_node.http import make_server
 from thorntray_node.node import Node
 from thorntray_node.process_end import Cause, process_end
+from thorntray_node.process_signals import STOP_SIGNALS, handle_signals, ignore_signals
 from thorntray_node.settings_wait import log_wait, wait_for_settings
 
 EXIT_BAD_SETTINGS = 2
@@ -85,8 +86,8 @@
     stop = asyncio.Event()
     loop = asyncio.get_running_loop()
     # Before the port is bound, since a caller's connection is open from then on.
-    loop.add_signal_handler(signal.SIGTERM, stop.set)
-    loop.add_signal_handler(signal.SIGINT, stop.set)
+    handle_signals(STOP_SIGNALS, stop.set)
+    ignore_signals((signal.SIGUSR1,))
     try:
         # Bound here, because uvicorn exits the process when it cannot bind the port.
         listener = socket.create_server((cfg.address, cfg.http_port), backlog=HTTP_BACKLOG)
@@ -97,7 +98,7 @@
         return EXIT_CANNOT_BIND
     server = make_server(node)
     _freeze_startup_objects()
-    loop.add_signal_handler(signal.SIGUSR1, _write_dump, node)
+    handle_signals((signal.SIGUSR1,), lambda: _write_dump(node))
     serving = asyncio.create_task(server.serve(sockets=[listener]))
     await asyncio.wait({serving, asyncio.create_task(stop.wait())}, return_when="FIRST_COMPLETED")
     if serving.done():
@@ -110,6 +111,7 @@
     server.should_exit = True
     await serving
     await node.stop()
+    ignore_signals((*STOP_SIGNALS, signal.SIGUSR1))
     return 0
 
 
--- a/packages/thorntray/src/thorntray/internal/telemetry/events.py
+++ b/packages/thorntray/src/thorntray/internal/telemetry/events.py
@@ -69,6 +69,9 @@
     DESCRIPTORS_EXHAUSTED = EventKind(
         122, Level.ERROR, "no descriptor left for an outgoing connection", 1
     )
+    CONNECTIONS_NOT_ACCEPTED = EventKind(
+        125, Level.WARNING, "waiting connections reset at the stop"
+    )
     PROCESS_ENDED = EventKind(127, Level.ERROR, "process ended")  # written by `process_end`
     SETTINGS_AWAITED = EventKind(129, Level.WARNING, "settings file not valid yet, read again")
     MEMBER_JOINED = EventKind(200, Level.INFO, "member joined")
--- a/tests/process_builders.py
+++ b/tests/process_builders.py
@@ -16,7 +16,14 @@
 from random import Random
 from typing import BinaryIO, Self
 
-from standins.mesh_fleet import OUTBOUND_PORT, PACKAGES, ROOT, MeshFleet, NodeProcess
+from standins.mesh_fleet import (
+    OUTBOUND_PORT,
+    PACKAGES,
+    ROOT,
+    Endpoint,
+    MeshFleet,
+    NodeProcess,
+)
 
 START_TIMEOUT = 20.0  # seconds
 STOP_TIMEOUT = 15.0  # seconds; more than the stop limit in the settings of the node
@@ -51,6 +58,26 @@
 """
 
 
+@contextmanager
+def blocked_signal(signum: signal.Signals) -> Iterator[None]:
+    """Have processes that are started meanwhile inherit a mask that blocks a signal."""
+    before = signal.pthread_sigmask(signal.SIG_BLOCK, {signum})
+    try:
+        yield
+    finally:
+        signal.pthread_sigmask(signal.SIG_SETMASK, before)
+
+
+@contextmanager
+def ignored_signal(signum: signal.Signals) -> Iterator[None]:
+    """Have processes that are started meanwhile inherit that a signal is ignored."""
+    before = signal.signal(signum, signal.SIG_IGN)
+    try:
+        yield
+    finally:
+        signal.signal(signum, before)
+
+
 class PlatformProcess:
     """A node process; use as a context manager, which kills the process at its end.
 
@@ -79,6 +106,7 @@
         fleet = MeshFleet([], {}, Random(0))
         self._node = NodeProcess("single-1", "single", "kalimati", 1)
         self._host = fleet._address(1, 1)
+        self.outbound = Endpoint(self._host, OUTBOUND_PORT)
         self.folder = folder
         self.command = [sys.executable, *options, str(ROOT / "platform/run.py"), *arguments]
         self._piped = piped
@@ -117,6 +145,17 @@
         return self
 
     def __exit__(self, *_: object) -> None:
+        self._kill()
+
+    @contextmanager
+    def running(self) -> Iterator[None]:
+        """Kill the process, which was started before, at the end of the context."""
+        try:
+            yield
+        finally:
+            self._kill()
+
+    def _kill(self) -> None:
         if self.process.poll() is None:
             self.process.kill()
         self.process.wait()
