--- a/packages/thorntray-node/src/thorntray_node/mesh_config.py
+++ b/packages/thorntray-node/src/thorntray_node/mesh_config.py
@@ -1,5 +1,6 @@
 """Settings of a `MeshNode`: validated once, immutable afterwards."""
 
+from collections.abc import Iterator
 from math import inf
 from typing import NamedTuple
 
@@ -16,6 +17,13 @@
     port: int
 
 
+class PeerPorts(NamedTuple):
+    """The ports on which peers reach a node."""
+
+    links: int  # TCP
+    gossip: int  # UDP
+
+
 class MeshConfig(NamedTuple):
     """Start-up settings of a node; times are in seconds."""
 
@@ -40,12 +48,23 @@
     listen_host: str = ""  # bind address for peers; empty: `host`, the advertised one
     memory_limit: int | None = None  # bytes above which the process is killed; None: unknown
     descriptor_limit: int | None = None  # sockets that the process may open; None: unknown
+    spare_peer_ports: range = range(0)  # used for peers if `link_port` or `gossip_port` is taken
 
     @property
     def bind_host(self) -> str:
         """Return the address on which the node listens for peers."""
         return self.listen_host or self.host
 
+    def peer_ports(self) -> Iterator[PeerPorts]:
+        """Yield the ports to try for peers, without those that have another purpose."""
+        yield PeerPorts(self.link_port, self.gossip_port)
+        endpoints = (self.instance, self.callers, self.readiness, self.announcements)
+        used = {endpoint.port for endpoint in endpoints}
+        used |= {self.link_port, self.gossip_port, self.metrics_port}
+        for port in self.spare_peer_ports:
+            if port not in used and 0 < port <= MAX_PORT:
+                yield PeerPorts(port, port)
+
     def validated(self, source: str) -> "MeshConfig":
         """Return these settings; raises `InvalidSettings` with all faults."""
         faults: list[Fault] = []
--- a/packages/thorntray-node/src/thorntray_node/mesh_node.py
+++ b/packages/thorntray-node/src/thorntray_node/mesh_node.py
@@ -1,7 +1,7 @@
 """The node on the users' platform: creates, connects, starts and stops its components."""
 
 import asyncio
-from collections.abc import Callable
+from collections.abc import Callable, Coroutine
 from random import Random
 
 from absl import logging
@@ -9,17 +9,11 @@
 from thorntray.internal.connection.exchange import Exchange
 from thorntray.internal.connection.frame import CallFrame, Frame
 from thorntray.internal.connection.http_request import ClosedBy
-from thorntray.internal.connection.http_server import HttpServer
 from thorntray.internal.connection.instance_pool import InstancePool
 from thorntray.internal.connection.link import Links
-from thorntray.internal.connection.link_listener import LinkListener
-from thorntray.internal.membership.crash_reports import CrashReports
 from thorntray.internal.membership.departures import Departures
-from thorntray.internal.membership.gossip import Address
 from thorntray.internal.membership.instance_notices import InstanceNotices
 from thorntray.internal.membership.member import SESSION_BYTES, Health, Member
-from thorntray.internal.membership.membership import Membership
-from thorntray.internal.membership.udp import UdpTransport
 from thorntray.internal.overload.call_parents import RunningRequests
 from thorntray.internal.overload.crash_isolation import CrashIsolation
 from thorntray.internal.overload.crash_suspects import Crash, CrashSuspects
@@ -31,7 +25,6 @@
 from thorntray.internal.overload.slot_price import MIN_PRICE, SlotPrice
 from thorntray.internal.overload.slot_queue import SlotQueue
 from thorntray.internal.process.clock import Clock
-from thorntray.internal.process.descriptor_budget import DescriptorBudget
 from thorntray.internal.process.drain import Drain
 from thorntray.internal.process.memory_budget import MemoryBudget
 from thorntray.internal.process.pauses import Pauses, varied_factors
@@ -40,39 +33,20 @@
 from thorntray.internal.request.caller_identity import CallerIdentity
 from thorntray.internal.request.crash_watch import CrashWatch, CrashWatchDependencies
 from thorntray.internal.request.instance_tracker import InstanceTracker
-from thorntray.internal.request.origin import Origin
 from thorntray.internal.request.origin_context import OriginDependencies, RequestHead
 from thorntray.internal.request.origin_request import OriginRequest
 from thorntray.internal.request.owner import Owner, OwnerDependencies
-from thorntray.internal.request.quotas import Quotas
 from thorntray.internal.request.request_log import RequestLog
 from thorntray.internal.request.result import Cause, Result
-from thorntray.internal.store.crash_archive import CrashArchive
 from thorntray.internal.store.freshness_check import FreshnessCheck
-from thorntray.internal.store.kept_entries import KeptEntries
-from thorntray.internal.store.policy_watch import (
-    POLICY_REVISION_KEY,
-    PolicyDecoder,
-    PolicyWatch,
-)
-from thorntray.internal.store.seeds import PlatformState, Seeds, SeedTiming
-from thorntray.internal.store.start_read import StartRead
-from thorntray.internal.store.watch_check import WatchCheck
-from thorntray.internal.store.watch_duty import WatchDuty
+from thorntray.internal.store.policy_watch import PolicyDecoder
 from thorntray.internal.telemetry.events import Event, log_event
 from thorntray.internal.telemetry.node_metrics import NodeMetrics
 from thorntray.internal.version.freshness import Freshness
 from thorntray.internal.version.policy import Policy, PolicyHolder, Route
-from thorntray_node.connection_limits import (
-    REFUSAL_RETRY_AFTER,
-    BoundedServers,
-    ConnectionLimits,
-    process_descriptor_limit,
-)
 from thorntray_node.memory_bounds import MemoryBounds
 from thorntray_node.mesh_config import MeshConfig
-from thorntray_node.mesh_gauges import register_gauges
-from thorntray_node.peer_requests import PeerRequests
+from thorntray_node.mesh_start import MeshStart
 from thorntray_node.platform_store import PlatformStore, StoreKeys
 from thorntray_node.request_drain import RequestDrain, time_for_links
 
@@ -82,7 +56,6 @@
 LOOPBACK_HOST = "127.0.0.1"
 LEAVE_TIME = 0.05  # seconds for the datagrams that announce the leave
 OK, UNAVAILABLE = 200, 503
-METRICS_CONTENT_TYPE = b"Content-Type: text/plain; version=0.0.4\r\n"
 
 
 class MeshNode:
@@ -104,11 +77,11 @@
         self.drain = Drain(cfg.stop_limit, clock)
         self.metrics = metrics or NodeMetrics()
         self._store = store
-        self._store_keys = store_keys
-        self._decode_policy = decode_policy
-        self._session = rng.randbytes(SESSION_BYTES)
+        self.store_keys = store_keys
+        self.decode_policy = decode_policy
+        self.session = rng.randbytes(SESSION_BYTES)
         self.memory = MemoryBudget(cfg.memory_limit)
-        self._memory_bounds = MemoryBounds(self.memory, self.metrics, clock)
+        self.memory_bounds = MemoryBounds(self.memory, self.metrics, clock)
         self._tasks = BackgroundTasks()
         self.departures: Departures | None = None  # None before the start
         self._create_owner_components()
@@ -160,7 +133,7 @@
                 on_finish=self._owner_finished,
                 on_slot_wait=self.metrics.observe_queue_wait,
                 memory=self.memory,
-                on_memory_refused=self._memory_bounds.call_refused,
+                on_memory_refused=self.memory_bounds.call_refused,
             )
         )
 
@@ -169,7 +142,7 @@
         self.holder = PolicyHolder(self._policy_changed)
         self.freshness = Freshness(clock, cfg.max_policy_age)
         self.freshness_check: FreshnessCheck | None = None  # None: keys need no evidence
-        self.links = Links(cfg.name, self._session, cfg.domain, clock, self.memory)
+        self.links = Links(cfg.name, self.session, cfg.domain, clock, self.memory)
         self.links.on_non_result_frame = self._peer_frame_received
         self.links.on_link_failure = self._link_failed
         self.notices = InstanceNotices(clock)
@@ -179,7 +152,8 @@
         self.admission = RootAdmission()
         self.budget = RetryBudget(cfg.budget, clock.monotonic())
 
-    def _origin_dependencies(self) -> OriginDependencies:
+    def origin_dependencies(self) -> OriginDependencies:
+        """Return what a request needs of this node; the components of the fleet must exist."""
         cfg = self.cfg
         return OriginDependencies(
             own_name=cfg.name,
@@ -206,158 +180,15 @@
             on_success=self.crash_reports.report_success,
             quotas=self.quotas,
             memory=self.memory,
-            on_answer_dropped=self._memory_bounds.answer_dropped,
+            on_answer_dropped=self.memory_bounds.answer_dropped,
             on_refused=self._caller_refused,
             on_finish=self._origin_finished,
             on_retry=self._retry_requested,
         )
 
     async def start(self, announcements: Callable[[Exchange], None]) -> None:
-        """Open all sockets and start the background tasks; raises `OSError` if a port is taken."""
-        cfg = self.cfg
-        self.udp = udp = await UdpTransport.open(Address(cfg.bind_host, cfg.gossip_port))
-        state = PlatformState()
-        self.policy_watch = PolicyWatch(
-            self._store,
-            self._store_keys.policy_key,
-            self._decode_policy,
-            self.holder,
-            self.links,
-            state,
-            self.rng,
-        )
-        self.membership = Membership(
-            self._own_member(),
-            udp,
-            self.clock,
-            self.rng,
-            self.policy_watch.revisions,
-            self.policy_watch.on_revisions,
-            self._member_removed,
-        )
-        self.crash_reports = CrashReports(self.suspects, self.membership, self.clock, self.rng)
-        start_read = StartRead(self._store, self._store_keys.root_prefix)
-        self.entries = KeptEntries(
-            self._store, start_read, self._store_keys.kept_prefix, self.clock, self.rng
-        )
-        self.departures = Departures(
-            self.registration,
-            self.membership,
-            self.entries,
-            self.clock,
-            self._tasks,
-        )
-        self.registration.hold()
-        self.crash_archive = CrashArchive(
-            self.suspects,
-            self.membership,
-            self.entries,
-            self.clock,
-        )
-        udp.receive = self.membership.on_datagram
-        self.seeds = Seeds(
-            self.membership,
-            self._store,
-            state,
-            self._store_keys.seeds_prefix,
-            [Address(*seed) for seed in cfg.seeds],
-            SEED_TIMING,
-            self.rng,
-            start_read,
-        )
-        duty = WatchDuty(self.membership, self.seeds, self.clock, self.rng)
-        self.policy_watch.duty = duty
-        self.policy_watch.check = WatchCheck(self.membership, duty, self.clock, self.rng)
-        if self.freshness.strict:
-            self._create_freshness_check(duty)
-        self.quotas = Quotas(
-            self.membership,
-            lambda: self.holder.policy,
-            lambda: self.seeds.looked_up,
-            self.clock,
-            self.rng,
-        )
-        self.origin = Origin(self._origin_dependencies())
-        self.callers = HttpServer(self.origin.handle, self.clock)
-        self.callers.on_unanswered = self._request_unanswered
-        self._memory_bounds.connect(self.callers, self.origin, self.owner, self.pool)
-        self.readiness = HttpServer(self._answer_readiness, self.clock)
-        self.announcements = HttpServer(announcements, self.clock)
-        self.metrics_server = HttpServer(self._answer_metrics, self.clock)
-        self._bound_connections()
-        await self.callers.start(*cfg.callers)
-        await self.readiness.start(*cfg.readiness)
-        await self.announcements.start(*cfg.announcements)
-        await self._serve_metrics()
-        self.peer_requests = PeerRequests(self.owner, self.policy_watch)
-        self.listener = LinkListener(
-            cfg.bind_host, cfg.link_port, self.peer_requests, self.clock, self.memory
-        )
-        self._memory_bounds.connect_links(self.links, self.listener)
-        await self.listener.start()
-        self.membership.start()
-        self.seeds.start()
-        loops = (
-            self.policy_watch.run,
-            self.entries.run,
-            self.links.watch,
-            self.crash_reports.run,
-            self.quotas.run,
-            self._recall_departures,
-            self._tick,
-            self._housekeeping,
-        )
-        for loop in loops:
-            self._tasks.supervise(loop)
-        self._tasks.supervise(self.crash_archive.restore)
-        if self.freshness_check is not None:
-            self._tasks.supervise(self.freshness_check.query_peers)
-            self._tasks.supervise(self.freshness_check.check_store)
-        servers = (self.callers, self.readiness, self.announcements, self.metrics_server)
-        for server in servers:
-            self._tasks.supervise(server.sweep)
-        log_event(Event.STARTED, service=cfg.service, domain=cfg.domain)
-
-    def _create_freshness_check(self, duty: WatchDuty) -> None:
-        watch = self.policy_watch
-        self.freshness_check = watch.evidence = FreshnessCheck(
-            self.freshness,
-            self.holder,
-            self.membership,
-            duty,
-            watch.read_again,
-            lambda member, version: watch.on_revisions(member, {POLICY_REVISION_KEY: version}),
-            self.clock,
-            self.rng,
-        )
-
-    def _bound_connections(self) -> None:
-        servers = BoundedServers(
-            self.callers, self.readiness, self.announcements, self.metrics_server
-        )
-        budget = DescriptorBudget(self.cfg.descriptor_limit, process_descriptor_limit())
-        self.connection_limits = ConnectionLimits(budget, servers, self._count_sockets)
-        self.connection_limits.use_for(self.pool.opener)
-        self.connection_limits.use_for(self.links.opener)
-        self.callers.bound.serves_surplus = self.origin.is_nested_call
-        self.callers.bound.refusal_lines = lambda: self.origin.retry_after_line(REFUSAL_RETRY_AFTER)
-
-    def _count_sockets(self) -> dict[str, int]:
-        return {
-            "links in": self.listener.connection_count,
-            "links out": self.links.connection_count,
-            "instance": self.queue.in_flight + self.pool.idle_connections,
-        }
-
-    async def _serve_metrics(self) -> None:
-        """Start the metrics server; a failure is only logged, as a node works without metrics."""
-        register_gauges(self)
-        if not self.cfg.metrics_port:
-            return
-        try:
-            await self.metrics_server.start(self.cfg.bind_host, self.cfg.metrics_port)
-        except OSError as exc:
-            log_event(Event.METRICS_NOT_SERVED, port=self.cfg.metrics_port, detail=repr(exc))
+        """Open all ports, then serve; raises `OSError` if a port cannot be opened in time."""
+        await MeshStart(self, self._store, self._tasks).run(announcements)
 
     def reconfigure(self, cfg: MeshConfig) -> None:
         """Apply the settings that can be changed at run time (`settings_reload`)."""
@@ -365,22 +196,6 @@
         self.drain.set_limit(cfg.stop_limit)
         self.budget.set_bound(cfg.budget)
 
-    def _own_member(self) -> Member:
-        cfg = self.cfg
-        return Member(
-            name=cfg.name,
-            session=self._session,
-            version=int(self.clock.time() * 1000),
-            address=cfg.host,
-            http_port=cfg.callers.port,
-            peer_port=cfg.link_port,
-            document_port=0,
-            gossip_port=cfg.gossip_port,
-            service=cfg.service,
-            domain=cfg.domain,
-            region=cfg.region,
-        )
-
     def _peer_frame_received(self, member: Member, frame: Frame) -> None:
         self.policy_watch.on_peer_frame(member, frame)
 
@@ -417,7 +232,8 @@
         )
         self.crash_archive.keep_block(fingerprint)
 
-    def _member_removed(self, name: str) -> None:
+    def member_removed(self, name: str) -> None:
+        """Forget a member that has left, died or restarted."""
         self.links.drain_link(name)
         self.placement.forget(name)
         self.ejection.forget(name)
@@ -446,7 +262,8 @@
         self.log.refused(head, route, reason, self.holder.version)
         self.metrics.caller_refused(reason)
 
-    def _request_unanswered(self, exchange: Exchange, closed_by: ClosedBy) -> None:
+    def request_unanswered(self, exchange: Exchange, closed_by: ClosedBy) -> None:
+        """Record a request whose connection ended before its answer."""
         held_by = self.origin.holder_of(exchange)
         self.log.unanswered(self._request_id(exchange), closed_by, held_by)
         self.metrics.request_unanswered(closed_by.value)
@@ -464,6 +281,10 @@
 
     # Periodic tasks.
 
+    def periodic_tasks(self) -> list[Callable[[], Coroutine[None, None, None]]]:
+        """Return the node's own loops, which run from its start to its end."""
+        return [self._recall_departures, self._tick, self._housekeeping]
+
     async def _recall_departures(self) -> None:
         if self.departures is not None:
             await self.departures.recall(lambda: self.seeds.looked_up)
@@ -481,7 +302,7 @@
                 self.owner.reject_queued(Cause.FULL)
             self.metrics.observe_loop_lag(now - began - period)
             self.owner.update_price(now)
-            self._memory_bounds.review()
+            self.memory_bounds.review()
 
     def _log_load(self) -> None:
         queue, price = self.queue, self.owner.deps.price.price
@@ -521,12 +342,10 @@
         """Return whether callers should send requests to this node."""
         return not self.drain.begun and self.holder.policy is not None
 
-    def _answer_readiness(self, exchange: Exchange) -> None:
+    def answer_readiness(self, exchange: Exchange) -> None:
+        """Answer whether the node is ready."""
         exchange.respond(OK if self.ready else UNAVAILABLE, b"", b"")
 
-    def _answer_metrics(self, exchange: Exchange) -> None:
-        exchange.respond(OK, METRICS_CONTENT_TYPE, self.metrics.exposition())
-
     async def stop(self) -> None:
         """Stop gracefully: serve until callers can have noticed, answer everything, leave."""
         started = self.clock.monotonic()
@@ -572,13 +391,3 @@
             read=self.callers.requests_read - read_before,
             unsent=self.callers.unsent_bytes,
         )
-
-
-SEED_TIMING = SeedTiming(
-    ttl=10,
-    renew_period=3.0,
-    settle_time=0.5,
-    first_lookup_delay=0.2,
-    second_lookup_delay=1.0,
-    retry_pause=0.5,
-)
--- /dev/null
+++ b/packages/thorntray-node/src/thorntray_node/node_ports.py
@@ -0,0 +1,96 @@
+"""The ports of a `MeshNode` at its start: all are bound before one of them is served."""
+
+from typing import NamedTuple, Self
+
+from thorntray.internal.connection.listening_sockets import (
+    ListeningPort,
+    PortName,
+    PortWait,
+    bind_tcp,
+    is_taken,
+)
+from thorntray.internal.membership.gossip import Address
+from thorntray.internal.membership.udp import UdpTransport
+from thorntray.internal.process.clock import Clock
+from thorntray.internal.telemetry.events import Event, log_event
+from thorntray_node.mesh_config import Endpoint, MeshConfig, PeerPorts
+
+
+class PeerSockets(NamedTuple):
+    """The bound ports on which peers reach this node."""
+
+    links: ListeningPort
+    gossip: UdpTransport
+
+    def close(self) -> None:
+        """Give up the ports that are not served."""
+        self.links.close()
+        self.gossip.close()
+
+
+class NodePorts(NamedTuple):
+    """The bound ports of a node."""
+
+    callers: ListeningPort
+    readiness: ListeningPort
+    announcements: ListeningPort
+    peers: PeerSockets
+    peer_ports: PeerPorts
+
+    @classmethod
+    async def bind(cls, cfg: MeshConfig, clock: Clock) -> Self:
+        """Bind all ports; waits for taken ones, and raises `OSError` if one cannot be bound."""
+        wait = PortWait(clock)
+        bound: list[ListeningPort] = []
+
+        async def bind(purpose: str, endpoint: Endpoint) -> ListeningPort:
+            bound.append(await ListeningPort.bind(PortName(purpose, *endpoint), wait))
+            return bound[-1]
+
+        try:
+            return cls(
+                await bind("callers", cfg.callers),
+                await bind("readiness", cfg.readiness),
+                await bind("announcements", cfg.announcements),
+                *await _bind_peer_ports(cfg, wait),
+            )
+        except BaseException:
+            for port in bound:
+                port.close()
+            raise
+
+    def close(self) -> None:
+        """Give up the ports that are not served."""
+        for port in (self.callers, self.readiness, self.announcements, self.peers):
+            port.close()
+
+
+async def _bind_peer_ports(cfg: MeshConfig, wait: PortWait) -> tuple[PeerSockets, PeerPorts]:
+    """Bind the first free ports for peers; waits while all of them are taken."""
+    host = cfg.bind_host
+
+    async def attempt() -> tuple[PeerSockets, PeerPorts]:
+        last_fault = None
+        for ports in cfg.peer_ports():
+            try:
+                return await _open_peer_sockets(host, ports, wait), ports
+            except OSError as exc:
+                if not is_taken(exc):
+                    raise
+                last_fault = exc
+        raise last_fault
+
+    peers, ports = await wait.until_free(PortName("links and gossip", host, cfg.link_port), attempt)
+    log_event(Event.PORTS_BOUND, **peers.links.name._asdict())
+    log_event(Event.PORTS_BOUND, **PortName("gossip", host, ports.gossip)._asdict())
+    return peers, ports
+
+
+async def _open_peer_sockets(host: str, ports: PeerPorts, wait: PortWait) -> PeerSockets:
+    sock = bind_tcp(host, ports.links)
+    try:
+        gossip = await UdpTransport.open(Address(host, ports.gossip))
+    except BaseException:
+        sock.close()
+        raise
+    return PeerSockets(ListeningPort(PortName("links", host, ports.links), wait, sock), gossip)
--- a/packages/thorntray/src/thorntray/errors.py
+++ b/packages/thorntray/src/thorntray/errors.py
@@ -4,6 +4,7 @@
 requests are not exceptions: see `thorntray.internal.request.outcome`.
 """
 
+import errno
 from typing import NamedTuple
 
 
@@ -33,6 +34,18 @@
         super().__init__(f"{source}: {len(faults)} fault(s), nothing was changed:\n{lines}")
 
 
+class PortTaken(ThorntrayError, OSError):
+    """Raised when another socket still holds a port of the node after the wait for it."""
+
+    def __init__(self, purpose: str, host: str, port: int, seconds: float) -> None:
+        self.purpose = purpose
+        super().__init__(
+            errno.EADDRINUSE,
+            f"the port for {purpose}, {host}:{port}, is taken and was not freed within"
+            f" {seconds:.1f} s; end what holds it (`ss -anp | grep {port}`), or configure another",
+        )
+
+
 class BadDocument(ThorntrayError):
     """Raised when a document cannot be decoded, or its signature or contents are invalid."""
 
--- a/packages/thorntray/src/thorntray/internal/connection/http_server.py
+++ b/packages/thorntray/src/thorntray/internal/connection/http_server.py
@@ -6,12 +6,14 @@
 """
 
 import asyncio
+import socket
 from collections.abc import Callable
 
 from thorntray.internal.connection.connection_bound import ConnectionBound
 from thorntray.internal.connection.exchange import Exchange
 from thorntray.internal.connection.http_connection import HttpServerConnection
 from thorntray.internal.connection.http_request import ClosedBy, RequestLimits
+from thorntray.internal.connection.listening_sockets import accept_from, bind_tcp
 from thorntray.internal.connection.request_bodies import HeldBytes
 from thorntray.internal.process.clock import Clock
 from thorntray.internal.telemetry.events import log_handler_failure
@@ -41,10 +43,11 @@
 
     async def start(self, host: str, port: int) -> None:
         """Start listening; raises `OSError` when the port is in use."""
-        loop = asyncio.get_running_loop()
-        self._server = await loop.create_server(
-            lambda: HttpServerConnection(self), host, port, backlog=LISTEN_BACKLOG
-        )
+        await self.serve(bind_tcp(host, port))
+
+    async def serve(self, sock: socket.socket) -> None:
+        """Start listening on a bound socket; raises `OSError` if that fails, and closes it."""
+        self._server = await accept_from(sock, lambda: HttpServerConnection(self), LISTEN_BACKLOG)
 
     @property
     def active(self) -> int:
--- a/packages/thorntray/src/thorntray/internal/connection/link_listener.py
+++ b/packages/thorntray/src/thorntray/internal/connection/link_listener.py
@@ -1,8 +1,10 @@
 """The accepting side of links: the connections that peers open to this node."""
 
 import asyncio
+import socket
 
 from thorntray.internal.connection.link_connection import FrameHandler, LinkConnection
+from thorntray.internal.connection.listening_sockets import accept_from, bind_tcp
 from thorntray.internal.connection.receive_gate import ReceiveGate
 from thorntray.internal.process.clock import Clock
 from thorntray.internal.process.memory_budget import MemoryBudget, Share
@@ -53,10 +55,11 @@
 
     async def start(self) -> None:
         """Start listening; raises `OSError` when the port is in use."""
-        loop = asyncio.get_running_loop()
-        self._server = await loop.create_server(
-            self._accept, self._address, self._port, backlog=LISTEN_BACKLOG
-        )
+        await self.serve(bind_tcp(self._address, self._port))
+
+    async def serve(self, sock: socket.socket) -> None:
+        """Start listening on a bound socket; raises `OSError` if that fails, and closes it."""
+        self._server = await accept_from(sock, self._accept, LISTEN_BACKLOG)
 
     def _accept(self) -> LinkConnection:
         return LinkConnection(
--- a/packages/thorntray/src/thorntray/internal/membership/udp.py
+++ b/packages/thorntray/src/thorntray/internal/membership/udp.py
@@ -1,6 +1,7 @@
 """Sends and receives datagrams over UDP with an asyncio datagram endpoint."""
 
 import asyncio
+import errno
 from collections.abc import Callable
 from functools import lru_cache
 from ipaddress import ip_address
@@ -31,9 +32,17 @@
 
     @classmethod
     async def open(cls, address: Address) -> Self:
-        """Bind the port. Datagrams are dropped until the caller has set `receive`."""
+        """Bind the port; raises `OSError` if it is taken.
+
+        Datagrams are dropped until the caller has set `receive`.
+        """
         loop = asyncio.get_running_loop()
-        _, protocol = await loop.create_datagram_endpoint(cls, local_addr=tuple(address))
+        try:
+            _, protocol = await loop.create_datagram_endpoint(cls, local_addr=tuple(address))
+        except OSError as exc:
+            if exc.errno is None:  # uvloop gives no number for a port that cannot be bound
+                raise OSError(errno.EADDRINUSE, str(exc)) from exc
+            raise
         return protocol
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
--- a/packages/thorntray/src/thorntray/internal/telemetry/events.py
+++ b/packages/thorntray/src/thorntray/internal/telemetry/events.py
@@ -69,6 +69,9 @@
     DESCRIPTORS_EXHAUSTED = EventKind(
         122, Level.ERROR, "no descriptor left for an outgoing connection", 1
     )
+    PORT_TAKEN = EventKind(123, Level.WARNING, "port taken, waited for")
+    PORTS_BOUND = EventKind(124, Level.INFO, "port bound", 10)
+    PORT_FREE = EventKind(130, Level.INFO, "taken port opened")
     MEMBER_JOINED = EventKind(200, Level.INFO, "member joined")
     MEMBER_SUSPECT = EventKind(201, Level.WARNING, "member suspected")
     MEMBER_DEAD = EventKind(202, Level.WARNING, "member dead")
--- a/tests/process_builders.py
+++ b/tests/process_builders.py
@@ -55,7 +55,8 @@
     With `gated`, the process waits during the import of `gated_module` for `send_while_importing`.
     With `piped`, its stdout is a pipe. `failing_step` names a method of `MeshNode` that raises
     `FAILURE`, `failing_once` a method without arguments whose first call does. `options` are those
-    of the interpreter.
+    of the interpreter, `arguments` those of the program. Nodes with other indexes have other
+    addresses.
     """
 
     def __init__(
@@ -67,13 +68,16 @@
         failing_once: str = "",
         gated_module: str = GATED_MODULE,
         options: tuple[str, ...] = (),
+        arguments: tuple[str, ...] = (),
+        index: int = 1,
     ) -> None:
         fleet = MeshFleet([], {}, Random(0))
-        self._node = NodeProcess("single-1", "single", "kalimati", 1)
-        self._host = fleet._address(1, 1)
+        self._node = NodeProcess("single-1", "single", "kalimati", index)
+        self.host = fleet._address(1, index)
         self._folder = folder
         self._piped = piped
         self._options = options
+        self._arguments = arguments
         self._gate = folder / "gate"
         settings = folder / "boot.toml"
         settings.write_text(fleet._settings(self._node), "utf-8")
@@ -113,7 +117,7 @@
         """Start the process; unless it is piped, its output goes to the log."""
         with (self._folder / "node.log").open("ab") as log:
             self.process = subprocess.Popen(
-                [sys.executable, *self._options, str(ROOT / "platform/run.py")],
+                [sys.executable, *self._options, str(ROOT / "platform/run.py"), *self._arguments],
                 stdout=subprocess.PIPE if self._piped else log,
                 stderr=log,
                 env=self._env,
@@ -135,7 +139,7 @@
         deadline = time.monotonic() + START_TIMEOUT
         while True:
             try:
-                return socket.create_connection((self._host, OUTBOUND_PORT), timeout=START_TIMEOUT)
+                return socket.create_connection((self.host, OUTBOUND_PORT), timeout=START_TIMEOUT)
             except ConnectionRefusedError:
                 if self.process.poll() is not None or time.monotonic() > deadline:
                     raise
--- a/tests/test_freshness_mesh.py
+++ b/tests/test_freshness_mesh.py
@@ -24,7 +24,7 @@
 from thorntray.internal.process.clock import SystemClock  # noqa: E402
 from thorntray.internal.store.freshness_check import PERIOD_JITTER, WATCH_WAIT  # noqa: E402
 from thorntray.internal.store.store_calls import StoreCalls  # noqa: E402
-from thorntray_node.mesh_node import SEED_TIMING  # noqa: E402
+from thorntray_node.mesh_start import SEED_TIMING  # noqa: E402
 from wire_names import STORE_EPOCH_HEADER  # noqa: E402
 
 BOUND = 5.0  # seconds
--- a/tests/virtual_mesh.py
+++ b/tests/virtual_mesh.py
@@ -6,6 +6,7 @@
 """
 
 import asyncio
+import socket
 from typing import Any
 
 import async_solipsism
@@ -32,6 +33,21 @@
             raise ConnectionRefusedError(f"{host}:{port}")
         return await super().create_connection(protocol_factory, host, port, **options)
 
+    async def create_server(
+        self,
+        protocol_factory: Any,
+        host: str | None = None,
+        port: int | None = None,
+        *,
+        sock: socket.socket | None = None,
+        **options: Any,
+    ) -> asyncio.Server:
+        """Listen in memory; a bound socket gives its address only, and is closed."""
+        if sock is not None:
+            host, port = sock.getsockname()[:2]
+            sock.close()
+        return await super().create_server(protocol_factory, host, port, **options)
+
     async def create_datagram_endpoint(
         self, protocol_factory: Any, local_addr: Address | None = None, **options: Any
     ) -> tuple["_Endpoint", Any]:
