--- a/packages/thorntray-node/src/thorntray_node/http.py
+++ b/packages/thorntray-node/src/thorntray_node/http.py
@@ -292,4 +292,5 @@
         timeout_keep_alive=75,
         timeout_graceful_shutdown=None,  # set at the stop, to what is left of `drain_limit`
     )
+    config.load()  # imports the protocol now, not when the first callers wait
     return _Server(config)
--- a/packages/thorntray-node/src/thorntray_node/main.py
+++ b/packages/thorntray-node/src/thorntray_node/main.py
@@ -18,6 +18,7 @@
 from absl import app, flags, logging
 
 from thorntray import InvalidSettings
+from thorntray.internal.process.stoppable_start import run_unless_stopped
 from thorntray.internal.telemetry.events import Event, configure_events, log_event
 from thorntray_node.config import NodeConfig
 from thorntray_node.dump import state_dump
@@ -67,22 +68,22 @@
     node = Node.from_config(cfg)
     stop = asyncio.Event()
     loop = asyncio.get_running_loop()
-    # Before the port is bound, since a caller's connection is open from then on.
+    # Before the ports are opened, which may take seconds if one is taken.
     loop.add_signal_handler(signal.SIGTERM, stop.set)
     loop.add_signal_handler(signal.SIGINT, stop.set)
+    server = make_server(node)
+    callers = _CallersSocket()
     try:
-        # Bound here, because uvicorn exits the process when it cannot bind the port.
-        listener = socket.create_server((cfg.address, cfg.http_port), backlog=HTTP_BACKLOG)
-        await node.start()
+        started = await run_unless_stopped(node.start(callers), stop)
     except (OSError, pynng.NNGException) as exc:
-        print(
-            f"cannot open the ports of {cfg.name}: {exc}; check that they are free", file=sys.stderr
-        )
+        print(f"cannot open the ports of {cfg.name}: {exc}", file=sys.stderr)
         return EXIT_CANNOT_BIND
-    server = make_server(node)
+    if not started:
+        log_event(Event.STOPPED, step="start", unanswered=0)
+        return 0
     _freeze_startup_objects()
     loop.add_signal_handler(signal.SIGUSR1, _write_dump, node)
-    serving = asyncio.create_task(server.serve(sockets=[listener]))
+    serving = asyncio.create_task(server.serve(sockets=[callers.listener]))
     await asyncio.wait({serving, asyncio.create_task(stop.wait())}, return_when="FIRST_COMPLETED")
     if serving.done():
         return EXIT_CANNOT_BIND
@@ -96,6 +97,24 @@
     return 0
 
 
+class _CallersSocket:
+    """The socket for callers; they wait in its backlog until uvicorn accepts them.
+
+    Opened by the node, because uvicorn exits the process when it cannot open the port.
+    """
+
+    listener: socket.socket
+
+    async def serve(self, sock: socket.socket) -> None:
+        """Listen; raises `OSError` if that fails, and closes the socket."""
+        try:
+            sock.listen(HTTP_BACKLOG)
+        except OSError:
+            sock.close()
+            raise
+        self.listener = sock
+
+
 async def _stop_accepting_callers(server: uvicorn.Server) -> None:
     """Close the listeners, but serve the open connections for `CONNECTION_CLOSE_DELAY`.
 
--- a/packages/thorntray-node/src/thorntray_node/node.py
+++ b/packages/thorntray-node/src/thorntray_node/node.py
@@ -8,9 +8,9 @@
 import statsd
 
 from thorntray.internal.connection.documents import DocumentClient, DocumentServer
+from thorntray.internal.connection.listening_sockets import SocketServer
 from thorntray.internal.connection.peer import PeerLinks, PeerListener
 from thorntray.internal.connection.upstream import UpstreamConnections
-from thorntray.internal.membership.gossip import Address
 from thorntray.internal.membership.member import SESSION_BYTES, Member
 from thorntray.internal.membership.membership import Membership
 from thorntray.internal.membership.udp import UdpTransport
@@ -26,6 +26,7 @@
 from thorntray.internal.version.holder import SettingsHolder
 from thorntray.internal.version.settings import ServiceSettings
 from thorntray_node.config import NodeConfig
+from thorntray_node.ini_node_ports import IniNodePorts
 
 HOUSEKEEPING_PERIOD = 1.0  # seconds
 LEAVE_PROPAGATION_DELAY = 3.0  # seconds for the other nodes to learn that this node is leaving
@@ -55,16 +56,30 @@
         """Return a node that uses the system clock and the system random generator."""
         return cls(cfg, SystemClock(), SystemRandom())
 
-    async def start(self) -> None:
-        """Open all sockets and start the background tasks.
+    async def start(self, callers: SocketServer) -> None:
+        """Bind all ports, serve them, that of `callers` last, and start the background tasks.
 
-        Raises `OSError` or `pynng.NNGException` if a port is taken.
+        Raises `OSError` or `pynng.NNGException` if a port cannot be opened in time.
         """
+        ports = await IniNodePorts.bind(self.cfg, self.clock)
+        self._create_components(ports.gossip)
+        try:
+            await ports.documents.serve(self.documents)
+            await ports.peers.serve(self.listener)
+            await ports.callers.serve(callers)
+        except BaseException:
+            ports.close()
+            for part in (self.listener, self.documents, self.upstream, self.platform):
+                await part.close()
+            raise
+        self._begin()
+
+    def _create_components(self, udp: UdpTransport) -> None:
         cfg = self.cfg
         self.upstream = UpstreamConnections(
             cfg.upstream, clock=self.clock, on_leaving=self.instance.leave
         )
-        self._udp = await UdpTransport.open(Address(cfg.address, cfg.gossip_port))
+        self._udp = udp
         self.sync = SettingsSync(self.holder, DocumentClient())
         self.membership = Membership(
             self._own_member(),
@@ -75,14 +90,16 @@
             self.sync.on_revisions,
             self._member_removed,
         )
-        self._udp.receive = self.membership.on_datagram
         self.traffic = Traffic(self._traffic_dependencies(), self.metrics)
         self.listener = PeerListener(cfg.address, cfg.peer_port, self.traffic.handle)
-        await self.listener.start()
         self.documents = DocumentServer(cfg.address, cfg.document_port, self.holder)
-        self.documents.start()
         self.platform = PlatformClient(list(cfg.platform), self.clock, self.rng)
         self.roles = Roles(self.membership, self.platform, self.holder, list(cfg.seeds), self.rng)
+
+    def _begin(self) -> None:
+        """Join the other nodes; runs without a pause after the ports are open."""
+        cfg = self.cfg
+        self._udp.receive = self.membership.on_datagram
         self.membership.start()
         self.roles.start()
         self._tasks.spawn(self._housekeeping())
--- a/packages/thorntray-node/src/thorntray_node/node_ports.py
+++ b/packages/thorntray-node/src/thorntray_node/node_ports.py
@@ -6,6 +6,7 @@
     ListeningPort,
     PortName,
     PortWait,
+    bind_ports,
     bind_tcp,
     is_taken,
 )
@@ -13,7 +14,7 @@
 from thorntray.internal.membership.udp import UdpTransport
 from thorntray.internal.process.clock import Clock
 from thorntray.internal.telemetry.events import Event, log_event
-from thorntray_node.mesh_config import Endpoint, MeshConfig, PeerPorts
+from thorntray_node.mesh_config import MeshConfig, PeerPorts
 
 
 class PeerSockets(NamedTuple):
@@ -41,21 +42,16 @@
     async def bind(cls, cfg: MeshConfig, clock: Clock) -> Self:
         """Bind all ports; waits for taken ones, and raises `OSError` if one cannot be bound."""
         wait = PortWait(clock)
-        bound: list[ListeningPort] = []
-
-        async def bind(purpose: str, endpoint: Endpoint) -> ListeningPort:
-            bound.append(await ListeningPort.bind(PortName(purpose, *endpoint), wait))
-            return bound[-1]
-
+        names = [
+            PortName("callers", *cfg.callers),
+            PortName("readiness", *cfg.readiness),
+            PortName("announcements", *cfg.announcements),
+        ]
+        served = await bind_ports(names, wait)
         try:
-            return cls(
-                await bind("callers", cfg.callers),
-                await bind("readiness", cfg.readiness),
-                await bind("announcements", cfg.announcements),
-                *await _bind_peer_ports(cfg, wait),
-            )
+            return cls(*served, *await _bind_peer_ports(cfg, wait))
         except BaseException:
-            for port in bound:
+            for port in served:
                 port.close()
             raise
 
--- a/packages/thorntray/src/thorntray/internal/connection/documents.py
+++ b/packages/thorntray/src/thorntray/internal/connection/documents.py
@@ -7,6 +7,8 @@
 """
 
 import asyncio
+import errno
+import socket
 
 import pynng
 
@@ -36,13 +38,13 @@
 
         Raises `PeerLost` on timeout or a closed connection, `BadMessage` for a malformed reply.
         """
-        socket = pynng.Req0(resend_time=NEVER_RESEND, recv_max_size=MAX_MESSAGE_BYTES)
-        with socket:
-            socket.dial(member.document_url, block=False)
+        requests = pynng.Req0(resend_time=NEVER_RESEND, recv_max_size=MAX_MESSAGE_BYTES)
+        with requests:
+            requests.dial(member.document_url, block=False)
             try:
                 async with asyncio.timeout(timeout):
-                    await socket.asend(encode(message))
-                    return decode(await socket.arecv())
+                    await requests.asend(encode(message))
+                    return decode(await requests.arecv())
             except TimeoutError:
                 raise PeerLost(f"{member.name} sent no document within {timeout:.1f} s") from None
             except pynng.NNGException as exc:
@@ -58,11 +60,20 @@
         self._socket: pynng.Rep0 | None = None
         self._tasks = BackgroundTasks()
 
-    def start(self) -> None:
-        """Start listening; raises `pynng.AddressInUse` when the port is in use."""
-        self._socket = pynng.Rep0(listen=self._url, recv_max_size=MAX_MESSAGE_BYTES)
+    async def serve(self, sock: socket.socket) -> None:
+        """Start listening on the address of a bound socket, which is closed.
+
+        `pynng` binds a socket of its own, which SO_REUSEADDR permits while the other one holds the
+        port. Raises `OSError` if another socket listens on it.
+        """
+        try:
+            self._socket = pynng.Rep0(listen=self._url, recv_max_size=MAX_MESSAGE_BYTES)
+        except pynng.AddressInUse as exc:
+            raise OSError(errno.EADDRINUSE, str(exc)) from exc
+        finally:
+            sock.close()
         for _ in range(CONCURRENT_FETCHES):
-            self._tasks.spawn(self._serve(self._socket))
+            self._tasks.spawn(self._answer_fetches(self._socket))
 
     async def close(self) -> None:
         """Stop serving and close the socket."""
@@ -70,8 +81,8 @@
         if self._socket is not None:
             self._socket.close()
 
-    async def _serve(self, socket: pynng.Rep0) -> None:
-        with socket.new_context() as context:
+    async def _answer_fetches(self, replies: pynng.Rep0) -> None:
+        with replies.new_context() as context:
             while True:
                 try:
                     reply = self._handle(await context.arecv())
--- a/packages/thorntray/src/thorntray/internal/connection/listening_sockets.py
+++ b/packages/thorntray/src/thorntray/internal/connection/listening_sockets.py
@@ -8,7 +8,7 @@
 import asyncio
 import errno
 import socket
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Iterable
 from typing import NamedTuple, Protocol, Self, TypeVar
 
 from thorntray.errors import PortTaken
@@ -143,3 +143,16 @@
         """Give the port up, unless a server listens on it."""
         if self._socket is not None:
             self._socket.close()
+
+
+async def bind_ports(names: Iterable[PortName], wait: PortWait) -> list[ListeningPort]:
+    """Bind ports one after the other; none stays bound if one cannot be bound."""
+    bound: list[ListeningPort] = []
+    try:
+        for name in names:
+            bound.append(await ListeningPort.bind(name, wait))
+    except BaseException:
+        for port in bound:
+            port.close()
+        raise
+    return bound
--- a/packages/thorntray/src/thorntray/internal/connection/peer.py
+++ b/packages/thorntray/src/thorntray/internal/connection/peer.py
@@ -18,6 +18,7 @@
 
 from thorntray.errors import BadMessage, PeerLost, PeerUnreachable
 from thorntray.internal.connection.connection_end import OutputProgress
+from thorntray.internal.connection.listening_sockets import bind_tcp
 from thorntray.internal.connection.message import (
     MAX_MESSAGE_BYTES,
     Message,
@@ -281,7 +282,15 @@
 
     async def start(self) -> None:
         """Start listening; raises `OSError` when the port is in use."""
-        self._server = await asyncio.start_server(self._serve, self._address, self._port)
+        await self.serve(bind_tcp(self._address, self._port))
+
+    async def serve(self, sock: socket.socket) -> None:
+        """Start listening on a bound socket; raises `OSError` if that fails, and closes it."""
+        try:
+            self._server = await asyncio.start_server(self._serve, sock=sock)
+        except BaseException:
+            sock.close()
+            raise
 
     async def close(self) -> None:
         """Stop listening and close all connections."""
--- a/tests/start_builders.py
+++ b/tests/start_builders.py
@@ -65,7 +65,7 @@
         hold: Hold = Hold.BOUND,
     ) -> None:
         self._socket = socket.socket(socket.AF_INET, kind)
-        if hold is Hold.REUSABLE:
+        if hold is not Hold.BOUND:
             self._socket.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
         self._socket.bind((host, port))
         if hold is Hold.LISTENING:
@@ -87,14 +87,14 @@
 
 
 class CallSeries:
-    """Calls a node from another thread, each time on a new connection, until the block is left.
+    """Calls an address from another thread, each time on a new connection, until the block is left.
 
     A connection that nobody accepts is no call; `unanswered` counts those that were accepted and
     ended without a byte.
     """
 
-    def __init__(self, node: PlatformProcess) -> None:
-        self._address = (node.host, OUTBOUND_PORT)
+    def __init__(self, address: tuple[str, int]) -> None:
+        self._address = address
         self._ended = threading.Event()
         self._thread = threading.Thread(target=self._run, daemon=True)
         self.answered = 0
--- a/tests/test_process_start.py
+++ b/tests/test_process_start.py
@@ -40,7 +40,7 @@
 def test_a_port_taken_at_the_start_neither_ends_the_process_nor_loses_a_caller(tmp_path, purpose):
     node = make_node(tmp_path)
     with HeldPort(node.host, *PURPOSES[purpose]) as held, node:
-        with CallSeries(node) as calls:
+        with CallSeries((node.host, OUTBOUND_PORT)) as calls:
             time.sleep(HOLD_TIME)
             assert node.process.poll() is None, node.log
             held.release()
@@ -56,7 +56,7 @@
 def test_a_port_on_which_another_socket_listens_is_waited_for(tmp_path, port, hold):
     node = make_node(tmp_path)
     with HeldPort(node.host, port, hold=hold) as held, HeldPort(node.host, OUTBOUND_PORT) as last:
-        with node, CallSeries(node) as calls:
+        with node, CallSeries((node.host, OUTBOUND_PORT)) as calls:
             node.wait_for_log("PORT_TAKEN")  # of the callers' port, or of the listening socket
             held.listen()
             last.release()
@@ -91,7 +91,7 @@
     node = make_node(tmp_path)
     began = time.monotonic()
     with HeldPort(node.host, CONTROL_PORT), node:
-        with CallSeries(node) as calls:
+        with CallSeries((node.host, OUTBOUND_PORT)) as calls:
             assert node.wait_ended() == 3
         assert time.monotonic() - began >= WAIT_LIMIT
         assert (calls.answered, calls.unanswered) == (0, 0)
