--- a/tests/process_builders.py
+++ b/tests/process_builders.py
@@ -84,9 +84,9 @@
     With `gated`, the process waits during the import of `gated_module` for `send_while_importing`.
     With `piped`, its stdout is a pipe. `failing_step` names a method of `MeshNode` that raises
     `FAILURE`, `failing_once` a method without arguments whose first call does. `options` are those
-    of the interpreter. `packages` is the folder on Python's path that has the packages, and
-    `closed` the descriptors that are closed when the process starts. With `stdout`, a file, only
-    its standard error goes to the log.
+    of the interpreter, `arguments` those of the program. `packages` is the folder on Python's path
+    that has the packages, and `closed` the descriptors that are closed at the start. With `stdout`,
+    a file, only standard error goes to the log. Nodes with other indexes have other addresses.
     """
 
     def __init__(
@@ -102,11 +102,12 @@
         closed: tuple[int, ...] = (),
         arguments: tuple[str, ...] = (),
         stdout: str = "",
+        index: int = 1,
     ) -> None:
         fleet = MeshFleet([], {}, Random(0))
-        self._node = NodeProcess("single-1", "single", "kalimati", 1)
-        self._host = fleet._address(1, 1)
-        self.outbound = Endpoint(self._host, OUTBOUND_PORT)
+        self._node = NodeProcess("single-1", "single", "kalimati", index)
+        self.host = fleet._address(1, index)
+        self.outbound = Endpoint(self.host, OUTBOUND_PORT)
         self.folder = folder
         self.command = [sys.executable, *options, str(ROOT / "platform/run.py"), *arguments]
         self._piped = piped
@@ -200,7 +201,7 @@
         deadline = time.monotonic() + START_TIMEOUT
         while True:
             try:
-                return socket.create_connection((self._host, OUTBOUND_PORT), timeout=START_TIMEOUT)
+                return socket.create_connection((self.host, OUTBOUND_PORT), timeout=START_TIMEOUT)
             except ConnectionRefusedError:
                 if self.process.poll() is not None or time.monotonic() > deadline:
                     raise
