--- a/standins/kv_store.py
+++ b/standins/kv_store.py
@@ -4,15 +4,18 @@
 watches" (no response to watch calls). The next `responses_to_drop` transactions and lease grants
 are applied without a response. `compact()` drops the event history. `restore()` returns the store
 to an older copy of its data: newer writes and leases are lost, their revisions and lease ids are
-given out again, and the epoch in all responses rises. `call_counts` has the number of calls by the
-first segment of the path.
+given out again, and the epoch in all responses rises. `silence_connections()` makes open connections
+silent for good, without a reset, while new ones are served. `call_counts` has the number of calls
+by the first segment of the path.
 """
 
 import asyncio
 import base64
 import time
 from collections import Counter
+from random import Random
 from typing import Any, NamedTuple
+from weakref import WeakSet
 
 from aiohttp import web
 
@@ -51,6 +54,7 @@
         self._copies: list[_Copy] = []
         self._changed = asyncio.Condition()
         self._runner: web.AppRunner | None = None
+        self._silent: WeakSet[asyncio.Transport] = WeakSet()
 
     async def start(self, host: str, port: int) -> None:
         """Serve on an address and port."""
@@ -73,6 +77,17 @@
         if self._runner is not None:
             await self._runner.cleanup()
 
+    def silence_connections(self, share: float, rng: Random) -> int:
+        """Answer nothing any more on a share of the open connections; return their number.
+
+        They stay open. Calls that wait on them, and later ones, have no effect and no answer.
+        """
+        assert self._runner is not None and self._runner.server is not None
+        transports = [conn.transport for conn in self._runner.server.connections]
+        chosen = rng.sample(transports, round(share * len(transports)))
+        self._silent.update(transport for transport in chosen if transport is not None)
+        return len(chosen)
+
     async def restore(self, age: float) -> None:
         """Return to the data of `age` seconds ago, in a new epoch."""
         cutoff = time.monotonic() - age
@@ -141,6 +156,8 @@
     @web.middleware
     async def _inject_fault(self, req: web.Request, handler: Any) -> web.StreamResponse:
         self.call_counts[req.path.split("/")[1]] += 1
+        if req.transport in self._silent:
+            await asyncio.sleep(3600)
         match self.fault_mode:
             case "busy":
                 return web.Response(status=503)
@@ -154,7 +171,10 @@
             n for n, (expires_at, _) in self.leases.items() if expires_at < time.monotonic()
         ]:
             await self.revoke_lease(lease)
-        return await handler(req)
+        resp = await handler(req)
+        if req.transport in self._silent:
+            await asyncio.sleep(3600)
+        return resp
 
     async def _handle_get(self, req: web.Request) -> web.Response:
         item = self.items.get(req.query["Key"])
