A call to the store that gets no answer closes the kept connections from before it

Cause: connections to the store that go silent together each cost a call its time: a call takes the kept connection that was used last, and after its timeout the next call took another silent one. With three of them, a renewal of a seed entry every 3 s fails longer than its lease of 10 s lasts.

Change: when a call times out or is cancelled without an answer, the idle connections to that address that were last used before the call began are closed. One that was answered meanwhile is kept.

Before and after: with three kept, silent connections the call after a timeout took the second one; now it opens a new one and is answered (new test, both cases fail before).

--- a/packages/thorntray/src/thorntray/internal/connection/http_client.py
+++ b/packages/thorntray/src/thorntray/internal/connection/http_client.py
@@ -183,12 +183,17 @@
         target = f"{parts.path}?{parts.query}" if parts.query else parts.path
         request = _request(method, target, parts.netloc, body)
         deadline = asyncio.get_running_loop().time() + timeout
+        began_at = self._clock.monotonic()
         conn = self._take(address) or await self._connect(address, min(timeout, CONNECT_TIMEOUT))
         try:
             async with asyncio.timeout_at(deadline):
                 reply = await conn.exchange(request)
         except TimeoutError as exc:
+            self._close_idle(address, began_at)
             raise NoReply(f"none within {timeout} s") from exc
+        except asyncio.CancelledError:
+            self._close_idle(address, began_at)
+            raise
         finally:
             self._put_back(address, conn)
         return reply
@@ -200,6 +205,17 @@
                 conn.close()
         self._idle.clear()
 
+    def _close_idle(self, address: tuple[str, int], since: float) -> None:
+        """Close the kept connections that were not used after a time.
+
+        A connection without an answer may be one of several that have gone silent together, and
+        each of the others would cost the next calls their time.
+        """
+        kept = self._idle.get(address, [])
+        for conn in [conn for conn in kept if conn.idle_since < since]:
+            kept.remove(conn)
+            conn.close()
+
     def _take(self, address: tuple[str, int]) -> _Connection | None:
         """Return the kept connection that was used last, None if there is none."""
         kept = self._idle.get(address, [])
--- a/tests/test_http_client.py
+++ b/tests/test_http_client.py
@@ -173,6 +173,35 @@
     run([b""], scenario)
 
 
+@pytest.mark.parametrize("error", [NoReply, TimeoutError])
+def test_after_a_call_without_a_reply_no_connection_from_before_it_is_used(error):
+    # Failure: all kept connections are silent, and the calls of a lease fail until it has expired.
+    async def scenario(client, server):
+        await asyncio.gather(*(get(client, server) for _ in range(3)))
+        with pytest.raises(error):
+            async with asyncio.timeout(0.05 if error is TimeoutError else None):
+                await get(client, server, timeout=0.05 if error is NoReply else CALL_TIMEOUT)
+        await get(client, server)
+        assert server.connections == 4
+
+    run([OK_REPLY] * 3 + [b"", OK_REPLY], scenario)
+
+
+def test_a_connection_that_was_answered_during_a_silent_call_is_kept():
+    async def scenario(client, server):
+        await asyncio.gather(get(client, server), get(client, server))
+        silent = asyncio.ensure_future(get(client, server, timeout=0.2))
+        while len(server.requests) < 3:
+            await asyncio.sleep(0.01)
+        await get(client, server)
+        with pytest.raises(NoReply):
+            await silent
+        await get(client, server)
+        assert server.connections == 2
+
+    run([OK_REPLY] * 2 + [b"", OK_REPLY, OK_REPLY], scenario)
+
+
 def test_a_reply_beyond_the_bound_is_none(monkeypatch):
     # Failure: a store that sends without end takes all memory.
     monkeypatch.setattr(http_client, "MAX_REPLY_BYTES", 1000)
