Soak: faults around the start of a node, silent store connections, crowded stops, strict ends

Cause: the soak excused each end by SIGTERM or SIGKILL that had been sent, so also a handler that is missing in a running node and a stop that had to be killed at its limit; an end between two looks of the watcher was not judged at all. It had no fault that disturbs what a process finds at its start.

Change: an end is planned if the exit code is 0 after SIGTERM or SIGINT, if SIGKILL was sent, or if SIGTERM or SIGINT ended a process that had not logged its start, within 5 s of it. A kill at the limit of a stop is a violation unless the process was suspended meanwhile. Each process is judged before it is replaced. Reports name how many requests ended with it. The signals of a plan have a module of their own.

--- a/soak/checks.py
+++ b/soak/checks.py
@@ -13,7 +13,7 @@
 from soak.lost_answers import lost_answers
 from soak.named_states import beyond_named_limits, runs_after_named_leaving
 from soak.observation import Observation, RouteChange
-from soak.process_watch import MemoryKill
+from soak.process_watch import MemoryKill, OwnEnd
 from standins.worker import CALL_ID_SUFFIX, Arrival
 
 DRAIN_GRACE = 2.0  # seconds after a node acknowledges draining in which requests may arrive
@@ -28,7 +28,7 @@
 RETRY_WINDOW = 10.0
 RETRY_RATIO, RETRY_SLACK = 0.2, 48
 TIMEOUT_TOLERANCE = 0.5  # seconds after a route's timeout
-KILL_END_TIME = 1.0  # seconds after a kill in which callers see their connections end
+KILL_END_TIME = 1.0  # seconds around a noticed end in which callers see their connections end
 REFUSAL_STATUSES = (429, 503)
 
 
@@ -74,18 +74,21 @@
     for end in observation.own_ends:
         after = end.at - observation.load_started_at
         last = " | ".join(end.last_lines)
+        how = f"ended by itself at {after:.1f} s with exit code {end.returncode}"
+        if end.overdue:
+            how = f"was killed at {after:.1f} s, at the limit of its stop"
         yield (
-            f"ENDED: {end.node} (boot {end.boot}) ended by itself at {after:.1f} s with exit code "
-            f"{end.returncode}; last lines: {last}"
+            f"ENDED: {end.node} (boot {end.boot}) {how}; {_ended_with(observation, end)} requests "
+            f"of callers ended with it; last lines: {last}"
         )
 
 
-def _ended_with(observation: Observation, kill: MemoryKill) -> int:
-    """Return how many requests of callers ended without an answer as a process was killed."""
+def _ended_with(observation: Observation, end: MemoryKill | OwnEnd) -> int:
+    """Return how many requests of callers ended without an answer as a process ended."""
     return sum(
         attempt.end is AttemptEnd.CLOSED
-        and (attempt.node, attempt.boot) == (kill.node, kill.boot)
-        and 0.0 <= attempt.ended_at - kill.at < KILL_END_TIME
+        and (attempt.node, attempt.boot) == (end.node, end.boot)
+        and abs(attempt.ended_at - end.at) < KILL_END_TIME
         for attempt in observation.attempts
     )
 
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -9,10 +9,12 @@
 from soak.api_keys import KeyRing
 from soak.clients import Callers
 from soak.heavy_load import HeavyLoad
-from soak.observation import Hangup, NodeStop, RouteChange
-from soak.plan import Fault, FaultKind
+from soak.observation import RouteChange
+from soak.plan import START_KINDS, Fault, FaultKind
+from soak.process_control import ProcessControl
 from soak.routes import SERVICES, build_routes
-from standins.mesh_fleet import HOST_NAME, STOP_TIMEOUT, MeshFleet, NodeProcess
+from soak.start_faults import StartFaults
+from standins.mesh_fleet import HOST_NAME, MeshFleet, NodeProcess
 from standins.worker import DEADLY_BODY, send_request
 
 PROXY_DELAY = 0.2  # seconds, of delayed links
@@ -23,23 +25,23 @@
 ENDLESS_RATE = 0.1  # share of the responses
 RATE_LIMITS = (0.0, 0.5, 2.0)  # requests a second that a worker names
 LIMIT_DURATION = 7.0  # seconds; longer than the window of the check
-EXIT_POLL_PERIOD = 0.05  # seconds
 EARLY_HANGUP_TIME = 0.1  # seconds after the start within which a SIGHUP is sent
 RESTART_DELAY = 1.0  # seconds from the end of a process to its start, if no fault draws it
 DEADLY_PERIOD = 0.3  # seconds between the requests that crash workers
 DEADLY_TIMEOUT = 3.0  # seconds
 DEADLY_PATH = "/views/1"
+SILENT_SHARES = (0.5, 0.7, 1.0)  # of the open connections to the store
 
 
 class FaultInjector:
-    """Injects faults, and records planned stops and changes of the route `moving`."""
+    """Injects faults, and records the changes of the route `moving`."""
 
     def __init__(
         self, fleet: MeshFleet, callers: Callers, rng: Random, ring: KeyRing | None = None
     ) -> None:
-        self.stops: list[NodeStop] = []
+        self.control = ProcessControl(fleet)
+        self.start_faults = StartFaults(fleet, self.control)
         self.changes: list[RouteChange] = []
-        self.hangups: list[Hangup] = []
         self.heavy_load: HeavyLoad | None = None
         self._fleet = fleet
         self._callers = callers
@@ -54,7 +56,7 @@
             case FaultKind.NODE_KILL | FaultKind.NODE_STOP:
                 await self._end_process(node, fault)
             case FaultKind.NODE_HANGUP:
-                self._hang_up(node)
+                self.control.hang_up(node)
             case FaultKind.NODE_EARLY_HANGUP:
                 await self._hang_up_early(node, fault)
             case FaultKind.NODE_FROZEN_STOP:
@@ -78,6 +80,11 @@
                 await self._fleet.store.compact()
             case FaultKind.STORE_LOSES:
                 self._fleet.store.responses_to_drop += 1
+            case FaultKind.STORE_CONNECTIONS_SILENT:
+                rng = Random(f"silence {fault!r}")
+                self._fleet.store.silence_connections(rng.choice(SILENT_SHARES), rng)
+            case kind if kind in START_KINDS:
+                await self.start_faults.run(fault)
             case _:
                 await self._inject_temporary(node, fault)
 
@@ -85,33 +92,18 @@
         if not node.running:
             return
         if fault.kind is FaultKind.NODE_STOP:
-            self._terminate(node)
+            self.control.terminate(node)
         else:
             node.signal(signal.SIGKILL)
-        await self._restart(node, fault.duration)
-
-    def _terminate(self, node: NodeProcess) -> None:
-        self.stops.append(NodeStop(node.name, node.boot, time.monotonic()))
-        node.signal(signal.SIGTERM)
-
-    def _hang_up(self, node: NodeProcess) -> None:
-        self.hangups.append(Hangup(node.name, node.boot, time.monotonic()))
-        node.signal(signal.SIGHUP)
-
-    async def _restart(self, node: NodeProcess, delay: float) -> None:
-        """Start a node again after its process has ended and a delay in seconds."""
-        await _wait_exit(node)
-        await asyncio.sleep(delay)
-        if not node.running:
-            self._fleet.start_node(node)
+        await self.control.restart(node, fault.duration)
 
     async def _hang_up_early(self, node: NodeProcess, fault: Fault) -> None:
         if not node.running:
             return
         node.signal(signal.SIGKILL)
-        await self._restart(node, fault.duration)
+        await self.control.restart(node, fault.duration)
         await asyncio.sleep(Random(f"hang up {fault!r}").uniform(0.0, EARLY_HANGUP_TIME))
-        self._hang_up(node)
+        self.control.hang_up(node)
 
     async def _stop_frozen(self, node: NodeProcess, fault: Fault) -> None:
         if not node.running:
@@ -123,11 +115,11 @@
             return
         if Random(f"order {fault!r}").random() < 0.5:
             node.signal(signal.SIGCONT)
-            self._terminate(node)
+            self.control.terminate(node)
         else:
-            self._terminate(node)
+            self.control.terminate(node)
             node.signal(signal.SIGCONT)
-        await self._restart(node, RESTART_DELAY)
+        await self.control.restart(node, RESTART_DELAY)
 
     async def _replace_worker(self, node: NodeProcess, announced: bool) -> None:
         if node.worker.listening:
@@ -232,18 +224,3 @@
     with suppress(OSError, TimeoutError, asyncio.IncompleteReadError):
         async with asyncio.timeout(DEADLY_TIMEOUT):
             await send_request(node.outbound, "POST", DEADLY_PATH, headers, body)
-
-
-async def _wait_exit(node: NodeProcess) -> None:
-    """Wait until the current process of a node has ended, and kill it after `STOP_TIMEOUT`."""
-    process = node.process
-    if process is None:
-        return
-    with suppress(TimeoutError):
-        async with asyncio.timeout(STOP_TIMEOUT):
-            while process.poll() is None:
-                await asyncio.sleep(EXIT_POLL_PERIOD)
-    if process.poll() is None:
-        node.signal(signal.SIGKILL)
-    while process.poll() is None:
-        await asyncio.sleep(EXIT_POLL_PERIOD)
--- a/soak/plan.py
+++ b/soak/plan.py
@@ -42,6 +42,12 @@
     IDLE_CONNECTIONS = "callers keep as many idle connections to a node as it may have sockets"
     NODE_EARLY_HANGUP = "node process is killed, restarted, and gets SIGHUP while it starts"
     NODE_FROZEN_STOP = "node process is suspended for the duration, and gets SIGTERM as it ends"
+    PORT_HELD = "a port of a node is taken while its process stops and starts"
+    STREAMS_CLOSED = "node process stops, runs without standard output or error, and stops again"
+    SETTINGS_BROKEN = "settings file is incomplete or gone for a moment, at a start and later"
+    SIGNAL_SERIES = "node process gets a series of signals from its start on"
+    CROWDED_STOP = "new connections are opened at a high rate at a node that stops"
+    STORE_CONNECTIONS_SILENT = "open connections to the store are not answered any more"
 
 
 STORE_FAULTS = frozenset(
@@ -51,10 +57,20 @@
         FaultKind.STORE_LOSES,
         FaultKind.STORE_COMPACT,
         FaultKind.STORE_RESTORE,
+        FaultKind.STORE_CONNECTIONS_SILENT,
     }
 )
+# Each begins with a planned stop; what else happens is no excuse for a lost request.
+START_KINDS = (
+    FaultKind.PORT_HELD,
+    FaultKind.STREAMS_CLOSED,
+    FaultKind.SETTINGS_BROKEN,
+    FaultKind.SIGNAL_SERIES,
+    FaultKind.CROWDED_STOP,
+)
 NODE_FAULTS = frozenset(
     {
+        *START_KINDS,
         FaultKind.NODE_KILL,
         FaultKind.NODE_STOP,
         FaultKind.NODE_FREEZE,
@@ -67,7 +83,7 @@
         FaultKind.DATAGRAM_LOSS,
     }
 )
-UNPLANNED_FAULTS = (NODE_FAULTS - {FaultKind.NODE_STOP}) | {
+UNPLANNED_FAULTS = (NODE_FAULTS - {FaultKind.NODE_STOP, *START_KINDS}) | {
     FaultKind.APP_RESET,
     FaultKind.APP_DELAY,
     FaultKind.WORKER_CRASH,
@@ -82,7 +98,12 @@
     FaultKind.NODE_EARLY_HANGUP,
     FaultKind.NODE_FROZEN_STOP,
 )
-DRAWN_APART = {FaultKind.WORKER_DIES, *HEAVY_KINDS}
+DRAWN_APART = {
+    FaultKind.WORKER_DIES,
+    FaultKind.STORE_CONNECTIONS_SILENT,
+    *HEAVY_KINDS,
+    *START_KINDS,
+}
 DRAWN_KINDS = [kind for kind in FaultKind if kind not in DRAWN_APART]
 DEADLY_SHARE = 0.4  # of the plans that have one fault `WORKER_DIES`
 DEADLY_DURATION = 9.0  # seconds; longer than three crashes and the time to learn of them
@@ -96,6 +117,13 @@
 PAIR_SHARE = 0.6  # of the plans with heavy faults that stop two nodes in the same moment
 MIN_HEAVY_TIME, MAX_HEAVY_TIME = 3.0, 7.0  # seconds, of the kinds that are load
 MIN_FREEZE, MAX_FREEZE = 0.1, 1.0  # seconds before the SIGTERM of `NODE_FROZEN_STOP`
+SURROUNDINGS_SHARE = 0.5  # of the plans that have faults of `START_KINDS` and those below
+MIN_START_FAULTS, MAX_START_FAULTS = 2, 3
+START_DURATION = 10.0  # seconds; a fault of `START_KINDS` takes no longer, its stops included
+ALL_KILLED_SHARE = 0.3  # of these plans that kill all nodes, and start all at once
+UNANSWERED_SHARE = 0.5  # of these plans that make connections to the store silent
+SECOND_SILENCE_SHARE, SECOND_SILENCE_DELAY = 0.5, 2.0  # of these again, after seconds
+MIN_LATER_CHANGE, MAX_LATER_CHANGE = 3.2, 5.0  # seconds from such a silence to a change
 MAX_STRIKE_DELAY = 0.5  # seconds from the end of the silence
 MAX_CHANGE_DELAY = 4.0  # seconds from the kill
 MIN_DURATION, MAX_DURATION = 0.5, 4.0  # seconds
@@ -145,9 +173,11 @@
     strike_rng = Random(f"strike {faults!r}")
     if strike_rng.random() < STRIKE_SHARE:
         faults += draw_strike(strike_rng, nodes, duration)
-    heavy_rng = Random(f"heavy {faults!r}")
+    heavy_rng, surroundings_rng = Random(f"heavy {faults!r}"), Random(f"surroundings {faults!r}")
     if heavy_rng.random() < HEAVY_SHARE:
         faults += draw_heavy(heavy_rng, nodes, duration)
+    if surroundings_rng.random() < SURROUNDINGS_SHARE:
+        faults += draw_surroundings(surroundings_rng, nodes, duration)
     return sorted(faults, key=lambda fault: fault.start)
 
 
@@ -192,6 +222,34 @@
     return faults
 
 
+def draw_surroundings(rng: Random, nodes: list[str], duration: float) -> list[Fault]:
+    """Return faults of what a process finds at its start, and of its connections to the store."""
+    faults = [
+        Fault(
+            round(rng.uniform(0.5, duration), 2),
+            rng.choice(START_KINDS),
+            rng.choice(nodes),
+            START_DURATION,
+        )
+        for _ in range(rng.randint(MIN_START_FAULTS, MAX_START_FAULTS))
+    ]
+    if rng.random() < ALL_KILLED_SHARE:
+        at, restart_delay = rng.uniform(0.5, duration), rng.uniform(MIN_DURATION, MAX_DURATION)
+        faults += [
+            Fault(round(at, 2), FaultKind.NODE_KILL, node, round(restart_delay, 2))
+            for node in nodes
+        ]
+    if rng.random() < UNANSWERED_SHARE:
+        silences = [rng.uniform(0.5, duration)]
+        if rng.random() < SECOND_SILENCE_SHARE:
+            silences.append(silences[0] + SECOND_SILENCE_DELAY)
+        changed_at = silences[-1] + rng.uniform(MIN_LATER_CHANGE, MAX_LATER_CHANGE)
+        kind = FaultKind.STORE_CONNECTIONS_SILENT
+        faults += [Fault(round(at, 2), kind, nodes[0], 0.0) for at in silences]
+        faults.append(Fault(round(changed_at, 2), FaultKind.CHANGE, nodes[0], 0.0))
+    return faults
+
+
 def draw_stop_series(rng: Random, nodes: list[str], duration: float) -> list[Fault]:
     """Return stops of two nodes to half of them, shortly one after the other, in a store outage.
 
--- a/soak/process_watch.py
+++ b/soak/process_watch.py
@@ -6,11 +6,21 @@
 from pathlib import Path
 from typing import NamedTuple
 
-from standins.mesh_fleet import MeshFleet, NodeProcess, ProcessLimits, SentSignal
+from standins.mesh_fleet import (
+    STOP_TIMEOUT,
+    MeshFleet,
+    NodeProcess,
+    ProcessLimits,
+    SentSignal,
+)
 
 WATCH_PERIOD = 0.5  # seconds
 RESTART_DELAY = 1.0  # seconds until a process that has ended is started again
 EARLY_HANGUP_AGE = 0.5  # seconds after its start in which a SIGHUP may end a process
+EARLY_STOP_AGE = 5.0  # seconds after its start in which the default action may end a process
+KILL_TOLERANCE = 0.5  # seconds before the limit of a stop
+STARTED = "STARTED"  # event in the log of a process that handles its signals
+STOP_SIGNALS = frozenset({signal.SIGTERM, signal.SIGINT})
 LAST_LINES = 3  # of the log, reported for a process that ended by itself
 KB_PER_MB = 1024
 
@@ -26,13 +36,17 @@
 
 
 class OwnEnd(NamedTuple):
-    """A process that ended by itself; `at` is in monotonic seconds."""
+    """A process that ended by itself; `at` is in monotonic seconds.
+
+    `overdue` is true if it was told to stop, and was killed because it did not end.
+    """
 
     node: str
     boot: int
     returncode: int
     at: float
     last_lines: tuple[str, ...]
+    overdue: bool = False
 
 
 class ProcessWatcher:
@@ -44,17 +58,23 @@
         self.early_hangups = 0
         self.peaks_mb: dict[str, int] = {}
         self._fleet = fleet
+        fleet.before_start = self.check
         self._seen: set[tuple[str, int]] = set()  # boots whose end has been judged
         self._restarts: set[asyncio.Task[None]] = set()
 
     async def run(self) -> None:
         """Watch until cancelled."""
         while True:
-            for node in self._fleet.nodes.values():
-                self._check(node)
+            self.check_all()
             await asyncio.sleep(WATCH_PERIOD)
 
-    def _check(self, node: NodeProcess) -> None:
+    def check_all(self) -> None:
+        """Judge the ends of all processes so far."""
+        for node in self._fleet.nodes.values():
+            self.check(node)
+
+    def check(self, node: NodeProcess) -> None:
+        """Judge the current process of a node, if it has ended, and its memory, if not."""
         if node.process is None or (node.name, node.boot) in self._seen:
             return
         returncode = node.process.poll()
@@ -77,16 +97,23 @@
         self._restart_later(node)
 
     def _judge_end(self, node: NodeProcess, returncode: int) -> None:
-        if ended_as_planned(returncode, node.signals):
+        lines = self._log_lines(node)
+        has_started = any(STARTED in line for line in lines)
+        overdue = killed_at_limit(returncode, node.signals)
+        if not overdue and ended_as_planned(returncode, node, has_started):
             return  # the fault restarts it
-        if ended_by_early_hangup(returncode, node.signals, node.started_at):
+        if not has_started and ended_by_early_hangup(returncode, node.signals, node.started_at):
             self.early_hangups += 1
         else:
-            lines = self._fleet.log_file(node).read_text("utf-8").splitlines()[-LAST_LINES:]
-            now = time.monotonic()
-            self.own_ends.append(OwnEnd(node.name, node.boot, returncode, now, tuple(lines)))
+            now, last = time.monotonic(), tuple(lines[-LAST_LINES:])
+            self.own_ends.append(OwnEnd(node.name, node.boot, returncode, now, last, overdue))
         self._restart_later(node)
 
+    def _log_lines(self, node: NodeProcess) -> list[str]:
+        """Return what the current process of a node has logged."""
+        written = self._fleet.log_file(node).read_bytes()[node.log_start :]
+        return written.decode("utf-8", "replace").splitlines()
+
     def _restart_later(self, node: NodeProcess) -> None:
         task = asyncio.create_task(self._restart(node))
         self._restarts.add(task)
@@ -98,12 +125,35 @@
             self._fleet.start_node(node)
 
 
-def ended_as_planned(returncode: int, signals: list[SentSignal]) -> bool:
-    """Return whether the end of a process follows from a SIGTERM or SIGKILL of the plan."""
+def ended_as_planned(returncode: int, node: NodeProcess, has_started: bool) -> bool:
+    """Return whether the end of a process follows from a signal of the plan.
+
+    A process that handles its signals has to end with 0 after SIGTERM and SIGINT. Their default
+    action may end it only before.
+    """
+    sent = {signum for signum, _ in node.signals}
+    if returncode == 0:
+        return bool(sent & STOP_SIGNALS)
+    if -returncode in STOP_SIGNALS:
+        latest = node.started_at + EARLY_STOP_AGE
+        early = any(s.signum == -returncode and s.sent_at < latest for s in node.signals)
+        return early and not has_started
+    return returncode == -signal.SIGKILL and signal.SIGKILL in sent
+
+
+def killed_at_limit(returncode: int, signals: list[SentSignal]) -> bool:
+    """Return whether a process that was told to stop was killed because it had not ended.
+
+    One that was suspended meanwhile could not end in time.
+    """
     sent = {signum for signum, _ in signals}
-    if -returncode in (signal.SIGTERM, signal.SIGKILL):
-        return -returncode in sent
-    return returncode == 0 and signal.SIGTERM in sent
+    if returncode != -signal.SIGKILL or signal.SIGSTOP in sent:
+        return False
+    told_at = min((s.sent_at for s in signals if s.signum in STOP_SIGNALS), default=None)
+    limit = STOP_TIMEOUT - KILL_TOLERANCE
+    return told_at is not None and any(
+        s.signum == signal.SIGKILL and s.sent_at >= told_at + limit for s in signals
+    )
 
 
 def ended_by_early_hangup(returncode: int, signals: list[SentSignal], started_at: float) -> bool:
--- a/soak/run.py
+++ b/soak/run.py
@@ -21,6 +21,7 @@
 from soak.heavy_load import HeavyLoad
 from soak.holders import holder_lines
 from soak.lost_answers import broken_off
+from soak.new_connections import connection_summary, cut_connections
 from soak.observation import Observation, RouteChange
 from soak.plan import Fault, draw_plan
 from soak.process_watch import ProcessWatcher
@@ -80,6 +81,7 @@
         )
         self.fleet.limits = draw_limits(Random(f"limits {seed}"))
         self.watcher = ProcessWatcher(self.fleet)
+        self.new_connections = self._injector.start_faults.new_connections.connections
         self._faults: list[Fault] = []
         self._load_started_at = 0.0
 
@@ -106,6 +108,7 @@
             checker.cancel()
             watcher.cancel()
         await self._callers.wait_finished()
+        self.watcher.check_all()
         return self._observation()
 
     async def close(self) -> None:
@@ -120,11 +123,11 @@
             self.fleet.record,
             self._faults,
             self._injector.changes,
-            self._injector.stops,
+            self._injector.control.stops,
             self.ring.refusable_keys if self.ring is not None else frozenset(),
             tuple(node.name for node in self.fleet.nodes.values() if not node.running),
             {n.name: n.service for n in self.fleet.nodes.values() if n.worker.listening},
-            self._injector.hangups,
+            self._injector.control.hangups,
             self.watcher.memory_kills,
             self.watcher.own_ends,
         )
@@ -154,6 +157,7 @@
     finally:
         await soak.close()
     violation_lines = violations(observation)
+    violation_lines += cut_connections(observation, soak.new_connections)
     if soak.ring is not None:
         violation_lines += key_violations(observation, soak.ring)
     kinds = Counter(line.partition(":")[0] for line in violation_lines)
@@ -163,6 +167,8 @@
     print(f"  limits {tuple(soak.fleet.limits or ())}, peak {peaks.get(largest)} MB at {largest}")
     if soak.watcher.early_hangups:
         print(f"  SIGHUP ended {soak.watcher.early_hangups} processes while they were starting")
+    if soak.new_connections:
+        print(f"  {connection_summary(soak.new_connections)}")
     cut_short = broken_off(observation)
     if cut_short:
         print(f"  {len(cut_short)} requests got an error while a worker was at work on them")
--- a/standins/kv_store.py
+++ b/standins/kv_store.py
@@ -4,9 +4,9 @@
 watches" (no response to watch calls). The next `responses_to_drop` transactions and lease grants
 are applied without a response. `compact()` drops the event history. `restore()` returns the store
 to an older copy of its data: newer writes and leases are lost, their revisions and lease ids are
-given out again, and the epoch in all responses rises. `silence_connections()` makes open connections
-silent for good, without a reset, while new ones are served. `call_counts` has the number of calls
-by the first segment of the path.
+given out again, and the epoch in all responses rises. `silence_connections()` makes open
+connections silent for good, without a reset, while new ones are served. `call_counts` has the
+number of calls by the first segment of the path.
 """
 
 import asyncio
--- a/standins/mesh_fleet.py
+++ b/standins/mesh_fleet.py
@@ -111,6 +111,9 @@
         self.boot = 0
         self.started_at = 0.0  # monotonic seconds
         self.signals: list[SentSignal] = []  # sent to the current process
+        self.log_start = 0  # size of the log in bytes when the current process was started
+        self.closed_streams: tuple[int, ...] = ()  # descriptors that the next process has not
+        self.listeners: list[Endpoint] = []  # peers, readiness, announcements, callers
         self.link_proxy: FaultProxy
         self.app_proxy: FaultProxy
         self.worker: WorkerStandIn
@@ -149,6 +152,8 @@
         # Whether the worker beside the node with an index names its start time.
         self.names_start: Callable[[int], bool] = lambda index: True
         self.limits: ProcessLimits | None = None  # of each node; None: no limit
+        # Called before a process of a node is replaced by a new one.
+        self.before_start: Callable[[NodeProcess], None] = lambda node: None
         self.version = 0
         self.behaviors = behaviors
         self._rng = rng
@@ -191,17 +196,24 @@
         document = {"Version": f"r{self.version}", "Resources": resources}
         await self.store.write("op/config", json.dumps(document).encode())
 
-    def start_node(self, node: NodeProcess) -> None:
-        """Start or restart the process of a node."""
-        settings = self.folder / f"{node.name}.toml"
-        settings.write_text(self._settings(node), "utf-8")
+    def start_node(self, node: NodeProcess, keep_settings: bool = False) -> None:
+        """Start or restart the process of a node, with its settings file as it is or complete."""
+        self.before_start(node)
+        settings = self.settings_file(node)
+        if not keep_settings:
+            self.write_settings(node)
         paths = os.pathsep.join(str(ROOT / path) for path in PACKAGES)
         env = {**os.environ, "THORNTRAY_BOOT": str(settings), "PYTHONPATH": paths}
         node.boot += 1
         node.started_at, node.signals = time.monotonic(), []
+        run = [sys.executable, str(ROOT / "platform/run.py"), f"--metrics_port={METRICS_PORT}"]
+        if node.closed_streams:
+            closings = " ".join(f"{number}>&-" for number in node.closed_streams)
+            run = ["sh", "-c", f'exec "$@" {closings}', "sh", *run]
         with self.log_file(node).open("ab") as log:
+            node.log_start = log.tell()
             node.process = subprocess.Popen(
-                [sys.executable, str(ROOT / "platform/run.py"), f"--metrics_port={METRICS_PORT}"],
+                run,
                 stdout=log,
                 stderr=log,
                 env=env,
@@ -209,6 +221,15 @@
             )
         self.limit_process(node.process.pid)
 
+    def settings_file(self, node: NodeProcess) -> Path:
+        """Return the settings file of a node."""
+        return self.folder / f"{node.name}.toml"
+
+    def write_settings(self, node: NodeProcess, share: float = 1.0) -> None:
+        """Write the settings file of a node, or only the first part of it."""
+        text = self._settings(node)
+        self.settings_file(node).write_text(text[: round(share * len(text))], "utf-8")
+
     def log_file(self, node: NodeProcess) -> Path:
         """Return the file for stdout and stderr of a node."""
         return self.folder / f"{node.name}.log"
@@ -236,6 +257,10 @@
             self._fork_rng(),
         )
         node.app_proxy = FaultProxy(app, Endpoint(worker_host, APP_PORT), self._fork_rng())
+        node.listeners = [
+            Endpoint(host, port)
+            for port in (FIRST_PEER_PORT, READY_PORT, CONTROL_PORT, OUTBOUND_PORT)
+        ]
         node.outbound, node.metrics = Endpoint(host, OUTBOUND_PORT), Endpoint(host, METRICS_PORT)
         endpoints = WorkerEndpoints(
             Endpoint(worker_host, APP_PORT),
--- a/tests/test_soak_limits.py
+++ b/tests/test_soak_limits.py
@@ -4,6 +4,7 @@
 import signal
 import subprocess
 import sys
+import time
 from random import Random
 from types import SimpleNamespace
 
@@ -61,6 +62,7 @@
     """Return a watcher, its node with a process of the command, and the list of starts."""
     node = NodeProcess("n1", "tariff", "a", 1)
     node.boot, node.process = 1, subprocess.Popen(command, stdout=subprocess.PIPE)
+    node.started_at = time.monotonic()
     starts = []
     log = tmp_path / "n1.log"
     log.write_text("first\nsecond\nthird\nlast\n", "utf-8")
@@ -248,6 +250,6 @@
     node.process.wait()
     assert ends == [-ended_by]
     if kind is FaultKind.NODE_FROZEN_STOP:
-        assert [(stop.node, stop.boot) for stop in injector.stops] == [("n1", 3)]
+        assert [(stop.node, stop.boot) for stop in injector.control.stops] == [("n1", 3)]
     else:
-        assert [(hangup.node, hangup.boot) for hangup in injector.hangups] == [("n1", 4)]
+        assert [(hangup.node, hangup.boot) for hangup in injector.control.hangups] == [("n1", 4)]
--- a/tests/test_soak_load.py
+++ b/tests/test_soak_load.py
@@ -151,7 +151,7 @@
         injector = FaultInjector(fleet, SimpleNamespace(rate=1.0), Random(1))
         before = time.monotonic()
         await injector.inject(Fault(0.0, FaultKind.NODE_STOP, "n1", 0.5))
-        (stop,) = injector.stops
+        (stop,) = injector.control.stops
         assert (stop.node, stop.boot) == ("n1", 3)
         assert before <= stop.sigterm_at < before + 0.3
         assert node.process.returncode == -signal.SIGTERM
