--- a/soak/checks.py
+++ b/soak/checks.py
@@ -84,7 +84,10 @@
 
 
 def _ended_with(observation: Observation, end: MemoryKill | OwnEnd) -> int:
-    """Return how many requests of callers ended without an answer as a process ended."""
+    """Return how many requests of callers ended without an answer as a process ended.
+
+    If another socket held the callers' port, those are included that it has reset.
+    """
     return sum(
         attempt.end is AttemptEnd.CLOSED
         and (attempt.node, attempt.boot) == (end.node, end.boot)
--- a/soak/process_watch.py
+++ b/soak/process_watch.py
@@ -17,7 +17,9 @@
 WATCH_PERIOD = 0.5  # seconds
 RESTART_DELAY = 1.0  # seconds until a process that has ended is started again
 EARLY_HANGUP_AGE = 0.5  # seconds after its start in which a SIGHUP may end a process
-EARLY_STOP_AGE = 5.0  # seconds after its start in which the default action may end a process
+# Seconds after its start in which the default action may end a process that has not logged its
+# start, the second one if it has no standard output.
+EARLY_STOP_AGE, EARLY_SILENT_STOP_AGE = 5.0, 1.0
 KILL_TOLERANCE = 0.5  # seconds before the limit of a stop
 STARTED = "STARTED"  # event in the log of a process that handles its signals
 STOP_SIGNALS = frozenset({signal.SIGTERM, signal.SIGINT})
@@ -135,7 +137,8 @@
     if returncode == 0:
         return bool(sent & STOP_SIGNALS)
     if -returncode in STOP_SIGNALS:
-        latest = node.started_at + EARLY_STOP_AGE
+        age = EARLY_STOP_AGE if node.writes_log else EARLY_SILENT_STOP_AGE
+        latest = node.started_at + age
         early = any(s.signum == -returncode and s.sent_at < latest for s in node.signals)
         return early and not has_started
     return returncode == -signal.SIGKILL and signal.SIGKILL in sent
--- a/standins/mesh_fleet.py
+++ b/standins/mesh_fleet.py
@@ -36,6 +36,7 @@
 HOST_NAME = "calls.example"
 APP_PORT, INBOUND_PORT, READY_PORT, OUTBOUND_PORT, CONTROL_PORT = 8301, 8300, 8302, 8304, 8306
 FIRST_PEER_PORT, LAST_PEER_PORT, METRICS_PORT, STORE_PORT = 7620, 7635, 7634, 8309
+SPARE_PEER_PORTS = 3  # that a node may use in place of the first one, and that proxies forward
 STOP_TIMEOUT = 6  # seconds; GraceS in the settings of the nodes
 REVOCATION_BOUND = 5  # seconds after which a withdrawn API key must be refused everywhere
 DESCRIPTORS_FOR_FILES = 200  # of the descriptors of a process
@@ -113,6 +114,7 @@
         self.signals: list[SentSignal] = []  # sent to the current process
         self.log_start = 0  # size of the log in bytes when the current process was started
         self.closed_streams: tuple[int, ...] = ()  # descriptors that the next process has not
+        self.writes_log = True  # whether the current process has standard output
         self.listeners: list[Endpoint] = []  # peers, readiness, announcements, callers
         self.link_proxy: FaultProxy
         self.app_proxy: FaultProxy
@@ -207,13 +209,11 @@
         node.boot += 1
         node.started_at, node.signals = time.monotonic(), []
         run = [sys.executable, str(ROOT / "platform/run.py"), f"--metrics_port={METRICS_PORT}"]
-        if node.closed_streams:
-            closings = " ".join(f"{number}>&-" for number in node.closed_streams)
-            run = ["sh", "-c", f'exec "$@" {closings}', "sh", *run]
+        node.writes_log = 1 not in node.closed_streams
         with self.log_file(node).open("ab") as log:
             node.log_start = log.tell()
             node.process = subprocess.Popen(
-                run,
+                without_streams(run, node.closed_streams),
                 stdout=log,
                 stderr=log,
                 env=env,
@@ -255,6 +255,7 @@
             Endpoint(advertised_host, FIRST_PEER_PORT),
             Endpoint(host, FIRST_PEER_PORT),
             self._fork_rng(),
+            SPARE_PEER_PORTS,
         )
         node.app_proxy = FaultProxy(app, Endpoint(worker_host, APP_PORT), self._fork_rng())
         node.listeners = [
@@ -331,6 +332,14 @@
 """
 
 
+def without_streams(command: list[str], closed: tuple[int, ...]) -> list[str]:
+    """Return a command that runs another one with some of its standard streams closed."""
+    if not closed:
+        return command
+    closings = " ".join(f"{number}>&-" for number in closed)
+    return ["sh", "-c", f'exec "$@" {closings}', "sh", *command]
+
+
 def _resources(routes: list[RouteConfig]) -> list[dict[str, object]]:
     resources: list[dict[str, object]] = []
     for route in routes:
