--- a/standins/mesh_fleet.py
+++ b/standins/mesh_fleet.py
@@ -36,6 +36,7 @@
 HOST_NAME = "calls.example"
 APP_PORT, INBOUND_PORT, READY_PORT, OUTBOUND_PORT, CONTROL_PORT = 8301, 8300, 8302, 8304, 8306
 FIRST_PEER_PORT, LAST_PEER_PORT, METRICS_PORT, STORE_PORT = 7620, 7635, 7634, 8309
+SPARE_PEER_PORTS = 3  # that a node may use in place of the first one, and that proxies forward
 STOP_TIMEOUT = 6  # seconds; GraceS in the settings of the nodes
 REVOCATION_BOUND = 5  # seconds after which a withdrawn API key must be refused everywhere
 DESCRIPTORS_FOR_FILES = 200  # of the descriptors of a process
@@ -111,6 +112,10 @@
         self.boot = 0
         self.started_at = 0.0  # monotonic seconds
         self.signals: list[SentSignal] = []  # sent to the current process
+        self.log_start = 0  # size of the log in bytes when the current process was started
+        self.closed_streams: tuple[int, ...] = ()  # descriptors that the next process has not
+        self.writes_log = True  # whether the current process has standard output
+        self.listeners: list[Endpoint] = []  # peers, readiness, announcements, callers
         self.link_proxy: FaultProxy
         self.app_proxy: FaultProxy
         self.worker: WorkerStandIn
@@ -149,6 +154,8 @@
         # Whether the worker beside the node with an index names its start time.
         self.names_start: Callable[[int], bool] = lambda index: True
         self.limits: ProcessLimits | None = None  # of each node; None: no limit
+        # Called before a process of a node is replaced by a new one.
+        self.before_start: Callable[[NodeProcess], None] = lambda node: None
         self.version = 0
         self.behaviors = behaviors
         self._rng = rng
@@ -191,17 +198,22 @@
         document = {"Version": f"r{self.version}", "Resources": resources}
         await self.store.write("op/config", json.dumps(document).encode())
 
-    def start_node(self, node: NodeProcess) -> None:
-        """Start or restart the process of a node."""
-        settings = self.folder / f"{node.name}.toml"
-        settings.write_text(self._settings(node), "utf-8")
+    def start_node(self, node: NodeProcess, keep_settings: bool = False) -> None:
+        """Start or restart the process of a node, with its settings file as it is or complete."""
+        self.before_start(node)
+        settings = self.settings_file(node)
+        if not keep_settings:
+            self.write_settings(node)
         paths = os.pathsep.join(str(ROOT / path) for path in PACKAGES)
         env = {**os.environ, "THORNTRAY_BOOT": str(settings), "PYTHONPATH": paths}
         node.boot += 1
         node.started_at, node.signals = time.monotonic(), []
+        run = [sys.executable, str(ROOT / "platform/run.py"), f"--metrics_port={METRICS_PORT}"]
+        node.writes_log = 1 not in node.closed_streams
         with self.log_file(node).open("ab") as log:
+            node.log_start = log.tell()
             node.process = subprocess.Popen(
-                [sys.executable, str(ROOT / "platform/run.py"), f"--metrics_port={METRICS_PORT}"],
+                without_streams(run, node.closed_streams),
                 stdout=log,
                 stderr=log,
                 env=env,
@@ -209,6 +221,15 @@
             )
         self.limit_process(node.process.pid)
 
+    def settings_file(self, node: NodeProcess) -> Path:
+        """Return the settings file of a node."""
+        return self.folder / f"{node.name}.toml"
+
+    def write_settings(self, node: NodeProcess, share: float = 1.0) -> None:
+        """Write the settings file of a node, or only the first part of it."""
+        text = self._settings(node)
+        self.settings_file(node).write_text(text[: round(share * len(text))], "utf-8")
+
     def log_file(self, node: NodeProcess) -> Path:
         """Return the file for stdout and stderr of a node."""
         return self.folder / f"{node.name}.log"
@@ -234,8 +255,13 @@
             Endpoint(advertised_host, FIRST_PEER_PORT),
             Endpoint(host, FIRST_PEER_PORT),
             self._fork_rng(),
+            SPARE_PEER_PORTS,
         )
         node.app_proxy = FaultProxy(app, Endpoint(worker_host, APP_PORT), self._fork_rng())
+        node.listeners = [
+            Endpoint(host, port)
+            for port in (FIRST_PEER_PORT, READY_PORT, CONTROL_PORT, OUTBOUND_PORT)
+        ]
         node.outbound, node.metrics = Endpoint(host, OUTBOUND_PORT), Endpoint(host, METRICS_PORT)
         endpoints = WorkerEndpoints(
             Endpoint(worker_host, APP_PORT),
@@ -306,6 +332,14 @@
 """
 
 
+def without_streams(command: list[str], closed: tuple[int, ...]) -> list[str]:
+    """Return a command that runs another one with some of its standard streams closed."""
+    if not closed:
+        return command
+    closings = " ".join(f"{number}>&-" for number in closed)
+    return ["sh", "-c", f'exec "$@" {closings}', "sh", *command]
+
+
 def _resources(routes: list[RouteConfig]) -> list[dict[str, object]]:
     resources: list[dict[str, object]] = []
     for route in routes:
