--- a/packages/thorntray-node/src/thorntray_node/main.py
+++ b/packages/thorntray-node/src/thorntray_node/main.py
@@ -1,7 +1,7 @@
 """Command line of the node: `thorntray-node --config node.ini`.
 
 Exit codes: 0 after a graceful stop or a successful `--check`, 2 for invalid settings, 3 when a
-port cannot be bound.
+port cannot be opened, also not within the time for which a taken one is waited for.
 """
 
 import asyncio
--- a/packages/thorntray/src/thorntray/internal/connection/peer.py
+++ b/packages/thorntray/src/thorntray/internal/connection/peer.py
@@ -18,7 +18,7 @@
 
 from thorntray.errors import BadMessage, PeerLost, PeerUnreachable
 from thorntray.internal.connection.connection_end import OutputProgress
-from thorntray.internal.connection.listening_sockets import bind_tcp
+from thorntray.internal.connection.listening_sockets import bind_tcp, require_listening
 from thorntray.internal.connection.message import (
     MAX_MESSAGE_BYTES,
     Message,
@@ -288,6 +288,7 @@
         """Start listening on a bound socket; raises `OSError` if that fails, and closes it."""
         try:
             self._server = await asyncio.start_server(self._serve, sock=sock)
+            require_listening(self._server)
         except BaseException:
             sock.close()
             raise
--- a/tests/test_process_start.py
+++ b/tests/test_process_start.py
@@ -51,20 +51,27 @@
 
 
 # Two sockets may be bound to a port as long as neither listens: only `listen` fails then.
-@pytest.mark.parametrize("port", [READY_PORT, CONTROL_PORT])
-@pytest.mark.parametrize("hold", [Hold.REUSABLE, Hold.LISTENING])
-def test_a_port_on_which_another_socket_listens_is_waited_for(tmp_path, port, hold):
+@pytest.mark.parametrize(
+    "purpose, later", [("readiness", "announcements"), ("callers", "readiness")]
+)
+def test_a_bound_port_on_which_another_socket_begins_to_listen_is_waited_for(
+    tmp_path, purpose, later
+):
     node = make_node(tmp_path)
-    with HeldPort(node.host, port, hold=hold) as held, HeldPort(node.host, OUTBOUND_PORT) as last:
-        with node, CallSeries((node.host, OUTBOUND_PORT)) as calls:
-            node.wait_for_log("PORT_TAKEN")  # of the callers' port, or of the listening socket
-            held.listen()
-            last.release()
-            time.sleep(1.0)
-            assert calls.answered == 0 and node.process.poll() is None, node.log
-            held.release()
+    held = HeldPort(node.host, *PURPOSES[purpose], Hold.REUSABLE)
+    with held, HeldPort(node.host, *PURPOSES[later]) as last, node:
+        node.wait_for_log("PORT_TAKEN")  # of the later one; the other one is bound
+        held.listen()
+        last.release()
+        node.wait_for_log(f'"text": "port taken, waited for", "purpose": "{purpose}"')
+        time.sleep(1.0)
+        assert node.process.poll() is None and "STARTED" not in node.log
+        held.release()
+        with CallSeries((node.host, OUTBOUND_PORT)) as calls:
             assert calls.wait_answered(SERVE_TIME), node.log
         assert calls.unanswered == 0
+        node.wait_for_log("STARTED")
+    assert [row["purpose"] for row in events(node.log, "PORT_FREE")] == [later, purpose]
 
 
 def test_a_taken_port_is_named_when_the_wait_begins_and_when_it_ends(tmp_path):
