--- a/packages/thorntray-node/src/thorntray_node/main.py
+++ b/packages/thorntray-node/src/thorntray_node/main.py
@@ -1,7 +1,8 @@
 """Command line of the node: `thorntray-node --config node.ini`.
 
 Exit codes: 0 after a graceful stop or a successful `--check`, 1 for invalid flags or a failure, 2
-for invalid settings, 3 when a port cannot be bound.
+for invalid settings, 3 when a port cannot be opened, also not within the time for which a taken one
+is waited for.
 """
 
 import sys
