--- a/tests/process_builders.py
+++ b/tests/process_builders.py
@@ -84,7 +84,7 @@
     With `gated`, the process waits during the import of `gated_module` for `send_while_importing`.
     With `piped`, its stdout is a pipe. `failing_step` names a method of `MeshNode` that raises
     `FAILURE`, `failing_once` a method without arguments whose first call does. `options` are those
-    of the interpreter.
+    of the interpreter. Processes that run at the same time need different values of `index`.
     """
 
     def __init__(
@@ -96,10 +96,11 @@
         failing_once: str = "",
         gated_module: str = GATED_MODULE,
         options: tuple[str, ...] = (),
+        index: int = 1,
     ) -> None:
         fleet = MeshFleet([], {}, Random(0))
-        self._node = NodeProcess("single-1", "single", "kalimati", 1)
-        self._host = fleet._address(1, 1)
+        self._node = NodeProcess("single-1", "single", "kalimati", index)
+        self._host = fleet._address(1, index)
         self.outbound = Endpoint(self._host, OUTBOUND_PORT)
         self._folder = folder
         self._piped = piped
