--- a/packages/thorntray-node/src/thorntray_node/http.py
+++ b/packages/thorntray-node/src/thorntray_node/http.py
@@ -17,6 +17,8 @@
 from starlette.routing import Route
 from uvicorn.protocols.http.httptools_impl import HttpToolsProtocol
 
+from thorntray.internal.connection.accept_queue import close_listener
+from thorntray.internal.connection.kernel_output import kernel_input_bytes
 from thorntray.internal.request.http_answer import REQUEST_ID_HEADER, HttpAnswer, http_answer
 from thorntray.internal.request.ingress import (
     MAX_BODY_BYTES,
@@ -37,6 +39,14 @@
 NOT_RECEIVED_DETAIL = "this node stops and has not received the whole request; use another node"
 NOT_FINISHED_DETAIL = "this node stops and the request has not ended; check before you repeat it"
 
+INPUT_READ_TIME = 0.01  # seconds in which the event loop reads what the kernel holds
+# For a request whose head is incomplete at the stop; its headers are not known.
+HEAD_REFUSAL = (
+    b"HTTP/1.1 503 Service Unavailable\r\nthorntray-outcome: unknown\r\n"
+    b"thorntray-detail: " + NOT_RECEIVED_DETAIL.encode() + b"\r\n"
+    b"retry-after: 1\r\ncontent-length: 0\r\nconnection: close\r\n\r\n"
+)
+
 Receive = Callable[[], Awaitable[dict[str, Any]]]
 Send = Callable[[dict[str, Any]], Awaitable[None]]
 Scope = dict[str, Any]
@@ -243,17 +253,52 @@
 
 
 class _Protocol(HttpToolsProtocol):
-    """uvicorn's protocol; tells the application whether pipelined requests are waiting."""
+    """uvicorn's protocol; tells the application whether pipelined requests are waiting.
+
+    At the stop, a request whose head is incomplete is refused, and input that waits in the kernel
+    is read before the connection is closed: uvicorn takes both for idle connections.
+    """
+
+    _receives_head = False
+
+    def on_message_begin(self) -> None:
+        """Start a new request."""
+        self._receives_head = True
+        super().on_message_begin()
 
     def on_headers_complete(self) -> None:
         """Add the function `thorntray.pipelined` to the scope of a request."""
+        self._receives_head = False
         self.scope["extensions"] = {PIPELINED: lambda: bool(self.pipeline)}
         super().on_headers_complete()
 
-
-class _Server(uvicorn.Server):
+    def shutdown(self) -> None:
+        """Close the connection, after the answer to the request that it may have."""
+        idle = self.cycle is None or self.cycle.response_complete
+        if self.transport.is_closing() or not idle:
+            super().shutdown()
+        elif self._receives_head:
+            self.transport.write(HEAD_REFUSAL)
+            self.transport.close()
+        elif kernel_input_bytes(self.transport):
+            asyncio.get_running_loop().call_later(INPUT_READ_TIME, self.shutdown)
+        else:
+            super().shutdown()
+
+
+class NodeServer(uvicorn.Server):
     """A uvicorn server that leaves signal handling to the node."""
 
+    async def stop_listening(self) -> None:
+        """Accept the connections that the kernel has queued, and refuse later ones."""
+        for server in self.servers:
+            await close_listener(server, self._make_protocol)
+
+    def _make_protocol(self) -> _Protocol:
+        return _Protocol(
+            config=self.config, server_state=self.server_state, app_state=self.lifespan.state
+        )
+
     @contextlib.contextmanager
     def capture_signals(self):  # type: ignore[no-untyped-def]
         """Install no signal handlers."""
@@ -273,7 +318,7 @@
     return app
 
 
-def make_server(node: Node) -> uvicorn.Server:
+def make_server(node: Node) -> NodeServer:
     """Return the HTTP server of a node."""
     config = uvicorn.Config(
         make_app(node),
@@ -292,4 +337,4 @@
         timeout_keep_alive=75,
         timeout_graceful_shutdown=None,  # set at the stop, to what is left of `drain_limit`
     )
-    return _Server(config)
+    return NodeServer(config)
--- a/packages/thorntray-node/src/thorntray_node/main.py
+++ b/packages/thorntray-node/src/thorntray_node/main.py
@@ -13,7 +13,6 @@
 
 import msgspec
 import pynng
-import uvicorn
 import uvloop
 from absl import app, flags, logging
 
@@ -21,7 +20,7 @@
 from thorntray.internal.telemetry.events import Event, configure_events, log_event
 from thorntray_node.config import NodeConfig
 from thorntray_node.dump import state_dump
-from thorntray_node.http import make_server
+from thorntray_node.http import NodeServer, make_server
 from thorntray_node.node import Node
 from thorntray_node.process_signals import (
     STOP_SIGNALS,
@@ -76,6 +75,8 @@
     loop = asyncio.get_running_loop()
     # Before the port is bound, since a caller's connection is open from then on.
     handle_signals(STOP_SIGNALS, stop.set)
+    if signal.getsignal(signal.SIGHUP) is not signal.SIG_IGN:  # as `nohup` sets it
+        handle_signals((signal.SIGHUP,), stop.set)
     ignore_signals((signal.SIGUSR1,))
     try:
         # Bound here, because uvicorn exits the process when it cannot bind the port.
@@ -100,18 +101,17 @@
     server.should_exit = True
     await serving
     await node.stop()
-    ignore_signals((*STOP_SIGNALS, signal.SIGUSR1))
+    ignore_signals((*STOP_SIGNALS, signal.SIGHUP, signal.SIGUSR1))
     return 0
 
 
-async def _stop_accepting_callers(server: uvicorn.Server) -> None:
+async def _stop_accepting_callers(server: NodeServer) -> None:
     """Close the listeners, but serve the open connections for `CONNECTION_CLOSE_DELAY`.
 
     Closing both at the same time would reset connections with a request in transit. While the
     node drains, every response has `Connection: close`, so the callers close the connections.
     """
-    for listener in server.servers:
-        listener.close()
+    await server.stop_listening()
     await asyncio.sleep(CONNECTION_CLOSE_DELAY)
 
 
--- a/tests/stop_callers.py
+++ b/tests/stop_callers.py
@@ -28,12 +28,18 @@
     """
 
     def __init__(
-        self, address: Endpoint, width: int = 1, delay: float = 0.0, pause: float = 0.0
+        self,
+        address: Endpoint,
+        width: int = 1,
+        delay: float = 0.0,
+        pause: float = 0.0,
+        request: bytes = REQUEST,
     ) -> None:
         self._address = address
         self._width = width
         self._delay = delay
         self._pause = pause
+        self._request = request
         self.ended = False
         self.outcomes = Outcomes([], [])
 
@@ -56,15 +62,15 @@
 
     async def _exchange(self, sock: socket.socket) -> None:
         loop, received = asyncio.get_running_loop(), b""
-        half = len(REQUEST) // 2
+        half = len(self._request) // 2
         try:
             async with asyncio.timeout(ANSWER_TIMEOUT):
                 if self._delay:
                     await asyncio.sleep(self._delay)
-                await loop.sock_sendall(sock, REQUEST[:half])
+                await loop.sock_sendall(sock, self._request[:half])
                 if self._pause:
                     await asyncio.sleep(self._pause)
-                await loop.sock_sendall(sock, REQUEST[half:])
+                await loop.sock_sendall(sock, self._request[half:])
                 while piece := await loop.sock_recv(sock, 1 << 16):
                     received += piece
         except (OSError, TimeoutError) as exc:
--- a/tests/test_node_stops.py
+++ b/tests/test_node_stops.py
@@ -1,13 +1,16 @@
 """Planned stops of a node with an INI file: every request that it has taken gets its answer."""
 
+import asyncio
 import signal
 import time
 from concurrent.futures import ThreadPoolExecutor
 
 import pytest
 
-from standins.fleet import http, wait_for
+from standins.fleet import HOST, http, wait_for
+from standins.http_messages import Endpoint
 from tests.process_builders import POLL_PERIOD, blocked_signal
+from tests.stop_callers import NewConnections
 from tests.stop_fleet import (
     DRAIN_LIMIT,
     LONG_DEADLINE,
@@ -24,6 +27,11 @@
 )
 
 pytestmark = pytest.mark.process
+CALLERS = {  # arguments of `NewConnections`
+    "at once": {"width": 64},
+    "after a while": {"width": 40, "delay": 0.1},
+    "in two parts": {"width": 40, "pause": 0.1},
+}
 EXIT_TIMEOUT = 2 * DRAIN_LIMIT + 10  # seconds
 
 
@@ -170,3 +178,39 @@
         fleet.stopping.node.send_signal(signal.SIGUSR1)
         time.sleep(POLL_PERIOD)
     assert fleet.stopping.node.wait(EXIT_TIMEOUT) == 0
+
+
+@pytest.mark.parametrize("arrival", CALLERS)
+def test_no_new_connection_ends_without_an_answer_when_a_node_stops(fleet, arrival):
+    async def run():
+        address = Endpoint(HOST, fleet.stopping.http_port)
+        request = lookup(connection="close")
+        callers = NewConnections(address, **CALLERS[arrival], request=request)
+        running = asyncio.create_task(callers.run())
+        await asyncio.sleep(0.1)
+        fleet.stopping.node.terminate()
+        return await running
+
+    outcomes = asyncio.run(run())
+    assert outcomes.unanswered == [], f"{len(outcomes.answers)} answers"
+    assert outcomes.answers
+    assert fleet.stopping.node.wait(EXIT_TIMEOUT) == 0
+
+
+def test_a_request_whose_head_is_incomplete_at_the_end_of_a_stop_is_answered(fleet):
+    with connect(fleet.stopping) as caller:
+        caller.sendall(lookup()[:30])
+        time.sleep(0.2)
+        fleet.stopping.node.terminate()
+        status, headers, _ = read_answer(caller.makefile("rb"))
+        assert status == 503 and "retry-after" in headers
+        assert fleet.stopping.node.wait(EXIT_TIMEOUT) == 0
+
+
+def test_a_hangup_drains_a_node_like_a_stop(fleet):
+    with connect(fleet.stopping) as caller:
+        fleet.stopping.node.send_signal(signal.SIGHUP)
+        time.sleep(0.5)
+        caller.sendall(lookup())
+        assert read_answer(caller.makefile("rb"))[0] == 200
+        assert fleet.stopping.node.wait(EXIT_TIMEOUT) == 0
