--- a/packages/thorntray-node/src/thorntray_node/node_command.py
+++ b/packages/thorntray-node/src/thorntray_node/node_command.py
@@ -9,7 +9,6 @@
 
 import msgspec
 import pynng
-import uvicorn
 import uvloop
 from absl import app, flags, logging
 
@@ -19,7 +18,7 @@
 from thorntray.internal.telemetry.events import Event, configure_events, log_event
 from thorntray_node.config import NodeConfig
 from thorntray_node.dump import state_dump
-from thorntray_node.http import make_server
+from thorntray_node.http import NodeServer, make_server
 from thorntray_node.node import Node
 from thorntray_node.process_end import Cause, process_end
 from thorntray_node.process_signals import STOP_SIGNALS, handle_signals, ignore_signals
@@ -88,6 +87,8 @@
     loop = asyncio.get_running_loop()
     # Before the ports are opened, which may take seconds if one is taken.
     handle_signals(STOP_SIGNALS, stop.set)
+    if signal.getsignal(signal.SIGHUP) is not signal.SIG_IGN:  # as `nohup` sets it
+        handle_signals((signal.SIGHUP,), stop.set)
     ignore_signals((signal.SIGUSR1,))
     server = make_server(node)
     callers = _CallersSocket()
@@ -113,7 +114,7 @@
     server.should_exit = True
     await serving
     await node.stop()
-    ignore_signals((*STOP_SIGNALS, signal.SIGUSR1))
+    ignore_signals((*STOP_SIGNALS, signal.SIGHUP, signal.SIGUSR1))
     return 0
 
 
@@ -135,14 +136,13 @@
         self.listener = sock
 
 
-async def _stop_accepting_callers(server: uvicorn.Server) -> None:
+async def _stop_accepting_callers(server: NodeServer) -> None:
     """Close the listeners, but serve the open connections for `CONNECTION_CLOSE_DELAY`.
 
     Closing both at the same time would reset connections with a request in transit. While the
     node drains, every response has `Connection: close`, so the callers close the connections.
     """
-    for listener in server.servers:
-        listener.close()
+    await server.stop_listening()
     await asyncio.sleep(CONNECTION_CLOSE_DELAY)
 
 
