Log and count restarts of nodes, as peers, the node itself and the store know them

Nothing told that a process was the third one of its node within seconds: a peer that had not yet declared the former process dead wrote no line for the new session, and the node itself could not know.

128 RESTART_SEEN is written by peers that see a new session under the same name, with the time since they last heard the former one (not after a graceful stop); by the restarted node, when a peer returns the former record in reply to its Join, with the time between the two starts; and by a node that finds its own seed entry in the store. thorntray_member_restarts counts restarts by the end of the former process. The former record travels as an update of the existing Spread datagram, which earlier releases ignore, as its version is older than their own. heard_at is now set after the sender's record was applied, so that it is the former session's when the change is recorded.

--- a/packages/thorntray-node/src/thorntray_node/mesh_gauges.py
+++ b/packages/thorntray-node/src/thorntray_node/mesh_gauges.py
@@ -89,6 +89,8 @@
     node.metrics.add_labelled_gauge(
         "thorntray_instance_sends", "kind", lambda: dict(node.owner.sends)
     )
+    restarts = node.membership.restarts
+    node.metrics.add_labelled_gauge("thorntray_member_restarts", "former", lambda: restarts.counts)
     node.metrics.add_labelled_gauge("thorntray_held_bytes", "kind", node.memory.held_by_kind)
     node.metrics.add_labelled_gauge("thorntray_quota_refusals", "workspace", node.quotas.refusals)
     node.metrics.add_labelled_gauge("thorntray_repeat_budget", "service", node.budget.remaining)
--- a/packages/thorntray/src/thorntray/internal/membership/membership.py
+++ b/packages/thorntray/src/thorntray/internal/membership/membership.py
@@ -42,6 +42,7 @@
 from thorntray.internal.membership.member_view import RETRANSMIT_FACTOR, MemberView
 from thorntray.internal.membership.prober import PROBE_PERIOD, Prober
 from thorntray.internal.membership.repair import Repair
+from thorntray.internal.membership.restarts import Restarts
 from thorntray.internal.membership.sender import PIGGYBACK_BYTES, DatagramSender, Transport
 from thorntray.internal.process.clock import Clock
 from thorntray.internal.process.tasks import BackgroundTasks
@@ -86,6 +87,7 @@
         self._rng = rng
         self._on_revisions = on_revisions
         self._on_member_gone = on_member_gone
+        self.restarts = Restarts(clock)
         self._suspected_at: dict[str, float] = {}
         self._gone_at: dict[str, float] = {}
         self._heard_at: dict[str, float] = {}  # boot time of the newest datagram of each member
@@ -288,8 +290,8 @@
     def _process(self, datagram: MembershipDatagram) -> None:
         """Process a datagram of the membership protocol."""
         was_alone = len(self.view) == 1
-        self._heard_at[datagram.sender.name] = self._clock.boottime()
         self._apply(datagram.sender)
+        self._heard_at[datagram.sender.name] = self._clock.boottime()
         if was_alone and not isinstance(datagram, Join):
             self._sender.send(Join(self.own), datagram.sender)
         match datagram:
@@ -304,6 +306,9 @@
             case Spread(sender, revisions, updates):
                 self._apply_all(sender, revisions, updates)
             case Join(sender):
+                former = self.restarts.former_of(sender)
+                if former is not None:
+                    self._sender.spread((former,), sender)
                 self._repair.send_all(sender)
             case Digest(sender, revisions, buckets):
                 self._on_revisions(sender, revisions)
@@ -317,6 +322,8 @@
 
     def _apply(self, update: Member) -> None:
         if update.name == self.own.name:
+            if update.session != self.own.session and update.version < self.own.version:
+                self.restarts.own_former_seen(self.own, update)
             self._refute(update)
             return
         previous = self.view.apply(update)
@@ -338,6 +345,8 @@
         name = current.name
         self._suspected_at.pop(name, None)
         self._gone_at.pop(name, None)
+        if previous.session != current.session:
+            self.restarts.member_restarted(previous, self.heard_at(name))
         match current.health:
             case Health.SUSPECT:
                 self._suspected_at[name] = self._clock.monotonic()
--- a/packages/thorntray/src/thorntray/internal/store/seeds.py
+++ b/packages/thorntray/src/thorntray/internal/store/seeds.py
@@ -140,6 +140,11 @@
         """Return whether this node holds a seed entry."""
         return self._lease != 0
 
+    @property
+    def _own_key(self) -> str:
+        own = self._membership.own
+        return f"{self._prefix}{own.domain}/{own.name}"
+
     def start(self) -> None:
         """Start looking for peers, and take a seed entry once the view has settled."""
         for work in (self._find_peers, self._catch_up, self._seed_loop):
@@ -205,6 +210,8 @@
             self._membership.join(self._configured_seeds)
             return
         self._state.record(True)
+        if not self.looked_up and any(entry.key == self._own_key for entry in entries):
+            self._membership.restarts.own_entry_found(self._membership.own)
         seeds = [address for entry in entries if (address := _parse_address(entry.value))]
         self._membership.join(self._rng.sample(seeds, min(MAX_JOIN_SEEDS, len(seeds))))
 
@@ -253,7 +260,7 @@
                 log_event(Event.SEED_LEASE_LOST)
             lease = await self._platform.lease_grant(self._timing.ttl)
             value = f"{own.address}:{own.gossip_port}".encode()
-            await self._platform.put(f"{self._prefix}{own.domain}/{own.name}", value, lease)
+            await self._platform.put(self._own_key, value, lease)
             self._lease = lease
             self._state.record(True)
             log_event(Event.SEED_LEASE_TAKEN)
--- a/packages/thorntray/src/thorntray/internal/telemetry/events.py
+++ b/packages/thorntray/src/thorntray/internal/telemetry/events.py
@@ -70,6 +70,7 @@
         122, Level.ERROR, "no descriptor left for an outgoing connection", 1
     )
     PROCESS_ENDED = EventKind(127, Level.ERROR, "process ended")  # written by `process_end`
+    RESTART_SEEN = EventKind(128, Level.WARNING, "process of a node replaces an earlier one")
     SETTINGS_AWAITED = EventKind(129, Level.WARNING, "settings file not valid yet, read again")
     MEMBER_JOINED = EventKind(200, Level.INFO, "member joined")
     MEMBER_SUSPECT = EventKind(201, Level.WARNING, "member suspected")
--- a/packages/thorntray/src/thorntray/internal/telemetry/node_metrics.py
+++ b/packages/thorntray/src/thorntray/internal/telemetry/node_metrics.py
@@ -69,6 +69,10 @@
     ),
     "thorntray_blocked_fingerprints": ("gauge", "requests refused since instances crash of them"),
     "thorntray_members": ("gauge", "members considered alive"),
+    "thorntray_member_restarts": (
+        "gauge",
+        "restarts of other members seen since the start, by the end of the earlier process",
+    ),
     "thorntray_policy_version": ("gauge", "version of the policy in force, 0 for none"),
     "thorntray_policy_behind_seconds": (
         "gauge",
