Count a log record that cannot be formatted as dropped

A log call with faulty arguments, of a library for instance, raised in whatever the caller was doing: LogOutput formats records when they come, and let the exception out. It counts such a record as dropped now. The tests failed before with TypeError (not enough arguments) and UnicodeEncodeError (surrogate).

--- a/packages/thorntray/src/thorntray/internal/telemetry/log_output.py
+++ b/packages/thorntray/src/thorntray/internal/telemetry/log_output.py
@@ -26,11 +26,15 @@
 
 
 class LogOutput(logging.Handler):
-    """Handler for all loggers of the process; writes to one file descriptor."""
+    """Handler for all loggers of the process; writes to one file descriptor.
 
-    def __init__(self, descriptor: int) -> None:
+    With `as_json`, records of libraries become JSON lines, else each line begins with its time.
+    """
+
+    def __init__(self, descriptor: int, as_json: bool = True) -> None:
         super().__init__()
         self._descriptor = descriptor
+        self._format_line = _line if as_json else _text_line
         self._lines: deque[bytes] = deque()
         self._poll = select.poll()
         self._poll.register(descriptor, select.POLLOUT)
@@ -41,7 +45,12 @@
         if len(self._lines) >= MAX_BUFFERED_LINES:
             self.dropped += 1
             return
-        self._lines.append(_line(record)[: MAX_LINE_BYTES - 1] + b"\n")
+        try:
+            line = self._format_line(record)
+        except Exception:  # faulty arguments of the log call, which must not fail in the caller
+            self.dropped += 1
+            return
+        self._lines.append(line[: MAX_LINE_BYTES - 1] + b"\n")
 
     async def run(self) -> None:
         """Write buffered lines periodically until cancelled."""
@@ -82,12 +91,13 @@
             log_event(Event.LOG_LINES_DROPPED, count=dropped)
 
 
-def configure_output(descriptor: int) -> LogOutput:
+def configure_output(descriptor: int, as_json: bool = True) -> LogOutput:
     """Route all loggers to a file descriptor; the caller has to start `run` of the result."""
-    output = LogOutput(descriptor)
+    output = LogOutput(descriptor, as_json)
     absl_logging.set_verbosity(absl_logging.INFO)
     events = absl_logging.get_absl_logger()
     root = logging.getLogger()
+    events.setLevel(logging.INFO)  # absl sets that of the root logger if its handler is there
     events.propagate = False
     events.handlers = [output]
     root.handlers = [output]
@@ -109,3 +119,12 @@
         "error": repr(record.exc_info[1]) if record.exc_info else "",
     }
     return json.dumps(record_fields, default=str).encode()
+
+
+def _text_line(record: logging.LogRecord) -> bytes:
+    """Return a log record as a line of text with its level, time and source."""
+    at = time.strftime("%m%d %H:%M:%S", time.localtime(record.created))
+    source = f"{record.process} {record.filename}:{record.lineno}"
+    error = f" {record.exc_info[1]!r}" if record.exc_info else ""
+    text = f"{record.levelname[0]}{at}.{record.msecs:03.0f} {source}] {record.getMessage()}{error}"
+    return text.encode()
--- a/tests/test_process_signals.py
+++ b/tests/test_process_signals.py
@@ -92,6 +92,19 @@
     assert output.dropped == 1
 
 
+@pytest.mark.parametrize(
+    ("message", "args"), [("%d of %d", (1,)), ("\ud800", ())], ids=["arguments", "surrogate"]
+)
+def test_a_line_that_cannot_be_formatted_is_counted_as_dropped(message, args):
+    # Failure: the log call of a library raises, in whatever it was doing.
+    reader, writer = os.pipe()
+    output = LogOutput(writer)
+    output.emit(logging.LogRecord("absl", logging.ERROR, "", 0, message, args, None))
+    os.close(reader)
+    os.close(writer)
+    assert output.dropped == 1
+
+
 @pytest.mark.parametrize("step", ["start", "stop"])
 def test_a_failing_start_or_stop_ends_the_process_with_a_log_line(tmp_path, step):
     with PlatformProcess(tmp_path, failing_step=step) as node:
