Do not block the node with an INI file on a log that nobody reads

With standard error a pipe that nobody read, callers could connect and got no answer, and the process still ran 8 s after SIGTERM (seen in a trial): its log handler writes from the event loop, and the first line blocked. The state dump on SIGUSR1 was such a write, too.

The node writes its log through LogOutput now, which buffers lines and counts what does not fit, and the dump from a thread of its own.

--- a/packages/thorntray-node/src/thorntray_node/node_command.py
+++ b/packages/thorntray-node/src/thorntray_node/node_command.py
@@ -2,20 +2,25 @@
 
 import asyncio
 import gc
+import os
 import signal
 import socket
 import sys
+from contextlib import suppress
 from pathlib import Path
+from threading import Thread
 
 import msgspec
 import pynng
 import uvicorn
 import uvloop
-from absl import app, flags, logging
+from absl import app, flags
 
 from thorntray import InvalidSettings
 from thorntray.internal.process.clock import SystemClock
+from thorntray.internal.process.tasks import BackgroundTasks
 from thorntray.internal.telemetry.events import Event, configure_events, log_event
+from thorntray.internal.telemetry.log_output import LogOutput, configure_output
 from thorntray_node.config import NodeConfig
 from thorntray_node.dump import state_dump
 from thorntray_node.http import make_server
@@ -59,9 +64,13 @@
         print(f"{_CONFIG.value}: valid")
         return 0
     process_end.node = cfg.name
-    _set_up_log(cfg)
-    with asyncio.Runner(loop_factory=uvloop.new_event_loop) as runner:
-        return runner.run(_serve(cfg))
+    configure_events(cfg.log_json, cfg.name)
+    output = configure_output(sys.stderr.fileno(), cfg.log_json)
+    try:
+        with asyncio.Runner(loop_factory=uvloop.new_event_loop) as runner:
+            return runner.run(_serve(cfg, output))
+    finally:
+        output.flush_ready()
 
 
 def _read_settings(path: Path) -> NodeConfig:
@@ -71,15 +80,9 @@
     return wait_for_settings(lambda: NodeConfig.from_file(path), SystemClock(), log_wait)
 
 
-def _set_up_log(cfg: NodeConfig) -> None:
-    logging.set_verbosity(logging.INFO)
-    logging.set_stderrthreshold("info")
-    if cfg.log_json:
-        logging.get_absl_handler().setFormatter(None)
-    configure_events(cfg.log_json, cfg.name)
-
-
-async def _serve(cfg: NodeConfig) -> int:
+async def _serve(cfg: NodeConfig, output: LogOutput) -> int:
+    tasks = BackgroundTasks()
+    tasks.supervise(output.run)
     process_end.step = "start"
     node = Node.from_config(cfg)
     stop = asyncio.Event()
@@ -136,5 +139,12 @@
 
 def _write_dump(node: Node) -> None:
     log_event(Event.DUMP_WRITTEN)
-    sys.stderr.write(msgspec.json.encode(state_dump(node)).decode() + "\n")
-    sys.stderr.flush()
+    dump = msgspec.json.encode(state_dump(node)) + b"\n"
+    # The write blocks while the reader of a pipe is slow, for good if there is none.
+    Thread(target=_write_all, args=(sys.stderr.fileno(), dump), daemon=True).start()
+
+
+def _write_all(descriptor: int, data: bytes) -> None:
+    with suppress(OSError):  # the reader has gone
+        while data:
+            data = data[os.write(descriptor, data) :]
--- a/tests/ini_process_builders.py
+++ b/tests/ini_process_builders.py
@@ -31,6 +31,10 @@
     ) -> None:
         self.settings = folder / "node.ini"
         self.port = free_port()
+        self.command = [
+            *(sys.executable, "-c", "from thorntray_node.main import run; run()"),
+            *(f"--config={self.settings}", *arguments),
+        ]
         self.text = (
             f"[node]\nname = tariff-1\naddress = {HOST}\nhttp_port = {self.port}\n"
             f"peer_port = {free_port()}\ndocument_port = {free_port()}\n"
@@ -41,25 +45,22 @@
         self.settings.write_text(self.text, "utf-8")
         self._folder = folder
         self._closed = closed
-        self._arguments = arguments
         replaced = folder / "modules"
         replaced.mkdir()
         for name, source in (modules or {}).items():
             (replaced / f"{name}.py").write_text(source, "utf-8")
-        self._paths = [str(replaced), *(str(ROOT / path) for path in PACKAGES)]
+        paths = [str(replaced), *(str(ROOT / path) for path in PACKAGES)]
+        self.env = {**os.environ, "PYTHONPATH": os.pathsep.join(paths)}
         self.process: subprocess.Popen[bytes]
 
     def __enter__(self) -> Self:
         with (self._folder / "node.log").open("ab") as log:
             self.process = subprocess.Popen(
-                [
-                    *(sys.executable, "-c", "from thorntray_node.main import run; run()"),
-                    *(f"--config={self.settings}", *self._arguments),
-                ],
+                self.command,
                 stdout=log,
                 stderr=log,
                 preexec_fn=self._close_descriptors if self._closed else None,
-                env={**os.environ, "PYTHONPATH": os.pathsep.join(self._paths)},
+                env=self.env,
             )
         return self
 
--- a/tests/test_process_end.py
+++ b/tests/test_process_end.py
@@ -3,12 +3,13 @@
 import json
 import os
 import signal
+import socket
 import subprocess
 import time
 
 import pytest
 
-from tests.ini_process_builders import IniProcess
+from tests.ini_process_builders import HOST, IniProcess
 from tests.process_builders import PlatformProcess
 from thorntray.internal.telemetry.events import Event
 from thorntray_node.process_end import EVENT_NAME, EVENT_NUMBER, ProcessEnd
@@ -43,6 +44,17 @@
     return line["cause"], code, line["step"]
 
 
+def full_pipe():
+    """Return the two ends of a pipe that takes no more."""
+    reader, writer = os.pipe()
+    os.set_blocking(writer, False)
+    with pytest.raises(BlockingIOError):
+        while True:
+            os.write(writer, b"x" * 1024)
+    os.set_blocking(writer, True)
+    return reader, writer
+
+
 def with_module(node, name, source):
     (node.folder / "modules" / f"{name}.py").write_text(source, "utf-8")
     return node
@@ -158,12 +170,7 @@
     # Failure: the message about invalid settings is a blocking write to a full pipe.
     node = PlatformProcess(tmp_path)
     node.settings.write_text("", "utf-8")
-    reader, writer = os.pipe()
-    os.set_blocking(writer, False)
-    with pytest.raises(BlockingIOError):
-        while True:
-            os.write(writer, b"x" * 1024)
-    os.set_blocking(writer, True)
+    reader, writer = full_pipe()
     began = time.monotonic()
     node.process = subprocess.Popen(node.command, stdout=writer, stderr=writer, env=node.env)
     try:
@@ -175,6 +182,26 @@
     assert time.monotonic() - began < 8
 
 
+@pytest.mark.process
+def test_a_node_with_an_ini_file_serves_and_stops_while_nobody_reads_its_output(tmp_path):
+    # Failure: the first log line blocks the event loop; callers wait, and SIGTERM does nothing.
+    node = IniProcess(tmp_path)
+    reader, writer = full_pipe()
+    node.process = subprocess.Popen(node.command, stdout=writer, stderr=writer, env=node.env)
+    try:
+        node.wait_listening()
+        with socket.create_connection((HOST, node.port), timeout=10) as caller:
+            for signum in (signal.SIGUSR1, signal.SIGTERM):  # SIGUSR1 writes the state dump
+                caller.sendall(b"GET /thorntray/status HTTP/1.1\r\nHost: a.example\r\n\r\n")
+                assert caller.recv(1 << 16).startswith(b"HTTP/1.1 ")
+                node.process.send_signal(signum)
+        assert node.wait_ended() == 0
+    finally:
+        node.__exit__()
+        os.close(reader)
+        os.close(writer)
+
+
 @pytest.mark.process
 def test_a_node_with_an_ini_file_writes_the_line(tmp_path):
     with IniProcess(tmp_path) as node:
