Do not end the node with an INI file on SIGHUP, or on SIGUSR1 during its start

SIGHUP ended a thorntray-node process at any moment with its requests (exit by signal 1, in a trial at 50 ms, at 200 ms and while it served), and SIGUSR1 did so until the handler of the dump was installed, as nothing handled these signals. Both are ignored from the first line of the entry point on; SIGUSR1 gets its handler when the node has started.

--- a/packages/thorntray-node/src/thorntray_node/main.py
+++ b/packages/thorntray-node/src/thorntray_node/main.py
@@ -4,6 +4,7 @@
 for invalid settings, 3 when a port cannot be bound.
 """
 
+import signal
 import sys
 from collections.abc import Callable
 
@@ -12,6 +13,10 @@
 
 def run() -> None:
     """Entry point of the `thorntray-node` command."""
+    # The default action of these signals ends the process. The settings are not read again at
+    # SIGHUP; the state dump at SIGUSR1 needs a node that has started.
+    for signum in (signal.SIGHUP, signal.SIGUSR1):
+        signal.signal(signum, signal.SIG_IGN)
     open_standard_descriptors()
     from thorntray_node.process_end import process_end
 
--- a/tests/test_process_end.py
+++ b/tests/test_process_end.py
@@ -15,6 +15,13 @@
 from thorntray_node.process_end import EVENT_NAME, EVENT_NUMBER, ProcessEnd
 
 FAILING_IMPORT = "raise ImportError('built for another architecture')"
+SIGNAL_AT_IMPORT = """
+import os, sys
+os.kill(os.getpid(), {signum:d})
+sys.path.remove(os.path.dirname(__file__))
+del sys.modules["pynng"]
+import pynng
+"""
 # The loop logs an `Exception` of a task or a callback; these go out of it.
 FAILING_LOOP = """
 from thorntray_node.settings_reload import SettingsReload
@@ -247,6 +254,19 @@
             assert end_of(node) == ("PORT_TAKEN", 3, "start")
 
 
+@pytest.mark.process
+@pytest.mark.parametrize("signum", [signal.SIGHUP, signal.SIGUSR1])
+def test_a_signal_for_settings_or_the_dump_does_not_end_a_node_with_an_ini_file(tmp_path, signum):
+    # Failure: a log rotation that sends SIGHUP to all services ends the node with what it owes.
+    with IniProcess(tmp_path, modules={"pynng": SIGNAL_AT_IMPORT.format(signum=signum)}) as node:
+        node.wait_listening()
+        node.wait_for_log("E100")
+        node.process.send_signal(signum)
+        time.sleep(0.3)
+        node.process.terminate()
+        assert end_of(node) == ("STOPPED", 0, "stop")
+
+
 @pytest.mark.process
 def test_a_check_of_an_ini_file_writes_no_line(tmp_path):
     with IniProcess(tmp_path, arguments=("--check",)) as node:
