--- a/packages/thorntray-node/src/thorntray_node/main.py
+++ b/packages/thorntray-node/src/thorntray_node/main.py
@@ -5,6 +5,7 @@
 is waited for.
 """
 
+import signal
 import sys
 from collections.abc import Callable
 
@@ -13,6 +14,10 @@
 
 def run() -> None:
     """Entry point of the `thorntray-node` command."""
+    # The default action of these signals ends the process. The settings are not read again at
+    # SIGHUP; the state dump at SIGUSR1 needs a node that has started.
+    for signum in (signal.SIGHUP, signal.SIGUSR1):
+        signal.signal(signum, signal.SIG_IGN)
     open_standard_descriptors()
     from thorntray_node.process_end import process_end
     from thorntray_node.process_signals import reset_stop_signals
