Replies of the store cost bounded memory and processor time

Cause: measured with a node process and a store that answers oddly for 8 s: replies without end held 1902 MB (up to 64 MB for each call, and kept until a garbage collection, as the parser and its protocol refer to each other); interim replies without end took 5.9 s of processor and kept readiness waiting up to 1.5 s; 3 MB with a million malformed items blocked the loop for 4 to 5 s; 60 MB for 8 s, and the stop took over 12 s.

--- a/packages/thorntray/src/thorntray/internal/connection/http_client.py
+++ b/packages/thorntray/src/thorntray/internal/connection/http_client.py
@@ -23,7 +23,8 @@
 
 CONNECT_TIMEOUT = 2.0  # seconds
 IDLE_TIMEOUT = 15.0  # seconds after which an unused connection is closed rather than used again
-MAX_REPLY_BYTES = 64 * 1024 * 1024  # head and body
+MAX_REPLY_BYTES = 8 * 1024 * 1024  # head and body; some calls wait at the same time
+MAX_INTERIM_REPLIES, MAX_FIELDS = 10, 200  # of one call; more only take processor time
 KEEPALIVE_IDLE = 1  # seconds without traffic before the first probe
 KEEPALIVE_INTERVAL = 1  # seconds between probes
 KEEPALIVE_PROBES = 2  # unanswered probes until the connection is closed
@@ -72,6 +73,7 @@
         self._headers: dict[str, str] = {}
         self._body: list[bytes] = []
         self._head_complete = False
+        self._interim_replies = 0
         self.reusable = False
         self.idle_since = 0.0  # monotonic seconds
 
@@ -79,14 +81,15 @@
         """Send a request and return the reply; raises `NoReply`."""
         assert self._transport is not None
         self.reusable = False
-        self._received = 0
+        self._received = self._interim_replies = 0
         self._reply = asyncio.get_running_loop().create_future()
         self._transport.write(request)
         return await self._reply
 
     def close(self) -> None:
-        """Close the connection at once."""
+        """Close the connection at once, and drop what has come of a reply."""
         self.reusable = False
+        self._body = []  # the parser refers to this object, so it may be collected much later
         if self._transport is not None:
             self._transport.abort()
 
@@ -130,7 +133,9 @@
         self._headers, self._body, self._head_complete = {}, [], False
 
     def on_header(self, name: bytes, value: bytes) -> None:
-        """Store a header field."""
+        """Store a header field; an exception ends the parsing."""
+        if len(self._headers) >= MAX_FIELDS:
+            raise NoReply(f"more than {MAX_FIELDS} header fields")
         self._headers[name.decode("latin-1").lower()] = value.decode("latin-1")
 
     def on_headers_complete(self) -> None:
@@ -143,6 +148,10 @@
 
     def on_message_complete(self) -> None:
         """Complete the reply, unless it is an interim one (1xx)."""
+        if self._parser.get_status_code() < 200:
+            self._interim_replies += 1
+            if self._interim_replies > MAX_INTERIM_REPLIES:
+                raise NoReply(f"more than {MAX_INTERIM_REPLIES} interim replies")
         if self._parser.get_status_code() >= 200 and not self._answered:
             self.reusable = self._parser.should_keep_alive()
             self._resolve()
--- a/tests/test_http_client.py
+++ b/tests/test_http_client.py
@@ -213,6 +213,44 @@
     run([b"HTTP/1.1 200 OK\r\nContent-Length: 5000\r\n\r\n" + b"x" * 2000], scenario)
 
 
+@pytest.mark.parametrize(
+    "reply",
+    [
+        b"HTTP/1.1 100 Continue\r\n\r\n" * (http_client.MAX_INTERIM_REPLIES + 1) + OK_REPLY,
+        b"HTTP/1.1 200 OK\r\n"
+        + b"".join(b"a%d: b\r\n" % number for number in range(http_client.MAX_FIELDS + 1))
+        + b"Content-Length: 0\r\n\r\n",
+    ],
+)
+def test_a_reply_of_too_many_parts_is_none(reply):
+    # Failure: a store that sends interim replies without end takes all processor time.
+    async def scenario(client, server):
+        with pytest.raises(NoReply):
+            await get(client, server)
+
+    run([reply], scenario)
+
+
+def test_a_failed_reply_is_not_held_in_memory(monkeypatch):
+    # Failure: replies without end that were given up took 1.9 GB until a garbage collection.
+    monkeypatch.setattr(http_client, "MAX_REPLY_BYTES", 1000)
+    connections = []
+
+    async def scenario(client, server):
+        connect = client._connect
+
+        async def recording_connect(*args):
+            connections.append(await connect(*args))
+            return connections[-1]
+
+        client._connect = recording_connect
+        with pytest.raises(NoReply):
+            await get(client, server)
+
+    run([b"HTTP/1.1 200 OK\r\nContent-Length: 5000\r\n\r\n" + b"x" * 2000], scenario)
+    assert [conn._body for conn in connections] == [[]]
+
+
 def test_an_idle_connection_is_not_used_after_its_time(monkeypatch):
     monkeypatch.setattr(http_client, "IDLE_TIMEOUT", 0.0)
 
--- a/tests/test_kv_store.py
+++ b/tests/test_kv_store.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import sys
+import time
 from pathlib import Path
 from random import Random
 
@@ -9,7 +10,7 @@
 
 sys.path.insert(0, str(Path(__file__).resolve().parent.parent / "platform"))
 
-from kv_store import KvStore  # noqa: E402
+from kv_store import MAX_MALFORMED_ITEMS, KvStore  # noqa: E402
 from standins.fleet import free_port  # noqa: E402
 from standins.kv_store import KvStoreStandIn  # noqa: E402
 from tests.mesh_builders import HOST, make_policy  # noqa: E402
@@ -19,7 +20,8 @@
 from thorntray.internal.process.clock import SystemClock  # noqa: E402
 from thorntray.internal.store.policy_watch import PolicyWatch  # noqa: E402
 from thorntray.internal.store.seeds import PlatformState  # noqa: E402
-from thorntray.internal.store.store_calls import StoreCalls  # noqa: E402
+from thorntray.internal.store.store_calls import StoreCalls, StoreReply  # noqa: E402
+from thorntray.internal.store.store_epoch import StoreEpoch  # noqa: E402
 from thorntray.internal.store.watch_duty import CHECKED_WAIT, EveryNode  # noqa: E402
 from thorntray.internal.version.policy import PolicyHolder  # noqa: E402
 
@@ -225,3 +227,33 @@
         return garbled.complete, sound.complete
 
     assert run_with_store(scenario) == (False, True)
+
+
+class OneReply:
+    """Answers each call with the same body."""
+
+    def __init__(self, body):
+        self.epoch = StoreEpoch()
+        self._body = body
+
+    async def call(self, method, path, request=None, timeout=0.0):
+        """Return the reply."""
+        return StoreReply(200, self._body)
+
+
+def read_items(items):
+    store = KvStore(OneReply({"items": items, "StoreRevision": 5}))
+    entries, _ = asyncio.run(store.read("a/", prefix=True))
+    return [entry.key for entry in entries]
+
+
+@pytest.mark.parametrize("bad", [{}, None, {"Key": "b", "Revision": 1, "Value": "?"}])
+def test_a_few_malformed_items_are_left_out_and_a_reply_of_them_costs_no_time(bad):
+    """Failure: a reply of 3 MB with a million malformed items held the event loop for 5 s."""
+    good = {"Key": "a/1", "Revision": 1, "Value": "MQ=="}
+    assert read_items([good]) == ["a/1"]
+    assert read_items([*[bad] * MAX_MALFORMED_ITEMS, good]) == ["a/1"]
+    began = time.process_time()
+    with pytest.raises(PlatformUnavailable, match="too many malformed items"):
+        read_items([bad] * 100_000)
+    assert time.process_time() - began < 0.2
