Soak: a fault waits for, and kills, only the process that it has told to stop

A series of signals had ended its process early, the watcher had started the next one, and the fault then waited for that one to exit and killed it after 6 s.

Change: after a stop that has been waited for, a fault only starts the node; a series waits only for the process that got it.

Before and after: a test with a starter of 20 ms saw SIGKILL in all three cases, and none now.

--- a/soak/process_control.py
+++ b/soak/process_control.py
@@ -36,8 +36,12 @@
         await wait_exit(node)
 
     async def restart(self, node: NodeProcess, delay: float) -> None:
-        """Start a node again after its process has ended and a delay in seconds."""
+        """Start a node again after its process, which has been told to end, and a delay."""
         await wait_exit(node)
+        await self.start_later(node, delay)
+
+    async def start_later(self, node: NodeProcess, delay: float) -> None:
+        """Start a node after a delay in seconds, unless another fault has done so."""
         await asyncio.sleep(delay)
         self.start(node)
 
--- a/soak/start_faults.py
+++ b/soak/start_faults.py
@@ -13,7 +13,7 @@
 
 from soak.new_connections import NewConnections
 from soak.plan import Fault, FaultKind
-from soak.process_control import ProcessControl, wait_exit
+from soak.process_control import ProcessControl
 from standins.mesh_fleet import FIRST_PEER_PORT, MeshFleet, NodeProcess
 from standins.worker import Endpoint
 
@@ -70,7 +70,7 @@
         node.closed_streams = ()
         await asyncio.sleep(rng.uniform(MIN_CLOSED_TIME, MAX_CLOSED_TIME))
         await self._control.stop(node)
-        await self._control.restart(node, RESTART_DELAY)
+        await self._control.start_later(node, RESTART_DELAY)
 
     async def _break_settings(self, node: NodeProcess, rng: Random) -> None:
         """Start a node with a broken settings file; later break it again, and tell the node."""
@@ -109,17 +109,15 @@
                 self._control.terminate(node, signum)
                 stopped = True
             await asyncio.sleep(rng.uniform(0.0, MAX_SIGNAL_GAP))
-        if stopped:
+        if stopped and node.boot == boot:  # else it was started again for another reason
             await self._control.restart(node, RESTART_DELAY)
 
     async def _stop_crowded(self, node: NodeProcess) -> None:
         crowd = asyncio.create_task(self.new_connections.open(node))
         await asyncio.sleep(CROWD_LEAD)
-        if node.running:
-            self._control.terminate(node)
-        await wait_exit(node)
+        await self._control.stop(node)
         await crowd
-        await self._control.restart(node, RESTART_DELAY)
+        await self._control.start_later(node, RESTART_DELAY)
 
 
 @contextmanager
--- a/tests/test_soak_starts.py
+++ b/tests/test_soak_starts.py
@@ -232,6 +232,40 @@
     assert kinds == {True, False}
 
 
+@pytest.mark.parametrize(
+    "kind", [FaultKind.SIGNAL_SERIES, FaultKind.CROWDED_STOP, FaultKind.STREAMS_CLOSED]
+)
+def test_a_process_that_was_started_meanwhile_is_not_killed_for_being_late(monkeypatch, kind):
+    """Guards against losses that the soak causes itself, by a kill that no check knows of."""
+    monkeypatch.setattr(process_control, "STOP_TIMEOUT", 0.3)
+    sent = []
+
+    async def start_again(fleet):
+        while True:
+            await asyncio.sleep(0.02)
+            if not fleet.node.running:
+                fleet.start_node(fleet.node)
+
+    async def work(fleet):
+        await fleet.wait_started()
+        starter = asyncio.create_task(start_again(fleet))
+        fault = Fault(next(n for n in range(9) if stops(n)), kind, "n1", 0.0)
+        await StartFaults(fleet, ProcessControl(fleet)).run(fault)
+        starter.cancel()
+
+    def stops(number):
+        rng = Random(f"start {Fault(number, kind, 'n1', 0.0)!r}")
+        return rng.random() >= start_faults.HANGUPS_ONLY_SHARE
+
+    with small_fleet() as fleet:
+        send = fleet.node.signal
+        monkeypatch.setattr(
+            fleet.node, "signal", lambda signum: (sent.append(signum), send(signum))
+        )
+        asyncio.run(work(fleet))
+    assert TERM in sent and KILL not in sent
+
+
 def test_streams_are_closed_for_one_process_only(monkeypatch):
     monkeypatch.setattr(start_faults, "MAX_CLOSED_TIME", 1.5)
     closed = []
