An answer of the store with over 100,000 objects is not decoded

Cause: after the bounds on replies, 3 MB with a million empty objects still took 70 ms of processor for each reply and 345 to 354 MB, more than the 300 MB that a process may have: dictionaries of 64 bytes for 3 bytes of JSON.

Change: the braces and brackets of a body are counted before it is decoded; above 100,000 it is no answer. An entry in a valid answer takes 60 bytes or more, so that 3 MB of them have 50,000.

--- a/packages/thorntray/src/thorntray/internal/store/store_calls.py
+++ b/packages/thorntray/src/thorntray/internal/store/store_calls.py
@@ -50,6 +50,8 @@
 # A body that is not JSON, nested too deeply, or has a number of thousands of digits is no answer.
 _NO_VALID_ANSWER = (NoReply, ValueError, RecursionError)
 MAX_EPOCH_DIGITS = 18
+# In one answer. Decoded, a small object takes thirty times its bytes.
+MAX_OBJECTS = 100_000
 
 
 class StoreReply(NamedTuple):
@@ -143,7 +145,7 @@
         try:
             answer = await self._http.call(method, url, body, timeout)
             self._on_call(method, str(answer.status))
-            decoded = msgspec.json.decode(answer.body, type=dict) if answer.status == 200 else {}
+            decoded = _decoded(answer.body) if answer.status == 200 else {}
         except NotConnected as exc:
             self._on_call(method, "no connection")
             raise PlatformUnavailable(f"no connection to {url}; is the service up?") from exc
@@ -173,3 +175,10 @@
     def endpoint(self) -> str:
         """Return the base URL for the next call."""
         return self._rng.choice(self._endpoints)
+
+
+def _decoded(body: bytes) -> dict:
+    """Return the decoded body; raises `ValueError` if it is no answer."""
+    if body.count(b"{") + body.count(b"[") > MAX_OBJECTS:
+        raise ValueError(f"more than {MAX_OBJECTS} objects")
+    return msgspec.json.decode(body, type=dict)
--- a/tests/test_kv_store.py
+++ b/tests/test_kv_store.py
@@ -15,12 +15,16 @@
 from standins.kv_store import KvStoreStandIn  # noqa: E402
 from tests.mesh_builders import HOST, make_policy  # noqa: E402
 from thorntray.errors import PlatformUnavailable, WriteUndetermined  # noqa: E402
-from thorntray.internal.connection.http_client import KeptConnections  # noqa: E402
+from thorntray.internal.connection.http_client import HttpReply, KeptConnections  # noqa: E402
 from thorntray.internal.connection.link import Links  # noqa: E402
 from thorntray.internal.process.clock import SystemClock  # noqa: E402
 from thorntray.internal.store.policy_watch import PolicyWatch  # noqa: E402
 from thorntray.internal.store.seeds import PlatformState  # noqa: E402
-from thorntray.internal.store.store_calls import StoreCalls, StoreReply  # noqa: E402
+from thorntray.internal.store.store_calls import (  # noqa: E402
+    MAX_OBJECTS,
+    StoreCalls,
+    StoreReply,
+)
 from thorntray.internal.store.store_epoch import StoreEpoch  # noqa: E402
 from thorntray.internal.store.watch_duty import CHECKED_WAIT, EveryNode  # noqa: E402
 from thorntray.internal.version.policy import PolicyHolder  # noqa: E402
@@ -257,3 +261,27 @@
     with pytest.raises(PlatformUnavailable, match="too many malformed items"):
         read_items([bad] * 100_000)
     assert time.process_time() - began < 0.2
+
+
+class BodyHttp:
+    """Answers each call with the same bytes."""
+
+    def __init__(self, body):
+        self._body = body
+
+    async def call(self, method, url, body, timeout):
+        """Return the reply."""
+        return HttpReply(200, {}, self._body)
+
+
+@pytest.mark.parametrize("small", [b"{}", b"[]"])
+def test_an_answer_of_very_many_small_objects_is_not_decoded(small):
+    """Failure: a million empty objects, 3 MB, took 350 MB of a process that may have 300."""
+
+    async def read():
+        body = b'{"StoreRevision":1,"items":[' + b",".join([small] * MAX_OBJECTS) + b"]}"
+        clock = SystemClock()
+        return await KvStore(StoreCalls(["http://x"], BodyHttp(body), clock, Random(1))).read("a")
+
+    with pytest.raises(PlatformUnavailable, match="more than 100000 objects"):
+        asyncio.run(read())
