Wait for an address that the machine does not have yet

Cause: only EADDRINUSE was waited for; EADDRNOTAVAIL was raised at once. For datagrams uvloop gives the error number with the cause only, so a missing address was reported as a taken port.

Fix: `PortWait` waits for both errors, within the one limit of the start. Line 123 names the reason. After the limit, `AddressNotAvailable` names address and remedy; a missing address no longer depends on how often the platform starts the process.

--- a/packages/thorntray/src/thorntray/errors.py
+++ b/packages/thorntray/src/thorntray/errors.py
@@ -46,6 +46,19 @@
         )
 
 
+class AddressNotAvailable(ThorntrayError, OSError):
+    """Raised when the machine still lacks the address of a port after the wait for it."""
+
+    def __init__(self, purpose: str, host: str, port: int, seconds: float) -> None:
+        self.purpose = purpose
+        super().__init__(
+            errno.EADDRNOTAVAIL,
+            f"the address of the port for {purpose}, {host}:{port}, was not configured on this"
+            f" machine within {seconds:.1f} s; bring its interface up (`ip address` shows which"
+            " addresses there are), or configure another address",
+        )
+
+
 class BadDocument(ThorntrayError):
     """Raised when a document cannot be decoded, or its signature or contents are invalid."""
 
--- a/packages/thorntray/src/thorntray/internal/connection/listening_sockets.py
+++ b/packages/thorntray/src/thorntray/internal/connection/listening_sockets.py
@@ -1,8 +1,9 @@
-"""The TCP ports of a starting process: bound first, served later, waited for while taken.
+"""The TCP ports of a starting process: bound first, served later, waited for while unavailable.
 
 A process that accepts connections before it holds all its ports loses what it has accepted when a
 later port turns out to be taken. A port may be taken for some seconds: by the process before, which
-has not ended yet, or as the local port of another connection.
+has not ended yet, or as the local port of another connection. The address of a machine that has
+just booted may come up after the process has started.
 """
 
 import asyncio
@@ -11,12 +12,13 @@
 from collections.abc import Awaitable, Callable, Iterable
 from typing import NamedTuple, Protocol, Self, TypeVar
 
-from thorntray.errors import PortTaken
+from thorntray.errors import AddressNotAvailable, PortTaken
 from thorntray.internal.process.clock import Clock
 from thorntray.internal.telemetry.events import Event, log_event
 
-POLL_PERIOD = 0.05  # seconds between attempts to open a taken port
-WAIT_LIMIT = 10.0  # seconds for which a start waits for taken ports, all of them together
+POLL_PERIOD = 0.05  # seconds between attempts to open a port
+WAIT_LIMIT = 10.0  # seconds for which a start waits for its ports, all of them together
+TRANSIENT_ERRORS = frozenset({errno.EADDRINUSE, errno.EADDRNOTAVAIL})
 
 _T = TypeVar("_T")
 
@@ -73,7 +75,7 @@
 
 
 class PortWait:
-    """Waits for taken ports, for `WAIT_LIMIT` at most over the whole start.
+    """Waits for taken ports and missing addresses, for `WAIT_LIMIT` at most over the whole start.
 
     Attempts are counted instead of seconds, so that time for which the process or its machine was
     suspended does not end the wait.
@@ -84,9 +86,9 @@
         self._attempts_left = round(WAIT_LIMIT / POLL_PERIOD)
 
     async def until_free(self, name: PortName, attempt: Callable[[], Awaitable[_T]]) -> _T:
-        """Return the result of an attempt to open a port, repeated while the port is taken.
+        """Return the result of an attempt to open a port, repeated on `TRANSIENT_ERRORS`.
 
-        Raises `PortTaken` if it stays taken, and any other `OSError` at once.
+        Raises `PortTaken` or `AddressNotAvailable` after the wait, and any other `OSError` at once.
         """
         began = self._clock.monotonic()
         waited = False
@@ -95,14 +97,16 @@
                 result = await attempt()
                 break
             except OSError as exc:
-                if not is_taken(exc):
+                if exc.errno not in TRANSIENT_ERRORS:
                     raise
                 if self._attempts_left <= 0:
                     seconds = self._clock.monotonic() - began
-                    raise PortTaken(name.purpose, name.host, name.port, seconds) from exc
-            if not waited:
-                log_event(Event.PORT_TAKEN, **name._asdict())
-                waited = True
+                    error = PortTaken if is_taken(exc) else AddressNotAvailable
+                    raise error(*name, seconds) from exc
+                if not waited:
+                    reason = errno.errorcode[exc.errno]
+                    log_event(Event.PORT_TAKEN, **name._asdict(), reason=reason)
+                    waited = True
             self._attempts_left -= 1
             await asyncio.sleep(POLL_PERIOD)
         if waited:
@@ -121,7 +125,7 @@
 
     @classmethod
     async def bind(cls, name: PortName, wait: PortWait) -> Self:
-        """Bind a port; waits while it is taken."""
+        """Bind a port; waits while it is taken or its address is missing."""
 
         async def attempt() -> socket.socket:
             return bind_tcp(name.host, name.port)
--- a/packages/thorntray/src/thorntray/internal/membership/udp.py
+++ b/packages/thorntray/src/thorntray/internal/membership/udp.py
@@ -32,7 +32,7 @@
 
     @classmethod
     async def open(cls, address: Address) -> Self:
-        """Bind the port; raises `OSError` if it is taken.
+        """Bind the port; raises `OSError` if it is taken or the machine lacks the address.
 
         Datagrams are dropped until the caller has set `receive`.
         """
@@ -40,8 +40,9 @@
         try:
             _, protocol = await loop.create_datagram_endpoint(cls, local_addr=tuple(address))
         except OSError as exc:
-            if exc.errno is None:  # uvloop gives no number for a port that cannot be bound
-                raise OSError(errno.EADDRINUSE, str(exc)) from exc
+            if exc.errno is None:  # uvloop gives the number of a failed bind with its cause only
+                number = getattr(exc.__cause__, "errno", None) or errno.EADDRINUSE
+                raise OSError(number, str(exc)) from exc
             raise
         return protocol
 
--- a/packages/thorntray/src/thorntray/internal/telemetry/events.py
+++ b/packages/thorntray/src/thorntray/internal/telemetry/events.py
@@ -69,9 +69,9 @@
     DESCRIPTORS_EXHAUSTED = EventKind(
         122, Level.ERROR, "no descriptor left for an outgoing connection", 1
     )
-    PORT_TAKEN = EventKind(123, Level.WARNING, "port taken, waited for")
+    PORT_TAKEN = EventKind(123, Level.WARNING, "port cannot be opened yet, waited for")
     PORTS_BOUND = EventKind(124, Level.INFO, "port bound", 10)
-    PORT_FREE = EventKind(130, Level.INFO, "taken port opened")
+    PORT_FREE = EventKind(130, Level.INFO, "port opened after a wait")
     CONNECTIONS_NOT_ACCEPTED = EventKind(
         125, Level.WARNING, "waiting connections reset at the stop"
     )
--- a/tests/start_builders.py
+++ b/tests/start_builders.py
@@ -1,5 +1,6 @@
 """Test fixtures of the start of a node process: held ports, and callers that try all the time."""
 
+import errno
 import socket
 import threading
 import time
@@ -16,6 +17,7 @@
     READY_PORT,
 )
 from tests.process_builders import REQUEST, PlatformProcess
+from thorntray.internal.connection.listening_sockets import bind_tcp
 
 CALL_PERIOD = 0.005  # seconds between the connections of a caller
 CALL_TIMEOUT = 15.0  # seconds; more than the time for which a node waits for a port
@@ -86,6 +88,21 @@
         self.release()
 
 
+class LateAddress:
+    """An address that a machine gets after some failed attempts to bind a port of it."""
+
+    def __init__(self, attempts: int) -> None:
+        self._attempts = attempts
+        self.failures = 0
+
+    def bind(self, host: str, port: int) -> socket.socket:
+        """Bind as `bind_tcp` does once the address is there."""
+        if self.failures < self._attempts:
+            self.failures += 1
+            raise OSError(errno.EADDRNOTAVAIL, "Cannot assign requested address")
+        return bind_tcp(host, port)
+
+
 class CallSeries:
     """Calls an address from another thread, each time on a new connection, until the block is left.
 
