Notice when another socket has come to listen on a bound port

Seen: two of a node's own purposes on one port, in a trial of `PortRange`: the node logged 100 and 124 and ran, but the second of them never listened, and callers reached the links instead.

Cause: `accept_from` left `listen` to uvloop's `create_server`, which drops an `OSError` of it and returns a server without sockets. So the wait for a port on which another socket has begun to listen after the bind never took place.

Fix: `listen` is called on the socket before, where it raises; `PortWait` then waits as for any taken port.

Evidence: the new test of test_address_wait failed before ("DID NOT RAISE OSError") and passes now.

--- a/packages/thorntray/src/thorntray/internal/connection/listening_sockets.py
+++ b/packages/thorntray/src/thorntray/internal/connection/listening_sockets.py
@@ -62,6 +62,7 @@
     fails for the second one.
     """
     try:
+        sock.listen(backlog)  # uvloop drops its error, and returns a server without a listener
         loop = asyncio.get_running_loop()
         return await loop.create_server(factory, sock=sock, backlog=backlog)
     except BaseException:
--- a/tests/test_address_wait.py
+++ b/tests/test_address_wait.py
@@ -1,4 +1,4 @@
-"""A start whose address the machine does not have: waited for like a taken port.
+"""A start whose address the machine does not have, or whose port another socket takes meanwhile.
 
 192.0.2.77 is reserved for documentation, so no machine has it.
 """
@@ -17,7 +17,13 @@
 from tests.start_builders import LateAddress
 from thorntray.errors import AddressNotAvailable, ThorntrayError
 from thorntray.internal.connection import listening_sockets
-from thorntray.internal.connection.listening_sockets import PortName, PortWait, bind_ports
+from thorntray.internal.connection.listening_sockets import (
+    PortName,
+    PortWait,
+    accept_from,
+    bind_ports,
+    bind_tcp,
+)
 from thorntray.internal.membership.gossip import Address
 from thorntray.internal.membership.udp import UdpTransport
 from thorntray.internal.process.clock import SystemClock
@@ -57,6 +63,24 @@
     assert raised.value.errno == errno.EADDRNOTAVAIL
 
 
+# Failure: uvloop drops the error of `listen`, so the node ran without a listener and said nothing.
+def test_a_port_on_which_another_socket_has_come_to_listen_is_an_error():
+    port = free_port()
+
+    async def listen_twice():
+        own, other = bind_tcp(HOST, port), bind_tcp(HOST, port)
+        with other:
+            other.listen()
+            await accept_from(own, asyncio.Protocol, backlog=1)
+
+    with (
+        asyncio.Runner(loop_factory=uvloop.new_event_loop) as runner,
+        pytest.raises(OSError) as exc,
+    ):
+        runner.run(listen_twice())
+    assert exc.value.errno == errno.EADDRINUSE
+
+
 # Issue 59: exit code 3 at once, four times in 11 s.
 @pytest.mark.process
 def test_a_process_waits_for_its_address_names_it_and_can_be_stopped(tmp_path):
