Leave ports of another purpose out of the ports for peers

On the new start the links listened on the callers' port, and callers got no answer.

Cause: `peer_ports()` left used ports out of the spare ones, but gave the first one of the range unchecked.

Fix: each candidate is checked. If no port is left, the settings are refused with the remedy.

--- a/packages/thorntray-node/src/thorntray_node/mesh_config.py
+++ b/packages/thorntray-node/src/thorntray_node/mesh_config.py
@@ -56,14 +56,17 @@
         return self.listen_host or self.host
 
     def peer_ports(self) -> Iterator[PeerPorts]:
-        """Yield the ports to try for peers, without those that have another purpose."""
-        yield PeerPorts(self.link_port, self.gossip_port)
+        """Yield the ports to try for peers, without those that have another purpose.
+
+        The port of the metrics is used only if there is no other: a node works without them.
+        """
         endpoints = (self.instance, self.callers, self.readiness, self.announcements)
         used = {endpoint.port for endpoint in endpoints}
-        used |= {self.link_port, self.gossip_port, self.metrics_port}
-        for port in self.spare_peer_ports:
-            if port not in used and 0 < port <= MAX_PORT:
-                yield PeerPorts(port, port)
+        candidates = [PeerPorts(self.link_port, self.gossip_port)]
+        candidates += [PeerPorts(port, port) for port in self.spare_peer_ports if port <= MAX_PORT]
+        candidates = [ports for ports in dict.fromkeys(candidates) if used.isdisjoint(ports)]
+        without_metrics = [ports for ports in candidates if self.metrics_port not in ports]
+        yield from without_metrics or candidates
 
     def validated(self, source: str) -> "MeshConfig":
         """Return these settings; raises `InvalidSettings` with all faults."""
@@ -84,6 +87,9 @@
         for key, port in ports.items():
             if not isinstance(port, int) or not 0 < port <= MAX_PORT:
                 faults.append(Fault("node", key, str(port), f"give a port from 1 to {MAX_PORT}"))
+        if next(self.peer_ports(), None) is None:
+            hint = "each port for peers has another purpose; add one that has none"
+            faults.append(Fault("node", "link_port", str(self.link_port), hint))
         if not 0 < self.stop_limit < inf:
             faults.append(Fault("node", "stop_limit", str(self.stop_limit), "give seconds above 0"))
         if self.max_policy_age is not None and not 0 < self.max_policy_age < inf:
--- a/packages/thorntray-node/src/thorntray_node/mesh_start.py
+++ b/packages/thorntray-node/src/thorntray_node/mesh_start.py
@@ -198,8 +198,8 @@
         """Begin to listen, on the callers' port last; after it nothing may pause or fail."""
         node = self._node
         try:
-            await self._metrics.try_serve()
             await ports.peers.links.serve(node.listener)
+            await self._metrics.try_serve()
             await ports.readiness.serve(node.readiness)
             await ports.announcements.serve(node.announcements)
             await ports.callers.serve(node.callers)
--- a/tests/start_builders.py
+++ b/tests/start_builders.py
@@ -1,6 +1,7 @@
 """Test fixtures of the start of a node process: held ports, and callers that try all the time."""
 
 import errno
+import re
 import socket
 import threading
 import time
@@ -158,3 +159,9 @@
     with socket.create_connection((node.host, METRICS_PORT), timeout=CALL_TIMEOUT) as reader:
         reader.sendall(b"GET /metrics HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n")
         return b"".join(iter(lambda: reader.recv(1 << 16), b""))
+
+
+def set_port_range(node: PlatformProcess, first: int, last: int) -> None:
+    """Give a node, which is not started yet, another range of ports for peers."""
+    text = re.sub(r"PortRange = .*", f"PortRange = [{first},{last}]", node.text)
+    node.settings.write_text(text, "utf-8")
--- a/tests/test_peer_ports.py
+++ b/tests/test_peer_ports.py
@@ -5,17 +5,18 @@
 
 import asyncio
 import socket
+from typing import NamedTuple
 
 import pytest
 
 from standins.fleet import free_port
 from tests.mesh_builders import HOST, make_mesh_config, run_scenario
 from tests.start_builders import HeldPort, Hold
-from thorntray.errors import PortTaken, ThorntrayError
+from thorntray.errors import InvalidSettings, PortTaken, ThorntrayError
 from thorntray.internal.connection import listening_sockets
 from thorntray.internal.connection.listening_sockets import PortName, PortWait, bind_ports, bind_tcp
 from thorntray.internal.process.clock import SystemClock
-from thorntray_node.mesh_config import PeerPorts
+from thorntray_node.mesh_config import Endpoint, PeerPorts
 
 
 def with_spare_port(cfg):
@@ -23,6 +24,21 @@
     return cfg._replace(spare_peer_ports=range(port, port + 1))
 
 
+class PortRange(NamedTuple):
+    """The first and the last port for peers."""
+
+    first: int
+    last: int
+
+
+def with_peer_range(ports):
+    return make_mesh_config("n1", "tariff", 8301, "a")._replace(
+        link_port=ports.first,
+        gossip_port=ports.first,
+        spare_peer_ports=range(ports.first + 1, ports.last + 1),
+    )
+
+
 async def wait_until_seen(node, peer):
     """Wait until a node knows the current process of a peer."""
     while node.membership.view.get(peer.cfg.name) != peer.membership.own:
@@ -69,6 +85,25 @@
     assert [ports.links for ports in callers.peer_ports()] == [7620, 7623]
 
 
+# Failure: the first port for peers was that of callers or metrics; the start ended with code 3.
+@pytest.mark.parametrize("key", ["metrics_port", "callers", "readiness", "announcements"])
+def test_a_first_peer_port_that_has_another_purpose_is_left_to_it(key):
+    purpose = 7620 if key == "metrics_port" else Endpoint(HOST, 7620)
+    cfg = with_peer_range(PortRange(7620, 7622))._replace(**{key: purpose})
+    assert [ports.links for ports in cfg.peer_ports()] == [7621, 7622]
+
+
+def test_the_port_of_the_metrics_is_used_for_peers_if_there_is_no_other():
+    cfg = with_peer_range(PortRange(7620, 7620))._replace(metrics_port=7620)
+    assert list(cfg.peer_ports()) == [PeerPorts(7620, 7620)]
+
+
+def test_settings_without_a_port_for_peers_are_refused_with_the_remedy():
+    cfg = with_peer_range(PortRange(7620, 7620))._replace(callers=Endpoint(HOST, 7620))
+    with pytest.raises(InvalidSettings, match="link_port.*7620.*another purpose"):
+        cfg.validated("boot.toml")
+
+
 # Failure: the next attempt in the same process finds its own sockets.
 def test_a_start_that_fails_gives_up_the_ports_that_it_has_bound(monkeypatch):
     monkeypatch.setattr(listening_sockets, "WAIT_LIMIT", 0.1)
--- a/tests/test_process_start.py
+++ b/tests/test_process_start.py
@@ -20,6 +20,7 @@
     Hold,
     make_node,
     read_metrics,
+    set_port_range,
 )
 
 pytestmark = pytest.mark.process
@@ -27,6 +28,7 @@
 HOLD_TIME = 2.5  # seconds
 SERVE_TIME = 5.0  # seconds from a free port until a call is answered, on a loaded machine
 PROMPT_END = 2.0  # seconds; less than a stop that waits for callers to leave
+NODE_PORTS = {METRICS_PORT, OUTBOUND_PORT, READY_PORT, CONTROL_PORT}
 WAIT_LIMIT = 10.0  # seconds for which a node waits for its ports
 
 
@@ -127,6 +129,29 @@
     ]
 
 
+# The links' port was served by the metrics, so the start ended with code 3, each time.
+@pytest.mark.parametrize("port", [METRICS_PORT, OUTBOUND_PORT, READY_PORT, CONTROL_PORT])
+def test_a_range_of_ports_that_begins_at_one_in_use_by_the_node_itself_starts(tmp_path, port):
+    node = make_node(tmp_path, arguments=(f"--metrics_port={METRICS_PORT}",))
+    set_port_range(node, port, port + 1 + (port + 1 in NODE_PORTS))
+    with node:
+        with CallSeries((node.host, OUTBOUND_PORT)) as calls:
+            assert calls.wait_answered(SERVE_TIME), node.log
+        assert calls.unanswered == 0
+        node.wait_for_log("STARTED")
+        bound = {row["purpose"]: row["port"] for row in events(node.log, "PORTS_BOUND")}
+    assert bound["links"] not in NODE_PORTS and bound["metrics"] == METRICS_PORT
+
+
+# As above; peers matter more than metrics, for which the node can do without.
+def test_a_node_whose_only_peer_port_is_that_of_the_metrics_runs_without_metrics(tmp_path):
+    node = make_node(tmp_path, arguments=(f"--metrics_port={METRICS_PORT}",))
+    set_port_range(node, METRICS_PORT, METRICS_PORT)
+    with node, CallSeries((node.host, OUTBOUND_PORT)) as calls:
+        assert calls.wait_answered(SERVE_TIME), node.log
+        node.wait_for_log("METRICS_NOT_SERVED")
+
+
 # Metrics were missing until the next restart.
 def test_metrics_are_served_once_their_port_is_free(tmp_path):
     node = make_node(tmp_path, arguments=(f"--metrics_port={METRICS_PORT}",))
