Parse IPv6 addresses in brackets, and refuse names of hosts

Cause: the brackets stayed in the host, which was then looked up as a name, blocking the event loop. The address of the instance was written without brackets, so the announcement of an IPv6 instance would not have matched it.

Fix: `Endpoint.parse` takes IPv4, IPv6 in brackets, or no address (all of them, as before), and nothing else; `validated` refuses hosts that are no IP address, with the remedy. Links, gossip, seeds and the store's URL work over IPv6 as they are.

Evidence: before, a real process with "[::1]" addresses did not start, a name as the own address was accepted, and a fleet on ::1 answered 503, as its instance's announcement did not match. Now the process serves callers on ::1, and two nodes find each other by the seeds and serve a call.

--- a/packages/thorntray-node/src/thorntray_node/mesh_config.py
+++ b/packages/thorntray-node/src/thorntray_node/mesh_config.py
@@ -1,14 +1,17 @@
 """Settings of a `MeshNode`: validated once, immutable afterwards."""
 
 from collections.abc import Iterator
+from ipaddress import IPv4Address, IPv6Address, ip_address
 from math import inf
-from typing import NamedTuple
+from typing import NamedTuple, Self
 
 from thorntray.errors import Fault, InvalidSettings
 from thorntray.internal.bounded import MAX_NAME_LENGTH, MAX_PORT
 from thorntray.internal.connection.header_names import HeaderNames
 from thorntray.internal.overload.retry_budget import RetryBudgetSettings
 
+ANY_HOST = "0.0.0.0"  # what listening on an empty host means
+
 
 class Endpoint(NamedTuple):
     """An IP address and a port."""
@@ -16,6 +19,26 @@
     host: str
     port: int
 
+    @classmethod
+    def parse(cls, text: str) -> Self:
+        """Parse `IP:PORT`, with an IPv6 address in brackets; raises `ValueError`.
+
+        Names of hosts are refused, because a lookup would block the node. Without an address, as in
+        `:8304`, the host is empty.
+        """
+        host, _, port = text.rpartition(":")
+        if host.startswith("["):
+            host = str(IPv6Address(host.removeprefix("[").removesuffix("]")))
+        elif host:
+            host = str(IPv4Address(host))
+        if not (port.isascii() and port.isdigit()):
+            raise ValueError(f"{port!r} is no port")
+        return cls(host, int(port))
+
+    def __str__(self) -> str:
+        host = f"[{self.host}]" if ":" in self.host else self.host
+        return f"{host}:{self.port}"
+
 
 class PeerPorts(NamedTuple):
     """The ports on which peers reach a node."""
@@ -76,6 +99,13 @@
             if not isinstance(value, str) or not 0 < len(value) <= MAX_NAME_LENGTH:
                 hint = f"give a text of 1 to {MAX_NAME_LENGTH} characters"
                 faults.append(Fault("node", key, str(value)[:MAX_NAME_LENGTH], hint))
+        hosts = {"host": self.host, "bind_host": self.bind_host, "instance": self.instance.host}
+        for key in ("callers", "readiness", "announcements"):
+            hosts[key] = getattr(self, key).host or ANY_HOST
+        for key, host in hosts.items():
+            if not _is_ip(host):
+                hint = "give an IP address; names of hosts are not looked up"
+                faults.append(Fault("node", key, str(host)[:MAX_NAME_LENGTH], hint))
         ports = {
             "instance": self.instance.port,
             "callers": self.callers.port,
@@ -106,3 +136,11 @@
         if faults:
             raise InvalidSettings(source, faults)
         return self
+
+
+def _is_ip(host: str) -> bool:
+    try:
+        ip_address(host)
+    except ValueError:
+        return False
+    return True
--- a/packages/thorntray-node/src/thorntray_node/mesh_node.py
+++ b/packages/thorntray-node/src/thorntray_node/mesh_node.py
@@ -86,8 +86,9 @@
 
     def _create_owner_components(self) -> None:
         cfg, clock = self.cfg, self.clock
-        address = f"{cfg.instance.host}:{cfg.instance.port}"
-        self.registration = Registration(cfg.service, address, clock, self._instance_changed)
+        self.registration = Registration(
+            cfg.service, str(cfg.instance), clock, self._instance_changed
+        )
         self.rate_limit = RateLimit(clock)
         self.tracker = InstanceTracker(
             self.registration, self.rate_limit, self.metrics.instance_mismatched
--- a/tests/mesh_builders.py
+++ b/tests/mesh_builders.py
@@ -330,7 +330,7 @@
     def announce(self, name: str, **changes) -> None:
         """Announce the instance to its node, with the announcement's fields in `changes`."""
         node = self.nodes[name]
-        address = f"{HOST}:{self.instances[name].port}"
+        address = str(Endpoint(HOST, self.instances[name].port))
         node.registration.apply(
             make_announcement(service=node.cfg.service, address=address, **changes)
         )
