--- a/tests/start_builders.py
+++ b/tests/start_builders.py
@@ -1,5 +1,7 @@
 """Test fixtures of the start of a node process: held ports, and callers that try all the time."""
 
+import errno
+import re
 import socket
 import threading
 import time
@@ -16,6 +18,7 @@
     READY_PORT,
 )
 from tests.process_builders import REQUEST, PlatformProcess
+from thorntray.internal.connection.listening_sockets import bind_tcp
 
 CALL_PERIOD = 0.005  # seconds between the connections of a caller
 CALL_TIMEOUT = 15.0  # seconds; more than the time for which a node waits for a port
@@ -86,6 +89,21 @@
         self.release()
 
 
+class LateAddress:
+    """An address that a machine gets after some failed attempts to bind a port of it."""
+
+    def __init__(self, attempts: int) -> None:
+        self._attempts = attempts
+        self.failures = 0
+
+    def bind(self, host: str, port: int) -> socket.socket:
+        """Bind as `bind_tcp` does once the address is there."""
+        if self.failures < self._attempts:
+            self.failures += 1
+            raise OSError(errno.EADDRNOTAVAIL, "Cannot assign requested address")
+        return bind_tcp(host, port)
+
+
 class CallSeries:
     """Calls an address from another thread, each time on a new connection, until the block is left.
 
@@ -141,3 +159,9 @@
     with socket.create_connection((node.host, METRICS_PORT), timeout=CALL_TIMEOUT) as reader:
         reader.sendall(b"GET /metrics HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n")
         return b"".join(iter(lambda: reader.recv(1 << 16), b""))
+
+
+def set_port_range(node: PlatformProcess, first: int, last: int) -> None:
+    """Give a node, which is not started yet, another range of ports for peers."""
+    text = re.sub(r"PortRange = .*", f"PortRange = [{first},{last}]", node.text)
+    node.settings.write_text(text, "utf-8")
