--- a/packages/thorntray-node/src/thorntray_node/process_signals.py
+++ b/packages/thorntray-node/src/thorntray_node/process_signals.py
@@ -30,6 +30,14 @@
         signal.signal(signum, call_soon)
 
 
+def handle_stop_and_reload(reload: Callable[[], None]) -> asyncio.Event:
+    """Handle stop signals and SIGHUP; return an event that is set when the node shall stop."""
+    stop = asyncio.Event()
+    handle_signals(STOP_SIGNALS, stop.set)
+    handle_signals((signal.SIGHUP,), reload)
+    return stop
+
+
 def ignore_signals(signums: Iterable[signal.Signals]) -> None:
     """Ignore these signals until the process ends."""
     for signum in signums:
--- /dev/null
+++ b/packages/thorntray-node/src/thorntray_node/process_steps.py
@@ -0,0 +1,19 @@
+"""The steps of a node's life, for the log and for the last line of the process."""
+
+from collections.abc import Iterator
+from contextlib import contextmanager
+
+from thorntray.internal.telemetry.events import Event, log_event
+from thorntray_node.process_end import process_end
+
+
+@contextmanager
+def failure_logged(step: str) -> Iterator[None]:
+    """Log an exception of a step, and pass it on; `process_end` reports the step."""
+    process_end.step = step
+    try:
+        yield
+    except Exception as exc:
+        process_end.detail = repr(exc)
+        log_event(Event.NODE_FAILED, step=step, detail=repr(exc))
+        raise
--- a/packages/thorntray/src/thorntray/internal/connection/listening_sockets.py
+++ b/packages/thorntray/src/thorntray/internal/connection/listening_sockets.py
@@ -64,23 +64,12 @@
     try:
         sock.listen(backlog)  # uvloop drops its error, and returns a server without a listener
         loop = asyncio.get_running_loop()
-        server = await loop.create_server(factory, sock=sock, backlog=backlog)
-        require_listening(server)
-        return server
+        return await loop.create_server(factory, sock=sock, backlog=backlog)
     except BaseException:
         sock.close()
         raise
 
 
-def require_listening(server: asyncio.Server) -> None:
-    """Raise `OSError` if a new server does not listen.
-
-    uvloop raises nothing when `listen` fails: it closes the socket, and the server has none.
-    """
-    if None in server.sockets:
-        raise OSError(errno.EADDRINUSE, "cannot listen: another socket listens on the port")
-
-
 def is_taken(exc: OSError) -> bool:
     """Return whether a port could not be opened because another socket holds it."""
     return exc.errno == errno.EADDRINUSE
--- a/packages/thorntray/src/thorntray/internal/connection/peer.py
+++ b/packages/thorntray/src/thorntray/internal/connection/peer.py
@@ -18,7 +18,7 @@
 
 from thorntray.errors import BadMessage, PeerLost, PeerUnreachable
 from thorntray.internal.connection.connection_end import OutputProgress
-from thorntray.internal.connection.listening_sockets import bind_tcp, require_listening
+from thorntray.internal.connection.listening_sockets import bind_tcp
 from thorntray.internal.connection.message import (
     MAX_MESSAGE_BYTES,
     Message,
@@ -37,6 +37,7 @@
 CONNECT_TIMEOUT = 0.3  # seconds after which `PeerUnreachable` is raised
 IDLE_LIFETIME = 120.0  # seconds without a request after which a connection is closed
 MAX_CONNECTIONS = 2500  # accepted from peers
+LISTEN_BACKLOG = 100  # connections waiting to be accepted
 MAX_REQUESTS_IN_FLIGHT = 4000  # from all peers together
 WRITE_BUFFER_LIMIT = 8 * 1024 * 1024  # unsent bytes of a connection; beyond it frames wait
 WRITE_TIMEOUT = 10.0  # seconds in which a peer must take some of the bytes that wait
@@ -287,8 +288,10 @@
     async def serve(self, sock: socket.socket) -> None:
         """Start listening on a bound socket; raises `OSError` if that fails, and closes it."""
         try:
-            self._server = await asyncio.start_server(self._serve, sock=sock)
-            require_listening(self._server)
+            sock.listen(LISTEN_BACKLOG)  # uvloop drops its error, and returns a server without one
+            self._server = await asyncio.start_server(
+                self._serve, sock=sock, backlog=LISTEN_BACKLOG
+            )
         except BaseException:
             sock.close()
             raise
--- a/tests/test_process_start.py
+++ b/tests/test_process_start.py
@@ -65,7 +65,9 @@
         node.wait_for_log("PORT_TAKEN")  # of the later one; the other one is bound
         held.listen()
         last.release()
-        node.wait_for_log(f'"text": "port taken, waited for", "purpose": "{purpose}"')
+        node.wait_for_log(
+            f'"text": "port cannot be opened yet, waited for", "purpose": "{purpose}"'
+        )
         time.sleep(1.0)
         assert node.process.poll() is None and "STARTED" not in node.log
         held.release()
