Start with safe defaults for settings fields that are missing or 0

Cause: every field was required, and the first exception of the parser was all that was reported.

Where a default keeps all rules, it is used and logged (132, one line a field).

--- a/packages/thorntray/src/thorntray/internal/telemetry/events.py
+++ b/packages/thorntray/src/thorntray/internal/telemetry/events.py
@@ -77,6 +77,7 @@
     )
     PROCESS_ENDED = EventKind(127, Level.ERROR, "process ended")  # written by `process_end`
     SETTINGS_AWAITED = EventKind(129, Level.WARNING, "settings file not valid yet, read again")
+    SETTINGS_DEFAULT = EventKind(132, Level.WARNING, "settings field without a value, default used")
     MEMBER_JOINED = EventKind(200, Level.INFO, "member joined")
     MEMBER_SUSPECT = EventKind(201, Level.WARNING, "member suspected")
     MEMBER_DEAD = EventKind(202, Level.WARNING, "member dead")
