Read INI settings with a byte order mark, odd digits or IPv6 as meant

Seen, with `thorntray-node`: a byte order mark ends each start with exit code 2 ("no section headers"), `drain_limit` in superscript digits or with thousands of digits with an untyped `ValueError`, an IPv6 `address` with exit code 3 ("Address invalid") after all ports were bound; a seed in brackets is refused.

Cause: the file was read as plain UTF-8; `isdigit` accepts more than `int` does; the URL for documents had an IPv6 address without brackets, and so did the one by which peers fetch them.

Fix: the mark is skipped, digits are ASCII ones and compared as a float, URLs and seeds take IPv6 in brackets. Missing fields, a drain limit of 0 and long names stay refused: an operator writes this file, `--check` tells the faults beforehand.

Evidence: five cases of test_config and the start on ::1 in test_ip_addresses failed before, as above, and pass now.

--- a/packages/thorntray-node/src/thorntray_node/config.py
+++ b/packages/thorntray-node/src/thorntray_node/config.py
@@ -67,7 +67,7 @@
     def from_file(cls, file: Path) -> Self:
         """Read a settings file; raises `InvalidSettings` with all faults."""
         try:
-            text = file.read_text("utf-8")
+            text = file.read_text("utf-8-sig")
         except (OSError, UnicodeDecodeError) as exc:
             fault = Fault("", "", "", f"cannot be read ({exc}); give the path of an INI file")
             raise InvalidSettings(str(file), [fault]) from exc
@@ -173,6 +173,8 @@
         parsed = []
         for value in _split(self.get(section, key)):
             host, _, port = value.rpartition(":")
+            if host.startswith("[") and host.endswith("]") and ":" in host:
+                host = host[1:-1]
             if _is_ip(host) and _is_port(port):
                 parsed.append(Address(host, int(port)))
             else:
@@ -189,7 +191,7 @@
         value = self.get(section, key)
         if not value:
             return default
-        if not value.isdigit() or not 1 <= int(value) <= 600:
+        if not (value.isascii() and value.isdigit() and 1 <= float(value) <= 600):
             self.fault(section, key, value, f"write {_OPTIONAL_NODE_KEYS[key]}")
             return default
         return float(value)
--- a/packages/thorntray/src/thorntray/internal/connection/documents.py
+++ b/packages/thorntray/src/thorntray/internal/connection/documents.py
@@ -21,7 +21,7 @@
     decode,
     encode,
 )
-from thorntray.internal.membership.member import Member
+from thorntray.internal.membership.member import Member, tcp_url
 from thorntray.internal.process.tasks import BackgroundTasks
 from thorntray.internal.telemetry.events import Event, log_event
 from thorntray.internal.version.holder import SettingsHolder
@@ -55,7 +55,7 @@
     """Serves the documents of this node to other nodes."""
 
     def __init__(self, address: str, port: int, holder: SettingsHolder) -> None:
-        self._url = f"tcp://{address}:{port}"
+        self._url = tcp_url(address, port)
         self._holder = holder
         self._socket: pynng.Rep0 | None = None
         self._tasks = BackgroundTasks()
--- a/packages/thorntray/src/thorntray/internal/membership/member.py
+++ b/packages/thorntray/src/thorntray/internal/membership/member.py
@@ -23,6 +23,11 @@
     LEFT = 3
 
 
+def tcp_url(host: str, port: int) -> str:
+    """Return the URL of a TCP port, with an IPv6 address in brackets."""
+    return f"tcp://[{host}]:{port}" if ":" in host else f"tcp://{host}:{port}"
+
+
 class Member(NamedTuple):
     """One node: its addresses, its location and the service of its upstream instance."""
 
@@ -43,7 +48,7 @@
     @property
     def document_url(self) -> str:
         """Return the URL from which peers fetch settings documents."""
-        return f"tcp://{self.address}:{self.document_port}"
+        return tcp_url(self.address, self.document_port)
 
     @property
     def routable(self) -> bool:
--- a/tests/ini_process_builders.py
+++ b/tests/ini_process_builders.py
@@ -19,7 +19,7 @@
     """A node process without peers; use as a context manager, which kills the process at its end.
 
     `closed` are the descriptors that are closed when the process starts, `modules` the sources of
-    modules that it imports in place of the installed ones.
+    modules that it imports in place of the installed ones, `host` the address of all its ports.
     """
 
     def __init__(
@@ -28,15 +28,19 @@
         closed: tuple[int, ...] = (),
         modules: dict[str, str] | None = None,
         arguments: tuple[str, ...] = (),
+        host: str = HOST,
     ) -> None:
         self.settings = folder / "node.ini"
+        self.host = host
         self.port = free_port()
+        url_host = f"[{host}]" if ":" in host else host
         self.text = (
-            f"[node]\nname = tariff-1\naddress = {HOST}\nhttp_port = {self.port}\n"
+            f"[node]\nname = tariff-1\naddress = {host}\nhttp_port = {self.port}\n"
             f"peer_port = {free_port()}\ndocument_port = {free_port()}\n"
             f"gossip_port = {free_port()}\ndomain = kalimati\nregion = local\nservice = tariff\n"
-            f"upstream = http://{HOST}:{free_port()}\n[platform]\n"
-            f"endpoints = http://{HOST}:{free_port()}\n[team himal]\npublic_keys = {'ab' * 32}\n"
+            f"upstream = http://{url_host}:{free_port()}\n[platform]\n"
+            f"endpoints = http://{url_host}:{free_port()}\n"
+            f"[team himal]\npublic_keys = {'ab' * 32}\n"
         )
         self.settings.write_text(self.text, "utf-8")
         self._folder = folder
@@ -82,7 +86,7 @@
         deadline = time.monotonic() + TIMEOUT
         while True:
             try:
-                socket.create_connection((HOST, self.port)).close()
+                socket.create_connection((self.host, self.port)).close()
                 return
             except ConnectionRefusedError as exc:
                 if self.process.poll() is not None or time.monotonic() > deadline:
--- a/tests/test_config.py
+++ b/tests/test_config.py
@@ -71,6 +71,33 @@
     assert expected_text in message and f"[{section}]" in message
 
 
+# Failure: the value passed the check for digits, and `float` raised an untyped error (exit code 1).
+@pytest.mark.parametrize("value", ["²", "٣", "1" * 5000])
+def test_a_limit_in_digits_that_are_no_number_from_1_to_600_is_refused(value):
+    with pytest.raises(InvalidSettings, match="drain_limit.*seconds from 1 to 600"):
+        NodeConfig.from_text(to_ini(with_value("node", "drain_limit", value)), "node.ini")
+
+
+# Failure: exit code 2, "File contains no section headers".
+def test_a_byte_order_mark_is_skipped(tmp_path):
+    file = tmp_path / "node.ini"
+    file.write_text("\ufeff" + to_ini(VALID_SECTIONS), "utf-8")
+    assert NodeConfig.from_file(file).name == "tariff-1"
+
+
+# Failure: only the form without brackets was accepted, in which the port is ambiguous.
+@pytest.mark.parametrize("value", ["[::1]:7000", "::1:7000"])
+def test_an_ipv6_seed_is_accepted_with_brackets_and_as_before_without(value):
+    cfg = NodeConfig.from_text(to_ini(with_value("seeds", "addresses", value)), "node.ini")
+    assert cfg.seeds == (("::1", 7000),)
+
+
+@pytest.mark.parametrize("value", ["[127.0.0.1]:7000", "[::1:7000", "::1]:7000"])
+def test_a_seed_with_misplaced_brackets_is_refused(value):
+    with pytest.raises(InvalidSettings, match="seeds"):
+        NodeConfig.from_text(to_ini(with_value("seeds", "addresses", value)), "node.ini")
+
+
 def test_all_faults_of_a_file_are_reported_together():
     bad = {"node": {"name": "", "address": "x"}}
     with pytest.raises(InvalidSettings) as caught:
--- a/tests/test_ip_addresses.py
+++ b/tests/test_ip_addresses.py
@@ -6,6 +6,7 @@
 import pytest
 
 from tests import mesh_builders, start_builders
+from tests.ini_process_builders import IniProcess
 from tests.mesh_builders import make_mesh_config, run_scenario
 from tests.process_builders import PlatformProcess
 from tests.start_builders import CallSeries
@@ -63,6 +64,15 @@
             assert calls.wait_answered(SERVE_TIME), node.log
 
 
+# Failure: exit code 3, "Address invalid", as the URL of the documents lacked brackets.
+@pytest.mark.process
+def test_a_process_with_an_ini_file_and_an_ipv6_address_serves_callers(tmp_path):
+    with IniProcess(tmp_path, host=IPV6_HOST) as node:
+        node.wait_listening()
+        node.process.terminate()
+        assert node.wait_ended() == 0
+
+
 def test_nodes_with_ipv6_addresses_find_and_call_each_other(monkeypatch):
     monkeypatch.setattr(mesh_builders, "HOST", IPV6_HOST)
 
