--- a/packages/thorntray-node/src/thorntray_node/node_command.py
+++ b/packages/thorntray-node/src/thorntray_node/node_command.py
@@ -1,7 +1,6 @@
 """The process of a node with an INI file, from its flags to its exit code (see `main`)."""
 
 import asyncio
-import gc
 import os
 import signal
 import socket
@@ -23,6 +22,7 @@
 from thorntray.internal.telemetry.log_output import LogOutput, configure_output
 from thorntray_node.config import NodeConfig
 from thorntray_node.dump import state_dump
+from thorntray_node.garbage import freeze_startup_objects
 from thorntray_node.http import NodeServer, make_server
 from thorntray_node.node import Node
 from thorntray_node.process_end import Cause, process_end
@@ -90,8 +90,6 @@
     loop = asyncio.get_running_loop()
     # Before the ports are opened, which may take seconds if one is taken.
     handle_signals(STOP_SIGNALS, stop.set)
-    if signal.getsignal(signal.SIGHUP) is not signal.SIG_IGN:  # as `nohup` sets it
-        handle_signals((signal.SIGHUP,), stop.set)
     ignore_signals((signal.SIGUSR1,))
     server = make_server(node)
     callers = _CallersSocket()
@@ -103,7 +101,7 @@
     if not started:
         log_event(Event.STOPPED, step="start", unanswered=0)
         return 0
-    _freeze_startup_objects()
+    freeze_startup_objects()
     handle_signals((signal.SIGUSR1,), lambda: _write_dump(node))
     serving = asyncio.create_task(server.serve(sockets=[callers.listener]))
     await asyncio.wait({serving, asyncio.create_task(stop.wait())}, return_when="FIRST_COMPLETED")
@@ -117,7 +115,7 @@
     server.should_exit = True
     await serving
     await node.stop()
-    ignore_signals((*STOP_SIGNALS, signal.SIGHUP, signal.SIGUSR1))
+    ignore_signals((*STOP_SIGNALS, signal.SIGUSR1))
     return 0
 
 
@@ -149,16 +147,6 @@
     await asyncio.sleep(CONNECTION_CLOSE_DELAY)
 
 
-def _freeze_startup_objects() -> None:
-    """Exclude the objects that exist after start-up from garbage collection.
-
-    Full collections that traversed the objects of all imported libraries paused every call for
-    tens of milliseconds. Reference cycles created later are still collected.
-    """
-    gc.collect()
-    gc.freeze()
-
-
 def _write_dump(node: Node) -> None:
     log_event(Event.DUMP_WRITTEN)
     dump = msgspec.json.encode(state_dump(node)) + b"\n"
--- a/packages/thorntray-node/src/thorntray_node/process_steps.py
+++ b/packages/thorntray-node/src/thorntray_node/step_log.py
@@ -1,4 +1,4 @@
-"""The steps of a node's life, for the log and for the last line of the process."""
+"""Logs why a step of a node's life failed."""
 
 from collections.abc import Iterator
 from contextlib import contextmanager
@@ -8,8 +8,8 @@
 
 
 @contextmanager
-def failure_logged(step: str) -> Iterator[None]:
-    """Log an exception of a step, and pass it on; `process_end` reports the step."""
+def log_failure(step: str) -> Iterator[None]:
+    """Log an exception of a step of the node's life, and pass it on."""
     process_end.step = step
     try:
         yield
