Keep no bodies of lost requests as evidence of a crash

Callers saw nothing by itself: after an instance had closed its connections, the node beside it held the bodies of all requests that it had run for ten seconds more, in no count of its budget of memory, while callers sent them again. The node could exceed its limit and be killed.

Cause: the evidence of a crash kept whole calls, though only their IDs and fingerprints are used. Requests that were given up are kept in that form.

Now the fingerprint is taken when the request is lost, so that its body goes with its result.

--- a/packages/thorntray/src/thorntray/internal/request/crash_watch.py
+++ b/packages/thorntray/src/thorntray/internal/request/crash_watch.py
@@ -21,7 +21,6 @@
 from random import Random
 from typing import TYPE_CHECKING, NamedTuple
 
-from thorntray.internal.connection.frame import CallFrame
 from thorntray.internal.membership.crash_reports import MAX_REPORTED_FINGERPRINTS
 from thorntray.internal.membership.hashing import hash64
 from thorntray.internal.overload.crash_suspects import Crash, CrashSuspects, choose_reported
@@ -66,7 +65,7 @@
     began_at: float  # boot time
     first_at: float  # monotonic seconds
     last_at: float  # monotonic seconds
-    calls: list[CallFrame] = field(default_factory=list)
+    lost: list[tuple[bytes, int]] = field(default_factory=list)  # IDs and fingerprints
     held: list["OwnerRequest"] | None = field(default_factory=list)  # None after the first probe
     settled: bool = False  # judged a crash, or found to be none
     crashed: bool = False
@@ -108,7 +107,7 @@
             deps.spawn(self._judge(losses))
         if losses.crashed or request.started_at > losses.first_at:
             return False  # sent after the crash, if it was one, so the instance did not run it
-        losses.calls.append(request.call)
+        losses.lost.append((request.call.request_id, fingerprint_of_call(request.call)))
         losses.last_at = now
         if losses.held is None:
             return False
@@ -164,11 +163,11 @@
                 self._deps.registration.record_crash(losses.boot)
             self._finish_held(losses)
             if losses.settled:
-                losses.calls.clear()
+                losses.lost.clear()
                 return
         await asyncio.sleep(EVIDENCE_TIME - waited)
         losses.settled = True
-        losses.calls.clear()
+        losses.lost.clear()
 
     def _finish_held(self, losses: _Losses) -> None:
         held, losses.held = losses.held or [], None
@@ -188,10 +187,10 @@
             return
         losses.crashed = True
         since = losses.first_at - ABANDONED_TIME
-        ran = [(call.request_id, fingerprint_of_call(call)) for call in losses.calls]
+        ran = list(losses.lost)
         ran += [a[:2] for a in self._abandoned if a.boot == losses.boot and a.at > since]
         losses.alone = len(ran) == 1
-        losses.calls.clear()
+        losses.lost.clear()
         reported = choose_reported(
             [f for _, f in ran], MAX_REPORTED_FINGERPRINTS, deps.suspects, deps.rng.random
         )
--- a/tests/test_ended_requests.py
+++ b/tests/test_ended_requests.py
@@ -99,6 +99,15 @@
     writer.close()
 
 
+async def close_later(request_id: bytes, writer: asyncio.StreamWriter) -> None:
+    """Close the connection when all requests have been sent, as a crash does."""
+    if request_id == b"id-0":  # only one loss in ten seconds is judged
+        writer.write(answer_bytes(request_id))
+        return
+    await asyncio.sleep(0.3)
+    writer.close()
+
+
 async def answer_garbage(request_id: bytes, writer: asyncio.StreamWriter) -> None:
     """Send bytes that are not HTTP."""
     writer.write(b"\x00" * 100)
@@ -117,6 +126,7 @@
         (answer_large, SLOTS, 3000, 3.0),
         (fail_large, SLOTS, 3000, 3.0),
         (close, SLOTS, 3000, 3.0),
+        (close_later, SLOTS, 3000, 3.0),  # evidence of a crash is kept for 10 s
         (answer_garbage, SLOTS, 3000, 3.0),
         (hang, SLOTS, 500, 3.0),  # the deadline ends it
         (hang, SLOTS, 700, 0.4),  # its caller leaves; a payout runs on until its deadline
