Do not drain a node with an INI file on SIGHUP: two parts had opposite handling

Evidence: test_a_hangup_drains_a_node_like_a_stop fails on (TimeoutExpired after 22 s); a process was still serving 6 s after SIGHUP.

--- a/packages/thorntray-node/src/thorntray_node/node_command.py
+++ b/packages/thorntray-node/src/thorntray_node/node_command.py
@@ -90,9 +90,6 @@
     loop = asyncio.get_running_loop()
     # Before the ports are opened, which may take seconds if one is taken.
     handle_signals(STOP_SIGNALS, stop.set)
-    if signal.getsignal(signal.SIGHUP) is not signal.SIG_IGN:  # as `nohup` sets it
-        handle_signals((signal.SIGHUP,), stop.set)
-    ignore_signals((signal.SIGUSR1,))
     server = make_server(node)
     callers = _CallersSocket()
     try:
@@ -117,7 +114,7 @@
     server.should_exit = True
     await serving
     await node.stop()
-    ignore_signals((*STOP_SIGNALS, signal.SIGHUP, signal.SIGUSR1))
+    ignore_signals((*STOP_SIGNALS, signal.SIGUSR1))
     return 0
 
 
