Name what ended the HTTP server of a node with an INI file as the cause of its end

Cause: when uvicorn's server ended by itself, node_command returned exit code 3 without a cause, so that the last line said PORT_TAKEN with an empty detail, and the exception was only logged when its task was collected.

--- a/packages/thorntray-node/src/thorntray_node/node_command.py
+++ b/packages/thorntray-node/src/thorntray_node/node_command.py
@@ -105,7 +105,8 @@
     serving = asyncio.create_task(server.serve(sockets=[callers.listener]))
     await asyncio.wait({serving, asyncio.create_task(stop.wait())}, return_when="FIRST_COMPLETED")
     if serving.done():
-        return EXIT_CANNOT_BIND
+        serving.result()  # raises what has ended the server
+        raise RuntimeError("the HTTP server ended before the stop")
     process_end.step = "stop"
     stop_at = loop.time() + cfg.drain_limit
     await node.drain()
--- a/tests/test_process_end.py
+++ b/tests/test_process_end.py
@@ -36,6 +36,12 @@
     faulthandler._sigsegv()
 SettingsReload.run = run
 """
+FAILING_SERVER = """
+from thorntray_node.http import NodeServer
+async def serve(self, sockets):
+    {ending}
+NodeServer.serve = serve
+"""
 
 
 def last_line(text):
@@ -254,6 +260,21 @@
             assert end_of(node) == ("PORT_TAKEN", 3, "start")
 
 
+@pytest.mark.process
+@pytest.mark.parametrize(
+    ("ending", "detail"),
+    [("raise OSError(24, 'no descriptor')", "no descriptor"), ("return", "ended before the stop")],
+)
+def test_a_server_that_ends_by_itself_is_the_cause_in_a_node_with_an_ini_file(
+    tmp_path, ending, detail
+):
+    # Failure: the line says that a port cannot be opened, without a detail.
+    modules = {"sitecustomize": FAILING_SERVER.format(ending=ending)}
+    with IniProcess(tmp_path, modules=modules) as node:
+        assert end_of(node) == ("FAILED", 1, "start")
+        assert detail in last_line(node.log)["detail"]
+
+
 @pytest.mark.process
 @pytest.mark.parametrize("signum", [signal.SIGHUP, signal.SIGUSR1])
 def test_a_signal_for_settings_or_the_dump_does_not_end_a_node_with_an_ini_file(tmp_path, signum):
