--- a/tests/test_server_finish.py
+++ b/tests/test_server_finish.py
@@ -135,6 +135,23 @@
     assert [answer[:12] for answer in answers] == [b"HTTP/1.1 503"] * 2
 
 
+def test_an_answer_that_is_ready_after_the_time_for_requests_is_sent():
+    # Failure: the process ends in the time for answers, and the kernel resets the connection.
+    async def scenario(server, address):
+        exchanges = []
+        server.handler = exchanges.append
+        caller = connect(address)
+        caller.sendall(REQUEST)
+        await asyncio.sleep(0.05)
+        loop = asyncio.get_running_loop()
+        delay = REQUEST_TIME + ANSWER_TIME / 2
+        loop.call_later(delay, lambda: exchanges[0].respond(503, b"", b""))
+        await finish(server)
+        return caller.recv(1 << 16)
+
+    assert run_with_server(scenario).startswith(b"HTTP/1.1 503")
+
+
 def test_idle_connections_are_closed_without_a_wait():
     async def scenario(server, address):
         caller = connect(address)
--- a/tests/test_stop_new_connections.py
+++ b/tests/test_stop_new_connections.py
@@ -5,15 +5,19 @@
 """
 
 import asyncio
+import re
+import time
 
 import pytest
 
-from tests.process_builders import PlatformProcess
+from tests.process_builders import REQUEST, PlatformProcess
 from tests.stop_callers import NewConnections
 
 pytestmark = pytest.mark.process
 
 STOPS = 3
+SHORT_LIMIT = 1  # seconds; GraceS in the settings of a node
+EXIT_MARGIN = 0.8  # seconds for the end of a process on a machine under load
 CALLERS = {  # arguments of `NewConnections`
     "at once": {"width": 8},
     "after a while": {"width": 40, "delay": 0.1},
@@ -44,3 +48,20 @@
         assert outcomes.answers
         assert {answer[:12] for answer in outcomes.answers} == {b"HTTP/1.1 503"}
         assert all(b"Retry-After: " in answer for answer in outcomes.answers)
+
+
+def test_a_request_that_never_becomes_complete_does_not_prolong_a_stop_beyond_its_limit(tmp_path):
+    # Failure: the process is killed at the limit, with what it owes to others.
+    node = PlatformProcess(tmp_path)
+    text = re.sub(r"GraceS = \d+", f"GraceS = {SHORT_LIMIT}", node.text)
+    node.settings.write_text(text, "utf-8")
+    with node, node.connect() as caller:
+        node.wait_for_log("STARTED")
+        caller.sendall(REQUEST[: len(REQUEST) // 2])
+        began = time.monotonic()
+        node.process.terminate()
+        answer = caller.recv(1 << 16)
+        assert node.wait_ended() == 0
+        seconds = time.monotonic() - began
+    assert answer.startswith(b"HTTP/1.1 503")
+    assert seconds < SHORT_LIMIT + EXIT_MARGIN, node.log
