Soak: a SIGINT before a process has a handler ends it with 130

Cause: process_end turns the default action of SIGINT during the imports into exit code 130; the soak's judge of ends knew -2 only, so a series of signals with a SIGINT in the first moments would be reported as ENDED.

Evidence: a real process with SIGINT during its imports ended with 130, which ended_as_planned refused at and excuses now; 130 after the start, late, or without a SIGINT stays a violation.

--- a/soak/process_watch.py
+++ b/soak/process_watch.py
@@ -22,6 +22,7 @@
 EARLY_STOP_AGE, EARLY_SILENT_STOP_AGE = 5.0, 1.0
 KILL_TOLERANCE = 0.5  # seconds before the limit of a stop
 STARTED = "STARTED"  # event in the log of a process that handles its signals
+INTERRUPTED_CODE = 130  # of a process that SIGINT ends before it has a handler
 STOP_SIGNALS = frozenset({signal.SIGTERM, signal.SIGINT})
 LAST_LINES = 3  # of the log, reported for a process that ended by itself
 KB_PER_MB = 1024
@@ -131,15 +132,16 @@
     """Return whether the end of a process follows from a signal of the plan.
 
     A process that handles its signals has to end with 0 after SIGTERM and SIGINT. Their default
-    action may end it only before.
+    action may end it only before, for SIGINT also with `INTERRUPTED_CODE`.
     """
     sent = {signum for signum, _ in node.signals}
     if returncode == 0:
         return bool(sent & STOP_SIGNALS)
-    if -returncode in STOP_SIGNALS:
+    signum = signal.SIGINT if returncode == INTERRUPTED_CODE else -returncode
+    if signum in STOP_SIGNALS:
         age = EARLY_STOP_AGE if node.writes_log else EARLY_SILENT_STOP_AGE
         latest = node.started_at + age
-        early = any(s.signum == -returncode and s.sent_at < latest for s in node.signals)
+        early = any(s.signum == signum and s.sent_at < latest for s in node.signals)
         return early and not has_started
     return returncode == -signal.SIGKILL and signal.SIGKILL in sent
 
