--- a/tests/test_process_end.py
+++ b/tests/test_process_end.py
@@ -11,6 +11,7 @@
 
 from tests.ini_process_builders import HOST, IniProcess
 from tests.process_builders import PlatformProcess
+from tests.stop_fleet import read_answer
 from thorntray.internal.telemetry.events import Event
 from thorntray_node.process_end import EVENT_NAME, EVENT_NUMBER, ProcessEnd
 
@@ -36,6 +37,12 @@
     faulthandler._sigsegv()
 SettingsReload.run = run
 """
+FAILING_SERVER = """
+from thorntray_node.http import NodeServer
+async def serve(self, sockets):
+    {ending}
+NodeServer.serve = serve
+"""
 
 
 def last_line(text):
@@ -200,7 +207,7 @@
         with socket.create_connection((HOST, node.port), timeout=10) as caller:
             for signum in (signal.SIGUSR1, signal.SIGTERM):  # SIGUSR1 writes the state dump
                 caller.sendall(b"GET /thorntray/status HTTP/1.1\r\nHost: a.example\r\n\r\n")
-                assert caller.recv(1 << 16).startswith(b"HTTP/1.1 ")
+                assert read_answer(caller.makefile("rb"))[0] == 503  # not ready without a platform
                 node.process.send_signal(signum)
         assert node.wait_ended() == 0
     finally:
@@ -254,6 +261,21 @@
             assert end_of(node) == ("PORT_TAKEN", 3, "start")
 
 
+@pytest.mark.process
+@pytest.mark.parametrize(
+    ("ending", "detail"),
+    [("raise OSError(24, 'no descriptor')", "no descriptor"), ("return", "ended before the stop")],
+)
+def test_a_server_that_ends_by_itself_is_the_cause_in_a_node_with_an_ini_file(
+    tmp_path, ending, detail
+):
+    # Failure: the line says that a port cannot be opened, without a detail.
+    modules = {"sitecustomize": FAILING_SERVER.format(ending=ending)}
+    with IniProcess(tmp_path, modules=modules) as node:
+        assert end_of(node) == ("FAILED", 1, "start")
+        assert detail in last_line(node.log)["detail"]
+
+
 @pytest.mark.process
 @pytest.mark.parametrize("signum", [signal.SIGHUP, signal.SIGUSR1])
 def test_a_signal_for_settings_or_the_dump_does_not_end_a_node_with_an_ini_file(tmp_path, signum):
