Wait for running payouts before memory of ended requests is measured

One case failed once beside load: a payout whose caller has left runs on until its deadline, and two of them had not ended when the fixed pause was over, so their bodies were held as they should be. The test now waits until the owner has ended every request.

--- a/tests/test_ended_requests.py
+++ b/tests/test_ended_requests.py
@@ -16,7 +16,7 @@
 from thorntray.internal.connection.link_connection import PLAIN_STREAM
 
 REQUESTS, BODY_BYTES = 10, 500_000
-SETTLE_TIME = 0.5  # seconds until both nodes have forgotten the requests
+SETTLE_TIME = 0.5  # seconds until both nodes have closed connections and read results
 SLOTS = 20
 HEAD = (
     b"POST %b HTTP/1.1\r\nHost: a.example\r\nThorntray-Request-Id: id-%d\r\n"
@@ -30,14 +30,19 @@
 )
 
 
-async def held_after(scenario):
-    """Return the bytes that are still allocated some time after a scenario, without collection."""
+async def held_after(fleet, scenario):
+    """Return the bytes that are still allocated after a scenario, without collection.
+
+    Waits until the last request has ended: a payout runs on when its caller has left.
+    """
     gc.collect()
     gc.disable()
     tracemalloc.start()
     try:
         before, _ = tracemalloc.get_traced_memory()
         await scenario()
+        while any(node.owner.requests for node in fleet.nodes.values()):
+            await asyncio.sleep(0.01)
         await asyncio.sleep(SETTLE_TIME)
         return tracemalloc.get_traced_memory()[0] - before
     finally:
@@ -62,7 +67,7 @@
             while len(results) < REQUESTS:
                 await asyncio.sleep(0.01)
 
-        return await held_after(submit_all)
+        return await held_after(fleet, submit_all)
 
     assert run_scenario(scenario) < BODY_BYTES
 
@@ -160,7 +165,7 @@
                 *(post(fleet, path, number, deadline_ms, patience) for number in numbers)
             )
 
-        return await held_after(post_all)
+        return await held_after(fleet, post_all)
 
     assert run_scenario(scenario, POLICY) < BODY_BYTES
 
@@ -180,7 +185,7 @@
                 await asyncio.sleep(0.05)
                 ending(writer)
 
-        return await held_after(send_parts)
+        return await held_after(fleet, send_parts)
 
     assert run_scenario(scenario, POLICY) < BODY_BYTES
 
@@ -199,6 +204,6 @@
                 await asyncio.sleep(0.05)
                 writer.close()
 
-        return await held_after(send_parts)
+        return await held_after(fleet, send_parts)
 
     assert run_scenario(scenario, POLICY) < BODY_BYTES
