Soak: a process that has bound or awaits a port must handle its stop

Cause: the default action of SIGTERM and SIGINT was excused for 5 s unless STARTED was logged. The handlers are set before the first port is bound, so a start that a signal ends while it waits for a held port was excused.

--- a/soak/process_watch.py
+++ b/soak/process_watch.py
@@ -17,11 +17,12 @@
 WATCH_PERIOD = 0.5  # seconds
 RESTART_DELAY = 1.0  # seconds until a process that has ended is started again
 EARLY_HANGUP_AGE = 0.5  # seconds after its start in which a SIGHUP may end a process
-# Seconds after its start in which the default action may end a process that has not logged its
-# start, the second one if it has no standard output.
+# Seconds after its start in which the default action may end a process that has not logged a
+# port, the second one if it has no standard output.
 EARLY_STOP_AGE, EARLY_SILENT_STOP_AGE = 5.0, 1.0
 KILL_TOLERANCE = 0.5  # seconds before the limit of a stop
-STARTED = "STARTED"  # event in the log of a process that handles its signals
+# Events in the log of a process that handles its signals; it may wait for a port meanwhile.
+HANDLING_EVENTS = ("PORT_TAKEN", "PORTS_BOUND", "STARTED")
 INTERRUPTED_CODE = 130  # of a process that SIGINT ends before it has a handler
 STOP_SIGNALS = frozenset({signal.SIGTERM, signal.SIGINT})
 LAST_LINES = 3  # of the log, reported for a process that ended by itself
@@ -101,11 +102,11 @@
 
     def _judge_end(self, node: NodeProcess, returncode: int) -> None:
         lines = self._log_lines(node)
-        has_started = any(STARTED in line for line in lines)
+        has_handlers = any(event in line for event in HANDLING_EVENTS for line in lines)
         overdue = killed_at_limit(returncode, node.signals)
-        if not overdue and ended_as_planned(returncode, node, has_started):
+        if not overdue and ended_as_planned(returncode, node, has_handlers):
             return  # the fault restarts it
-        if not has_started and ended_by_early_hangup(returncode, node.signals, node.started_at):
+        if not has_handlers and ended_by_early_hangup(returncode, node.signals, node.started_at):
             self.early_hangups += 1
         else:
             now, last = time.monotonic(), tuple(lines[-LAST_LINES:])
@@ -128,7 +129,7 @@
             self._fleet.start_node(node)
 
 
-def ended_as_planned(returncode: int, node: NodeProcess, has_started: bool) -> bool:
+def ended_as_planned(returncode: int, node: NodeProcess, has_handlers: bool) -> bool:
     """Return whether the end of a process follows from a signal of the plan.
 
     A process that handles its signals has to end with 0 after SIGTERM and SIGINT. Their default
@@ -142,7 +143,7 @@
         age = EARLY_STOP_AGE if node.writes_log else EARLY_SILENT_STOP_AGE
         latest = node.started_at + age
         early = any(s.signum == signum and s.sent_at < latest for s in node.signals)
-        return early and not has_started
+        return early and not has_handlers
     return returncode == -signal.SIGKILL and signal.SIGKILL in sent
 
 
--- a/tests/test_soak_starts.py
+++ b/tests/test_soak_starts.py
@@ -15,7 +15,7 @@
 from soak.process_control import ProcessControl, wait_exit
 from soak.process_watch import OwnEnd, ProcessWatcher, ended_as_planned, killed_at_limit
 from soak.start_faults import StartFaults, held
-from standins.mesh_fleet import FIRST_PEER_PORT, STOP_TIMEOUT, without_streams
+from standins.mesh_fleet import FIRST_PEER_PORT, STOP_TIMEOUT, SentSignal, without_streams
 from standins.worker import Endpoint
 from tests.soak_builders import ended_node, make_observation, small_fleet
 from thorntray_node.process_end import EXIT_INTERRUPTED
@@ -148,6 +148,24 @@
     assert (end.boot, end.returncode, end.last_lines) == (1, 3, ("why",))
 
 
+@pytest.mark.parametrize(
+    ("event", "excused"), [("SETTINGS_AWAITED", 1), ("PORT_TAKEN", 0), ("PORTS_BOUND", 0)]
+)
+def test_a_process_that_waits_for_a_port_must_handle_a_stop(event, excused):
+    """Guards against a start that is ended by a signal, with what it has logged as evidence."""
+    code = f"import os, sys; print({event!r}, flush=True); os.kill(os.getpid(), {int(TERM)})"
+
+    async def work(fleet):
+        watcher = ProcessWatcher(fleet)
+        fleet.node.process.wait()
+        fleet.node.signals.append(SentSignal(TERM, fleet.node.started_at + 0.1))
+        watcher.check_all()
+        return watcher.own_ends
+
+    with small_fleet(code) as fleet:
+        assert len(asyncio.run(work(fleet))) == 1 - excused
+
+
 def test_the_report_of_an_end_names_its_code_and_its_last_lines():
     (line,) = violations(make_observation(own_ends=[OwnEnd("n1", 2, 3, 4.0, ("a", "b"))]))
     assert "with exit code 3; 0 requests of callers ended with it; last lines: a | b" in line
