Test: libraries that an earlier release has changed are really changed

The test wrote another source beside compiled code that is used without a look at its source, so the build could leave the folder as it was: the test passed with the check of '.libraries' taken out (mutation). It now removes the compiled code and asserts that the change is seen; with the mutation it fails ('other' for linux-aarch64).

--- a/tests/test_build.py
+++ b/tests/test_build.py
@@ -1,6 +1,7 @@
 """The build of `target/deps`: when it installs again, builds at once, and processes that start."""
 
 import os
+import shutil
 import time
 
 import pytest
@@ -96,6 +97,8 @@
     # Failure: after a step back and forth, the mark tells of libraries that were replaced.
     checkout.build()
     (checkout.deps / "native/__init__.py").write_text("PLATFORM = 'other'\n", "utf-8")
+    shutil.rmtree(checkout.deps / "native/__pycache__")  # used without a look at the source
+    assert checkout.installed("PLATFORM") == "other"
     (checkout.target / ".libraries").write_text("", "utf-8")
     checkout.build()
     assert checkout.installed("PLATFORM") == ARM
