Test: a folder that was built long ago stays when it is replaced

Without the change of its time at the switch, the first build after an hour would remove the folder under processes that are starting from it. No test failed with that line taken out (mutation); this one does.

--- a/tests/test_build.py
+++ b/tests/test_build.py
@@ -107,6 +107,7 @@
 def test_a_replaced_folder_stays_for_processes_that_are_starting_from_it(checkout):
     checkout.build()
     first = checkout.deps.resolve()
+    os.utime(first, (time.time() - 2 * HOUR,) * 2)  # built long before it is replaced
     checkout.set_release(2)
     checkout.build()
     assert (first / "thorntray/__init__.py").exists()
