--- a/tests/test_build.py
+++ b/tests/test_build.py
@@ -1,6 +1,7 @@
 """The build of `target/deps`: when it installs again, builds at once, and processes that start."""
 
 import os
+import shutil
 import time
 
 import pytest
@@ -96,6 +97,8 @@
     # Failure: after a step back and forth, the mark tells of libraries that were replaced.
     checkout.build()
     (checkout.deps / "native/__init__.py").write_text("PLATFORM = 'other'\n", "utf-8")
+    shutil.rmtree(checkout.deps / "native/__pycache__")  # used without a look at the source
+    assert checkout.installed("PLATFORM") == "other"
     (checkout.target / ".libraries").write_text("", "utf-8")
     checkout.build()
     assert checkout.installed("PLATFORM") == ARM
@@ -104,6 +107,7 @@
 def test_a_replaced_folder_stays_for_processes_that_are_starting_from_it(checkout):
     checkout.build()
     first = checkout.deps.resolve()
+    os.utime(first, (time.time() - 2 * HOUR,) * 2)  # built long before it is replaced
     checkout.set_release(2)
     checkout.build()
     assert (first / "thorntray/__init__.py").exists()
