Watchers are probed in the same order in every process

Cause: the watch check probed two members in the order of a set of strings, which differs between processes. The order is that of the list now; calls to the store and datagrams stay the same in number. test_seeded_runs compares the digests of all datagrams under three hash seeds; it failed before.

--- a/packages/thorntray/src/thorntray/internal/store/watch_check.py
+++ b/packages/thorntray/src/thorntray/internal/store/watch_check.py
@@ -140,10 +140,14 @@
         return names.index(own) if own in names else len(names)
 
     def _probe_watchers(self) -> None:
-        """Ping the first watcher and a random one, whose answers tell what they know."""
+        """Ping the first watcher and a random one, whose answers tell what they know.
+
+        The order is that of the list: that of a set of strings differs between processes, and with
+        it the random draws of a run that is to repeat.
+        """
         own = self._membership.own.name
         others = [member.name for member in self._duty.watchers() if member.name != own]
-        for name in {*others[:1], *self._rng.sample(others, min(1, len(others)))}:
+        for name in dict.fromkeys([*others[:1], *self._rng.sample(others, min(1, len(others)))]):
             self._membership.probe_now(name)
 
     def _tell(self, version: int) -> None:
