Connections beyond the bound for callers are refused, not closed

Callers saw accepted connections end without a byte: with RLIMIT_NOFILE 64 and no MaxFds, 145 of 161 that connected at once (one trial, load 17). They could not know whether their requests had run.

Cause: ConnectionBound closed what exceeds bound and surplus in the step of the accept, and idle or silent connections that give way. A system call trace shows one accept and one close each; descriptors never ran out, so the accept failure of the event loop is not involved.

A connection that has had no answer now gets 503 with a time to return before it is closed. Nothing of it was read, so "not run" is true. Input that has already arrived is discarded first, as a close would reset the connection otherwise. Nothing is held longer than before, and connections that have had an answer are closed as before.

--- a/packages/thorntray/src/thorntray/internal/connection/connection_bound.py
+++ b/packages/thorntray/src/thorntray/internal/connection/connection_bound.py
@@ -5,7 +5,8 @@
 none is idle, the new connection gets one request. The request is refused at the end of its head
 (503, a promise that it has not run), unless `serves_surplus` says that a request that is already
 running depends on it. Connections beyond that surplus take the place of one whose head has not
-arrived in time, which is refused, or are closed unread.
+arrived in time, or are refused unread. A caller whose connection ends without a byte cannot know
+whether its request has run, so each connection gets the refusal that has had no answer before.
 
 All callers of a node may share one address, so connections are not counted by address.
 """
@@ -42,8 +43,8 @@
         """Return the bytes of responses that the caller has not acknowledged yet."""
         ...
 
-    def close_if_idle(self) -> None:
-        """Close the connection unless a request is pending or being received."""
+    def give_way(self, header_lines: bytes) -> None:
+        """Close the connection, from which no request is read; refuse the first one unread."""
         ...
 
     def displace(self, header_lines: bytes) -> bool:
@@ -86,7 +87,7 @@
             return
         self.closed_unread += 1
         self._connections.discard(connection)
-        connection.close_if_idle()  # nothing has been read from it yet
+        connection.give_way(self.refusal_lines())
 
     def refuses(self, host: str, target: bytes, headers: list[Header]) -> bool:
         """Return whether to refuse the request of a connection that gets only one."""
@@ -116,7 +117,7 @@
             if connection.untaken_bytes:
                 continue  # asked only here, as each question is a system call
             self._connections.discard(connection)
-            connection.close_if_idle()
+            connection.give_way(self.refusal_lines())
             self.closed_idle += 1
             return True
         return False
--- a/packages/thorntray/src/thorntray/internal/connection/http_connection.py
+++ b/packages/thorntray/src/thorntray/internal/connection/http_connection.py
@@ -25,7 +25,7 @@
 )
 from thorntray.internal.connection.exchange import Exchange
 from thorntray.internal.connection.http_request import ClosedBy, HttpRequest, expects_continue
-from thorntray.internal.connection.kernel_output import kernel_input_bytes
+from thorntray.internal.connection.kernel_output import discard_input, kernel_input_bytes
 from thorntray.internal.connection.output_watch import OutputWatch
 from thorntray.internal.connection.request_bodies import (
     CONTENT_LENGTH,
@@ -330,12 +330,22 @@
         in_use = self.pending or self._receiving_since is not None or self._linger is not None
         return inf if in_use or self.unsent_bytes else self._last_active_at
 
+    def give_way(self, header_lines: bytes) -> None:
+        """Close the connection, from which no request is read; refuse the first one unread."""
+        transport = self._transport
+        if transport is None or transport.is_closing():
+            return
+        if self._unused:
+            self._reject(HTTPStatus.SERVICE_UNAVAILABLE, header_lines)
+            discard_input(transport)
+        transport.close()
+
     def displace(self, header_lines: bytes) -> bool:
         """Refuse a request whose head has not arrived, and close; return False if it has."""
         if self.pending or self._last_request_read or self._transport is None:
             return False
         if self._receiving_since is None:
-            self._transport.close()
+            self.give_way(header_lines)
             return True
         if self._incoming.head_complete:
             return False
--- a/packages/thorntray/src/thorntray/internal/connection/kernel_output.py
+++ b/packages/thorntray/src/thorntray/internal/connection/kernel_output.py
@@ -2,10 +2,12 @@
 
 import asyncio
 import fcntl
+import os
 import struct
 import termios
 
 _COUNT = struct.Struct("i")
+_DISCARDED_AT_MOST = 1 << 20  # bytes of input of one connection
 
 
 def kernel_output_bytes(transport: asyncio.BaseTransport) -> int | None:
@@ -18,6 +20,18 @@
     return _query(transport, termios.FIONREAD)
 
 
+def discard_input(transport: asyncio.BaseTransport) -> None:
+    """Discard the input that the kernel holds, with which a close would reset the connection.
+
+    The transport must not read the connection afterwards.
+    """
+    try:
+        descriptor = transport.get_extra_info("socket").fileno()
+        os.read(descriptor, _DISCARDED_AT_MOST)
+    except (OSError, AttributeError, TypeError, ValueError):  # none, closed, or in memory only
+        return
+
+
 def _query(transport: asyncio.BaseTransport, request: int) -> int | None:
     try:
         descriptor = transport.get_extra_info("socket").fileno()
