A limit of descriptors that leaves none no longer keeps a node from starting

With MaxFds from 1 to 200 each start ended with code 2, as the platform reserves 200 descriptors; three such ends are a fault, and the node's callers get nothing.

While defaults are not allowed yet, the value is refused with its field, as before: 41 may be the beginning of 4100. Values that are no limit (negative, no number) still end the start.

--- a/packages/thorntray-node/src/thorntray_node/settings_fields.py
+++ b/packages/thorntray-node/src/thorntray_node/settings_fields.py
@@ -5,8 +5,10 @@
 """
 
 from collections.abc import Callable, Iterable, Mapping
+from functools import partial
 from ipaddress import ip_address
 from math import isfinite
+from operator import lt
 from typing import Any, NamedTuple
 
 from thorntray.errors import Fault, InvalidSettings
@@ -113,14 +115,28 @@
             return self._default(path, default)
         return self._number(path, default, lambda number: number > 0, "above 0")
 
-    def limit(self, path: str, unit: int = 1, reserved: int = 0) -> int | None:
-        """Return what a limit of the process leaves beyond `reserved`, None if there is none."""
+    def limit(self, path: str, unit: int = 1) -> int | None:
+        """Return a limit of the process, None if there is none."""
         if not self.get(path):
             return None
-        hint = f"above {reserved}, or none"
-        return (
-            int(self._number(path, 0.0, lambda number: number > reserved, hint)) * unit - reserved
-        )
+        return int(self._number(path, 0.0, lambda number: number > 0, "above 0, or none")) * unit
+
+    def limit_beyond(self, path: str, reserved: int, default: int) -> int | None:
+        """Return what a limit leaves beyond `reserved`, None if there is no limit.
+
+        A limit that leaves nothing cannot be the one of a process that runs, so it has a default.
+        """
+        value = self.get(path)
+        if not value:
+            return None
+        if type(value) in (int, float) and 0 < value <= reserved:
+            hint = f"give a number above {reserved}, or none; the default is {reserved + default}"
+            self.defaults.append(UsedDefault(path, reserved + default))
+            if not self._allow_defaults:
+                self._add_fault(path, hint)
+            return default
+        is_valid = partial(lt, reserved)
+        return int(self._number(path, 0.0, is_valid, f"above {reserved}, or none")) - reserved
 
     def check(self, source: str) -> None:
         """Raise `InvalidSettings` if there are faults."""
--- a/packages/thorntray/src/thorntray/internal/process/descriptor_budget.py
+++ b/packages/thorntray/src/thorntray/internal/process/descriptor_budget.py
@@ -38,6 +38,8 @@
     + ANNOUNCEMENT_CONNECTIONS
     + METRICS_CONNECTIONS
 )
+# Leaves MIN_SURPLUS connections to callers in a small fleet, and as many more for refusals.
+LEAST_SERVING_LIMIT = _FIXED + CONNECTIONS_PER_SLOT * MIN_SLOTS + MIN_SURPLUS + MIN_SURPLUS
 
 
 class CallerBound(NamedTuple):
--- a/tests/test_descriptor_budget.py
+++ b/tests/test_descriptor_budget.py
@@ -3,7 +3,9 @@
 from thorntray.internal.process.descriptor_budget import (
     CONNECTIONS_PER_SLOT,
     FILE_DESCRIPTORS,
+    LEAST_SERVING_LIMIT,
     LINKS_PER_MEMBER,
+    MIN_SURPLUS,
     DescriptorBudget,
 )
 
@@ -30,6 +32,11 @@
     assert bound.connections == 100 and bound.surplus == 100
 
 
+def test_the_least_limit_for_serving_leaves_callers_connections_and_refusals():
+    bound = DescriptorBudget(LEAST_SERVING_LIMIT, None).caller_bound(members=0, slots=0)
+    assert bound.connections >= MIN_SURPLUS and bound.surplus == MIN_SURPLUS
+
+
 def test_a_limit_that_proves_too_high_is_lowered_and_never_raised():
     budget = DescriptorBudget(None, None)
     budget.record_exhausted(in_use=500, now=0.0)
