Two suspects of a crash run one at a time

Trace, in virtual time: both were lost in the first crash, and the retry budget of their node was empty, so their callers sent them again. Both were suspects then and went to the same instance, where the limit of two suspects was ceil(sqrt(2)) = 2. They ran together in the second crash, and a suspect that is lost is not sent again.

A group as large as the set of suspects tells nothing apart. The square root is rounded down now, which is below the number of suspects from two on: two or three run one at a time, 16, 64 and 100 run 4, 8 and 10 together as before.

The entry (2, 2) in the table of a decision test stated the fault; a test of its own asks for one at a time instead.

--- a/packages/thorntray/src/thorntray/internal/overload/crash_isolation.py
+++ b/packages/thorntray/src/thorntray/internal/overload/crash_isolation.py
@@ -7,8 +7,9 @@
 
 * Suspects of a crash are the requests that ran in the most crashes of all that ran in it. The
   others are explained by these and run as usual.
-* Of n suspects, at most the square root of n run together at one instance. A second crash then
-  leaves that many suspects, and the innocent ones are cleared by their success in a few rounds.
+* Of n suspects, at most the square root of n, rounded down, run together at one instance. A second
+  crash then leaves that many suspects, and the innocent ones are cleared by their success in a few
+  rounds. Rounded up, two suspects would run together again, which cannot tell them apart.
 * All nodes send the same suspect to the same instance. A culprit that comes often would otherwise
   reach several before its second crash is known.
 * Suspects of two crashes or more run alone, and only after `SECOND_CRASH_PAUSE`. By then the
@@ -20,7 +21,7 @@
 """
 
 from collections import Counter
-from math import ceil, sqrt
+from math import isqrt
 
 from thorntray.internal.membership.hashing import hash64
 from thorntray.internal.membership.member import Member
@@ -77,7 +78,7 @@
         ]
         if not sizes:
             return 0
-        return 1 if own_count > 1 else ceil(sqrt(max(sizes)))
+        return 1 if own_count > 1 else isqrt(max(sizes))
 
     def may_start(self, fingerprint: int) -> bool:
         """Return whether a request may start now beside the suspects that run."""
--- a/tests/test_isolation_decisions.py
+++ b/tests/test_isolation_decisions.py
@@ -45,12 +45,20 @@
 
 def test_few_of_the_requests_of_a_crash_run_together():
     """Guards against a second crash that leaves as many suspects as the first."""
-    for ran, together in ((1, 1), (2, 2), (16, 4), (64, 8), (100, 10)):
+    for ran, together in ((1, 1), (16, 4), (64, 8), (100, 10)):
         evidence = Evidence()
         evidence.crash(*range(ran))
         assert len(evidence.start_all(range(ran))) == together
 
 
+def test_two_or_three_suspects_run_one_at_a_time():
+    """Guards against a second crash of the only request that ran beside a culprit."""
+    for ran in (2, 3):
+        evidence = Evidence()
+        evidence.crash(*range(ran))
+        assert len(evidence.start_all(range(ran))) == 1
+
+
 def test_a_suspect_starts_when_another_one_ends():
     evidence = Evidence()
     evidence.crash(1, 2, 3, 4)
