A request is blocked only once it is told apart from the others

Trace, with the same reports given to the decision (crashes of both at 0, 0.15 and 0.3 s): `_block_end` counted all three for both, as up to four equal suspects were allowed. After the second crash both were refused for 5 s, so nothing could succeed within the 1.5 s until the block. The block then kept away the success that would have lifted it.

A block now needs a crash of which no other request ran in as many crashes. Those that are left run alone for as long as the block would have lasted, so the next success or crash decides. A culprit costs at most one more send then, of the three that the bound allows, and comes 5 s after the third crash.

Four tests fail before and pass now: two of the decision on blocks, one of the isolation, one of whole nodes in virtual time, where the request got 503 to the end. A test of three crashes that have only the culprit in common passes before and after; it guards against a rule that would need a fourth.

--- a/packages/thorntray/src/thorntray/internal/overload/crash_isolation.py
+++ b/packages/thorntray/src/thorntray/internal/overload/crash_isolation.py
@@ -15,9 +15,12 @@
 * Suspects of two crashes or more run alone, and only after `SECOND_CRASH_PAUSE`. By then the
   crashed instances are back, so that one culprit takes no further instance while two are down. A
   third crash leaves a single suspect, which `crash_suspects` blocks.
+* If three crashes or more leave several, as when a culprit comes to many nodes at one moment, these
+  run alone for as long as a block would last. The next crash or success then decides.
 
-One success anywhere ends the isolation of a request, and so does `ISOLATION_TIME` without a further
-crash. Crashes of many instances at one moment have another cause and isolate nothing.
+One success anywhere ends the isolation of a request. So does `ISOLATION_TIME` without a further
+crash while there are only two. Crashes of many instances at one moment have another cause and
+isolate nothing.
 """
 
 from collections import Counter
@@ -25,10 +28,14 @@
 
 from thorntray.internal.membership.hashing import hash64
 from thorntray.internal.membership.member import Member
-from thorntray.internal.overload.crash_suspects import CrashSuspects
+from thorntray.internal.overload.crash_suspects import (
+    BLOCK_TIME,
+    CRASHES_TO_BLOCK,
+    CrashSuspects,
+)
 from thorntray.internal.process.clock import Clock
 
-ISOLATION_TIME = 10.0  # seconds after the newest crash of a request
+ISOLATION_TIME = 10.0  # seconds after the newest of at most two crashes of a request
 SECOND_CRASH_PAUSE = 5.0  # seconds; time for the restart and announcement of a crashed instance
 
 
@@ -59,7 +66,7 @@
         return max(0.0, pause, self._suspects.blocked_for(fingerprint))
 
     def runs_alone(self, fingerprint: int) -> bool:
-        """Return whether a request ran in two recent crashes, and may only run alone."""
+        """Return whether a request ran in several recent crashes, and may only run alone."""
         return self._suspects.count_crashes(fingerprint) > 1 and bool(self.group_limit(fingerprint))
 
     def group_limit(self, fingerprint: int) -> int:
@@ -68,7 +75,8 @@
         own_count = suspects.count_crashes(fingerprint)
         if own_count == 0:
             return 0
-        earliest = self._clock.boottime() - ISOLATION_TIME
+        lasts = ISOLATION_TIME if own_count < CRASHES_TO_BLOCK else BLOCK_TIME
+        earliest = self._clock.boottime() - lasts
         sizes = [
             len(crash.fingerprints)
             for crash in suspects.crashes_of(fingerprint)
--- a/packages/thorntray/src/thorntray/internal/overload/crash_suspects.py
+++ b/packages/thorntray/src/thorntray/internal/overload/crash_suspects.py
@@ -15,6 +15,10 @@
 * A crash points at a fingerprint only if few of those that ran then were in as many crashes: the
   others explain it better, or it cannot be told which one it was. A culprit that ran beside a
   hundred others each time is the only one that ran in all three crashes.
+* A fingerprint is blocked only once it is told apart: in one of its crashes, no other ran in as
+  many. A block of all that are left would refuse the innocent ones, and with them the successes
+  that clear them. Those left run alone instead (`crash_isolation`), so the next crash or the next
+  success tells which one it was.
 * Crashes at one moment count at most twice, so that no single event leads to a block. If many
   instances crash at once, as when a failure domain loses power, they count only for a fingerprint
   that ran in many of them.
@@ -211,12 +215,16 @@
         """Return the time until which the known crashes block a fingerprint, 0 if they do not."""
         crashes = sorted(self.crashes_of(fingerprint), key=lambda crash: crash.at)
         counted: list[float] = []
+        told_apart = False
         for crash in crashes[-MAX_COUNTED:]:
             if not self._points_at(crash, fingerprint) or self.is_correlated(crash, fingerprint):
                 continue
+            told_apart = told_apart or self._ran_most_often(crash, fingerprint)
             if sum(crash.at - at < COINCIDENCE_WINDOW for at in counted) < MAX_COINCIDENT:
                 counted.append(crash.at)
-        return counted[-1] + BLOCK_TIME if len(counted) >= CRASHES_TO_BLOCK else 0.0
+        if len(counted) < CRASHES_TO_BLOCK or not told_apart:
+            return 0.0
+        return counted[-1] + BLOCK_TIME
 
     def _points_at(self, crash: Crash, fingerprint: int) -> bool:
         """Return whether few other suspects explain a crash as well as this one."""
@@ -224,6 +232,12 @@
         equal = sum(self._count_moments(other) >= own for other in crash.fingerprints)
         return equal <= MAX_EQUAL_SUSPECTS
 
+    def _ran_most_often(self, crash: Crash, fingerprint: int) -> bool:
+        """Return whether each other suspect of a crash ran in fewer crashes than this one."""
+        own = self.count_crashes(fingerprint)
+        others = crash.fingerprints - {fingerprint}
+        return all(self.count_crashes(other) < own for other in others)
+
     def is_correlated(self, crash: Crash, fingerprint: int) -> bool:
         """Return whether a crash is one of many at one moment that have another cause."""
         if crash.running == 1:
--- a/tests/test_crash_isolation.py
+++ b/tests/test_crash_isolation.py
@@ -91,6 +91,30 @@
     assert all(run.statuses[path] == [200] for path in paths)
 
 
+def test_a_request_that_ran_in_the_same_three_crashes_as_a_culprit_is_served_after_the_pause():
+    """Guards against evidence that the refusal itself keeps away, for ten minutes."""
+    beside = "/prices/beside"
+
+    async def scenario(fleet):
+        run = Run()
+        await start_fleet(fleet, run, 4)
+        for crash_id in range(3):
+            report_crash(fleet, crash_id, [CULPRIT, beside], 0.3 - 0.15 * crash_id)
+        entries = list(fleet.nodes)
+        for number in range(int((SECOND_CRASH_PAUSE + 5.0) / 0.25)):
+            name = entries[number % len(entries)]
+            sends = (get(fleet, run, name, path, f"{path}{number}") for path in (CULPRIT, beside))
+            await asyncio.gather(*sends)
+            await asyncio.sleep(0.25)
+        return run, [node.suspects.blocked for node in fleet.nodes.values()]
+
+    run, blocked = run_virtual_scenario(scenario)
+    assert run.statuses[beside][-10:] == [200] * 10
+    assert run.statuses[CULPRIT][-1] == 503
+    assert len(run.crashes) <= MAX_FURTHER_SENDS
+    assert all(len(fingerprints) == 1 for fingerprints in blocked)
+
+
 def test_two_culprits_at_once_are_both_refused():
     run = run_load(Load(instances=4, culprits=(CULPRIT, OTHER_CULPRIT), seconds=16.0))
     for culprit in (CULPRIT, OTHER_CULPRIT):
--- a/tests/test_crash_suspects.py
+++ b/tests/test_crash_suspects.py
@@ -121,6 +121,37 @@
     assert not evidence.suspects.is_suspected(POPULAR)
 
 
+def test_requests_of_the_same_three_crashes_are_not_blocked_before_they_are_told_apart():
+    """Guards against the refusal of an innocent request that cannot succeed while refused."""
+    evidence = Evidence()
+    for _ in range(3):
+        evidence.crash(CULPRIT, POPULAR, beside=2, step=0.15)
+    evidence.wait(WATCH_TIME)
+    assert not evidence.blocked
+    evidence.crash(CULPRIT, beside=2)
+    assert evidence.blocked == {CULPRIT}
+
+
+def test_a_success_of_one_of_two_that_ran_in_three_crashes_blocks_the_other():
+    """Guards against a culprit that needs a further crash though nothing else is suspected."""
+    evidence = Evidence()
+    for _ in range(3):
+        evidence.crash(CULPRIT, POPULAR)
+    assert not evidence.blocked
+    evidence.suspects.record_success(POPULAR)
+    evidence.wait(0.0)
+    assert evidence.blocked == {CULPRIT}
+
+
+def test_a_culprit_of_three_crashes_at_nearly_one_moment_is_told_apart_by_their_number():
+    """Guards against further sends of a culprit when crashes at one moment count as one."""
+    evidence = Evidence()
+    for other in (POPULAR, OTHER_CULPRIT, POPULAR):
+        evidence.crash(CULPRIT, other, step=0.15)
+    evidence.wait(WATCH_TIME)
+    assert evidence.blocked == {CULPRIT}
+
+
 def test_a_clear_from_another_node_ends_a_block():
     evidence = Evidence()
     for _ in range(3):
--- a/tests/test_isolation_decisions.py
+++ b/tests/test_isolation_decisions.py
@@ -6,7 +6,7 @@
     SECOND_CRASH_PAUSE,
     CrashIsolation,
 )
-from thorntray.internal.overload.crash_suspects import Crash, CrashSuspects
+from thorntray.internal.overload.crash_suspects import BLOCK_TIME, Crash, CrashSuspects
 
 CULPRIT, OTHER = 1, 2
 
@@ -121,6 +121,18 @@
     assert evidence.isolation.refused_for(CULPRIT) == 0.0
 
 
+def test_suspects_of_three_crashes_that_are_not_told_apart_run_alone_as_long_as_a_block_lasts():
+    """Guards against a culprit that comes back later, and beside the same request again."""
+    evidence = Evidence()
+    for _ in range(3):
+        evidence.crash(CULPRIT, OTHER)
+    evidence.clock.now += BLOCK_TIME - 1.0
+    assert evidence.isolation.refused_for(OTHER) == 0.0
+    assert evidence.start_all([CULPRIT, OTHER]) == [CULPRIT]
+    evidence.clock.now += 1.0
+    assert evidence.isolation.group_limit(CULPRIT) == 0
+
+
 def test_a_power_loss_of_many_instances_isolates_nothing():
     evidence = Evidence()
     for number in range(6):
