--- a/tests/test_crash_isolation.py
+++ b/tests/test_crash_isolation.py
@@ -10,6 +10,7 @@
 
 from tests.crash_fleet import (
     CULPRIT,
+    KNOWN_TIME,
     OTHER_CULPRIT,
     Load,
     Restart,
@@ -115,6 +116,38 @@
     assert all(len(fingerprints) == 1 for fingerprints in blocked)
 
 
+def test_a_frequent_request_is_served_all_the_time_after_the_third_crash_beside_it():
+    """Guards against a refusal for what the request ran beside, where no load can refuse it."""
+    path = "/prices/often"
+
+    async def scenario(fleet):
+        run = Run()
+        await start_fleet(fleet, run, 3)
+        entries = list(fleet.nodes)
+
+        async def send_often(caller):
+            for number in range(400):
+                await get(fleet, run, entries[number % 5], path, f"{caller}-{number}")
+                await asyncio.sleep(0.03)
+
+        callers = [asyncio.ensure_future(send_often(caller)) for caller in range(6)]
+        for number in range(24):
+            if len(run.crashes) >= 3:
+                break
+            await asyncio.sleep(0.5)
+            await get(fleet, run, entries[number % 5], CULPRIT, f"culprit-{number}")
+        run.statuses[path].clear()  # in the first crashes, all instances may be down at one moment
+        await asyncio.sleep(KNOWN_TIME)
+        for caller in callers:
+            caller.cancel()
+        return run, [node.suspects.blocked for node in fleet.nodes.values()]
+
+    run, blocked = run_virtual_scenario(scenario)
+    statuses = run.statuses[path]
+    assert len(run.crashes) == 3 and all(len(fingerprints) == 1 for fingerprints in blocked)
+    assert statuses.count(200) >= 0.95 * len(statuses) and len(statuses) > 50
+
+
 def test_two_culprits_at_once_are_both_refused():
     run = run_load(Load(instances=4, culprits=(CULPRIT, OTHER_CULPRIT), seconds=16.0))
     for culprit in (CULPRIT, OTHER_CULPRIT):
