Tests of the process watcher wait for the restart instead of a fixed time

Cause, a wrong premise of the test: watch() cancelled the watcher 0.3 s after its own start, of which the delay until a restart is 0.1 s. If the first check, which reads the log of the process, takes more than 0.2 s on a loaded machine, the restart is cancelled before it is due, and 'starts == [node]' is not met. That this was the lost failure was not shown.

watch() now lets the watcher judge the process, waits until the restarts that this began have ended, and only then watches for the same 0.3 s, so that a second report or restart is still seen. All assertions are unchanged.

--- a/tests/test_soak_limits.py
+++ b/tests/test_soak_limits.py
@@ -78,6 +78,8 @@
 
     async def work():
         task = asyncio.create_task(watcher.run())
+        await asyncio.sleep(0)  # the first step of the watcher judges the process
+        await asyncio.gather(*asyncio.all_tasks() - {task, asyncio.current_task()})  # restarts
         await asyncio.sleep(seconds)
         task.cancel()
 
