Failed tests are named at once, and a failure to format a report does not end the run

The summary was never printed, so the names of two failed tests were lost.

That the report of an exception in __del__, which this run printed, was the inner one was not shown.

tests/conftest.py now makes the report of a phase itself and leaves it to pytest's own hook if that raises SystemError, so the failure is formatted a second time; expected failures are handled as before. The main process prints 'FAILED node id (phase)' for each failed test as it comes.

--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -1,4 +1,4 @@
-"""Shared pytest configuration: a derandomized Hypothesis profile and known failing tests."""
+"""Shared pytest configuration: Hypothesis profile, known failing tests, reports of failures."""
 
 import sys
 from pathlib import Path
@@ -83,3 +83,40 @@
 def pytest_xdist_make_scheduler(config, log):
     """Replace the scheduler of `--dist loadgroup`."""
     return SharedFleetScheduling(config, log) if config.getvalue("dist") == "loadgroup" else None
+
+
+class FailurePrinter:
+    """Prints the node id of each failed test at once, in case that the run ends without a summary.
+
+    An internal error of a worker ends a run of pytest-xdist before its summary is printed.
+    """
+
+    def __init__(self, write_line):
+        self._write_line = write_line
+
+    def pytest_runtest_logreport(self, report):
+        """Print the node id of a test that failed, and the phase in which it did."""
+        if report.failed:
+            self._write_line(f"FAILED {report.nodeid} ({report.when})")
+
+
+@pytest.hookimpl(trylast=True)
+def pytest_configure(config):
+    """Print failures from the main process, which has the terminal."""
+    terminal = config.pluginmanager.get_plugin("terminalreporter")
+    if terminal is not None and not hasattr(config, "workerinput"):
+        config.pluginmanager.register(FailurePrinter(terminal.write_line))
+
+
+@pytest.hookimpl(tryfirst=True)
+def pytest_runtest_makereport(item, call):
+    """Format a failure again, by pytest's own hook, if the first try raises a SystemError.
+
+    CPython 3.11 raises "AST constructor recursion depth mismatch" if the garbage collector runs
+    code that parses a syntax tree, such as the report of an exception in `__del__`, while pytest
+    parses the source of a failed test. The error would end the worker.
+    """
+    try:
+        return pytest.TestReport.from_item_and_call(item, call)
+    except SystemError:
+        return None
