Test of a stop right after the start keeps the node from becoming ready

Cause, a wrong premise of the test: it expects 503 since a node that has just begun to listen knows no instance for the lookup. Its peers tell it of them within 50 ms. If the test is delayed for that long between its connect, its SIGTERM and its request, the node serves the request during its stop, as it should.

The two peers are now suspended from before the start until the node has ended, so that it cannot learn of the instance however late the signal is sent. All assertions are unchanged.

--- a/tests/test_node_stops.py
+++ b/tests/test_node_stops.py
@@ -5,6 +5,7 @@
 import subprocess
 import time
 from concurrent.futures import ThreadPoolExecutor
+from contextlib import contextmanager
 
 import pytest
 
@@ -55,6 +56,17 @@
     return ThreadPoolExecutor(1).submit(function, *args)
 
 
+@contextmanager
+def suspended(*processes):
+    for process in processes:
+        process.send_signal(signal.SIGSTOP)
+    try:
+        yield
+    finally:
+        for process in processes:
+            process.send_signal(signal.SIGCONT)
+
+
 def lookup(query="", **headers):
     return request_bytes("GET", LOOKUP_PATH + query, {**LONG_DEADLINE, **headers})
 
@@ -151,12 +163,14 @@
 def test_a_stop_right_after_the_start_answers_the_connection_that_it_has_taken(fleet):
     fleet.stopping.node.kill()
     fleet.stopping.node.wait()
-    fleet.start_node(fleet.stopping)
-    with connect_early(fleet.stopping) as caller:
-        fleet.stopping.node.terminate()
-        caller.sendall(lookup())
-        assert read_answer(caller.makefile("rb"))[0] == 503
-        assert fleet.stopping.node.wait(EXIT_TIMEOUT) == 0
+    # Suspended peers don't tell the node of instances for the lookup before the signal is sent.
+    with suspended(fleet.haul.node, fleet.other.node):
+        fleet.start_node(fleet.stopping)
+        with connect_early(fleet.stopping) as caller:
+            fleet.stopping.node.terminate()
+            caller.sendall(lookup())
+            assert read_answer(caller.makefile("rb"))[0] == 503
+            assert fleet.stopping.node.wait(EXIT_TIMEOUT) == 0
 
 
 @pytest.mark.parametrize("signum", [signal.SIGTERM, signal.SIGINT])
