Links: ask for room before compressed input is expanded

Cause: links into another failure domain are compressed, and everything that a read of the socket brought was expanded in one step, before the gate of the link was asked for room. One read of 256 KB may hold a body of 40 MB of equal bytes (178 KB compressed), so the bound of a node's memory did not hold for such links, and the event loop stood still meanwhile.

Change: `CompressedInput` expands 256 KB at a time. The gate is asked after each part; while it does not admit the frame, the rest stays compressed and counts in `received_bytes`.

Before: test_compressed_input, the frame of 40 MB was delivered although the budget was full. After: reading is paused after the first part; the frame and those behind it arrive once there is room.

--- a/packages/thorntray/src/thorntray/internal/connection/link_connection.py
+++ b/packages/thorntray/src/thorntray/internal/connection/link_connection.py
@@ -17,6 +17,7 @@
 from typing import Protocol
 
 from thorntray.errors import BadMessage
+from thorntray.internal.connection.compressed_input import CompressedInput
 from thorntray.internal.connection.frame import (
     LARGE_BODY_BYTES,
     WITH_BODY,
@@ -49,7 +50,6 @@
 # and peers give up all links to a node that does not answer their pings for 0.7 s.
 COMPRESSED_AT_ONCE = 256 * 1024
 PLAIN_STREAM, COMPRESSED_STREAM = b"\x00", b"\x01"  # the first byte of a connection
-RAW_DEFLATE_WBITS = -15  # raw deflate stream without zlib header
 COMPRESSION_WBITS = -12  # window of 4 KiB, a few frames
 COMPRESSION_MEMORY_LEVEL = 5  # 16 KiB of state for each link
 
@@ -96,7 +96,7 @@
         self._uncompressed_bytes = 0
         self._queued_bytes = 0  # in `_outgoing`
         self._compressor: zlib._Compress | None = None
-        self._decompressor: zlib._Decompress | None = None
+        self._compressed_input: CompressedInput | None = None
         self._written_bytes = 0  # passed to the transport so far
         self._output_check: asyncio.TimerHandle | None = None  # while output is waiting
         self._loop = asyncio.get_running_loop()
@@ -124,8 +124,9 @@
 
     @property
     def received_bytes(self) -> int:
-        """Return the bytes of an incomplete frame."""
-        return self._reader.received
+        """Return the bytes of an incomplete frame, and those that are not decompressed yet."""
+        waiting = 0 if self._compressed_input is None else self._compressed_input.size
+        return waiting + self._reader.received
 
     @property
     def stalled(self) -> bool:
@@ -155,20 +156,39 @@
                 if data[:1] == COMPRESSED_STREAM:
                     self._enable_compression()
                 data = data[1:]
-            if self._decompressor is not None:
-                data = self._decompressor.decompress(data)
-            completed = self._dispatch(data)
-            if completed and self._reading_large and self._gate is not None:
-                # The next frame, which may have begun in the same read, has to be admitted itself.
-                self._reading_large = False
-                self._gate.release(self)
-            if self._reader.incomplete:
-                self._send_sign_of_life(now)
-                if not self._reading_paused:
-                    self._read_on_if_admitted(now)
+            if self._compressed_input is None:
+                self._receive(data, now)
+            else:
+                self._compressed_input.add(data)
+                self._expand_input(now)
         except (BadMessage, zlib.error) as exc:
-            log_event(Event.BAD_MESSAGE, detail=str(exc), peer=self.peer)
-            self.abort(LostReason.MALFORMED)
+            self._abort_as_malformed(exc)
+
+    def _receive(self, data: bytes, now: float) -> None:
+        """Handle frames; raises `BadMessage`. Reading is paused while there is no room for more."""
+        completed = self._dispatch(data)
+        if completed and self._reading_large and self._gate is not None:
+            # The next frame, which may have begun in the same read, has to be admitted itself.
+            self._reading_large = False
+            self._gate.release(self)
+        if self._reader.incomplete:
+            self._send_sign_of_life(now)
+            if not self._reading_paused:
+                self._read_on_if_admitted(now)
+
+    def _expand_input(self, now: float) -> None:
+        """Decompress and handle what was received, until reading is paused or the link ends."""
+        if self._compressed_input is None:
+            return
+        while not (self._reading_paused or self.lost or self._going_away):
+            part = self._compressed_input.next_part()
+            if not part:
+                return
+            self._receive(part, now)
+
+    def _abort_as_malformed(self, exc: Exception) -> None:
+        log_event(Event.BAD_MESSAGE, detail=str(exc), peer=self.peer)
+        self.abort(LostReason.MALFORMED)
 
     def eof_received(self) -> bool:
         """Notify the handler now; `connection_lost` is called in a later iteration of the loop."""
@@ -288,7 +308,7 @@
         self._compressor = zlib.compressobj(
             COMPRESSION_LEVEL, zlib.DEFLATED, COMPRESSION_WBITS, COMPRESSION_MEMORY_LEVEL
         )
-        self._decompressor = zlib.decompressobj(RAW_DEFLATE_WBITS)
+        self._compressed_input = CompressedInput()
 
     def _flush(self) -> None:
         if self.lost or self._transport is None or self._transport.is_closing():
@@ -400,9 +420,14 @@
 
     def _retry_reading(self) -> None:
         now = self._clock.monotonic()
-        if not self.lost:
-            self._send_sign_of_life(now)
-            self._read_on_if_admitted(now)
+        if self.lost:
+            return
+        self._send_sign_of_life(now)
+        self._read_on_if_admitted(now)
+        try:
+            self._expand_input(now)
+        except (BadMessage, zlib.error) as exc:
+            self._abort_as_malformed(exc)
 
     def _send_sign_of_life(self, now: float) -> None:
         if now - self._last_sign_at > SIGN_PERIOD:
