Store client: a kept connection holds no reply that was given to its caller

Cause: `_Connection` kept the parts of its last body and the future with the joined body until the next call on it. An idle connection thus held up to 16 MB that the budget of memory does not count.

Change: both are given up when the call ends.

After: less than 1 MB.

--- a/packages/thorntray/src/thorntray/internal/connection/http_client.py
+++ b/packages/thorntray/src/thorntray/internal/connection/http_client.py
@@ -84,7 +84,10 @@
         self._received = self._interim_replies = 0
         self._reply = asyncio.get_running_loop().create_future()
         self._transport.write(request)
-        return await self._reply
+        try:
+            return await self._reply
+        finally:  # a kept connection holds no reply that was given to its caller
+            self._reply, self._body = None, []
 
     def close(self) -> None:
         """Close the connection at once, and drop what has come of a reply."""
--- a/tests/test_http_client.py
+++ b/tests/test_http_client.py
@@ -4,6 +4,7 @@
 import os
 import subprocess
 import sys
+import tracemalloc
 from pathlib import Path
 
 import pytest
@@ -251,6 +252,27 @@
     assert [conn._body for conn in connections] == [[]]
 
 
+def test_a_kept_connection_does_not_hold_its_last_reply():
+    # Failure: each idle connection to the store held the last reply twice, up to 16 MB.
+    size = 4_000_000
+    reply = b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % size + bytes(size)
+
+    async def scenario(client, server):
+        tracemalloc.start()
+        try:
+            before, _ = tracemalloc.get_traced_memory()
+            received = len((await get(client, server)).body)
+            await asyncio.sleep(0.01)  # the event loop holds it for the rest of a turn
+            held = tracemalloc.get_traced_memory()[0] - before
+        finally:
+            tracemalloc.stop()
+        return received, held, server.closed_connections
+
+    received, held, closed = run([reply], scenario)
+    assert (received, closed) == (size, 0)
+    assert held < size // 4
+
+
 def test_an_idle_connection_is_not_used_after_its_time(monkeypatch):
     monkeypatch.setattr(http_client, "IDLE_TIMEOUT", 0.0)
 
