Store client of the product: bound replies as that of a MeshNode does

Cause: `AiohttpClient` read a whole body whatever its size, so a store that sends bytes for ever took all memory of a node with an INI file until the call timed out.

Change: a body of more than `MAX_REPLY_BYTES` is given up, and its connection closed.

Before: test_aiohttp_client, bodies of 32 MB with and without a length were returned. After: `NoReply` after 8 MB.

--- a/packages/thorntray/src/thorntray/internal/store/aiohttp_client.py
+++ b/packages/thorntray/src/thorntray/internal/store/aiohttp_client.py
@@ -10,6 +10,7 @@
 from thorntray.errors import NoReply, NotConnected
 from thorntray.internal.connection.http_client import (
     CONNECT_TIMEOUT,
+    MAX_REPLY_BYTES,
     HttpReply,
     enable_keepalive,
 )
@@ -30,7 +31,7 @@
                 method, url, data=body, headers=headers, timeout=limits
             ) as resp:
                 fields = {name.lower(): value for name, value in resp.headers.items()}
-                return HttpReply(resp.status, fields, await resp.read())
+                return HttpReply(resp.status, fields, await _read_body(resp))
         except (aiohttp.ClientConnectorError, aiohttp.ServerTimeoutError) as exc:
             raise NotConnected(f"no connection: {exc!r}") from exc
         except (aiohttp.ClientError, OSError, TimeoutError) as exc:
@@ -52,6 +53,19 @@
         return self._session
 
 
+async def _read_body(resp: aiohttp.ClientResponse) -> bytes:
+    """Return the body; raises `NoReply` and closes the connection if it is too large."""
+    parts: list[bytes] = []
+    size = 0
+    async for part in resp.content.iter_any():
+        size += len(part)
+        if size > MAX_REPLY_BYTES:
+            resp.close()
+            raise NoReply(f"more than {MAX_REPLY_BYTES} bytes")
+        parts.append(part)
+    return b"".join(parts)
+
+
 def _keepalive_socket(addr_info: tuple) -> socket.socket:
     family, kind, proto, _, _ = addr_info
     sock = socket.socket(family, kind, proto)
