--- a/tests/test_process_end.py
+++ b/tests/test_process_end.py
@@ -121,9 +121,11 @@
         assert "'Self'" in last_line(node.log)["detail"]
 
 
+# Failure of the ports: OverflowError at the bind, a FAILED with code 1.
 @pytest.mark.process
-def test_an_unknown_flag_is_the_cause(tmp_path):
-    with PlatformProcess(tmp_path, arguments=("--no_such_flag",)) as node:
+@pytest.mark.parametrize("flag", ["--no_such_flag", "--metrics_port=70000", "--metrics_port=-1"])
+def test_an_unknown_flag_or_value_is_the_cause(tmp_path, flag):
+    with PlatformProcess(tmp_path, arguments=(flag,)) as node:
         assert end_of(node) == ("INVALID_FLAGS", 2, "settings")
 
 
