Bound the bodies at the servers for readiness, announcements and metrics

Cause: these servers had the limit of the callers' server, 64 MiB for each body, while the budget of memory reads only the callers' bytes. 24 connections for announcements could hold 1.5 GB.

Change: 64 KiB for each body, refused with 413 by its announced length.

--- a/packages/thorntray-node/src/thorntray_node/mesh_start.py
+++ b/packages/thorntray-node/src/thorntray_node/mesh_start.py
@@ -8,6 +8,7 @@
 from typing import TYPE_CHECKING
 
 from thorntray.internal.connection.exchange import Exchange
+from thorntray.internal.connection.http_request import RequestLimits
 from thorntray.internal.connection.http_server import HttpServer
 from thorntray.internal.connection.link_listener import LinkListener
 from thorntray.internal.membership.crash_reports import CrashReports
@@ -45,6 +46,8 @@
 if TYPE_CHECKING:
     from thorntray_node.mesh_node import MeshNode
 
+# Of the servers for readiness, announcements and metrics, whose bodies no budget counts.
+OWN_SERVER_LIMITS = RequestLimits(body_bytes=64 * 1024)
 SEED_TIMING = SeedTiming(
     ttl=10,
     renew_period=3.0,
@@ -165,6 +168,8 @@
             cfg.bind_host, cfg.metrics_port, node.metrics, node.drain, node.clock
         )
         node.metrics_server = self._metrics.server
+        for server in (node.readiness, node.announcements, node.metrics_server):
+            server.limits = OWN_SERVER_LIMITS
         node.peer_requests = PeerRequests(node.owner, node.policy_watch)
         node.listener = LinkListener(
             cfg.bind_host, cfg.link_port, node.peer_requests, node.clock, node.memory
