Ignore stop signals after a stopped start of `thorntray-node`, too

Cause: a node that is told to stop while it waits for a port left its handlers in place.

Change: the signals are ignored before the exit, as after a stop of a node that has served.

Before: test_product_start, SIGTERM every half millisecond: -15 in 2 of 2 runs. After: 0 in 3 of 3.

--- a/packages/thorntray-node/src/thorntray_node/node_command.py
+++ b/packages/thorntray-node/src/thorntray_node/node_command.py
@@ -99,6 +99,7 @@
         return EXIT_CANNOT_BIND
     if not started:
         log_event(Event.STOPPED, step="start", unanswered=0)
+        ignore_signals(STOP_SIGNALS)
         return 0
     freeze_startup_objects()
     handle_signals((signal.SIGUSR1,), lambda: _write_dump(node))
--- a/tests/test_product_start.py
+++ b/tests/test_product_start.py
@@ -13,6 +13,7 @@
 
 HOLD_TIME = 2.5  # seconds
 SERVE_TIME = 5.0  # seconds from a free port until a call is answered, on a loaded machine
+SIGNAL_PERIOD = 0.0005  # seconds
 PROMPT_END = 2.0  # seconds; less than a stop that drains
 TCP_PORTS = ("http_port", "peer_port", "document_port")
 
@@ -33,6 +34,12 @@
     return (fleet.folder / f"{site.name}.log").read_text("utf-8")
 
 
+def wait_for_taken_port(fleet: Fleet, site: Site, node: subprocess.Popen) -> None:
+    while "E123" not in read_log(fleet, site):
+        assert node.poll() is None, read_log(fleet, site)
+        time.sleep(0.05)
+
+
 # Issue 59: the callers' port listened first; if a later one was taken, callers were reset.
 @pytest.mark.parametrize("key", [*TCP_PORTS, "gossip_port"])
 def test_a_port_taken_at_the_start_neither_ends_the_process_nor_loses_a_caller(fleet, key):
@@ -53,10 +60,21 @@
     site = Site("tariff-1", "tariff", "kalimati", 5, 0.005)
     with HeldPort(HOST, site.document_port):
         node = start_node(fleet, site)
-        while "E123" not in read_log(fleet, site):
-            assert node.poll() is None, read_log(fleet, site)
-            time.sleep(0.05)
+        wait_for_taken_port(fleet, site, node)
         began = time.monotonic()
         node.terminate()
         assert node.wait(PROMPT_END) == 0
         assert time.monotonic() - began < PROMPT_END
+
+
+# Failure: a further signal ended the process with -15 after its last line had told code 0.
+def test_signals_until_the_exit_do_not_change_the_end_of_a_start_that_was_stopped(fleet):
+    site = Site("tariff-1", "tariff", "kalimati", 5, 0.005)
+    with HeldPort(HOST, site.document_port):
+        node = start_node(fleet, site)
+        wait_for_taken_port(fleet, site, node)
+        deadline = time.monotonic() + SERVE_TIME
+        while node.poll() is None and time.monotonic() < deadline:
+            node.terminate()
+            time.sleep(SIGNAL_PERIOD)
+        assert node.poll() == 0
