--- a/packages/thorntray/src/thorntray/internal/request/crash_watch.py
+++ b/packages/thorntray/src/thorntray/internal/request/crash_watch.py
@@ -44,6 +44,13 @@
 MAX_LOGGED_REQUESTS = 5
 
 
+class LostRequest(NamedTuple):
+    """A request that an instance may have run when it crashed."""
+
+    request_id: bytes
+    fingerprint: int
+
+
 class CrashWatchDependencies(NamedTuple):
     """Components that a `CrashWatch` uses."""
 
@@ -65,7 +72,7 @@
     began_at: float  # boot time
     first_at: float  # monotonic seconds
     last_at: float  # monotonic seconds
-    lost: list[tuple[bytes, int]] = field(default_factory=list)  # IDs and fingerprints
+    lost: list[LostRequest] = field(default_factory=list)
     held: list["OwnerRequest"] | None = field(default_factory=list)  # None after the first probe
     settled: bool = False  # judged a crash, or found to be none
     crashed: bool = False
@@ -107,7 +114,8 @@
             deps.spawn(self._judge(losses))
         if losses.crashed or request.started_at > losses.first_at:
             return False  # sent after the crash, if it was one, so the instance did not run it
-        losses.lost.append((request.call.request_id, fingerprint_of_call(request.call)))
+        call = request.call
+        losses.lost.append(LostRequest(call.request_id, fingerprint_of_call(call)))
         losses.last_at = now
         if losses.held is None:
             return False
@@ -188,13 +196,22 @@
         losses.crashed = True
         since = losses.first_at - ABANDONED_TIME
         ran = list(losses.lost)
-        ran += [a[:2] for a in self._abandoned if a.boot == losses.boot and a.at > since]
+        ran += [
+            LostRequest(a.request_id, a.fingerprint)
+            for a in self._abandoned
+            if a.boot == losses.boot and a.at > since
+        ]
         losses.alone = len(ran) == 1
         losses.lost.clear()
         reported = choose_reported(
-            [f for _, f in ran], MAX_REPORTED_FINGERPRINTS, deps.suspects, deps.rng.random
+            [entry.fingerprint for entry in ran],
+            MAX_REPORTED_FINGERPRINTS,
+            deps.suspects,
+            deps.rng.random,
+        )
+        by_suspicion = sorted(
+            ran, key=lambda entry: -deps.suspects.count_crashes(entry.fingerprint)
         )
-        by_suspicion = sorted(ran, key=lambda entry: -deps.suspects.count_crashes(entry[1]))
         shown = by_suspicion[:MAX_LOGGED_REQUESTS]
         log_event(
             Event.INSTANCE_CRASHED,
