One definition of the exit codes of a node process

2 and 3 were defined in both commands and once more in the table of causes. Both commands and the tests use `ExitCode` now; the codes are unchanged.

--- a/packages/thorntray-node/src/thorntray_node/node_command.py
+++ b/packages/thorntray-node/src/thorntray_node/node_command.py
@@ -25,12 +25,10 @@
 from thorntray_node.garbage import freeze_startup_objects
 from thorntray_node.http import NodeServer, make_server
 from thorntray_node.node import Node
-from thorntray_node.process_end import Cause, process_end
+from thorntray_node.process_end import Cause, ExitCode, process_end
 from thorntray_node.process_signals import STOP_SIGNALS, handle_signals, ignore_signals
 from thorntray_node.settings_wait import log_wait, wait_for_settings
 
-EXIT_BAD_SETTINGS = 2
-EXIT_CANNOT_BIND = 3
 HTTP_BACKLOG = 1024  # connections waiting to be accepted
 CONNECTION_CLOSE_DELAY = 0.5  # seconds that open connections are served during the stop
 MIN_CLOSE_TIME = 1.0  # seconds in which answers are sent after `drain_limit`
@@ -60,7 +58,7 @@
         cfg = _read_settings(Path(_CONFIG.value))
     except InvalidSettings as exc:
         process_end.explain(Cause.INVALID_SETTINGS, str(exc))
-        return EXIT_BAD_SETTINGS
+        return ExitCode.BAD_SETTINGS
     if _CHECK.value:
         print(f"{_CONFIG.value}: valid")
         return 0
@@ -96,7 +94,7 @@
         started = await run_unless_stopped(node.start(callers), stop)
     except (OSError, pynng.NNGException) as exc:
         process_end.explain(Cause.PORT_TAKEN, f"cannot open the ports of {cfg.name}: {exc}")
-        return EXIT_CANNOT_BIND
+        return ExitCode.CANNOT_BIND
     if not started:
         log_event(Event.STOPPED, step="start", unanswered=0)
         ignore_signals(STOP_SIGNALS)
--- a/packages/thorntray-node/src/thorntray_node/process_end.py
+++ b/packages/thorntray-node/src/thorntray_node/process_end.py
@@ -15,14 +15,22 @@
 import traceback
 from collections.abc import Callable
 from contextlib import suppress
-from enum import Enum
+from enum import Enum, IntEnum
 from typing import TextIO
 
 EVENT_NUMBER, EVENT_NAME = 127, "PROCESS_ENDED"  # in the catalogue of events
 UNKNOWN_NODE = "-"  # until the settings name the node
 MAX_DETAIL_LENGTH = 500  # characters; the line fits into one write to a pipe
-EXIT_FAILURE = 1
-EXIT_INTERRUPTED = 130  # as shells show an end by SIGINT
+
+
+class ExitCode(IntEnum):
+    """The exit codes of a node process; docs/OPERATIONS.md has what to do about each."""
+
+    STOPPED = 0
+    FAILED = 1
+    BAD_SETTINGS = 2
+    CANNOT_BIND = 3
+    INTERRUPTED = 130  # as shells show an end by SIGINT
 
 
 class Cause(Enum):
@@ -37,7 +45,11 @@
     FAILED = "unexpected exception"
 
 
-CAUSES_BY_CODE = {0: Cause.STOPPED, 2: Cause.INVALID_SETTINGS, 3: Cause.PORT_TAKEN}
+CAUSES_BY_CODE = {
+    ExitCode.STOPPED: Cause.STOPPED,
+    ExitCode.BAD_SETTINGS: Cause.INVALID_SETTINGS,
+    ExitCode.CANNOT_BIND: Cause.PORT_TAKEN,
+}
 
 
 class ProcessEnd:
@@ -76,18 +88,18 @@
             return self._code_of(exc)
         except KeyboardInterrupt:
             self.cause = Cause.INTERRUPTED
-            return EXIT_INTERRUPTED
+            return ExitCode.INTERRUPTED
         except BaseException as exc:
             self.cause = Cause.IMPORT_FAILED if self.step == "import" else Cause.FAILED
             self.detail = repr(exc)
             self._write_error(traceback.format_exc())
-            return EXIT_FAILURE
+            return ExitCode.FAILED
 
     def _code_of(self, exc: SystemExit) -> int:
         if exc.code is None or isinstance(exc.code, int):
             return exc.code or 0
         self.explain(Cause.FAILED, str(exc.code))
-        return EXIT_FAILURE
+        return ExitCode.FAILED
 
     def explain(self, cause: Cause, detail: str) -> None:
         """Set why the process ends, and write it to standard error for a human reader."""
--- a/tests/test_soak_starts.py
+++ b/tests/test_soak_starts.py
@@ -18,7 +18,7 @@
 from standins.mesh_fleet import FIRST_PEER_PORT, STOP_TIMEOUT, SentSignal, without_streams
 from standins.worker import Endpoint
 from tests.soak_builders import ended_node, make_observation, small_fleet
-from thorntray_node.process_end import EXIT_INTERRUPTED
+from thorntray_node.process_end import ExitCode
 
 NODES = [f"n{n}" for n in range(9)]
 HOST = "127.0.0.1"
@@ -68,10 +68,10 @@
         (0, [(HUP, 9.0)], True, False),
         (-TERM, [(TERM, 0.1)], False, True),
         (-INT, [(INT, 0.1)], False, True),
-        (EXIT_INTERRUPTED, [(INT, 0.1)], False, True),
-        (EXIT_INTERRUPTED, [(INT, 9.0)], False, False),
-        (EXIT_INTERRUPTED, [(INT, 0.5)], True, False),
-        (EXIT_INTERRUPTED, [(TERM, 0.1)], False, False),
+        (ExitCode.INTERRUPTED, [(INT, 0.1)], False, True),
+        (ExitCode.INTERRUPTED, [(INT, 9.0)], False, False),
+        (ExitCode.INTERRUPTED, [(INT, 0.5)], True, False),
+        (ExitCode.INTERRUPTED, [(TERM, 0.1)], False, False),
         (-TERM, [(TERM, 9.0)], False, False),  # must have a handler by then
         (-TERM, [(TERM, 0.5)], True, False),  # the handler is gone again
         (-TERM, [(INT, 0.1)], False, False),
