--- a/packages/thorntray-node/src/thorntray_node/http.py
+++ b/packages/thorntray-node/src/thorntray_node/http.py
@@ -19,7 +19,14 @@
 
 from thorntray.internal.connection.accept_queue import close_listener
 from thorntray.internal.connection.kernel_output import kernel_input_bytes
-from thorntray.internal.request.http_answer import REQUEST_ID_HEADER, HttpAnswer, http_answer
+from thorntray.internal.request.http_answer import (
+    DETAIL_HEADER,
+    OUTCOME_HEADER,
+    REQUEST_ID_HEADER,
+    UNPROVEN_OUTCOME,
+    HttpAnswer,
+    http_answer,
+)
 from thorntray.internal.request.ingress import (
     MAX_BODY_BYTES,
     MAX_REQUEST_ID_LENGTH,
@@ -42,10 +49,11 @@
 INPUT_READ_TIME = 0.01  # seconds in which the event loop reads what the kernel holds
 # For a request whose head is incomplete at the stop; its headers are not known.
 HEAD_REFUSAL = (
-    b"HTTP/1.1 503 Service Unavailable\r\nthorntray-outcome: unknown\r\n"
-    b"thorntray-detail: " + NOT_RECEIVED_DETAIL.encode() + b"\r\n"
-    b"retry-after: 1\r\ncontent-length: 0\r\nconnection: close\r\n\r\n"
-)
+    "HTTP/1.1 503 Service Unavailable\r\n"
+    f"{OUTCOME_HEADER}: {UNPROVEN_OUTCOME}\r\n"
+    f"{DETAIL_HEADER}: {NOT_RECEIVED_DETAIL}\r\n"
+    "retry-after: 1\r\ncontent-length: 0\r\nconnection: close\r\n\r\n"
+).encode()
 
 Receive = Callable[[], Awaitable[dict[str, Any]]]
 Send = Callable[[dict[str, Any]], Awaitable[None]]
