--- a/tests/test_product_start.py
+++ b/tests/test_product_start.py
@@ -14,6 +14,7 @@
 START_TIME = 30.0  # seconds until a process has loaded its modules, on a loaded machine
 HOLD_TIME = 2.5  # seconds
 SERVE_TIME = 5.0  # seconds from a free port until a call is answered, on a loaded machine
+SIGNAL_PERIOD = 0.0005  # seconds
 PROMPT_END = 2.0  # seconds; less than a stop that drains
 TCP_PORTS = ("http_port", "peer_port", "document_port")
 
@@ -69,3 +70,16 @@
         node.terminate()
         assert node.wait(PROMPT_END) == 0
         assert time.monotonic() - began < PROMPT_END
+
+
+# Failure: a further signal ended the process with -15 after its last line had told code 0.
+def test_signals_until_the_exit_do_not_change_the_end_of_a_start_that_was_stopped(fleet):
+    site = Site("tariff-1", "tariff", "kalimati", 5, 0.005)
+    with HeldPort(HOST, site.document_port):
+        node = start_node(fleet, site)
+        wait_until_port_taken(fleet, site, node)
+        deadline = time.monotonic() + SERVE_TIME
+        while node.poll() is None and time.monotonic() < deadline:
+            node.terminate()
+            time.sleep(SIGNAL_PERIOD)
+        assert node.poll() == 0
