--- a/tests/test_peer_ports.py
+++ b/tests/test_peer_ports.py
@@ -14,7 +14,7 @@
 from tests.start_builders import HeldPort, Hold
 from thorntray.errors import InvalidSettings, PortTaken, ThorntrayError
 from thorntray.internal.connection import listening_sockets
-from thorntray.internal.connection.listening_sockets import PortName, PortWait, bind_ports, bind_tcp
+from thorntray.internal.connection.listening_sockets import PortName, PortWait, bind_ports
 from thorntray.internal.process.clock import SystemClock
 from thorntray_node.mesh_config import Endpoint, PeerPorts
 
@@ -113,4 +113,4 @@
         asyncio.run(bind_ports(names, PortWait(SystemClock())))
     assert isinstance(raised.value, OSError) and isinstance(raised.value, ThorntrayError)
     assert f"readiness, {HOST}:{second}" in str(raised.value)
-    bind_tcp(HOST, first).close()
+    HeldPort(HOST, first).release()  # with SO_REUSEADDR, a port that is only bound looks free
