--- a/tests/test_server_finish.py
+++ b/tests/test_server_finish.py
@@ -6,14 +6,19 @@
 
 import asyncio
 import socket
+import zlib
 
 import pytest
 
 from thorntray.internal.connection.frame import FrameReader, GoAway, Hello, encode_frame
 from thorntray.internal.connection.http_connection import FIRST_REQUEST_TIME
 from thorntray.internal.connection.http_server import HttpServer
-from thorntray.internal.connection.link_connection import PLAIN_STREAM
-from thorntray.internal.connection.link_listener import LinkListener
+from thorntray.internal.connection.link_connection import (
+    COMPRESSED_STREAM,
+    PLAIN_STREAM,
+    RAW_DEFLATE_WBITS,
+)
+from thorntray.internal.connection.link_listener import FIRST_BYTE_TIME, LinkListener
 from thorntray.internal.process.clock import SystemClock
 
 HOST = "127.0.0.1"
@@ -182,3 +187,51 @@
         return FrameReader().feed(received)
 
     assert asyncio.run(work()) == [GoAway(0)]
+
+
+HELLO = encode_frame(Hello("peer", b"0" * 8, ()))
+
+
+def compressed(data):
+    compressor = zlib.compressobj(wbits=RAW_DEFLATE_WBITS)
+    return compressor.compress(data) + compressor.flush(zlib.Z_SYNC_FLUSH)
+
+
+def decompressed(data):
+    return zlib.decompressobj(RAW_DEFLATE_WBITS).decompress(data)
+
+
+def finish_links(first_bytes):
+    """Return what a peer in the accept queue receives that sends late or nothing, and the time."""
+
+    async def work():
+        listener = LinkListener(HOST, 0, IdleHandler(), SystemClock())
+        await listener.start()
+        peer = connect(listener._server.sockets[0].getsockname())
+        began = asyncio.get_running_loop().time()
+        finishing = asyncio.create_task(listener.finish(0.2))
+        await asyncio.sleep(FIRST_BYTE_TIME / 2)
+        peer.sendall(first_bytes)
+        await asyncio.wait_for(finishing, TIMEOUT)
+        seconds = asyncio.get_running_loop().time() - began
+        received = await read_all(peer) if first_bytes else b""
+        peer.close()
+        return received, seconds
+
+    return asyncio.run(work())
+
+
+@pytest.mark.parametrize(
+    "first_bytes, decode",
+    [(PLAIN_STREAM + HELLO, bytes), (COMPRESSED_STREAM + compressed(HELLO), decompressed)],
+)
+def test_a_new_link_whose_first_byte_is_on_its_way_learns_that_its_calls_never_run(
+    first_bytes, decode
+):
+    # Failure: the answer goes out before it is known whether the link is compressed.
+    received, _ = finish_links(first_bytes)
+    assert FrameReader().feed(decode(received)) == [GoAway(0)]
+
+
+def test_a_new_link_that_sends_nothing_does_not_hold_the_stop():
+    assert finish_links(b"")[1] < 1.0
