Tests of the client of the store tell its bound from its timeout

Cause: test_a_reply_beyond_the_bound_is_none passed without the bound, as the call timed out with the same exception. Counts that are not reset between the calls of a connection were not noticed either.

Change: the test asks for the message of the bound; a test of several calls on one connection.

Before: both mutations survived. After: both are caught.

--- a/tests/test_http_client.py
+++ b/tests/test_http_client.py
@@ -15,6 +15,7 @@
 from thorntray.internal.process.clock import SystemClock
 
 ROOT = Path(__file__).parents[1]
+INTERIM_REPLY = b"HTTP/1.1 100 Continue\r\n\r\n"
 OK_REPLY = b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\nStore-Note: 7\r\n\r\n{}"
 CALL_TIMEOUT = 2.0  # seconds
 
@@ -207,16 +208,29 @@
     monkeypatch.setattr(http_client, "MAX_REPLY_BYTES", 1000)
 
     async def scenario(client, server):
-        with pytest.raises(NoReply):
+        with pytest.raises(NoReply, match="more than 1000 bytes"):
             await get(client, server)
 
     run([b"HTTP/1.1 200 OK\r\nContent-Length: 5000\r\n\r\n" + b"x" * 2000], scenario)
 
 
+def test_the_bounds_of_replies_hold_for_each_call_on_a_connection(monkeypatch):
+    # Failure: a connection that has served many calls is closed in the middle of the next one.
+    monkeypatch.setattr(http_client, "MAX_REPLY_BYTES", 2 * len(OK_REPLY))
+    monkeypatch.setattr(http_client, "MAX_INTERIM_REPLIES", 1)
+
+    async def scenario(client, server):
+        for _ in range(5):
+            await get(client, server)
+        assert server.connections == 1
+
+    run([OK_REPLY] * 3 + [INTERIM_REPLY + OK_REPLY] * 2, scenario)
+
+
 @pytest.mark.parametrize(
     "reply",
     [
-        b"HTTP/1.1 100 Continue\r\n\r\n" * (http_client.MAX_INTERIM_REPLIES + 1) + OK_REPLY,
+        INTERIM_REPLY * (http_client.MAX_INTERIM_REPLIES + 1) + OK_REPLY,
         b"HTTP/1.1 200 OK\r\n"
         + b"".join(b"a%d: b\r\n" % number for number in range(http_client.MAX_FIELDS + 1))
         + b"Content-Length: 0\r\n\r\n",
