Test of the build after a change of the interpreter

Cause: the mutation that takes the interpreter out of the mark of a build folder passed test_build. Change: a folder whose mark names another interpreter is installed again. Before: the mutation survived. After: it is caught.

--- a/tests/test_build.py
+++ b/tests/test_build.py
@@ -1,7 +1,9 @@
 """The build of `target/deps`: when it installs again, builds at once, and processes that start."""
 
+import json
 import os
 import shutil
+import sys
 import time
 
 import pytest
@@ -23,6 +25,17 @@
     assert checkout.installed("PLATFORM") == ARM
 
 
+def test_libraries_of_another_interpreter_are_installed_again(checkout):
+    # Failure: after an upgrade of Python, native libraries are kept that it cannot import.
+    checkout.build()
+    mark = checkout.deps / ".build.json"
+    fields = json.loads(mark.read_text("utf-8"))
+    assert sys.version in fields["interpreter"]
+    mark.write_text(json.dumps({**fields, "interpreter": "3.10.1"}), "utf-8")
+    checkout.build()
+    assert checkout.pip_calls == 2
+
+
 def test_changed_requirements_are_installed_also_if_the_file_looks_old(checkout):
     # Failure: a checkout sets file times that are older than the last build.
     checkout.build()
