--- a/tests/test_server_finish.py
+++ b/tests/test_server_finish.py
@@ -10,14 +10,11 @@
 
 import pytest
 
+from thorntray.internal.connection.compressed_input import RAW_DEFLATE_WBITS
 from thorntray.internal.connection.frame import FrameReader, GoAway, Hello, encode_frame
 from thorntray.internal.connection.http_connection import FIRST_REQUEST_TIME
 from thorntray.internal.connection.http_server import HttpServer
-from thorntray.internal.connection.link_connection import (
-    COMPRESSED_STREAM,
-    PLAIN_STREAM,
-    RAW_DEFLATE_WBITS,
-)
+from thorntray.internal.connection.link_connection import COMPRESSED_STREAM, PLAIN_STREAM
 from thorntray.internal.connection.link_listener import FIRST_BYTE_TIME, LinkListener
 from thorntray.internal.process.clock import SystemClock
 
