Test of ends by SIGHUP runs its process with the default action

Cause: `nohup` ignores SIGHUP, the process of the test inherits that, and ends after a minute with 0. The process now starts with the default action. Under `nohup` the test failed before and passes now; what it asserts is unchanged.

--- a/tests/test_soak_limits.py
+++ b/tests/test_soak_limits.py
@@ -58,10 +58,16 @@
     return len(set(starts)) < len(starts)
 
 
+def handle_hangup():
+    signal.signal(signal.SIGHUP, signal.SIG_DFL)
+
+
 def watched_node(tmp_path, command):
     """Return a watcher, its node with a process of the command, and the list of starts."""
     node = NodeProcess("n1", "tariff", "a", 1)
-    node.boot, node.process = 1, subprocess.Popen(command, stdout=subprocess.PIPE)
+    # Under `nohup`, a process inherits that SIGHUP is ignored, and would not end by it.
+    node.process = subprocess.Popen(command, stdout=subprocess.PIPE, preexec_fn=handle_hangup)
+    node.boot = 1
     node.started_at = time.monotonic()
     starts = []
     log = tmp_path / "n1.log"
