The test of a cut link waits until the request has arrived

Seen: test_a_link_between_nodes_never_sends_a_request_twice[cut] failed once at load about 16.

Cause, in the test: it cut the connections 0.1 s after the request was started. The relay connects both ends in a thread; if that takes longer, there is nothing to cut yet, and the request is answered.

The failure under load was not repeated as such.

The cut now follows the arrival of the request at the other end, which is the premise of "handled once, then lost". The other cases set their fault before the request starts and need no pause. All assertions stay.

--- a/tests/test_links.py
+++ b/tests/test_links.py
@@ -17,16 +17,20 @@
 from thorntray.internal.process.clock import SystemClock
 from thorntray.internal.request.outcome import Done, Unknown
 
+ARRIVAL_TIME = 5.0  # seconds in which a request reaches the other end of a link
+
 
 @pytest.mark.parametrize("fault", ["none", "cut", "swallow", "refused"])
 def test_a_link_between_nodes_never_sends_a_request_twice(fault):
     """Both ends run in this process, connected through a relay that injects the fault."""
     handled = []
+    arrived = asyncio.Event()
     port = free_port()
     relay = Relay(port)
 
     async def handle(message):
         handled.append(message)
+        arrived.set()
         await asyncio.sleep(0.2)
         return Revoked(b"a", True)
 
@@ -39,8 +43,10 @@
             relay.refuse_connections()
         relay.drop_responses = fault == "swallow"
         pending = asyncio.create_task(links.request(member, Revoke(b"s", b"a", 1.0), 0.6))
-        await asyncio.sleep(0.1)
         if fault == "cut":
+            # There is nothing to cut before the relay has connected both ends.
+            async with asyncio.timeout(ARRIVAL_TIME):
+                await arrived.wait()
             relay.close_connections()
         try:
             await pending
