Ends of former sessions are an enum

The ends of a former session were bare strings in three module constants. They are members of FormerEnd now; its values are what the log line and the labels of the metric have shown before.

--- a/packages/thorntray/src/thorntray/internal/membership/restarts.py
+++ b/packages/thorntray/src/thorntray/internal/membership/restarts.py
@@ -5,6 +5,7 @@
 was a seed may also find its entry in the store, until the lease ends.
 """
 
+from enum import Enum
 from typing import NamedTuple
 
 from thorntray.internal.membership.member import Health, Member
@@ -12,8 +13,14 @@
 from thorntray.internal.telemetry.events import Event, log_event
 
 FORMER_RETENTION = 60.0  # seconds for which the last record of a former session is kept
-# The former session announced its end, or did not, or its entry in the store has not yet expired.
-LEFT, LOST, LISTED = "left", "lost", "listed"
+
+
+class FormerEnd(Enum):
+    """What is known of the end of a former session; the values appear in logs and metrics."""
+
+    LEFT = "left"  # it announced its end
+    LOST = "lost"  # it did not
+    LISTED = "listed"  # its entry in the store has not yet expired
 
 
 class FormerSession(NamedTuple):
@@ -31,7 +38,8 @@
         self._former: dict[str, FormerSession] = {}
         self._own_former: bytes | None = None
         self._is_listed = False
-        self.counts = {LEFT: 0, LOST: 0}  # by the end of the former session
+        # By the value of the former session's end, which labels the metric.
+        self.counts = {FormerEnd.LEFT.value: 0, FormerEnd.LOST.value: 0}
 
     def member_restarted(self, former: Member, heard_at: float) -> None:
         """Record that a member has a new session; `heard_at` is the former one's last boot time.
@@ -46,10 +54,10 @@
         }
         self._former[former.name] = FormerSession(former, now)
         end = _end_of(former)
-        self.counts[end] += 1
-        if end == LOST:
+        self.counts[end.value] += 1
+        if end is FormerEnd.LOST:
             seconds = round(now - heard_at, 1) if now - heard_at < float("inf") else None
-            log_event(Event.RESTART_SEEN, member=former.name, former=end, silent=seconds)
+            log_event(Event.RESTART_SEEN, member=former.name, former=end.value, silent=seconds)
 
     def former_of(self, member: Member) -> Member | None:
         """Return the last record of the session before that of `member`, None if it is unknown."""
@@ -66,18 +74,21 @@
         # A record's version is the start of its session in milliseconds, and a few changes.
         seconds = round((own.version - former.version) / 1000, 1)
         log_event(
-            Event.RESTART_SEEN, member=own.name, former=_end_of(former), former_started=seconds
+            Event.RESTART_SEEN,
+            member=own.name,
+            former=_end_of(former).value,
+            former_started=seconds,
         )
 
     def own_entry_found(self, own: Member) -> None:
         """Record that the store still lists an earlier session of this node as a seed."""
         if self._own_former is None and not self._is_listed:
             self._is_listed = True
-            log_event(Event.RESTART_SEEN, member=own.name, former=LISTED)
+            log_event(Event.RESTART_SEEN, member=own.name, former=FormerEnd.LISTED.value)
 
     def _is_recent(self, kept: FormerSession) -> bool:
         return self._clock.boottime() - kept.replaced_at < FORMER_RETENTION
 
 
-def _end_of(former: Member) -> str:
-    return LEFT if former.health is Health.LEFT else LOST
+def _end_of(former: Member) -> FormerEnd:
+    return FormerEnd.LEFT if former.health is Health.LEFT else FormerEnd.LOST
