--- a/soak/plan.py
+++ b/soak/plan.py
@@ -117,7 +117,7 @@
 PAIR_SHARE = 0.6  # of the plans with heavy faults that stop two nodes in the same moment
 MIN_HEAVY_TIME, MAX_HEAVY_TIME = 3.0, 7.0  # seconds, of the kinds that are load
 MIN_FREEZE, MAX_FREEZE = 0.1, 1.0  # seconds before the SIGTERM of `NODE_FROZEN_STOP`
-SURROUNDINGS_SHARE = 0.5  # of the plans that have faults of `START_KINDS` and those below
+ENVIRONMENT_SHARE = 0.5  # of the plans that have faults of `START_KINDS` and those below
 MIN_START_FAULTS, MAX_START_FAULTS = 2, 3
 START_DURATION = 10.0  # seconds; a fault of `START_KINDS` takes no longer, its stops included
 ALL_KILLED_SHARE = 0.3  # of these plans that kill all nodes, and start all at once
@@ -173,11 +173,13 @@
     strike_rng = Random(f"strike {faults!r}")
     if strike_rng.random() < STRIKE_SHARE:
         faults += draw_strike(strike_rng, nodes, duration)
-    heavy_rng, surroundings_rng = Random(f"heavy {faults!r}"), Random(f"surroundings {faults!r}")
+    heavy_rng = Random(f"heavy {faults!r}")
+    # The label of a generator is part of its seed: another one would change the plan of each seed.
+    environment_rng = Random(f"surroundings {faults!r}")
     if heavy_rng.random() < HEAVY_SHARE:
         faults += draw_heavy(heavy_rng, nodes, duration)
-    if surroundings_rng.random() < SURROUNDINGS_SHARE:
-        faults += draw_surroundings(surroundings_rng, nodes, duration)
+    if environment_rng.random() < ENVIRONMENT_SHARE:
+        faults += draw_environment(environment_rng, nodes, duration)
     return sorted(faults, key=lambda fault: fault.start)
 
 
@@ -222,7 +224,7 @@
     return faults
 
 
-def draw_surroundings(rng: Random, nodes: list[str], duration: float) -> list[Fault]:
+def draw_environment(rng: Random, nodes: list[str], duration: float) -> list[Fault]:
     """Return faults of what a process finds at its start, and of its connections to the store."""
     faults = [
         Fault(
--- a/tests/test_process_surroundings.py
+++ b/tests/test_process_environment.py
@@ -1,4 +1,4 @@
-"""The surroundings of a real node process on the platform: its packages and its descriptors."""
+"""The environment of a real node process on the platform: its packages and its descriptors."""
 
 import pytest
 
--- a/tests/test_soak_starts.py
+++ b/tests/test_soak_starts.py
@@ -35,7 +35,7 @@
 def test_faults_of_the_start_leave_the_other_faults_of_a_seed_as_they_are(monkeypatch):
     """Guards against old seeds that no longer show what they were kept for."""
     drawn = [draw_plan(Random(seed), NODES, 12.0) for seed in range(60)]
-    monkeypatch.setattr(plan, "SURROUNDINGS_SHARE", 0.0)
+    monkeypatch.setattr(plan, "ENVIRONMENT_SHARE", 0.0)
     for seed, faults in enumerate(drawn):
         before = draw_plan(Random(seed), NODES, 12.0)
         assert [fault for fault in faults if fault in before] == before
