--- a/soak/plan.py
+++ b/soak/plan.py
@@ -46,7 +46,7 @@
     STREAMS_CLOSED = "node process stops, runs without standard output or error, and stops again"
     SETTINGS_BROKEN = "settings file is incomplete or gone for a moment, at a start and later"
     SIGNAL_SERIES = "node process gets a series of signals from its start on"
-    CROWDED_STOP = "new connections are opened at a high rate at a node that stops"
+    STOP_UNDER_NEW_CONNECTIONS = "new connections are opened at a high rate at a node that stops"
     STORE_CONNECTIONS_SILENT = "open connections to the store are not answered any more"
 
 
@@ -66,7 +66,7 @@
     FaultKind.STREAMS_CLOSED,
     FaultKind.SETTINGS_BROKEN,
     FaultKind.SIGNAL_SERIES,
-    FaultKind.CROWDED_STOP,
+    FaultKind.STOP_UNDER_NEW_CONNECTIONS,
 )
 NODE_FAULTS = frozenset(
     {
--- a/soak/start_faults.py
+++ b/soak/start_faults.py
@@ -26,7 +26,7 @@
 RUNNING_TIME = 1.5  # until the settings file is broken once more
 SERIES_TIME, MAX_SIGNAL_GAP = 1.0, 0.06
 HANGUPS_ONLY_SHARE = 0.5  # of the series
-CROWD_LEAD = 0.3  # from the first new connections to SIGTERM
+CONNECT_LEAD = 0.3  # seconds from the first new connections to SIGTERM
 RESTART_DELAY = 0.5
 
 
@@ -52,8 +52,8 @@
                 await self._break_settings(node, rng)
             case FaultKind.SIGNAL_SERIES:
                 await self._send_series(node, rng)
-            case FaultKind.CROWDED_STOP:
-                await self._stop_crowded(node)
+            case FaultKind.STOP_UNDER_NEW_CONNECTIONS:
+                await self._stop_under_new_connections(node)
 
     async def _hold_port(self, node: NodeProcess, rng: Random) -> None:
         endpoint, seconds = rng.choice(node.listeners), rng.uniform(MIN_HOLD, MAX_HOLD)
@@ -112,11 +112,11 @@
         if stopped and node.boot == boot:  # else it was started again for another reason
             await self._control.restart(node, RESTART_DELAY)
 
-    async def _stop_crowded(self, node: NodeProcess) -> None:
-        crowd = asyncio.create_task(self.new_connections.open(node))
-        await asyncio.sleep(CROWD_LEAD)
+    async def _stop_under_new_connections(self, node: NodeProcess) -> None:
+        opening = asyncio.create_task(self.new_connections.open(node))
+        await asyncio.sleep(CONNECT_LEAD)
         await self._control.stop(node)
-        await crowd
+        await opening
         await self._control.start_later(node, RESTART_DELAY)
 
 
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -25,9 +25,9 @@
 PAYOUT = RouteConfig("payouts", "settle", kind="non_idempotent")
 REROUTED = RouteConfig("moving", "tariff")
 # Seed 5722 has large bodies and answers, a burst of bodies, idle connections that take the sockets
-# of a node, a SIGHUP in a start, and two stops in the same moment. Seed 140 has a crowded stop, a
-# series of signals and connections to the store that go silent twice; 7 and 5722 have taken ports,
-# closed streams and incomplete settings files.
+# of a node, a SIGHUP in a start, and two stops in the same moment. Seed 140 has a stop under new
+# connections, a series of signals and connections to the store that go silent twice; 7 and 5722
+# have taken ports, closed streams and incomplete settings files.
 CI_SEEDS, CI_NODES, CI_DURATION = (7, 140, 5722), 6, 5.0
 
 
--- a/tests/test_soak_starts.py
+++ b/tests/test_soak_starts.py
@@ -256,7 +256,8 @@
 
 
 @pytest.mark.parametrize(
-    "kind", [FaultKind.SIGNAL_SERIES, FaultKind.CROWDED_STOP, FaultKind.STREAMS_CLOSED]
+    "kind",
+    [FaultKind.SIGNAL_SERIES, FaultKind.STOP_UNDER_NEW_CONNECTIONS, FaultKind.STREAMS_CLOSED],
 )
 def test_a_process_that_was_started_meanwhile_is_not_killed_for_being_late(monkeypatch, kind):
     """Guards against losses that the soak causes itself, by a kill that no check knows of."""
