PortAddress instead of PortName

The tuple holds an address and a purpose, no name. Event.PORTS_BOUND keeps its name, as it is what the log prints, and the catalogue of events and the tests of starts name it.

--- a/packages/thorntray-node/src/thorntray_node/ini_node_ports.py
+++ b/packages/thorntray-node/src/thorntray_node/ini_node_ports.py
@@ -4,7 +4,7 @@
 
 from thorntray.internal.connection.listening_sockets import (
     ListeningPort,
-    PortName,
+    PortAddress,
     PortWait,
     bind_ports,
 )
@@ -27,13 +27,13 @@
     async def bind(cls, cfg: NodeConfig, clock: Clock) -> Self:
         """Bind all ports; waits for taken ones, and raises `OSError` if one cannot be bound."""
         wait = PortWait(clock)
-        names = [
-            PortName("callers", cfg.address, cfg.http_port),
-            PortName("peers", cfg.address, cfg.peer_port),
-            PortName("documents", cfg.address, cfg.document_port),
+        addresses = [
+            PortAddress("callers", cfg.address, cfg.http_port),
+            PortAddress("peers", cfg.address, cfg.peer_port),
+            PortAddress("documents", cfg.address, cfg.document_port),
         ]
-        served = await bind_ports(names, wait)
-        gossip = PortName("gossip", cfg.address, cfg.gossip_port)
+        served = await bind_ports(addresses, wait)
+        gossip = PortAddress("gossip", cfg.address, cfg.gossip_port)
         try:
             udp = await wait.until_free(
                 gossip, lambda: UdpTransport.open(Address(gossip.host, gossip.port))
--- a/packages/thorntray-node/src/thorntray_node/node_ports.py
+++ b/packages/thorntray-node/src/thorntray_node/node_ports.py
@@ -4,7 +4,7 @@
 
 from thorntray.internal.connection.listening_sockets import (
     ListeningPort,
-    PortName,
+    PortAddress,
     PortWait,
     bind_ports,
     bind_tcp,
@@ -42,12 +42,12 @@
     async def bind(cls, cfg: MeshConfig, clock: Clock) -> Self:
         """Bind all ports; waits for taken ones, and raises `OSError` if one cannot be bound."""
         wait = PortWait(clock)
-        names = [
-            PortName("callers", *cfg.callers),
-            PortName("readiness", *cfg.readiness),
-            PortName("announcements", *cfg.announcements),
+        addresses = [
+            PortAddress("callers", *cfg.callers),
+            PortAddress("readiness", *cfg.readiness),
+            PortAddress("announcements", *cfg.announcements),
         ]
-        served = await bind_ports(names, wait)
+        served = await bind_ports(addresses, wait)
         try:
             return cls(*served, *await _bind_peer_ports(cfg, wait))
         except BaseException:
@@ -76,9 +76,11 @@
                 last_fault = exc
         raise last_fault
 
-    peers, ports = await wait.until_free(PortName("links and gossip", host, cfg.link_port), attempt)
-    log_event(Event.PORTS_BOUND, **peers.links.name._asdict())
-    log_event(Event.PORTS_BOUND, **PortName("gossip", host, ports.gossip)._asdict())
+    peers, ports = await wait.until_free(
+        PortAddress("links and gossip", host, cfg.link_port), attempt
+    )
+    log_event(Event.PORTS_BOUND, **peers.links.address._asdict())
+    log_event(Event.PORTS_BOUND, **PortAddress("gossip", host, ports.gossip)._asdict())
     return peers, ports
 
 
@@ -89,4 +91,4 @@
     except BaseException:
         sock.close()
         raise
-    return PeerSockets(ListeningPort(PortName("links", host, ports.links), wait, sock), gossip)
+    return PeerSockets(ListeningPort(PortAddress("links", host, ports.links), wait, sock), gossip)
--- a/packages/thorntray/src/thorntray/internal/connection/listening_sockets.py
+++ b/packages/thorntray/src/thorntray/internal/connection/listening_sockets.py
@@ -31,7 +31,7 @@
         ...
 
 
-class PortName(NamedTuple):
+class PortAddress(NamedTuple):
     """An address to listen on, and what it is for."""
 
     purpose: str
@@ -86,7 +86,7 @@
         self._clock = clock
         self._attempts_left = round(WAIT_LIMIT / POLL_PERIOD)
 
-    async def until_free(self, name: PortName, attempt: Callable[[], Awaitable[_T]]) -> _T:
+    async def until_free(self, address: PortAddress, attempt: Callable[[], Awaitable[_T]]) -> _T:
         """Return the result of an attempt to open a port, repeated on `TRANSIENT_ERRORS`.
 
         Raises `PortTaken` or `AddressNotAvailable` after the wait, and any other `OSError` at once.
@@ -103,44 +103,44 @@
                 if self._attempts_left <= 0:
                     seconds = self._clock.monotonic() - began
                     error = PortTaken if is_taken(exc) else AddressNotAvailable
-                    raise error(*name, seconds) from exc
+                    raise error(*address, seconds) from exc
                 if not waited:
                     reason = errno.errorcode[exc.errno]
-                    log_event(Event.PORT_TAKEN, **name._asdict(), reason=reason)
+                    log_event(Event.PORT_TAKEN, **address._asdict(), reason=reason)
                     waited = True
             self._attempts_left -= 1
             await asyncio.sleep(POLL_PERIOD)
         if waited:
             seconds = round(self._clock.monotonic() - began, 2)
-            log_event(Event.PORT_FREE, **name._asdict(), seconds=seconds)
+            log_event(Event.PORT_FREE, **address._asdict(), seconds=seconds)
         return result
 
 
 class ListeningPort:
     """A TCP port that is bound, and served by a server later."""
 
-    def __init__(self, name: PortName, wait: PortWait, sock: socket.socket) -> None:
-        self.name = name
+    def __init__(self, address: PortAddress, wait: PortWait, sock: socket.socket) -> None:
+        self.address = address
         self._wait = wait
         self._socket: socket.socket | None = sock
 
     @classmethod
-    async def bind(cls, name: PortName, wait: PortWait) -> Self:
+    async def bind(cls, address: PortAddress, wait: PortWait) -> Self:
         """Bind a port; waits while it is taken or its address is missing."""
 
         async def attempt() -> socket.socket:
-            return bind_tcp(name.host, name.port)
+            return bind_tcp(address.host, address.port)
 
-        port = cls(name, wait, await wait.until_free(name, attempt))
-        log_event(Event.PORTS_BOUND, **name._asdict())
+        port = cls(address, wait, await wait.until_free(address, attempt))
+        log_event(Event.PORTS_BOUND, **address._asdict())
         return port
 
     async def serve(self, server: SocketServer) -> None:
         """Have a server listen on the port; waits if another socket has come to listen there."""
-        await self._wait.until_free(self.name, lambda: self._listen(server))
+        await self._wait.until_free(self.address, lambda: self._listen(server))
 
     async def _listen(self, server: SocketServer) -> None:
-        sock = self._socket or bind_tcp(self.name.host, self.name.port)
+        sock = self._socket or bind_tcp(self.address.host, self.address.port)
         self._socket = None  # the server's from now on
         await server.serve(sock)
 
@@ -150,12 +150,12 @@
             self._socket.close()
 
 
-async def bind_ports(names: Iterable[PortName], wait: PortWait) -> list[ListeningPort]:
+async def bind_ports(addresses: Iterable[PortAddress], wait: PortWait) -> list[ListeningPort]:
     """Bind ports one after the other; none stays bound if one cannot be bound."""
     bound: list[ListeningPort] = []
     try:
-        for name in names:
-            bound.append(await ListeningPort.bind(name, wait))
+        for address in addresses:
+            bound.append(await ListeningPort.bind(address, wait))
     except BaseException:
         for port in bound:
             port.close()
--- a/tests/test_address_wait.py
+++ b/tests/test_address_wait.py
@@ -18,7 +18,7 @@
 from thorntray.errors import AddressNotAvailable, ThorntrayError
 from thorntray.internal.connection import listening_sockets
 from thorntray.internal.connection.listening_sockets import (
-    PortName,
+    PortAddress,
     PortWait,
     accept_from,
     bind_ports,
@@ -34,19 +34,19 @@
 
 # Failure: `OSError` at once, and the platform starts a process that ends again and again.
 def test_an_address_that_comes_up_later_is_waited_for(monkeypatch):
-    name = PortName("callers", HOST, free_port())
-    address = LateAddress(attempts=3)
-    monkeypatch.setattr(listening_sockets, "bind_tcp", address.bind)
-    (port,) = asyncio.run(bind_ports([name], PortWait(SystemClock())))
+    address = PortAddress("callers", HOST, free_port())
+    late = LateAddress(attempts=3)
+    monkeypatch.setattr(listening_sockets, "bind_tcp", late.bind)
+    (port,) = asyncio.run(bind_ports([address], PortWait(SystemClock())))
     port.close()
-    assert address.failures == 3
+    assert late.failures == 3
 
 
 def test_an_address_that_stays_missing_is_an_error_with_a_remedy(monkeypatch):
     monkeypatch.setattr(listening_sockets, "WAIT_LIMIT", 0.1)
-    name = PortName("callers", MISSING_HOST, 8304)
+    address = PortAddress("callers", MISSING_HOST, 8304)
     with pytest.raises(AddressNotAvailable, match="callers, 192.0.2.77:8304.*ip address") as raised:
-        asyncio.run(bind_ports([name], PortWait(SystemClock())))
+        asyncio.run(bind_ports([address], PortWait(SystemClock())))
     assert isinstance(raised.value, OSError) and isinstance(raised.value, ThorntrayError)
 
 
--- a/tests/test_peer_ports.py
+++ b/tests/test_peer_ports.py
@@ -14,7 +14,7 @@
 from tests.start_builders import HeldPort, Hold
 from thorntray.errors import InvalidSettings, PortTaken, ThorntrayError
 from thorntray.internal.connection import listening_sockets
-from thorntray.internal.connection.listening_sockets import PortName, PortWait, bind_ports
+from thorntray.internal.connection.listening_sockets import PortAddress, PortWait, bind_ports
 from thorntray.internal.process.clock import SystemClock
 from thorntray_node.mesh_config import Endpoint, PeerPorts
 
@@ -108,9 +108,9 @@
 def test_a_start_that_fails_gives_up_the_ports_that_it_has_bound(monkeypatch):
     monkeypatch.setattr(listening_sockets, "WAIT_LIMIT", 0.1)
     first, second = free_port(), free_port()
-    names = [PortName("callers", HOST, first), PortName("readiness", HOST, second)]
+    addresses = [PortAddress("callers", HOST, first), PortAddress("readiness", HOST, second)]
     with HeldPort(HOST, second), pytest.raises(PortTaken) as raised:
-        asyncio.run(bind_ports(names, PortWait(SystemClock())))
+        asyncio.run(bind_ports(addresses, PortWait(SystemClock())))
     assert isinstance(raised.value, OSError) and isinstance(raised.value, ThorntrayError)
     assert f"readiness, {HOST}:{second}" in str(raised.value)
     HeldPort(HOST, first).release()  # with SO_REUSEADDR, a port that is only bound looks free
--- a/tests/test_start_failures.py
+++ b/tests/test_start_failures.py
@@ -26,7 +26,7 @@
 from thorntray.internal.connection.listening_sockets import (
     POLL_PERIOD,
     WAIT_LIMIT,
-    PortName,
+    PortAddress,
     PortWait,
     accept_from,
     bind_tcp,
@@ -39,7 +39,7 @@
 from thorntray_node.node_ports import NodePorts
 
 SHORT_WAIT = 0.1  # seconds
-NAME = PortName("callers", HOST, 8304)
+PORT = PortAddress("callers", HOST, 8304)
 SUSPENDED = 60.0  # seconds
 ATTEMPTS = round(WAIT_LIMIT / POLL_PERIOD)
 
@@ -169,7 +169,7 @@
 def test_time_in_which_a_process_is_suspended_does_not_end_the_wait_for_a_port():
     attempts = FailingAttempts(failures=3, seconds=SUSPENDED)
     wait = PortWait(attempts.clock)
-    assert run_virtual(wait.until_free(NAME, attempts.attempt)) == "opened"
+    assert run_virtual(wait.until_free(PORT, attempts.attempt)) == "opened"
 
 
 # Failure: a start waits for each of its ports in turn, far beyond its limit.
@@ -178,8 +178,8 @@
     wait = PortWait(first.clock)
 
     async def open_ports():
-        await wait.until_free(NAME, first.attempt)
-        await wait.until_free(NAME, second.attempt)
+        await wait.until_free(PORT, first.attempt)
+        await wait.until_free(PORT, second.attempt)
 
     with pytest.raises(PortTaken):
         run_virtual(open_ports())
@@ -190,5 +190,5 @@
 def test_an_error_that_does_not_pass_is_raised_at_the_first_attempt():
     attempts = FailingAttempts(failures=1, error=errno.EACCES)
     with pytest.raises(PermissionError):
-        run_virtual(PortWait(attempts.clock).until_free(NAME, attempts.attempt))
+        run_virtual(PortWait(attempts.clock).until_free(PORT, attempts.attempt))
     assert attempts.count == 1
