--- a/tests/test_soak_starts.py
+++ b/tests/test_soak_starts.py
@@ -35,7 +35,7 @@
 def test_faults_of_the_start_leave_the_other_faults_of_a_seed_as_they_are(monkeypatch):
     """Guards against old seeds that no longer show what they were kept for."""
     drawn = [draw_plan(Random(seed), NODES, 12.0) for seed in range(60)]
-    monkeypatch.setattr(plan, "SURROUNDINGS_SHARE", 0.0)
+    monkeypatch.setattr(plan, "ENVIRONMENT_SHARE", 0.0)
     for seed, faults in enumerate(drawn):
         before = draw_plan(Random(seed), NODES, 12.0)
         assert [fault for fault in faults if fault in before] == before
@@ -256,7 +256,8 @@
 
 
 @pytest.mark.parametrize(
-    "kind", [FaultKind.SIGNAL_SERIES, FaultKind.CROWDED_STOP, FaultKind.STREAMS_CLOSED]
+    "kind",
+    [FaultKind.SIGNAL_SERIES, FaultKind.STOP_UNDER_NEW_CONNECTIONS, FaultKind.STREAMS_CLOSED],
 )
 def test_a_process_that_was_started_meanwhile_is_not_killed_for_being_late(monkeypatch, kind):
     """Guards against losses that the soak causes itself, by a kill that no check knows of."""
