--- a/packages/thorntray/src/thorntray/internal/connection/connection_bound.py
+++ b/packages/thorntray/src/thorntray/internal/connection/connection_bound.py
@@ -43,8 +43,8 @@
         """Return the bytes of responses that the caller has not acknowledged yet."""
         ...
 
-    def give_way(self, header_lines: bytes) -> None:
-        """Close the connection, from which no request is read; refuse the first one unread."""
+    def refuse_unread(self, header_lines: bytes) -> None:
+        """Close the connection; one that has had no answer gets a refusal of a request not read."""
         ...
 
     def displace(self, header_lines: bytes) -> bool:
@@ -87,7 +87,7 @@
             return
         self.closed_unread += 1
         self._connections.discard(connection)
-        connection.give_way(self.refusal_lines())
+        connection.refuse_unread(self.refusal_lines())
 
     def refuses(self, host: str, target: bytes, headers: list[Header]) -> bool:
         """Return whether to refuse the request of a connection that gets only one."""
@@ -117,7 +117,7 @@
             if connection.untaken_bytes:
                 continue  # asked only here, as each question is a system call
             self._connections.discard(connection)
-            connection.give_way(self.refusal_lines())
+            connection.refuse_unread(self.refusal_lines())
             self.closed_idle += 1
             return True
         return False
--- a/packages/thorntray/src/thorntray/internal/connection/http_connection.py
+++ b/packages/thorntray/src/thorntray/internal/connection/http_connection.py
@@ -330,8 +330,8 @@
         in_use = self.pending or self._receiving_since is not None or self._linger is not None
         return inf if in_use or self.unsent_bytes else self._last_active_at
 
-    def give_way(self, header_lines: bytes) -> None:
-        """Close the connection, from which no request is read; refuse the first one unread."""
+    def refuse_unread(self, header_lines: bytes) -> None:
+        """Close the connection; one that has had no answer gets a refusal of a request not read."""
         transport = self._transport
         if transport is None or transport.is_closing():
             return
@@ -345,7 +345,7 @@
         if self.pending or self._last_request_read or self._transport is None:
             return False
         if self._receiving_since is None:
-            self.give_way(header_lines)
+            self.refuse_unread(header_lines)
             return True
         if self._incoming.head_complete:
             return False
