Nodes of single tests have addresses that no fleet of the same run uses

Cause: `make_node` numbered its nodes from 2 on, as fleets do, so a fleet that another test of the same worker had closed within the last minute could have left the port in TIME_WAIT. They are numbered above all fleets now. That TIME_WAIT was the cause in that run is read from the code, not shown; the new test of the addresses failed before.

--- a/tests/start_builders.py
+++ b/tests/start_builders.py
@@ -25,11 +25,13 @@
 BACKLOG = 16
 
 
-_indexes = count(2)
+# Above those of the fleets that a run of tests starts, which number their nodes from 1 on.
+FIRST_INDEX = 64
+_indexes = count(FIRST_INDEX)
 
 
 def make_node(folder: Path, **options) -> PlatformProcess:
-    """Return a node at an address of its own, where no earlier node has left TIME_WAIT."""
+    """Return a node at an address of its own, where no earlier process has left TIME_WAIT."""
     return PlatformProcess(folder, index=next(_indexes), **options)
 
 
--- a/tests/test_claims.py
+++ b/tests/test_claims.py
@@ -2,11 +2,14 @@
 
 import subprocess
 import sys
+from random import Random
 
 import pytest
 
 from standins.claims import claim
 from standins.fleet import BLOCK_SIZE, BLOCKS, FIRST_PORT, HOST, ROOT, free_port
+from standins.mesh_fleet import MeshFleet
+from tests.start_builders import make_node
 
 RUNS = 4
 START_ALIKE = "import os; os.getpid = lambda: 1234"  # the process id decides on the first choice
@@ -74,3 +77,10 @@
     with open("/proc/sys/net/ipv4/ip_local_port_range", encoding="ascii") as file:
         first_ephemeral = int(file.read().split()[0])
     assert FIRST_PORT + BLOCKS * BLOCK_SIZE <= first_ephemeral
+
+
+def test_a_node_of_a_test_has_no_address_of_a_fleet_of_the_same_run(tmp_path):
+    """Guards against a port in TIME_WAIT, which no test can hold to stand for another process."""
+    fleet = MeshFleet([], {}, Random(0))
+    used = {fleet._address(1, index) for index in range(1, 50)}
+    assert make_node(tmp_path).host not in used
