--- a/review/support-2/fleet.py
+++ b/review/support-2/fleet.py
@@ -164,6 +164,11 @@
             self.revision += 1
             self._append({"Key": key, "Revision": self.revision, "Deleted": True})
 
+    def lapse(self) -> None:
+        """Let all leases run out, as they may while the store is down."""
+        self.leases = dict.fromkeys(self.leases, 0.0)
+        self._expire()
+
     def _append(self, event: dict) -> None:
         self.log.append(event)
         changed, self._changed = self._changed, asyncio.Event()
