--- a/review/support-2/fleet.py
+++ b/review/support-2/fleet.py
@@ -289,9 +289,14 @@
         self.runs.append(Run(self.record.now, self.name, message))
         body = message.body[:60]
         self.record.write(f"{self.name} runs {request_id}: {message.start}, body {body!r}")
+        return await self.answer(message)
+
+    async def answer(self, message: Message) -> bytes:
+        """Work on a request and return the bytes of its answer."""
         await asyncio.sleep(self.work_s)
-        answer = {"X-Request-Id": request_id, "X-Response-Signature": f"sig-{request_id}"}
-        return encode(200, answer, f"answer to {request_id}".encode())
+        request_id = message.fields.get("x-request-id", "")
+        fields = {"X-Request-Id": request_id, "X-Response-Signature": f"sig-{request_id}"}
+        return encode(200, fields, f"answer to {request_id}".encode())
 
     def next_heartbeat(self, phase: str = "ready") -> bytes:
         """Return the bytes of the next heartbeat."""
@@ -368,6 +373,7 @@
         self.folder = Path(tempfile.mkdtemp(prefix="review-"))
         self.store = Store(f"{self._net}.0.1")
         self.nodes: list[Node] = []
+        self.worker_types: dict[str, type[Worker]] = {}  # by service, for other than `Worker`
         deploy = tomllib.loads((ROOT / "deploy/system.toml").read_text("utf-8"))
         self._command = shlex.split(deploy["roles"]["node"]["run"])
 
@@ -377,7 +383,8 @@
         self.store.put("op/config", json.dumps(self._desired_state()).encode())
         for index, (service, zone) in enumerate(self._placements, start=1):
             host = f"{self._net}.1.{index}"
-            worker = Worker(f"i-{index}{os.getpid()}", service, host, host, self.record)
+            kind = self.worker_types.get(service, Worker)
+            worker = kind(f"i-{index}{os.getpid()}", service, host, host, self.record)
             node = Node(f"sidecar-{zone}-{index}", service, zone, host, worker)
             self.nodes.append(node)
             self.start_node(node)
