--- a/review/7/case.py
+++ b/review/7/case.py
@@ -26,6 +26,7 @@
     Route,
     exchange,
     request,
+    run_case,
 )
 
 TROUBLE = os.environ.get("TROUBLE", "1") != "0"
@@ -157,4 +158,4 @@
     return BROKEN if late else OK
 
 
-sys.exit(asyncio.run(main()))
+sys.exit(run_case(main))
--- a/review/9/case.py
+++ b/review/9/case.py
@@ -30,6 +30,7 @@
     encode,
     exchange,
     request,
+    run_case,
 )
 
 TROUBLE = os.environ.get("TROUBLE", "1") != "0"
@@ -168,4 +169,4 @@
     return BROKEN if lost else OK
 
 
-sys.exit(asyncio.run(main()))
+sys.exit(run_case(main))
--- a/review/support-2/fleet.py
+++ b/review/support-2/fleet.py
@@ -17,6 +17,7 @@
 import tempfile
 import time
 import tomllib
+import traceback
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass, field
 from pathlib import Path
@@ -27,6 +28,7 @@
 HOST = "calls.example"
 STORE_PORT, APP_PORT, INBOUND, READY, OUTBOUND, CONTROL = 8309, 8301, 8300, 8302, 8304, 8306
 PEER_PORTS = (7620, 7634)
+GUARD_PORT = 7619  # used by no process of a fleet
 HEARTBEAT_PERIOD = 1.5  # seconds, as in the settings of the sheet
 HEARTBEAT_TIMEOUT = 1.0  # seconds in which a confirmation has to arrive
 DRAIN_S, GRACE_S, STABLE_S = 2, 6, 3  # bounds of the sheet, in seconds
@@ -369,7 +371,7 @@
         self.record = record
         self._routes = routes
         self._placements = placements  # service and zone of each machine
-        self._net = _free_net(len(placements))
+        self._net, self._guard = _claim_net(len(placements))
         self.folder = Path(tempfile.mkdtemp(prefix="review-"))
         self.store = Store(f"{self._net}.0.1")
         self.nodes: list[Node] = []
@@ -379,6 +381,10 @@
 
     async def start(self) -> None:
         """Start the store and all machines; raises `TimeoutError` if a node does not get ready."""
+        task = asyncio.current_task()
+        assert task is not None
+        # So that the processes are also ended if this one gets SIGTERM.
+        asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, task.cancel)
         await self.store.start()
         self.store.put("op/config", json.dumps(self._desired_state()).encode())
         for index, (service, zone) in enumerate(self._placements, start=1):
@@ -443,6 +449,7 @@
                 node.process.kill()
             if node.process is not None:
                 node.process.wait()
+        self._guard.close()
         shutil.rmtree(self.folder, ignore_errors=True)
 
     def _desired_state(self) -> dict:
@@ -533,6 +540,15 @@
 """
 
 
+def run_case(main: Callable[[], Awaitable[int]]) -> int:
+    """Run a case and return its exit code, 2 if it failed to run for any reason."""
+    try:
+        return asyncio.run(main())
+    except (Exception, asyncio.CancelledError, KeyboardInterrupt):
+        traceback.print_exc()
+        return 2
+
+
 def request(
     method: str,
     path: str,
@@ -549,16 +565,24 @@
     return "\r\n".join(lines).encode() + b"\r\n\r\n" + body
 
 
-def _free_net(machines: int) -> str:
-    """Return a loopback network in which the ports of a fleet are free."""
+def _claim_net(machines: int) -> tuple[str, socket.socket]:
+    """Return a loopback network with free ports, and a socket that claims it for this fleet."""
     ports = (APP_PORT, INBOUND, READY, OUTBOUND, CONTROL, *PEER_PORTS)
     first = os.getpid() % 200
     for number in [20 + (first + step) % 200 for step in range(200)]:
         net = f"127.{number}"
+        guard = socket.socket()
+        try:
+            guard.bind((f"{net}.0.1", GUARD_PORT))
+            guard.listen()
+        except OSError:
+            guard.close()
+            continue
         wanted = [(f"{net}.0.1", STORE_PORT)]
         wanted += [(f"{net}.1.{i + 1}", port) for i in range(machines) for port in ports]
         if all(_is_free(host, port) for host, port in wanted):
-            return net
+            return net, guard
+        guard.close()
     raise OSError("no loopback network has free ports")
 
 
