--- a/review/9/case.py
+++ b/review/9/case.py
@@ -40,7 +40,7 @@
 BUDGET_S = 5.0  # of a payout
 PAYOUTS = Route("payouts", "settle", "non_idempotent", timeout_s=5.0, target_s=1.5, priority=0)
 READS = Route("route-read", "haul", timeout_s=2.0, target_s=0.8)
-PAYOUT_PERIOD_S = 0.15  # of each client
+PAYOUT_PERIOD_S = 0.25  # of each client
 OK, BROKEN, NOT_RUN = 0, 1, 2
 
 
@@ -82,7 +82,7 @@
         return encode(200 if status == 200 else 500, fields, b"")
 
 
-async def send_payouts(fleet: Fleet, node: Node, record: Record) -> None:
+async def send_payouts(node: Node, record: Record, delay: float) -> None:
     """Send payouts to a node as one of its clients, each over a connection of its own."""
 
     async def send(request_id: str) -> None:
@@ -90,6 +90,7 @@
         reply = await exchange(node.host, OUTBOUND, data, BUDGET_S + 1)
         record.write(f"client: {request_id} gets {0 if reply is None else reply.status}")
 
+    await asyncio.sleep(delay)
     async with asyncio.TaskGroup() as group:
         number = 0
         while True:
@@ -101,7 +102,12 @@
 async def play(fleet: Fleet, record: Record) -> float:
     """Play the case; return when the node got SIGTERM."""
     stopping = fleet.nodes[0]
-    clients = [asyncio.create_task(send_payouts(fleet, n, record)) for n in fleet.nodes[1:]]
+    senders = fleet.nodes[2:]
+    delays = [PAYOUT_PERIOD_S * i / len(senders) for i in range(len(senders))]  # spread evenly
+    clients = [
+        asyncio.create_task(send_payouts(node, record, delay))
+        for node, delay in zip(senders, delays, strict=True)
+    ]
     await asyncio.sleep(CALM_S)
     began_at = record.now
     if TROUBLE:
@@ -138,7 +144,7 @@
     """Run the case and return the exit code."""
     record = Record(FOLDER / "record.txt")
     placements = [("settle", "kalimati"), ("settle", "balaju")]
-    placements += [("haul", "kalimati"), ("haul", "balaju")]
+    placements += [("haul", "kalimati"), ("haul", "kalimati")]  # with the clients, in its zone
     fleet = Fleet(record, placements, [PAYOUTS, READS])
     fleet.worker_types["settle"] = CallingWorker
     try:
