--- a/review/9/case.py
+++ b/review/9/case.py
@@ -151,7 +151,6 @@
         await fleet.start()
         for node in fleet.nodes:
             node.worker.calls = []
-        await fleet.wait_served("/payouts/1")
         await fleet.wait_served("/route-read/1")
         for node in fleet.nodes[2:]:
             node.worker.work_s = CALL_S
--- a/review/support-2/fleet.py
+++ b/review/support-2/fleet.py
@@ -450,6 +450,7 @@
             if node.process is not None:
                 node.process.wait()
         self._guard.close()
+        await asyncio.sleep(0.05)  # in which the workers' tasks write their last lines
         shutil.rmtree(self.folder, ignore_errors=True)
 
     def _desired_state(self) -> dict:
