A stopping node accepts calls of its instance by how long they may take

Cause: a call was accepted if the target latency of its route fitted before answers are due. One that takes longer is broken off then. Ruled out: a wait for a slot (the broken calls had been sent to an instance), the owner of the calls (its results never arrived), late retries (one attempt each).

Change: the longest recent duration of the route decides, with a margin, and the time limit of the call as long as too little is known of the route. Running calls count with their age. The same class on related paths: a retry begins only if it can end before answers are due; the instance gets no more time for a call than the stop leaves; with a stop limit below 3.9 s requests are accepted for two thirds of the time until answers are due, not until that moment.

Two tests changed. test_a_stop_limit_shorter_than_the_delay asked for requests to be accepted until answers are due, which is the fault itself; it now asks for time to answer, for three limits. The nested call in test_stop_answers names 0.8 s as its deadline instead of 1.0 s: of an unknown route, one that may take until 10 ms after answers are due is not accepted any more.

--- a/packages/thorntray/src/thorntray/internal/process/drain.py
+++ b/packages/thorntray/src/thorntray/internal/process/drain.py
@@ -11,6 +11,12 @@
 READINESS_PROPAGATION_DELAY = 2.2
 # Seconds of the stop limit reserved for final answers and for closing the connections.
 CLOSE_TIME_RESERVE = 0.6
+# Largest share of the time until answers are due in which requests are accepted, so that with a
+# short limit those that come last have time to be answered too.
+ACCEPTING_SHARE = 2 / 3
+# Seconds before answers are due at which an instance has to give up a call, so that its own answer
+# still comes.
+INSTANCE_ANSWER_TIME = 0.1
 EXIT_TIME = 0.1  # seconds from the close of the last connection to the end of the process
 NO_END = float("inf")
 
@@ -35,7 +41,8 @@
         now = self._clock.monotonic()
         self.begun = True
         self.answers_due = now + self._limit - CLOSE_TIME_RESERVE
-        self._refuse_at = min(now + READINESS_PROPAGATION_DELAY, self.answers_due)
+        longest = max(0.0, ACCEPTING_SHARE * (self.answers_due - now))
+        self._refuse_at = now + min(READINESS_PROPAGATION_DELAY, longest)
 
     def end(self) -> None:
         """End the drain: nothing is owed, and nothing may be accepted from now on."""
@@ -47,7 +54,7 @@
         return max(0.0, self._refuse_at - self._clock.monotonic())
 
     def admits(self, has_parent: bool, expected_seconds: float) -> bool:
-        """Return whether to accept a new request, which usually takes `expected_seconds`.
+        """Return whether to accept a new request, which takes at most `expected_seconds`.
 
         A call of a running request is accepted for longer, as long as it can be answered in time,
         since refusing it fails its parent.
@@ -61,6 +68,15 @@
             return True
         return has_parent and now + expected_seconds < self.answers_due
 
+    def can_finish(self, expected_seconds: float) -> bool:
+        """Return whether an attempt that takes at most `expected_seconds` ends before the stop."""
+        return self._clock.monotonic() + expected_seconds < self.answers_due
+
+    @property
+    def latest_expiry(self) -> float:
+        """Return the monotonic time until which an instance may work on a call."""
+        return self.answers_due - INSTANCE_ANSWER_TIME
+
     @property
     def closing_for(self) -> float:
         """Return the seconds that are left for closing connections, within the limit."""
--- a/packages/thorntray/src/thorntray/internal/request/origin_context.py
+++ b/packages/thorntray/src/thorntray/internal/request/origin_context.py
@@ -8,6 +8,7 @@
 from thorntray.internal.connection.link import Links
 from thorntray.internal.membership.instance_notices import InstanceNotices
 from thorntray.internal.membership.member import Member
+from thorntray.internal.overload.call_durations import CallDurations
 from thorntray.internal.overload.call_parents import (
     CallSender,
     NestedRoutes,
@@ -97,8 +98,17 @@
         self.deps = deps
         self.nested_routes = NestedRoutes()
         self.active: set[OriginRequest] = set()  # requests without a result
+        self.durations = CallDurations(deps.clock)
         self._split_credit: dict[tuple[str, str], float] = {}
 
+    def likely_longest(self, request: "OriginRequest") -> float:
+        """Return the seconds within which the attempts of a request most likely end."""
+        now, key = self.deps.clock.monotonic(), request.route_key
+        running = [each for each in self.active if each.route_key == key and each.sent_at]
+        ages = (now - each.arrived_at for each in running)
+        target = request.route.target_latency
+        return self.durations.likely_longest(key, target, request.expiry - now, ages)
+
     def find_parent(self, head: RequestHead) -> RunningRequest | None:
         """Return the request, running at the own instance, that a call belongs to."""
         running = self.deps.running
--- a/packages/thorntray/src/thorntray/internal/request/origin_request.py
+++ b/packages/thorntray/src/thorntray/internal/request/origin_request.py
@@ -132,7 +132,7 @@
         deps = self.context.deps
         self.context.active.add(self)
         self._find_parent()
-        if not deps.drain.admits(self.parent is not None, self.route.target_latency):
+        if not self._is_admitted_in_stop():
             self.finish(not_run(Cause.DRAINING, STOPPING_RETRY_AFTER))
             return
         if not self.nested:
@@ -147,6 +147,28 @@
         self.timer = asyncio.get_running_loop().call_later(left, self._on_timeout)
         self._try_next()
 
+    def _is_admitted_in_stop(self) -> bool:
+        """Return whether this node does not stop, or the request can end before it has stopped."""
+        drain = self.context.deps.drain
+        return not drain.begun or drain.admits(self.parent is not None, self._expected_time)
+
+    @property
+    def _expected_time(self) -> float:
+        """Return the seconds that an attempt which begins now is expected to take at most.
+
+        Callers' requests are accepted early in a stop and have the rest of it; a call may come
+        late, and is not to be broken off.
+        """
+        if self.parent is None:
+            return self.route.target_latency
+        return self.context.likely_longest(self)
+
+    @property
+    def _has_time_to_retry(self) -> bool:
+        """Return whether this node does not stop, or a further attempt can end before it has."""
+        drain = self.context.deps.drain
+        return not drain.begun or drain.can_finish(self._expected_time)
+
     @property
     def refused_here(self) -> bool:
         """Return whether the request has ended without having been sent to any instance."""
@@ -208,6 +230,9 @@
     def _mark_finished(self, result: Result) -> None:
         self.finished = True
         self.context.active.discard(self)
+        if self.sent_at and result.kind is not ResultKind.NOT_RUN:
+            now = self.context.deps.clock.monotonic()
+            self.context.durations.record(self.route_key, now - self.arrived_at)
         self.exchange.on_cancel = None
         if self.timer is not None:
             self.timer.cancel()
@@ -342,12 +367,19 @@
             caller_service=self.context.deps.own_service,
             idempotent=self.route.idempotent,
             nested=self.nested,
-            budget=self.expiry - now,
+            budget=self._last_work_time - now,
             max_wait=self._max_slot_wait(),
             worth=self.worth,
             workspace=self._workspace_name,
         )
 
+    @property
+    def _last_work_time(self) -> float:
+        """Return the monotonic time at which the instance has to end its work."""
+        if self.parent is None:
+            return self.expiry
+        return min(self.expiry, self.context.deps.drain.latest_expiry)
+
     @property
     def _workspace_name(self) -> str:
         """Return the name of the call tree's workspace, empty if there is none."""
@@ -456,7 +488,7 @@
             self._record_return_time(result.retry_after)
             result = result._replace(retry_after=0.0)
         self.saw_overload = self.saw_overload or result.cause in _OVERLOAD_CAUSES
-        if now >= self.expiry or result.cause is Cause.EXPIRED:
+        if now >= self.expiry or result.cause is Cause.EXPIRED or not self._has_time_to_retry:
             self._give_up(result)
         elif self._crashes_instances(result):
             self._give_up(result)
--- a/tests/test_drain.py
+++ b/tests/test_drain.py
@@ -4,6 +4,7 @@
 
 from tests.builders import ManualClock
 from thorntray.internal.process.drain import (
+    ACCEPTING_SHARE,
     CLOSE_TIME_RESERVE,
     READINESS_PROPAGATION_DELAY,
     Drain,
@@ -51,8 +52,13 @@
     assert not drain.admits(has_parent=True, expected_seconds=0.1)
 
 
-def test_a_stop_limit_shorter_than_the_delay_leaves_time_for_answers():
-    drain, clock = begun_drain(limit=1.0)
-    assert drain.accepting_for == pytest.approx(1.0 - CLOSE_TIME_RESERVE)
-    clock.now += 1.0 - CLOSE_TIME_RESERVE
+@pytest.mark.parametrize("limit", [1.0, 2.0, 3.0])
+def test_a_stop_limit_shorter_than_the_delay_leaves_time_for_answers(limit):
+    """Guards against a request that is accepted just before answers are due, and broken off."""
+    drain, clock = begun_drain(limit=limit)
+    due = clock.now + limit - CLOSE_TIME_RESERVE
+    assert drain.accepting_for == pytest.approx(ACCEPTING_SHARE * (limit - CLOSE_TIME_RESERVE))
+    clock.now += drain.accepting_for
+    assert not drain.admits(has_parent=False, expected_seconds=0.0) and not drain.overdue
+    clock.now = due
     assert drain.overdue and not drain.admits(has_parent=True, expected_seconds=0.0)
--- a/tests/test_stop_answers.py
+++ b/tests/test_stop_answers.py
@@ -149,8 +149,8 @@
         await fleet.share_membership()
         stopping = asyncio.ensure_future(stop_and_exit(node))
         await asyncio.sleep(READINESS_PROPAGATION_DELAY + 0.2)
-        nested = await call(node, "parent.call", deadline_ms=1000)
-        other = await call(node, "other", deadline_ms=1000)
+        nested = await call(node, "parent.call", deadline_ms=800)
+        other = await call(node, "other", deadline_ms=800)
         await stopping
         return [seen.status for seen in (await parent, nested, other)]
 
