A leaving that was confirmed without the store holds after a kill of all nodes

What callers saw: an instance left while the store was down, its node confirmed it, and all nodes were killed.

Cause: a starting node took 'none' for an answer, whoever gave it. After such a kill all members are as new as itself, and the store never had the entry, so two empty answers released every instance. Ruled out: that the new boot's start time differs (it is the one that had left), and that a wait for the store would help (nobody alive knows of the leaving then).

Change: a reply tells for how long its sender has kept departures, and only those of members that are older by 5 s count as complete knowledge. Without them process.boot_trust decides: a boot that is announced at once is used provisionally and has to go on, one that is announced later has to go on for 3 s first, one that started after the node is used. So a fleet in which nobody leaves serves as early as before. The same class on related paths: holders send copies on to a holder that has restarted, an owner renews them when members change, and a process that learns of departures writes them again, since copies were lost one by one when their holders restarted in turn.

Old and new builds: the age is a trailing field that the release before ignores; its own replies tell none and do not count as complete.

What the node knows of copies for others has moved into departure_copies.py.

--- a/packages/thorntray-node/src/thorntray_node/mesh_node.py
+++ b/packages/thorntray-node/src/thorntray_node/mesh_node.py
@@ -239,8 +239,10 @@
         restarted = member is not None and member.health is Health.ALIVE
         if restarted and self.notices.of_member(name):
             self.links.link_to(member).open()  # tells the new process what it has lost
+        if member is not None:
+            self.departures.member_changed(member)
         if restarted:
-            self.departures.tell_restarted(member)
+            self.departure_copies.member_restarted(member)
 
     def _link_failed(self, member: Member) -> None:
         """Pause new requests to the member, and have the membership probe it now."""
@@ -324,7 +326,8 @@
             self.registration.check_timeout()
             self.pool.close_idle()
             self.notices.remove_expired()
-            self.departures.remove_expired()
+            self.departures.renew_copies()
+            self.departure_copies.remove_expired()
             self.crash_archive.review()
             members = self.membership.count_possible()
             self.budget.set_nodes(members)
--- a/packages/thorntray-node/src/thorntray_node/mesh_start.py
+++ b/packages/thorntray-node/src/thorntray_node/mesh_start.py
@@ -12,6 +12,7 @@
 from thorntray.internal.connection.http_server import HttpServer
 from thorntray.internal.connection.link_listener import LinkListener
 from thorntray.internal.membership.crash_reports import CrashReports
+from thorntray.internal.membership.departure_copies import DepartureCopies
 from thorntray.internal.membership.departures import Departures
 from thorntray.internal.membership.gossip import Address
 from thorntray.internal.membership.member import Member
@@ -103,6 +104,7 @@
         node.departures = Departures(
             node.registration, node.membership, node.entries, clock, self._tasks
         )
+        node.departure_copies = DepartureCopies(node.membership, clock)
         node.registration.hold()
         node.crash_archive = CrashArchive(node.suspects, node.membership, node.entries, clock)
         node.seeds = Seeds(
@@ -217,6 +219,7 @@
     def _begin(self) -> None:
         """Join the fleet and begin the loops; runs without a pause after the ports are open."""
         node = self._node
+        node.registration.hold()  # again, as announcements may arrive from now on
         node.udp.receive = node.membership.on_datagram
         node.membership.start()
         node.seeds.start()
--- a/packages/thorntray/src/thorntray/internal/membership/departures.py
+++ b/packages/thorntray/src/thorntray/internal/membership/departures.py
@@ -9,9 +9,11 @@
 They are chosen by rendezvous hashing, most of them in the own failure domain, so that a cut between
 domains leaves some, and a new process of the node finds them again.
 
-A process that starts asks the same two before it uses any instance (`Registration.hold`). It needs
-no members if the store answers and no member does so soon, nor the store if two members answer. If
-nobody answers, an instance is used that goes on announcing itself, as one that has left does not.
+A process that starts asks the same two before it uses any instance (`Registration.hold`). It knows
+all departures once two members have answered that are older than itself, and the store, if it does
+so soon. Answers of others do not show that nothing was confirmed: after a kill of all nodes every
+member is new, and the store may have been down at the confirmation, or its lease has ended.
+`process.boot_trust` then decides which announcements may be late ones.
 """
 
 import asyncio
@@ -20,7 +22,15 @@
 
 import msgspec
 
-from thorntray.internal.bounded import Count, Name
+from thorntray.internal.membership.departure_copies import (
+    LIFETIME,
+    LOCAL_HOLDERS,
+    MAX_KEPT,
+    REMOTE_HOLDERS,
+    Boots,
+    address_of,
+    choose_holders,
+)
 from thorntray.internal.membership.gossip import (
     Address,
     DepartureQuery,
@@ -28,7 +38,6 @@
     DepartureReply,
     DepartureReport,
 )
-from thorntray.internal.membership.hashing import hash64
 from thorntray.internal.membership.member import Member
 from thorntray.internal.membership.membership import Membership
 from thorntray.internal.process.clock import Clock
@@ -38,9 +47,6 @@
 from thorntray.internal.telemetry.events import Event, log_event
 
 KEY_PREFIX = "departures/"
-LIFETIME = 600.0  # seconds for which a departure is kept, longer than announcements are late
-MAX_KEPT = 8  # newest departures that are kept for each node
-LOCAL_HOLDERS, REMOTE_HOLDERS = 3, 2  # members that are told
 # Members that are asked after a start; more, as the members have changed since, or not all are
 # known yet.
 LOCAL_ASKED, REMOTE_ASKED = 6, 4
@@ -48,16 +54,19 @@
 MIN_COPIES = 2  # members that must know a departure, or answer a query, without the store
 STORE_PATIENCE = 0.15  # seconds for the members' answers once the store has answered
 CONFIRM_TIME = 0.7  # seconds until a confirmation is refused; a late one is worth nothing
+# Seconds by which the process of a member that is asked must be older than the one that asks, so
+# that the member has the copies of what was confirmed before.
+MIN_LEAD = 5.0
+MAX_RENEWALS = 10  # looks at the copies after a change, in which lost datagrams are sent again
 RECALL_PATIENCE = 0.5  # seconds after the start for answers of members that are not known yet
 RECALL_TIME = 1.5  # seconds after the start without any answer
 
-_Boots = tuple[tuple[Name, Count, bool], ...]
 _encode = msgspec.json.Encoder().encode
-_decode = msgspec.json.Decoder(_Boots).decode
+_decode = msgspec.json.Decoder(Boots).decode
 
 
 class Departures:
-    """The departures of the own instance, at the store and at members, and those of other nodes."""
+    """The departures of the own instance, at the store and at members."""
 
     def __init__(
         self,
@@ -74,15 +83,15 @@
         self._clock = clock
         self._tasks = tasks
         self._own: list[Departure] = []
-        self._held: dict[str, tuple[float, _Boots]] = {}  # boot time and departures, by node
         self._sequence = 0
         self._copies: set[Address] = set()  # members that have confirmed the newest report
+        self._renewals_left = 0  # looks at the copies that remain after the last change
         self._replies: set[Address] = set()  # members that have answered the query of this process
+        self._informed: set[Address] = set()  # those that know what was confirmed before its start
+        self._began_at = clock.boottime()
         self._recorded: asyncio.Task[bool] | None = None
         registration.on_left = self._on_left
-        membership.handlers[DepartureReport] = self._on_report
         membership.handlers[DepartureRecorded] = self._on_recorded
-        membership.handlers[DepartureQuery] = self._on_query
         membership.handlers[DepartureReply] = self._on_reply
 
     # The own instance.
@@ -117,6 +126,7 @@
         self._entries.keep(self._key, _encode(self._own), LIFETIME)
         self._sequence += 1
         self._copies.clear()
+        self._renewals_left = MAX_RENEWALS
         replaced, self._recorded = self._recorded, self._tasks.spawn(self._record())
         if replaced is not None:
             replaced.cancel()
@@ -124,13 +134,10 @@
 
     async def _record(self) -> bool:
         """Tell the store and members of the departures; return whether enough of them know."""
-        report = DepartureReport(self._sequence, self._membership.own.name, tuple(self._own))
         holders = self._holders(LOCAL_HOLDERS, REMOTE_HOLDERS)
         began, stored_at = self._clock.monotonic(), inf
         while True:
-            for member in holders:
-                if _address(member) not in self._copies:
-                    self._membership.send_datagram(report, _address(member))
+            self._send_reports(holders)
             await self._sleep_until_written(RESEND_PERIOD)
             now = self._clock.monotonic()
             if self._entries.is_written(self._key):
@@ -144,6 +151,13 @@
                 log_event(Event.DEPARTURE_NOT_RECORDED, copies=len(self._copies))
                 return False
 
+    def _send_reports(self, holders: list[Member]) -> None:
+        """Send the own departures to those of the holders that have not confirmed a copy."""
+        report = DepartureReport(self._sequence, self._membership.own.name, tuple(self._own))
+        for member in holders:
+            if address_of(member) not in self._copies:
+                self._membership.send_datagram(report, address_of(member))
+
     async def _sleep_until_written(self, seconds: float) -> None:
         if self._entries.is_written(self._key):
             await asyncio.sleep(seconds)
@@ -165,29 +179,35 @@
         stored = self._tasks.supervise(self._recall_from_store)
         began = self._clock.monotonic()
         while True:
-            asked = self._holders(LOCAL_ASKED, REMOTE_ASKED)
-            for member in asked:
-                if _address(member) not in self._replies:
-                    query = DepartureQuery(self._membership.own.name)
-                    self._membership.send_datagram(query, _address(member))
+            asked = self._ask_members()
             await asyncio.sleep(RESEND_PERIOD)
             waited = self._clock.monotonic() - began
-            replied = len(self._replies) >= min(MIN_COPIES, len(asked)) and bool(asked)
-            if stored.done() and (replied or waited >= RECALL_PATIENCE):
-                break
-            if replied and joined() and waited >= RECALL_PATIENCE:
+            enough = min(MIN_COPIES, len(asked)) or inf
+            has_looked = stored.done() or (joined() and waited >= RECALL_PATIENCE)
+            if len(self._informed) >= enough and has_looked:
+                self._registration.release()
+                return
+            answered = len(self._replies) >= enough and joined()
+            if (stored.done() or answered) and waited >= RECALL_PATIENCE:
                 break
             if waited >= RECALL_TIME:
                 self._registration.require_proof()
                 await self._wait_for_any_answer(stored)
-                break
-        self._registration.release()
+                return
+        self._registration.release_uncertain()
+
+    def _ask_members(self) -> list[Member]:
+        """Send the query to the members that have not answered it; return all that are asked."""
+        asked = self._holders(LOCAL_ASKED, REMOTE_ASKED)
+        query = DepartureQuery(self._membership.own.name)
+        for member in asked:
+            if address_of(member) not in self._replies:
+                self._membership.send_datagram(query, address_of(member))
+        return asked
 
     async def _wait_for_any_answer(self, stored: "asyncio.Task[None]") -> None:
         while not stored.done() and not self._replies:
-            for member in self._holders(LOCAL_ASKED, REMOTE_ASKED):
-                query = DepartureQuery(self._membership.own.name)
-                self._membership.send_datagram(query, _address(member))
+            self._ask_members()
             await asyncio.sleep(RECALL_PATIENCE)
 
     async def _recall_from_store(self) -> None:
@@ -203,58 +223,47 @@
             return
         self._learn(boots)
 
-    def _learn(self, boots: _Boots) -> None:
-        for departure in (Departure(*boot) for boot in boots[-MAX_KEPT:]):
+    def _learn(self, boots: Boots) -> None:
+        recalled = [Departure(*boot) for boot in boots[-MAX_KEPT:]]
+        for departure in recalled:
             self._registration.recall(departure)
-            if departure not in self._own:  # or the next record would replace it
-                self._own = [departure, *self._own][-MAX_KEPT:]
+        unknown = [departure for departure in recalled if departure not in self._own]
+        if unknown:
+            # Recorded anew: the store may have lost the entry, and members their copies.
+            self._own = [*unknown, *self._own][-MAX_KEPT:]
+            self._start_recording()
 
-    # Other nodes.
+    # The members.
 
-    def tell_restarted(self, member: Member) -> None:
-        """Tell a process that has just started what its predecessor had confirmed."""
-        boots = self._held_of(member.name)
-        if boots:
-            self._membership.send_datagram(DepartureReply(boots), _address(member))
+    def member_changed(self, member: Member) -> None:
+        """Renew the copies of the own departures after a member has ended or restarted."""
+        self._copies.discard(address_of(member))
+        self._renewals_left = MAX_RENEWALS
 
-    def remove_expired(self) -> None:
-        """Drop what is no longer needed of other nodes; to be called periodically."""
-        cutoff = self._clock.boottime() - LIFETIME
-        for name in [n for n, (at, _) in self._held.items() if at < cutoff]:
-            del self._held[name]
-
-    def _held_of(self, name: str) -> _Boots:
-        return self._held[name][1] if name in self._held else ()
-
-    def _on_report(self, report: DepartureReport, address: Address) -> None:
-        known = [boot for boot in self._held_of(report.member) if boot not in report.boots]
-        boots = (*known, *report.boots)[-MAX_KEPT:]
-        self._held[report.member] = (self._clock.boottime(), boots)
-        self._membership.send_datagram(DepartureRecorded(report.sequence), address)
+    def renew_copies(self) -> None:
+        """Send the own departures to holders that have no copy; to be called periodically."""
+        if self._renewals_left and self._own and self._recorded is not None:
+            self._renewals_left -= 1
+            self._send_reports(self._holders(LOCAL_HOLDERS, REMOTE_HOLDERS))
 
     def _on_recorded(self, answer: DepartureRecorded, address: Address) -> None:
         if answer.sequence == self._sequence:
             self._copies.add(address)
 
-    def _on_query(self, query: DepartureQuery, address: Address) -> None:
-        self._membership.send_datagram(DepartureReply(self._held_of(query.member)), address)
-
     def _on_reply(self, reply: DepartureReply, address: Address) -> None:
         self._replies.add(address)
+        if reply.age >= self._age + MIN_LEAD:
+            self._informed.add(address)
         self._learn(reply.boots)
 
+    @property
+    def _age(self) -> float:
+        """Return the seconds since this process was created."""
+        return self._clock.boottime() - self._began_at
+
     def _holders(self, local: int, remote: int) -> list[Member]:
-        """Return the first members in this node's order, in the own failure domain and outside."""
         own = self._membership.own
-        others = [member for member in self._membership.alive() if member.name != own.name]
-        others.sort(key=lambda member: hash64(f"departures\0{own.name}\0{member.name}"))
-        in_domain = [member for member in others if member.domain == own.domain]
-        outside = [member for member in others if member.domain != own.domain]
-        return in_domain[:local] + outside[:remote]
-
-
-def _address(member: Member) -> Address:
-    return Address(member.address, member.gossip_port)
+        return choose_holders(own, self._membership.alive(), local, remote)
 
 
 def _is_recorded(task: "asyncio.Task[bool]") -> bool:
--- a/packages/thorntray/src/thorntray/internal/membership/gossip.py
+++ b/packages/thorntray/src/thorntray/internal/membership/gossip.py
@@ -9,7 +9,7 @@
 import msgspec
 
 from thorntray.errors import BadMessage
-from thorntray.internal.bounded import Count, Name
+from thorntray.internal.bounded import Count, Name, Seconds
 from thorntray.internal.membership.member import Member
 
 GOSSIP_VERSION = 1
@@ -169,9 +169,14 @@
 
 
 class DepartureReply(msgspec.Struct, tag="K", array_like=True, frozen=True):
-    """Answers a `DepartureQuery`, or tells a restarted process without a query."""
+    """Answers a `DepartureQuery`, or tells a restarted process without a query.
+
+    `age` is for how many seconds the process of the sender has kept departures; a release before
+    does not tell it.
+    """
 
     boots: tuple[tuple[Name, Count, bool], ...]
+    age: Seconds = 0.0
 
 
 DepartureDatagram = DepartureReport | DepartureRecorded | DepartureQuery | DepartureReply
--- a/packages/thorntray/src/thorntray/internal/process/registration.py
+++ b/packages/thorntray/src/thorntray/internal/process/registration.py
@@ -6,14 +6,15 @@
 that decision is revised by further announcements.
 
 A process that has just started does not know which boots have left (`membership.departures`). Until
-it does, no instance gets work; if nobody can tell, one does that goes on announcing itself.
+it does, no instance gets work; if nobody can tell for certain, `boot_trust` decides.
 """
 
 from collections.abc import Callable
 from enum import Enum
 from typing import NamedTuple
 
-from thorntray.internal.process.boot_order import CLAIM_TIME, Boot, BootOrder
+from thorntray.internal.process.boot_order import Boot, BootOrder
+from thorntray.internal.process.boot_trust import BootTrust, Knowledge
 from thorntray.internal.process.clock import Clock
 from thorntray.internal.telemetry.events import Event, log_event
 
@@ -61,14 +62,6 @@
     earlier_too: bool = False
 
 
-class _Trust(Enum):
-    """Which announcements bring work to an instance."""
-
-    ALL = "all"
-    PROVEN = "those of a boot that goes on announcing itself"
-    NONE = "none"
-
-
 class Registration:
     """The newest boot of the instance, and whether new work may be sent to it."""
 
@@ -86,14 +79,13 @@
         self.accepting = False
         self.node_draining = False
         self._announced_at = clock.monotonic()
-        self._trust = _Trust.ALL
-        self._first_announced: tuple[Announcement, float] | None = None  # with its monotonic time
+        self._trust = BootTrust(clock)
         self.on_left: Callable[[Departure], None] = lambda departure: None
 
     @property
     def available(self) -> bool:
         """Return whether new work may be sent to the instance."""
-        return self.accepting and not self.node_draining
+        return self.accepting and not self.node_draining and self._is_trusted
 
     def set_target(self, service: str, address: str) -> None:
         """Set the service and address that announcements must have.
@@ -107,21 +99,34 @@
             self._set_accepting(False)
 
     def hold(self) -> None:
-        """Let no instance get work before `release` is called."""
-        self._trust = _Trust.NONE
+        """Let no instance get work before one of the next three methods is called."""
+        self._trust.hold()
 
     def require_proof(self) -> None:
-        """Let an instance get work that goes on announcing itself, before `release` is called."""
-        self._trust = _Trust.PROVEN
+        """Let instances get work that go on announcing themselves, as nobody has answered."""
+        self._trust.set_uncertain(requires_proof=True)
+        self._review_trust()
+
+    def release_uncertain(self) -> None:
+        """Let instances get work, unless an announcement of theirs may be a late one."""
+        self._trust.set_uncertain(requires_proof=False)
+        self._review_trust()
 
     def release(self) -> None:
         """Let instances get work: all departures from before the start are known."""
-        if self._trust is _Trust.ALL:
+        if self._trust.knowledge is Knowledge.COMPLETE:
             return
-        self._trust = _Trust.ALL
+        self._trust.set_complete()
+        self._review_trust()
+
+    def _review_trust(self) -> None:
         current = self.current
         if current is not None and current.phase is Phase.READY:
-            self._set_accepting(not self.has_left(current.boot))
+            self._set_accepting(self._is_trusted and not self.has_left(current.boot))
+
+    @property
+    def _is_trusted(self) -> bool:
+        return self.current is not None and self._trust.trusts(self.current.boot)
 
     def recall(self, departure: Departure) -> None:
         """Record a departure that this process or its predecessor has confirmed before."""
@@ -157,7 +162,8 @@
                 sequence=announcement.sequence,
                 slots=announcement.slots,
             )
-        ready = announcement.phase is Phase.READY and self._is_trusted(announcement)
+        self._trust.record(boot)
+        ready = announcement.phase is Phase.READY and self._trust.trusts(boot)
         self._set_accepting(ready, changed)
         return True
 
@@ -204,10 +210,18 @@
 
     def check_timeout(self) -> None:
         """Stop new work to an instance without recent announcements; to be called periodically."""
-        if self.accepting and self._clock.monotonic() - self._announced_at > ANNOUNCEMENT_TIMEOUT:
+        if self.accepting and not self._is_trusted:
+            log_event(Event.INSTANCE_UNPROVEN, silent=self._silent_time)
+            self._set_accepting(False)
+        if self.accepting and self._silent_time > ANNOUNCEMENT_TIMEOUT:
             log_event(Event.INSTANCE_LAPSED, silent=ANNOUNCEMENT_TIMEOUT)
             self._set_accepting(False)
 
+    @property
+    def _silent_time(self) -> float:
+        """Return the seconds since the last announcement of the current boot."""
+        return round(self._clock.monotonic() - self._announced_at, 3)
+
     def drain_node(self) -> None:
         """Stop new work, because this node is stopping."""
         self.node_draining = True
@@ -226,19 +240,6 @@
                 known=(*current.boot, current.sequence),
             )
 
-    def _is_trusted(self, announcement: Announcement) -> bool:
-        """Return whether an announcement brings work to its instance."""
-        now = self._clock.monotonic()
-        match self._trust:
-            case _Trust.ALL:
-                return True
-            case _Trust.NONE | _Trust.PROVEN:
-                first = self._first_announced
-                if first is None or first[0].boot != announcement.boot:
-                    self._first_announced = (announcement, now)
-                    return False
-                return self._trust is _Trust.PROVEN and now - first[1] >= CLAIM_TIME
-
     def _record_left(self, boot: Boot) -> None:
         if boot in self._left_boots:
             return
--- a/packages/thorntray/src/thorntray/internal/telemetry/events.py
+++ b/packages/thorntray/src/thorntray/internal/telemetry/events.py
@@ -78,6 +78,9 @@
     PROCESS_ENDED = EventKind(127, Level.ERROR, "process ended")  # written by `process_end`
     RESTART_SEEN = EventKind(128, Level.WARNING, "process of a node replaces an earlier one")
     SETTINGS_AWAITED = EventKind(129, Level.WARNING, "settings file not valid yet, read again")
+    INSTANCE_UNPROVEN = EventKind(
+        133, Level.WARNING, "upstream instance not used until it has announced itself again"
+    )
     SETTINGS_DEFAULT = EventKind(132, Level.WARNING, "settings field without a value, default used")
     MEMBER_JOINED = EventKind(200, Level.INFO, "member joined")
     MEMBER_SUSPECT = EventKind(201, Level.WARNING, "member suspected")
--- a/tests/mesh_builders.py
+++ b/tests/mesh_builders.py
@@ -342,6 +342,16 @@
         await _close_node(node)
         return await self._start_node(node.cfg)
 
+    async def restart_all(self, seconds: float = 0.5) -> None:
+        """End all nodes at the same moment, and start new processes `seconds` later."""
+        nodes, self.nodes = self.nodes, {}
+        self.stopped.extend(nodes)
+        for node in nodes.values():
+            await _close_node(node)
+        await asyncio.sleep(seconds)
+        for node in nodes.values():
+            await self._start_node(node.cfg)
+
     async def share_membership(self) -> None:
         """Give every node the current members directly, without waiting for gossip."""
         await asyncio.sleep(0.1)
