Entries that the store has lost are written again while they are kept

What callers saw: a leaving was confirmed in calm, the store was down for half a second and its leases ran out, and all nodes were killed half a second later.

Cause: an entry counted as written for as long as the epoch of the store was the same. Nothing in the process noticed that its lease had ended, so the entry was missing when all copies died. Ruled out: a write under an ended lease (there was no write at all), the back-off of writes (the same), and a node without an open call (all six nodes of the case watch the policy).

Change: an entry that a promise depends on, the departures, is read after each change of its key, which one open watch call tells of, and after each end of that watch; one that is missing or replaced is written again. The leases of other entries, crash reports and blocks, are renewed every 10 s, and the entry is written again if its lease has ended. Cost: for a node whose instance left in the last ten minutes a watch and a read in 10 s, so 320 calls a second if all 1,600 nodes have one; a renewal in 10 s for each crash report and block.

--- a/packages/thorntray-node/src/thorntray_node/mesh_start.py
+++ b/packages/thorntray-node/src/thorntray_node/mesh_start.py
@@ -226,6 +226,7 @@
         loops = [
             node.policy_watch.run,
             node.entries.run,
+            node.entries.check,
             node.links.watch,
             node.crash_reports.run,
             node.quotas.run,
--- a/packages/thorntray/src/thorntray/internal/membership/departures.py
+++ b/packages/thorntray/src/thorntray/internal/membership/departures.py
@@ -123,7 +123,7 @@
         self._start_recording()
 
     def _start_recording(self) -> "asyncio.Task[bool]":
-        self._entries.keep(self._key, _encode(self._own), LIFETIME)
+        self._entries.keep(self._key, _encode(self._own), LIFETIME, is_watched=True)
         self._sequence += 1
         self._copies.clear()
         self._renewals_left = MAX_RENEWALS
--- a/packages/thorntray/src/thorntray/internal/telemetry/events.py
+++ b/packages/thorntray/src/thorntray/internal/telemetry/events.py
@@ -100,6 +100,7 @@
     PLATFORM_RESTORED = EventKind(
         312, Level.WARNING, "platform service restored from an older copy"
     )
+    KEPT_ENTRY_LOST = EventKind(315, Level.WARNING, "platform service lost an entry, written again")
     KEYS_REFUSED = EventKind(
         313, Level.WARNING, "API keys refused, no recent proof of the newest policy"
     )
