Answers with an invalid or interim status are not passed on as answers

What callers saw: an instance in trouble answered with the status 000 or 099, and callers of HEAD requests read 'HTTP/1.1 0'. Interim answers (1xx) to HEAD were taken for the final one, also before a good answer, and 600 and 999 were passed on for all methods. (Reported from other systems.)

Cause: the pool finished a HEAD request at the first complete head, whatever its status, and took every status from 200 upwards for a final one. Statuses below 200 counted as interim, so 000 made the node wait for the next answer. Ruled out: the parser (it reports the status as sent), the writing of answers (unchanged).

--- a/packages/thorntray/src/thorntray/internal/connection/http_client.py
+++ b/packages/thorntray/src/thorntray/internal/connection/http_client.py
@@ -19,6 +19,7 @@
 
 from thorntray.errors import NoReply, NotConnected
 from thorntray.internal.connection.socket_opener import SocketOpener
+from thorntray.internal.connection.statuses import is_final, is_interim
 from thorntray.internal.process.clock import Clock
 
 CONNECT_TIMEOUT = 2.0  # seconds
@@ -142,8 +143,11 @@
         self._headers[name.decode("latin-1").lower()] = value.decode("latin-1")
 
     def on_headers_complete(self) -> None:
-        """Record that the rest is the body."""
-        self._head_complete = True
+        """Record that the rest is the body; raises `NoReply` if the status is invalid."""
+        status = self._parser.get_status_code()
+        if not is_final(status) and not is_interim(status):
+            raise NoReply(f"invalid status {status}")
+        self._head_complete = is_final(status)
 
     def on_body(self, body: bytes) -> None:
         """Store a part of the body."""
@@ -151,11 +155,11 @@
 
     def on_message_complete(self) -> None:
         """Complete the reply, unless it is an interim one (1xx)."""
-        if self._parser.get_status_code() < 200:
+        if is_interim(self._parser.get_status_code()):
             self._interim_replies += 1
             if self._interim_replies > MAX_INTERIM_REPLIES:
                 raise NoReply(f"more than {MAX_INTERIM_REPLIES} interim replies")
-        if self._parser.get_status_code() >= 200 and not self._answered:
+        elif not self._answered:
             self.reusable = self._parser.should_keep_alive()
             self._resolve()
 
--- a/packages/thorntray/src/thorntray/internal/connection/instance_pool.py
+++ b/packages/thorntray/src/thorntray/internal/connection/instance_pool.py
@@ -25,6 +25,7 @@
 from thorntray.internal.connection.pending_send import PendingSend
 from thorntray.internal.connection.response_bounds import HeldBodies, ResponseBounds
 from thorntray.internal.connection.socket_opener import SocketOpener, is_exhausted
+from thorntray.internal.connection.statuses import is_final, is_interim
 from thorntray.internal.process.clock import Clock
 from thorntray.internal.process.memory_budget import MemoryBudget
 from thorntray.internal.telemetry.events import log_handler_failure
@@ -151,10 +152,16 @@
     def on_headers_complete(self) -> None:
         """Determine how the end of the response is recognized."""
         status = self._parser.get_status_code()
-        self._ends_at_close = not self._has_framing and status >= 200 and status not in (204, 304)
+        if is_interim(status):
+            return
+        if not is_final(status):
+            self._record_fault()
+            return
+        has_body = status not in (204, 304)
+        self._ends_at_close = has_body and not self._has_framing
         if self._head_only:
             self._finish(reusable=False)
-        elif self._content_length and status >= 200 and status not in (204, 304):
+        elif self._content_length and has_body:
             self._bounds.announce_body(self._content_length)
 
     def on_body(self, body: bytes) -> None:
@@ -165,12 +172,18 @@
     def on_message_complete(self) -> None:
         """Accept the response unless it is interim (1xx) or belongs to another request."""
         self._in_message = False
-        if self._parser.get_status_code() < 200 or self._response is not None:
+        if not is_final(self._parser.get_status_code()) or self._response is not None:
             return
         if self._response_id not in (self._request_id, None):
             return  # late response to an earlier request
         self._finish(reusable=self._parser.should_keep_alive())
 
+    def _record_fault(self) -> None:
+        """Record that these bytes are no response, unless the awaited one is complete."""
+        self._reusable = False
+        if self._response is None:
+            self._fault = ResponseFault.GARBLED
+
     def _finish(self, reusable: bool) -> None:
         if self._response_id != self._request_id:
             self._fault = ResponseFault.GARBLED
--- a/packages/thorntray/src/thorntray/internal/connection/upstream.py
+++ b/packages/thorntray/src/thorntray/internal/connection/upstream.py
@@ -15,6 +15,7 @@
 import aiohttp
 
 from thorntray.internal.connection.message import Call
+from thorntray.internal.connection.statuses import is_final
 from thorntray.internal.overload.rate_limit import InstanceState, RateLimit
 from thorntray.internal.process.clock import Clock, SystemClock
 from thorntray.internal.request.http_answer import CONTEXT_HEADER, DEADLINE_HEADER
@@ -112,7 +113,8 @@
             allow_redirects=False,
             timeout=aiohttp.ClientTimeout(total=None, sock_connect=CONNECT_TIMEOUT),
         ) as resp:
-            self._learn(resp, sent_at)
+            if is_final(resp.status):
+                self._learn(resp, sent_at)
             if shed_header and shed_header in resp.headers:
                 return NotRun(Reason.UPSTREAM_SHED, SHED_RETRY_AFTER)
             return await self._read_response(resp)
@@ -127,6 +129,8 @@
             self._on_leaving()
 
     async def _read_response(self, resp: aiohttp.ClientResponse) -> Outcome:
+        if not is_final(resp.status):
+            return Unknown(f"the instance answered with the invalid status {resp.status}")
         if not _has_framing(resp):
             return Failed("the instance's answer has no length; it cannot be told whole")
         if (resp.content_length or 0) > MAX_ANSWER_BYTES:
--- a/packages/thorntray/src/thorntray/internal/store/aiohttp_client.py
+++ b/packages/thorntray/src/thorntray/internal/store/aiohttp_client.py
@@ -14,6 +14,7 @@
     HttpReply,
     enable_keepalive,
 )
+from thorntray.internal.connection.statuses import is_final
 
 
 class AiohttpClient:
@@ -30,6 +31,8 @@
             async with self.session().request(
                 method, url, data=body, headers=headers, timeout=limits
             ) as resp:
+                if not is_final(resp.status):
+                    raise NoReply(f"invalid status {resp.status}")
                 fields = {name.lower(): value for name, value in resp.headers.items()}
                 return HttpReply(resp.status, fields, await _read_body(resp))
         except (aiohttp.ClientConnectorError, aiohttp.ServerTimeoutError) as exc:
