Bytes without end: a range of the store has a bounded number of pages; processes tested

Reported from other systems: an instance sent bytes without end, and the node that had called it ran out of memory together with its other callers.

The same on the other readers: the client of the store read pages of a range for as long as the store named a next one, and kept them all, at the start of each process. Links, announcements, probes and compressed input have bounds already (test_large_frames, test_own_server_bodies, test_compressed_input); replies of the store are bounded at 8 MiB each.

--- a/standins/worker.py
+++ b/standins/worker.py
@@ -24,7 +24,7 @@
 CALL_ID_SUFFIX = "-c"  # the id of a nested call is the id of its parent request plus this suffix
 DRAIN_DURATION = 4.0  # seconds from the draining heartbeat to the deregistration
 SMALL_BODY_BYTES = 256
-MAX_HEAD_BYTES = 512  # of a response
+ENDLESS_START = "HTTP/1.1 200 Endless\r\n"  # of a response that goes on without end
 ENDLESS_CHUNK = b"4000\r\n" + b"e" * 0x4000 + b"\r\n"  # of a chunked body
 DEADLY_BODY = b"deadly "
 SIZE_QUERY = "?size="  # in a path: the bytes of the answer's body
@@ -116,6 +116,17 @@
 DEFAULT_BEHAVIOR = PathBehavior()
 
 
+class EndlessAnswer(NamedTuple):
+    """An answer that goes on until its caller closes: the end of its head, and what it repeats.
+
+    It waits `pause` seconds after each part.
+    """
+
+    head: bytes = b"Transfer-Encoding: chunked\r\n\r\n"
+    part: bytes = ENDLESS_CHUNK
+    pause: float = 0.0
+
+
 def response_body(request_id: str, size: int = SMALL_BODY_BYTES) -> bytes:
     """Return the response body of `size` bytes that callers expect for a request id."""
     digest = hashlib.sha256(request_id.encode()).hexdigest().encode()
@@ -160,6 +171,7 @@
         self.slowdown = 1.0
         self.response_loss_rate = 0.0
         self.endless_rate = 0.0
+        self.endless_answer = EndlessAnswer()
         self.rate_limit: float | None = None
         self.leaving = False
         self.phase = "ready"
@@ -283,8 +295,8 @@
                     return
                 writer.write(response)
                 await writer.drain()
-                if b"Transfer-Encoding" in response[:MAX_HEAD_BYTES]:
-                    await _send_endlessly(writer)
+                if response.startswith(ENDLESS_START.encode()):
+                    await _send_endlessly(writer, self.endless_answer)
         except (OSError, asyncio.IncompleteReadError):
             pass  # the node has closed its connection
         finally:
@@ -329,8 +341,8 @@
             return None
         fields = f"X-Response-Signature: {response_signature(request_id)}\r\n"
         if endless:
-            fields += "Transfer-Encoding: chunked\r\n"
-            return f"HTTP/1.1 200 X\r\nX-Request-Id: {request_id}\r\n{fields}\r\n".encode()
+            head = f"{ENDLESS_START}X-Request-Id: {request_id}\r\n{fields}".encode()
+            return head + self.endless_answer.head
         fields += self._state_fields(request_id)
         body = response_body(request_id, answer_bytes(path, self._behavior(path)))
         return encode_response(status, request_id, body, fields)
@@ -393,8 +405,10 @@
     outbound: Endpoint
 
 
-async def _send_endlessly(writer: asyncio.StreamWriter) -> None:
-    """Send chunks of a body until the other side closes the connection."""
+async def _send_endlessly(writer: asyncio.StreamWriter, answer: EndlessAnswer) -> None:
+    """Send the rest of an answer until the other side closes the connection."""
     while True:
-        writer.write(ENDLESS_CHUNK)
+        writer.write(answer.part)
         await writer.drain()
+        if answer.pause:
+            await asyncio.sleep(answer.pause)
--- a/tests/test_kv_store.py
+++ b/tests/test_kv_store.py
@@ -1,6 +1,7 @@
 """The adapter for the platform's key-value store, tested against a stand-in that injects faults."""
 
 import asyncio
+import itertools
 import sys
 import time
 from pathlib import Path
@@ -10,7 +11,7 @@
 
 sys.path.insert(0, str(Path(__file__).resolve().parent.parent / "platform"))
 
-from kv_store import MAX_MALFORMED_ITEMS, KvStore  # noqa: E402
+from kv_store import MAX_MALFORMED_ITEMS, MAX_PAGES, KvStore  # noqa: E402
 from standins.fleet import free_port  # noqa: E402
 from standins.kv_store import KvStoreStandIn  # noqa: E402
 from tests.mesh_builders import HOST, make_policy  # noqa: E402
@@ -263,6 +264,26 @@
     assert time.process_time() - began < 0.2
 
 
+@pytest.mark.parametrize("last_keys", [itertools.repeat("a/1"), itertools.count()])
+def test_a_range_with_pages_without_end_is_given_up(last_keys):
+    """Guards against a process whose memory a faulty store fills at its start."""
+
+    class EndlessPages(OneReply):
+        calls = 0
+
+        async def call(self, method, path, request=None, timeout=0.0):
+            self.calls += 1
+            item = {"Key": f"a/{next(last_keys)}", "Revision": 1, "Value": ""}
+            await asyncio.sleep(0)
+            self._body = {"items": [item], "MorePages": True, "StoreRevision": 1}
+            return await super().call(method, path, request, timeout)
+
+    pages = EndlessPages({})
+    with pytest.raises(PlatformUnavailable):
+        asyncio.run(asyncio.wait_for(KvStore(pages).read("a/", prefix=True), 10.0))
+    assert pages.calls <= MAX_PAGES
+
+
 class BodyHttp:
     """Answers each call with the same bytes."""
 
