A request that offers an upgrade is read with its body

Cause: httptools ends a message with 'Connection: Upgrade' and 'Upgrade' at the end of its head and leaves the rest to another protocol. The request was passed on as complete, the body discarded. Ruled out: the removal of connection fields (the body was lost before), chunked bodies alone (the same with a length), the cutting into pieces (the same in one piece).

Change: connection.request_parser parses such a head again without the offer, followed by what came behind it, for the server of callers, announcements and readiness and for the product's own interface under uvicorn. The connection still ends with the answer to such a request, as its caller may go on in another protocol. CONNECT, which httptools treats alike, is refused with 501; it was passed on without what followed it.

--- a/packages/thorntray-node/src/thorntray_node/http.py
+++ b/packages/thorntray-node/src/thorntray_node/http.py
@@ -18,7 +18,9 @@
 from uvicorn.protocols.http.httptools_impl import HttpToolsProtocol
 
 from thorntray.internal.connection.accept_queue import close_listener
+from thorntray.internal.connection.http_request import Header
 from thorntray.internal.connection.kernel_output import kernel_input_bytes
+from thorntray.internal.connection.request_parser import CONNECT, RequestParser
 from thorntray.internal.request.http_answer import (
     DETAIL_HEADER,
     OUTCOME_HEADER,
@@ -264,11 +266,21 @@
     """uvicorn's protocol; tells the application whether pipelined requests are waiting.
 
     At the stop, a request whose head is incomplete is refused, and input that waits in the kernel
-    is read before the connection is closed: uvicorn takes both for idle connections.
+    is read before the connection is closed: uvicorn takes both for idle connections. An offer to
+    upgrade the connection is ignored (`RequestParser`); uvicorn drops the body of such a request.
     """
 
     _receives_head = False
 
+    def __init__(self, **options: Any) -> None:
+        super().__init__(**options)
+        self.parser = RequestParser(self, lenient_data_after_close=True)
+
+    @property
+    def parsed_head(self) -> tuple[bytes, list[Header]]:
+        """Return the target and the header fields of the request that is being received."""
+        return self.url, self.headers
+
     def on_message_begin(self) -> None:
         """Start a new request."""
         self._receives_head = True
@@ -276,10 +288,22 @@
 
     def on_headers_complete(self) -> None:
         """Add the function `thorntray.pipelined` to the scope of a request."""
+        if self._is_parsed_again:
+            return
         self._receives_head = False
         self.scope["extensions"] = {PIPELINED: lambda: bool(self.pipeline)}
         super().on_headers_complete()
 
+    def on_message_complete(self) -> None:
+        """End the body of a request."""
+        if not self._is_parsed_again:
+            super().on_message_complete()
+
+    @property
+    def _is_parsed_again(self) -> bool:
+        """Return whether the head is parsed again without an offer to upgrade."""
+        return self.parser.should_upgrade() and self.parser.get_method() != CONNECT
+
     def shutdown(self) -> None:
         """Close the connection, after the answer to the request that it may have."""
         idle = self.cycle is None or self.cycle.response_complete
--- a/packages/thorntray/src/thorntray/internal/connection/http_connection.py
+++ b/packages/thorntray/src/thorntray/internal/connection/http_connection.py
@@ -24,7 +24,12 @@
     unacknowledged_bytes,
 )
 from thorntray.internal.connection.exchange import Exchange
-from thorntray.internal.connection.http_request import ClosedBy, HttpRequest, expects_continue
+from thorntray.internal.connection.http_request import (
+    ClosedBy,
+    Header,
+    HttpRequest,
+    expects_continue,
+)
 from thorntray.internal.connection.kernel_output import discard_input, kernel_input_bytes
 from thorntray.internal.connection.output_watch import OutputWatch
 from thorntray.internal.connection.request_bodies import (
@@ -32,6 +37,7 @@
     FIELD_SEPARATOR_BYTES,
     IncomingRequest,
 )
+from thorntray.internal.connection.request_parser import RequestParser
 from thorntray.internal.telemetry.events import log_handler_failure
 
 if TYPE_CHECKING:
@@ -52,7 +58,7 @@
         self.pending: deque[Exchange] = deque()
         self.peer_host = ""  # IP address of the caller
         self._transport: asyncio.Transport | None = None
-        self._parser = httptools.HttpRequestParser(self)
+        self._parser = RequestParser(self)
         self._last_active_at = self._accepted_at = server.clock.monotonic()
         self._unused = True  # whether nothing has been received
         self._receiving_since: float | None = None  # arrival of the first byte of a request
@@ -66,6 +72,7 @@
         self._output_watch = OutputWatch(server.limits.idle_timeout, self._last_active_at)
         self._incoming = IncomingRequest()
         self._continue_due = False  # whether the caller waits for `100 Continue`
+        self._offers_upgrade = False  # whether the current request does, or an earlier one has
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Register the connection with the server."""
@@ -85,8 +92,9 @@
         incoming.received += len(data)
         try:
             self._parser.feed_data(data)
-        except httptools.HttpParserUpgrade:
-            self._end_after_last_request()
+        except httptools.HttpParserUpgrade:  # a tunnel, which this server does not open
+            if not self._last_request_read:
+                self._reject(HTTPStatus.NOT_IMPLEMENTED)
         except httptools.HttpParserError:
             if not self._last_request_read:
                 self._reject(400)
@@ -120,6 +128,11 @@
 
     # Called by the parser.
 
+    @property
+    def parsed_head(self) -> tuple[bytes, list[Header]]:
+        """Return the target and the header fields of the request that is being received."""
+        return self._incoming.target, self._incoming.headers
+
     def on_message_begin(self) -> None:
         """Start a new request."""
         self._receiving_since = self.server.clock.monotonic()
@@ -147,6 +160,9 @@
         incoming, bound = self._incoming, self.server.bound
         if self._last_request_read:
             return
+        if self._parser.should_upgrade():  # the head is parsed again, or refused
+            self._offers_upgrade = True
+            return
         if self.one_request and bound.refuses(self.peer_host, incoming.target, incoming.headers):
             self._reject(HTTPStatus.SERVICE_UNAVAILABLE, bound.refusal_lines())
             return
@@ -189,7 +205,7 @@
 
     def on_message_complete(self) -> None:
         """Pass the complete request to the handler."""
-        if self._last_request_read:
+        if self._last_request_read or self._parser.should_upgrade():
             return
         self._receiving_since = None
         self._continue_due = False
@@ -199,7 +215,8 @@
         exchange = Exchange(self, request)
         exchange.held_bytes, self._incoming.held_bytes = self._incoming.held_bytes, 0
         exchange.keep_alive = self._parser.should_keep_alive()
-        exchange.last = self._last_request_read = self.one_request
+        # Its caller may send bytes of another protocol behind a request that offers an upgrade.
+        exchange.last = self._last_request_read = self.one_request or self._offers_upgrade
         self.server.requests_read += 1
         self.pending.append(exchange)
         self._update_reading()
@@ -369,14 +386,6 @@
         self.pending.append(exchange)
         exchange.respond(status, header_lines, b"")
 
-    def _end_after_last_request(self) -> None:
-        """Read nothing more, and close the connection with the response to the last request."""
-        self._last_request_read = True
-        if self.pending:
-            self.pending[-1].last = True
-        elif self._transport is not None and not self._transport.is_closing():
-            self._close_after_response(self._transport, lingers=True)
-
     def _cancel_pending(self, closed_by: ClosedBy) -> None:
         pending, self.pending = self.pending, deque()
         for exchange in pending:
