Split the instance's connection from its pool, and the attempt's frame from the request

Change: instance_connection.py and attempt_frame.py hold what they name; names and behaviour are as before, and tests import from where things are. One test gives its origin a clock, which the durations of calls need.

--- a/packages/thorntray/src/thorntray/internal/request/origin_request.py
+++ b/packages/thorntray/src/thorntray/internal/request/origin_request.py
@@ -11,14 +11,14 @@
 import asyncio
 
 from thorntray.internal.connection.exchange import COPIED_BODY_BYTES, Exchange
-from thorntray.internal.connection.frame import CallFrame, ResultFrame
+from thorntray.internal.connection.frame import ResultFrame
 from thorntray.internal.connection.link import Link
 from thorntray.internal.membership.member import Member
 from thorntray.internal.overload.call_parents import RunningRequest
 from thorntray.internal.overload.crash_isolation import choose_instance
 from thorntray.internal.overload.root_admission import CLOSED_PRICE
-from thorntray.internal.overload.slot_wait import longest_wait
 from thorntray.internal.overload.worth import Priority
+from thorntray.internal.request.attempt_frame import call_frame
 from thorntray.internal.request.fingerprint import fingerprint
 from thorntray.internal.request.origin_context import OriginContext, RequestHead
 from thorntray.internal.request.owner_request import LOCAL_CALL_NUMBER, OwnerRequest
@@ -40,8 +40,6 @@
 DEFAULT_DEADLINE = 10.0  # seconds, for requests without a deadline field
 OWNER_RESULT_GRACE = 0.03  # seconds past the deadline to wait for the owner's own result
 MAX_REFUSALS = 4  # refusals after which the request is not sent to further members
-ROOT_MAX_SLOT_WAIT_RATIO = 0.125  # longest slot wait of a root request / target latency
-NESTED_MAX_SLOT_WAIT = 0.5  # seconds that a nested call may wait for a slot
 NO_INSTANCE_RETRY_AFTER = 0.5  # seconds, before jitter
 STOPPING_RETRY_AFTER = 1.0  # seconds, before jitter; about the time of a restart
 MAX_LEAF_CALLS = 1.5  # calls, own call included, up to which a failed call tree counts as a leaf
@@ -311,7 +309,7 @@
                 self.route.name,
                 request.method,
                 request.target,
-                self._workspace_name,
+                self.workspace_name,
                 request.body,
             )
         return self.fingerprint
@@ -340,7 +338,7 @@
 
         if member.name == deps.own_name:
             self.link = None
-            call = self._call_frame(LOCAL_CALL_NUMBER, now)
+            call = call_frame(self, LOCAL_CALL_NUMBER, now)
             self.owner_request = deps.owner.submit(
                 call, lambda r: self._on_result(attempt, member, r)
             )
@@ -350,59 +348,16 @@
             self.owner_request = None
             self.link = deps.links.link_to(member)
             self.call_number = self.link.call(
-                lambda number: self._call_frame(number, now), on_result
+                lambda number: call_frame(self, number, now), on_result
             )
 
-    def _call_frame(self, number: int, now: float) -> CallFrame:
-        request = self.exchange.request
-        return CallFrame(
-            number=number,
-            service=self.service,
-            route=self.route_key,
-            request_id=self.head.request_id,
-            method=request.method,
-            target=request.target,
-            header_lines=self._header_lines(),
-            body=request.body,
-            caller_service=self.context.deps.own_service,
-            idempotent=self.route.idempotent,
-            nested=self.nested,
-            budget=self._last_work_time - now,
-            max_wait=self._max_slot_wait(),
-            worth=self.worth,
-            workspace=self._workspace_name,
-        )
-
-    @property
-    def _last_work_time(self) -> float:
-        """Return the monotonic time at which the instance has to end its work."""
-        if self.parent is None:
-            return self.expiry
-        return min(self.expiry, self.context.deps.drain.latest_expiry)
-
     @property
-    def _workspace_name(self) -> str:
+    def workspace_name(self) -> str:
         """Return the name of the call tree's workspace, empty if there is none."""
         if self.workspace is not None:
             return self.workspace.name
         return self.parent.workspace if self.parent is not None else ""
 
-    def _header_lines(self) -> bytes:
-        """Return the header lines for the instance, which is told the caller's workspace."""
-        if self.workspace is None:
-            return self.head.lines
-        name = self.context.deps.names.workspace
-        return b"%b%b: %b\r\n" % (self.head.lines, name, self.workspace.name.encode())
-
-    def _max_slot_wait(self) -> float:
-        whole_wait = NESTED_MAX_SLOT_WAIT
-        if not self.nested:
-            whole_wait = self.route.target_latency * ROOT_MAX_SLOT_WAIT_RATIO
-        members = self.context.deps.directory.members_of(self.service)
-        excluded = self.tried | self.full
-        others_left = any(m.routable and m.name not in excluded for m in members)
-        return longest_wait(whole_wait, self.refusals, others_left)
-
     def _on_frame(self, attempt: int, member: Member, outcome: ResultFrame | Cause) -> None:
         match outcome:
             case ResultFrame():
--- a/packages/thorntray/src/thorntray/internal/request/owner.py
+++ b/packages/thorntray/src/thorntray/internal/request/owner.py
@@ -13,11 +13,8 @@
 from thorntray.internal.connection.exchange import COPIED_BODY_BYTES
 from thorntray.internal.connection.frame import CallFrame
 from thorntray.internal.connection.header_names import HeaderNames
-from thorntray.internal.connection.instance_pool import (
-    InstancePool,
-    InstanceResponse,
-    ResponseFault,
-)
+from thorntray.internal.connection.instance_pool import InstancePool
+from thorntray.internal.connection.instance_response import InstanceResponse, ResponseFault
 from thorntray.internal.overload.call_parents import RunningRequests
 from thorntray.internal.overload.crash_isolation import CrashIsolation
 from thorntray.internal.overload.failing_share import FailingShare
--- a/tests/test_answers_in_memory.py
+++ b/tests/test_answers_in_memory.py
@@ -11,11 +11,8 @@
     request_bytes,
     run_scenario,
 )
-from thorntray.internal.connection.instance_pool import (
-    InstancePool,
-    InstanceResponse,
-    ResponseFault,
-)
+from thorntray.internal.connection.instance_pool import InstancePool
+from thorntray.internal.connection.instance_response import InstanceResponse, ResponseFault
 from thorntray.internal.connection.response_bounds import (
     MAX_RESPONSE_BYTES,
     HeldBodies,
--- a/tests/test_endless_answers.py
+++ b/tests/test_endless_answers.py
@@ -8,12 +8,9 @@
 from tests.instance_replies import answer_bytes
 from tests.mesh_builders import HOST, FakeInstance, run_scenario
 from thorntray.internal.connection import instance_pool
-from thorntray.internal.connection.instance_pool import (
-    InstanceConnection,
-    InstancePool,
-    InstanceResponse,
-    ResponseFault,
-)
+from thorntray.internal.connection.instance_connection import InstanceConnection
+from thorntray.internal.connection.instance_pool import InstancePool
+from thorntray.internal.connection.instance_response import InstanceResponse, ResponseFault
 from thorntray.internal.process.clock import SystemClock
 
 KIB, MIB = 1024, 1024 * 1024
--- a/tests/test_instance_pool.py
+++ b/tests/test_instance_pool.py
@@ -9,11 +9,8 @@
 
 from tests.instance_replies import answer_bytes
 from tests.mesh_builders import HOST, FakeInstance
-from thorntray.internal.connection.instance_pool import (
-    InstancePool,
-    InstanceResponse,
-    ResponseFault,
-)
+from thorntray.internal.connection.instance_pool import InstancePool
+from thorntray.internal.connection.instance_response import InstanceResponse, ResponseFault
 from thorntray.internal.process.clock import SystemClock
 
 ID_HEADER = b"thorntray-request-id"
--- a/tests/test_odd_announcements.py
+++ b/tests/test_odd_announcements.py
@@ -20,8 +20,9 @@
 from tests.builders import ManualClock
 from tests.odd_values import HUGE, any_bytes, property_test
 from tests.test_malformed_messages import FakeExchange
-from thorntray.internal.connection.instance_pool import _idle_timeout_from
+from thorntray.internal.connection.instance_connection import _idle_timeout_from
 from thorntray.internal.overload.rate_limit import parse_rate_limit
+from thorntray.internal.process.clock import SystemClock
 from thorntray.internal.process.registration import Registration
 from thorntray.internal.request.origin import InvalidRequestHead, Origin
 from wire_names import HEADERS
@@ -34,7 +35,7 @@
     "born": 1_790_000_000_000,
 }
 FIELDS = [("born",), ("Info", "Slots"), ("Status", "Sequence"), ("Status", "ColdRemainingS")]
-READER = Origin(SimpleNamespace(names=HEADERS))
+READER = Origin(SimpleNamespace(names=HEADERS, clock=SystemClock()))
 
 
 class Door:
--- a/tests/test_surplus_calls.py
+++ b/tests/test_surplus_calls.py
@@ -4,7 +4,8 @@
 
 from tests.instance_replies import answer_bytes
 from tests.mesh_builders import request_bytes, run_scenario
-from thorntray.internal.connection.instance_pool import InstancePool, ResponseFault
+from thorntray.internal.connection.instance_pool import InstancePool
+from thorntray.internal.connection.instance_response import ResponseFault
 from thorntray.internal.process.clock import SystemClock
 
 SOCKET_LIMIT = 8  # of which callers get a quarter
