A departure that is too old to keep is not recorded again with each reply

Cause: found when reading the change: with eight newer departures kept, an older one in a reply of a member counted as news each time, and restarted the recording that a confirmation waits for. Change: recorded again only if what is kept changes. Before: three recordings for three replies in the new test; after: none.

--- a/packages/thorntray/src/thorntray/internal/membership/departures.py
+++ b/packages/thorntray/src/thorntray/internal/membership/departures.py
@@ -228,9 +228,10 @@
         for departure in recalled:
             self._registration.recall(departure)
         unknown = [departure for departure in recalled if departure not in self._own]
-        if unknown:
+        known = [*unknown, *self._own][-MAX_KEPT:]
+        if known != self._own:
             # Recorded anew: the store may have lost the entry, and members their copies.
-            self._own = [*unknown, *self._own][-MAX_KEPT:]
+            self._own = known
             self._start_recording()
 
     # The members.
--- a/tests/test_departures_forgotten.py
+++ b/tests/test_departures_forgotten.py
@@ -14,6 +14,7 @@
 from tests.outage_store import OutageStore
 from tests.test_departures import PEERS, confirm_leaving, is_used_within, loop_time, start_fleet
 from tests.virtual_mesh import run_virtual_scenario
+from thorntray.internal.membership.departure_copies import MAX_KEPT
 from thorntray.internal.membership.departures import MIN_LEAD
 from thorntray.internal.membership.gossip import (
     DepartureReply,
@@ -182,6 +183,22 @@
     assert run_virtual_scenario(scenario)
 
 
+def test_a_departure_that_is_too_old_to_keep_is_not_recorded_with_each_reply():
+    """Guards against confirmations that each reply of a member delays anew."""
+
+    async def scenario(fleet):
+        await start_fleet(fleet)
+        departures = fleet.nodes["t1"].departures
+        for number in range(MAX_KEPT):
+            fleet.nodes["t1"].registration.deregister(f"i-{number}", 2000)
+        before = departures._sequence
+        for _ in range(3):
+            departures._learn((("i-old", 1000, False),))
+        return departures._sequence - before
+
+    assert run_virtual_scenario(scenario) == 0
+
+
 class _ReplyOfTheReleaseBefore(msgspec.Struct, tag="K", array_like=True, frozen=True):
     boots: tuple[tuple[str, int, bool], ...]
 
