Waiting requests that are refused as they start no longer exhaust the stack

Cause: SlotQueue.release starts the next request, whose refusal returns its slot, and so on, each a few frames deeper. Change: start_waiting is one loop; a call from within leaves the work to it. Test: 3,000 waiting requests that end in their start; RecursionError before, all end after.

--- a/packages/thorntray/src/thorntray/internal/overload/slot_queue.py
+++ b/packages/thorntray/src/thorntray/internal/overload/slot_queue.py
@@ -86,6 +86,7 @@
         self._sequence = 0
         self._nested_share = 0.0  # of the newest requests, moving average
         self._waiting: FairBacklog[Ticket] = FairBacklog()
+        self._is_starting = False  # whether `start_waiting` runs
 
     @property
     def waiting(self) -> int:
@@ -159,10 +160,20 @@
         return next((ticket for ticket in startable if ticket.idempotent), None)
 
     def start_waiting(self) -> None:
-        """Start the waiting requests that fit now, by slots and by the rate limit."""
-        while (ticket := self._startable_waiting()) is not None:
-            self._waiting.take(ticket)
-            self._assign_slot(ticket)
+        """Start the waiting requests that fit now, by slots and by the rate limit.
+
+        A request that is refused as it starts returns its slot at once. The loop that started it
+        then goes on; a call of its own for each of hundreds would exhaust the stack.
+        """
+        if self._is_starting:
+            return
+        self._is_starting = True
+        try:
+            while (ticket := self._startable_waiting()) is not None:
+                self._waiting.take(ticket)
+                self._assign_slot(ticket)
+        finally:
+            self._is_starting = False
 
     def _assign_slot(self, ticket: Ticket) -> None:
         self.in_flight += 1
--- a/tests/test_slot_queue.py
+++ b/tests/test_slot_queue.py
@@ -1,5 +1,7 @@
 """Tests of the slots of one instance and the queue for them."""
 
+import functools
+
 from hypothesis import given
 from hypothesis import strategies as st
 
@@ -164,3 +166,26 @@
         elif tickets:
             queue.withdraw(tickets[index % len(tickets)])
         assert not queue.waiting or queue.in_flight == queue.limit
+
+
+def test_many_waiting_requests_that_are_refused_as_they_start_all_end():
+    """Guards against requests that the end of the stack leaves without a result.
+
+    An instance that refuses connections ends each waiting request in its start, which returns the
+    slot that starts the next one.
+    """
+    queue, ended = SlotQueue(), []
+    queue.set_slots(1)
+    tickets = []
+
+    def start(index):
+        ended.append(index)
+        queue.release(tickets[index])
+
+    running = Ticket(1.0, False, lambda: None)
+    assert queue.submit(running)
+    for index in range(3000):
+        tickets.append(Ticket(1.0, False, functools.partial(start, index)))
+        queue.submit(tickets[-1])
+    queue.release(running)
+    assert sorted(ended) == list(range(3000)) and queue.in_flight == 0
