--- a/packages/thorntray/src/thorntray/internal/process/drain.py
+++ b/packages/thorntray/src/thorntray/internal/process/drain.py
@@ -74,7 +74,13 @@
 
     @property
     def latest_expiry(self) -> float:
-        """Return the monotonic time until which an instance may work on a call."""
+        """Return the monotonic time until which an instance may work on a call that begins now.
+
+        While callers are accepted, it may be one of theirs that looks like a call. Its answer is
+        passed on also if this process was paused until answers are due.
+        """
+        if self._clock.monotonic() < self._refuse_at:
+            return NO_END
         return self.answers_due - INSTANCE_ANSWER_TIME
 
     @property
