A connection made just before the close of a port is not reset

Cause: the listening socket was closed in the turn of the loop in which its queue had been emptied, but the kernel goes on making connections between the last accept and the close.

Evidence: local ports traced in four resets were never accepted; they follow the last accepted ones.

Change: while nobody waits, a packet filter on the listening socket drops the first segment of new connections; the queue is emptied once more, then the socket is closed.

--- a/packages/thorntray/src/thorntray/internal/connection/accept_queue.py
+++ b/packages/thorntray/src/thorntray/internal/connection/accept_queue.py
@@ -3,12 +3,14 @@
 Closing a listening socket resets the connections that wait in its accept queue. Their callers have
 connected and may have sent a request, and cannot know whether it has run. So the queue is emptied
 first, and the socket is closed in the same step: the kernel refuses whoever comes afterwards.
+Between the two nobody gets a connection (`handshake_filter`).
 """
 
 import asyncio
 import socket
 from collections.abc import Callable
 
+from thorntray.internal.connection.handshake_filter import ignore_new_connections
 from thorntray.internal.telemetry.events import Event, log_event
 
 RETRY_PERIOD = 0.01  # seconds until descriptors may have become free
@@ -46,6 +48,8 @@
         try:
             listener.setblocking(False)
             _accept_from(listener, accepted)
+            ignore_new_connections(listener)
+            _accept_from(listener, accepted)  # who has come before the kernel ignored them
         except OSError as exc:
             return accepted, exc
         finally:
--- a/tests/test_accept_queue.py
+++ b/tests/test_accept_queue.py
@@ -5,6 +5,7 @@
 
 import asyncio
 import errno
+import select
 import socket
 from types import SimpleNamespace
 
@@ -110,6 +111,28 @@
     assert late == [None]
 
 
+def test_a_caller_that_connects_between_the_last_accept_and_the_close_is_never_reset():
+    # Failure: its connection was made and then reset, so it could not know whether a request ran.
+    late = socket.socket()
+    late.setblocking(False)
+
+    async def work():
+        server = await asyncio.get_running_loop().create_server(Answering, HOST, 0)
+        address = server.sockets[0].getsockname()
+
+        def connect_and_close():
+            late.connect_ex(address)
+            server.close()
+
+        closing = SimpleNamespace(sockets=server.sockets, close=connect_and_close)
+        await close_listener(closing, Answering)
+
+    with late:
+        asyncio.run(work())
+        select.select([], [late], [], TIMEOUT)
+        assert late.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR) == errno.ECONNREFUSED
+
+
 def test_connections_without_a_descriptor_are_answered_once_there_is_one(monkeypatch):
     # Failure: the first connections, or those left, are reset at once.
     accepts = LimitedAccepts(per_attempt=1)
