An instance that was slow is tried again until it has recovered

Cause: only a request at an instance changes the service time that a node knows of it, and an instance known as slow is chosen only while the others are full.

Change: a member that takes more than twice the least time gets one request 2, 4, then every 8 s after its last sample, at most one request in 50 of the node. A fast answer replaces what was known.

An instance that stays slow gets one request in 8 s.

--- a/packages/thorntray/src/thorntray/internal/overload/placement.py
+++ b/packages/thorntray/src/thorntray/internal/overload/placement.py
@@ -15,15 +15,20 @@
 member is routable, one whose node is about to stop is still tried: it serves requests until it
 stops, or refuses at once.
 
+A member that was slow gets few requests, which would hide that it has recovered. It is tried again
+now and then (`member_times`), by a first attempt whose request can wait for it.
+
 An instance that names a rate limit has free slots and answers fast, and would attract all requests.
 Its expected time therefore includes the wait until the limit allows a further one.
 """
 
+from math import inf
 from random import Random
 
 from thorntray.internal.membership.instance_notices import InstanceNotice
 from thorntray.internal.membership.member import Health, Member
 from thorntray.internal.overload.ejection import Ejection
+from thorntray.internal.overload.member_times import RETRY_INTERVAL, MemberTime
 from thorntray.internal.overload.rate_limit import MIN_RATE
 from thorntray.internal.request.result import LoadReport
 
@@ -31,7 +36,6 @@
 CONGESTION_THRESHOLD = 0.65  # share of the limit in use above which a delay is added
 FULL_LOAD_PENALTY = 0.15  # seconds added when the last slot is in use
 UNKNOWN_SERVICE_TIME = 0.05  # seconds, until a first result is known
-SERVICE_TIME_WEIGHT = 0.15  # weight of the newest sample in a member's service time
 PAUSE_AFTER_REFUSAL = 0.25  # seconds without new requests after a refusal not caused by load
 ASSUMED_LIMIT = 16  # slots of an instance that has not reported yet
 MAX_FULL_COMPARISON = 6  # members; with more, only a random sample is compared
@@ -53,7 +57,7 @@
     )
 
     def __init__(self) -> None:
-        self.service_times: dict[str, float] = {}  # seconds, by route
+        self.service_times: dict[str, MemberTime] = {}  # by route
         self.report = LoadReport(0.0, 0.0, 0, 0)
         self.reported_at = float("-inf")
         self.sent_since_report = 0
@@ -72,6 +76,7 @@
         self._rng = rng
         self._states: dict[str, _MemberState] = {}
         self._last_pause_end = float("-inf")  # monotonic seconds at which all pauses are over
+        self._picks_since_retry = 0  # choices since a slow member was tried again
 
     def record_dispatch(self, member: str) -> None:
         """Record that a request was sent to a member."""
@@ -90,8 +95,11 @@
             state.reported_at = now
             state.sent_since_report = 0
         if report.service_time > 0:
-            known = state.service_times.get(route, report.service_time)
-            state.service_times[route] = known + SERVICE_TIME_WEIGHT * (report.service_time - known)
+            known = state.service_times.get(route)
+            if known is None:
+                state.service_times[route] = MemberTime(report.service_time, now)
+            else:
+                known.record(report.service_time, now)
 
     def record_notice(self, member: str, notice: InstanceNotice | None, now: float) -> None:
         """Record the rate limit of a member's instance that came with a result, None: no limit."""
@@ -109,13 +117,29 @@
         """Drop the state of a member that has left."""
         self._states.pop(member, None)
 
-    def pick(self, members: list[Member], route: str, tried: set[str], now: float) -> Member | None:
-        """Return the untried member with the least expected time, None if there is none."""
+    def pick(
+        self,
+        members: list[Member],
+        route: str,
+        tried: set[str],
+        now: float,
+        time_left: float = inf,
+    ) -> Member | None:
+        """Return the untried member with the least expected time, None if there is none.
+
+        A first attempt may go to a slow member instead, to find out whether it has recovered.
+        `time_left` is in seconds for a request that must not be cut, infinite for others.
+        """
         routable = [m for m in members if m.routable and m.name not in tried]
         if not routable:
             return self._last_resort(members, tried, now)
         pool = self._sample(self._in_rotation(routable, now))
         default_time = self._default_time(pool, route)
+        self._picks_since_retry += 1
+        if self._picks_since_retry >= RETRY_INTERVAL and not tried:
+            slow = self._due_for_retry(pool, route, default_time, now, time_left)
+            if slow is not None:
+                return slow
         best, least_time = pool[0], float("inf")
         for member in pool:
             expected = self._expected_time(member, route, default_time, now)
@@ -123,6 +147,24 @@
                 best, least_time = member, expected
         return best
 
+    def _due_for_retry(
+        self, pool: list[Member], route: str, least_time: float, now: float, time_left: float
+    ) -> Member | None:
+        """Return a slow member that is to be tried again, None if there is none.
+
+        Members of other domains are not, beside those of the own one: fast ones get no requests.
+        """
+        local = [member for member in pool if member.domain == self._domain]
+        for member in local or pool:
+            known = self._state(member.name).service_times.get(route)
+            if known is None or known.seconds >= time_left:
+                continue
+            if known.is_retry_due(least_time, now):
+                known.begin_retry(now)
+                self._picks_since_retry = 0
+                return member
+        return None
+
     def _in_rotation(self, routable: list[Member], now: float) -> list[Member]:
         """Return the members that are neither ejected nor paused.
 
@@ -153,12 +195,13 @@
         return None
 
     def _default_time(self, pool: list[Member], route: str) -> float:
-        times = [t for m in pool if (t := self._state(m.name).service_times.get(route))]
+        times = [t.seconds for m in pool if (t := self._state(m.name).service_times.get(route))]
         return min(times) if times else UNKNOWN_SERVICE_TIME
 
     def _expected_time(self, member: Member, route: str, default_time: float, now: float) -> float:
         state = self._state(member.name)
-        seconds = state.service_times.get(route, default_time)
+        known = state.service_times.get(route)
+        seconds = default_time if known is None else known.seconds
         report = state.report
         fresh = now - state.reported_at < REPORT_LIFETIME
         present = report.in_flight + state.sent_since_report if fresh else state.own_in_flight
--- a/packages/thorntray/src/thorntray/internal/request/origin_request.py
+++ b/packages/thorntray/src/thorntray/internal/request/origin_request.py
@@ -9,6 +9,7 @@
 """
 
 import asyncio
+from math import inf
 
 from thorntray.internal.connection.exchange import COPIED_BODY_BYTES, Exchange
 from thorntray.internal.connection.frame import ResultFrame
@@ -258,7 +259,9 @@
         members = deps.directory.members_of(self.service)
         if self.suspected and self._try_isolated(members, now):
             return
-        member = deps.placement.pick(members, self.route_key, self.tried | self.full, now)
+        time_left = inf if self.route.idempotent else self.expiry - now
+        unfit = self.tried | self.full
+        member = deps.placement.pick(members, self.route_key, unfit, now, time_left)
         if member is None and self.full:
             self.full.clear()
             member = deps.placement.pick(members, self.route_key, self.tried, now)
