--- a/packages/thorntray/src/thorntray/internal/request/origin_request.py
+++ b/packages/thorntray/src/thorntray/internal/request/origin_request.py
@@ -11,7 +11,7 @@
 import asyncio
 from math import inf
 
-from thorntray.internal.connection.exchange import COPIED_BODY_BYTES, Exchange
+from thorntray.internal.connection.exchange import Exchange
 from thorntray.internal.connection.frame import ResultFrame
 from thorntray.internal.connection.link import Link
 from thorntray.internal.membership.member import Member
@@ -20,6 +20,11 @@
 from thorntray.internal.overload.root_admission import CLOSED_PRICE
 from thorntray.internal.overload.worth import Priority
 from thorntray.internal.request.attempt_frame import call_frame
+from thorntray.internal.request.attempt_outcome import (
+    record_outcome,
+    should_retry_answer,
+    within_memory,
+)
 from thorntray.internal.request.fingerprint import fingerprint
 from thorntray.internal.request.origin_context import OriginContext, RequestHead
 from thorntray.internal.request.owner_request import LOCAL_CALL_NUMBER, OwnerRequest
@@ -34,6 +39,7 @@
     unknown,
 )
 from thorntray.internal.request.result_frames import result_from_frame
+from thorntray.internal.request.stop_time import has_time_to_retry, is_admitted_in_stop
 from thorntray.internal.telemetry.events import log_handler_failure
 from thorntray.internal.version.policy import Route
 from thorntray.internal.version.workspaces import Workspace
@@ -43,7 +49,6 @@
 MAX_REFUSALS = 4  # refusals after which the request is not sent to further members
 NO_INSTANCE_RETRY_AFTER = 0.5  # seconds, before jitter
 STOPPING_RETRY_AFTER = 1.0  # seconds, before jitter; about the time of a restart
-MAX_LEAF_CALLS = 1.5  # calls, own call included, up to which a failed call tree counts as a leaf
 
 # Refusals by a working instance: the service is overloaded, not unavailable.
 _OVERLOAD_CAUSES = frozenset({Cause.FULL, Cause.EXPIRED, Cause.REJECTED})
@@ -131,7 +136,7 @@
         deps = self.context.deps
         self.context.active.add(self)
         self._find_parent()
-        if not self._is_admitted_in_stop():
+        if not is_admitted_in_stop(self):
             self.finish(not_run(Cause.DRAINING, STOPPING_RETRY_AFTER))
             return
         if not self.nested:
@@ -146,28 +151,6 @@
         self.timer = asyncio.get_running_loop().call_later(left, self._on_timeout)
         self._try_next()
 
-    def _is_admitted_in_stop(self) -> bool:
-        """Return whether this node does not stop, or the request can end before it has stopped."""
-        drain = self.context.deps.drain
-        return not drain.begun or drain.admits(self.parent is not None, self._expected_time)
-
-    @property
-    def _expected_time(self) -> float:
-        """Return the seconds that an attempt which begins now is expected to take at most.
-
-        Callers' requests are accepted early in a stop and have the rest of it; a call may come
-        late, and is not to be broken off.
-        """
-        if self.parent is None:
-            return self.route.target_latency
-        return self.context.likely_longest(self)
-
-    @property
-    def _has_time_to_retry(self) -> bool:
-        """Return whether this node does not stop, or a further attempt can end before it has."""
-        drain = self.context.deps.drain
-        return not drain.begun or drain.can_finish(self._expected_time)
-
     @property
     def refused_here(self) -> bool:
         """Return whether the request has ended without having been sent to any instance."""
@@ -279,7 +262,7 @@
         If that one has refused it, a suspect of one crash goes to the next, any other is given up.
         Returns False if the request is to be sent like any other.
         """
-        isolation, fingerprint = self.context.deps.isolation, self._fingerprint()
+        isolation, fingerprint = self.context.deps.isolation, self.get_fingerprint()
         if not isolation.group_limit(fingerprint):
             return False
         refusing = self.tried | self.full
@@ -297,7 +280,7 @@
 
     def _refuse_if_blocked(self) -> bool:
         """Refuse the request if instances crash of it; return whether it was refused."""
-        deps, fingerprint = self.context.deps, self._fingerprint()
+        deps, fingerprint = self.context.deps, self.get_fingerprint()
         refused_for = deps.isolation.refused_for(fingerprint)
         if refused_for > 0:
             self._give_up(not_run(Cause.BLOCKED, refused_for))
@@ -305,7 +288,8 @@
         self.suspected = deps.suspects.is_suspected(fingerprint)
         return False
 
-    def _fingerprint(self) -> int:
+    def get_fingerprint(self) -> int:
+        """Return what identifies the request when instances crash of it."""
         if self.fingerprint is None:
             request = self.exchange.request
             self.fingerprint = fingerprint(
@@ -381,58 +365,14 @@
         if self.finished or attempt != self.attempt:
             return
         self.owner_request = self.link = None
-        self._record_result(member, result, now)
-        if result.kind is ResultKind.ANSWERED and not self._should_retry_answer(result):
-            self.finish(self._within_memory(member, result))
+        record_outcome(self, member, result, now)
+        if result.kind is ResultKind.ANSWERED and not should_retry_answer(self.route, result):
+            self.finish(within_memory(self, member, result))
             return
         if result.kind is ResultKind.ANSWERED:
-            self.kept_answer = self._within_memory(member, result)
+            self.kept_answer = within_memory(self, member, result)
         self._handle_failed_attempt(result, now)
 
-    def _within_memory(self, member: Member, result: Result) -> Result:
-        """Return the result, or `TOO_LARGE` if the process would be killed for keeping its body.
-
-        An answer of the own instance was only read when there was room for it.
-        """
-        deps, count = self.context.deps, len(result.body)
-        if count <= COPIED_BODY_BYTES or member.name == deps.own_name:
-            return result
-        if deps.memory.can_keep(count):
-            return result
-        deps.on_answer_dropped(self.head.request_id, self.route_key, count)
-        return unknown(Cause.TOO_LARGE)
-
-    def _record_result(self, member: Member, result: Result, now: float) -> None:
-        deps = self.context.deps
-        deps.admission.prices.update(self.service, result.prices, now)
-        if self.parent is not None:
-            self.parent.add_costs(result.costs, result.prices)
-        answered = result.kind is ResultKind.ANSWERED and result.status < 500
-        if answered and deps.suspects.active:
-            deps.on_success(self._fingerprint())
-        if not self.nested and result.costs:
-            if answered:
-                deps.admission.costs.record_success(self.route_key, result.costs)
-            else:
-                deps.admission.costs.record_failure(self.route_key, result.costs)
-        match result.cause:
-            case Cause.LOST | Cause.GARBLED | Cause.REJECTED:
-                deps.ejection.record_attempt(member.name, failed=True)
-            case Cause.NO_INSTANCE | Cause.DRAINING | Cause.CRASHED:
-                deps.placement.pause(member.name, now)
-            case Cause.NONE:
-                deps.ejection.record_attempt(member.name, failed=False)
-
-    def _should_retry_answer(self, result: Result) -> bool:
-        """Return whether an error response is to be retried."""
-        return self.route.idempotent and self._is_leaf_failure(result)
-
-    def _is_leaf_failure(self, result: Result) -> bool:
-        """Return whether an instance failed without a nested call that may be the cause."""
-        if result.status < 500:
-            return False
-        return sum(use[1] for use in result.costs.values()) <= MAX_LEAF_CALLS
-
     def _handle_failed_attempt(self, result: Result, now: float) -> None:
         arrived = result.kind is not ResultKind.NOT_RUN or result.cause is Cause.REJECTED
         self.maybe_ran = self.maybe_ran or result.kind is not ResultKind.NOT_RUN
@@ -446,7 +386,7 @@
             self._record_return_time(result.retry_after)
             result = result._replace(retry_after=0.0)
         self.saw_overload = self.saw_overload or result.cause in _OVERLOAD_CAUSES
-        if now >= self.expiry or result.cause is Cause.EXPIRED or not self._has_time_to_retry:
+        if now >= self.expiry or result.cause is Cause.EXPIRED or not has_time_to_retry(self):
             self._give_up(result)
         elif self._crashes_instances(result):
             self._give_up(result)
